--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,14 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**', 'runs/**'] },
+  ...tseslint.configs.recommended,
+  {
+    rules: {
+      'func-style': ['error', 'declaration', { allowArrowFunctions: false }],
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', varsIgnorePattern: '^_', caughtErrors: 'none' }],
+      '@typescript-eslint/no-non-null-assertion': 'off',
+      '@typescript-eslint/no-explicit-any': 'error',
+    },
+  },
+);
--- /dev/null
+++ b/packages/boot/src/index.ts
@@ -0,0 +1,2 @@
+export * from './program.js';
+export * from './settings.js';
--- /dev/null
+++ b/packages/control-state/src/keeper.ts
@@ -0,0 +1,265 @@
+// The core of the state-keeper: the place, the keys it owns, the news it pushes to home agents, and the
+// feed tenures it grants. A change of the desired state is acknowledged only when, beyond the majority,
+// every router whose tenure may be live has applied it. A new owner does not know the
+// tenures of the one before, so it waits one whole tenure after its takeover instead.
+import {
+  every, key as toKey, micros, rendezvous, type Address, type Message, type MessageOf, type NewsItem, type World,
+} from '@tansypost/inner-protocol';
+import { coreKey, encodeCore, replaceIn, type CoreRecord } from './core-record.js';
+import { createOwner, type Owner, type WriteAnswer } from './owner.js';
+import { createPlace, type Place, type PlaceOptions } from './place.js';
+import { createRounds } from './rounds.js';
+import { merge, emptyRow, nextEpoch, versionOfChange, type Row } from './row.js';
+
+export interface KeeperOptions extends PlaceOptions {
+  readonly tenure: number;
+  readonly seeds: readonly Address[];
+  readonly sweepEvery?: number;
+}
+
+export interface Keeper {
+  readonly receive: (m: Message, from: Address) => void;
+  readonly place: Place;
+  readonly owned: () => { key: string; epoch: number; version: number }[];
+  readonly stop: () => void;
+}
+
+interface Holding {
+  expires: number;
+  applied: number;
+}
+
+export function isTenured(k: string): boolean {
+  return k.startsWith('desired/');
+}
+
+export function createKeeper(w: World, o: KeeperOptions): Keeper {
+  const place = createPlace(w, o);
+  const rounds = createRounds({ ...w, send: (to, m) => w.send(to, 'from' in m && m.from === '' ? ({ ...m, from: o.self } as Message) : m) }, place, `${o.slot}`);
+  const owners = new Map<string, Owner>();
+  const heardAt = new Map<number, { at: number; voting: boolean }>();
+  const subscribers = new Map<Address, number>();
+  const tenures = new Map<string, Map<string, Holding>>();
+  const acks = new Map<string, { version: number; go: () => void }[]>();
+  let changing = false;
+  let swept = 0;
+
+  function owner(k: string): Owner {
+    let x = owners.get(k);
+    if (x === undefined) {
+      x = createOwner(w, { key: k, place, rounds, committed: (r) => push(k, r) });
+      owners.set(k, x);
+    }
+    return x;
+  }
+
+  function live(): CoreRecord['places'] {
+    return place.core().places.filter((p) => {
+      if (p.slot === o.slot) return place.state() === 'voting';
+      const h = heardAt.get(p.slot);
+      return h !== undefined && h.voting && w.now() - h.at < 1_000_000;
+    });
+  }
+
+  function preferred(k: string): number {
+    const ps = rendezvous(k, live(), (p) => `${p.slot}`);
+    return ps[0]?.slot ?? o.slot;
+  }
+
+  function item(k: string, r: Row): NewsItem {
+    return { key: k, epoch: r.epoch, version: r.version, value: r.value };
+  }
+
+  function sayNews(to: Address, news: NewsItem[]): void {
+    w.send(to, { kind: 'News', news, coreGen: place.core().gen, places: [...place.core().places] });
+  }
+
+  function push(k: string, r: Row): void {
+    for (const [a, until] of subscribers) {
+      if (until < w.now()) subscribers.delete(a);
+      else sayNews(a, [item(k, r)]);
+    }
+  }
+
+  function onAsk(m: MessageOf<'Ask'>): void {
+    function answer(status: string, r?: Pick<Row, 'epoch' | 'version' | 'value'>): void {
+      w.send(m.origin as Address, { kind: 'Answer', id: m.id, key: m.key, status, epoch: r?.epoch ?? 0, version: r?.version ?? 0, value: r?.value ?? Buffer.alloc(0) });
+    }
+    if (place.state() !== 'voting') return answer('retry');
+    const p = preferred(m.key);
+    if (p !== o.slot && m.hops < 2) {
+      const to = place.core().places.find((x) => x.slot === p)!;
+      return w.send(to.address as Address, { ...m, hops: m.hops + 1 });
+    }
+    const x = owner(m.key);
+    if (m.op === 'write') {
+      return x.write({ change: m.change, base: m.base, value: m.value, done: (a) => settle(m, a, (s) => answer(s, { epoch: a.epoch, version: a.version, value: Buffer.alloc(0) })) });
+    }
+    x.read((r) => {
+      if (r === undefined) return answer('retry');
+      if (m.op === 'read') return answer('value', r);
+      const v = versionOfChange(r.changes, m.change);
+      answer(v === undefined ? 'none' : 'done', { epoch: r.epoch, version: v ?? r.version, value: Buffer.alloc(0) });
+    });
+  }
+
+  function settle(m: MessageOf<'Ask'>, a: WriteAnswer, say: (s: string) => void): void {
+    if (a.status === 'lost') w.log(2102, { key: m.key, change: m.change });
+    if (a.status === 'unknown') w.log(2103, { key: m.key, change: m.change });
+    if (a.status !== 'done' || !isTenured(m.key)) return say(a.status);
+    function go(): void {
+      w.log(2101, { key: m.key, change: m.change, version: a.version });
+      say('done');
+    }
+    const list = acks.get(m.key) ?? [];
+    list.push({ version: a.version, go });
+    acks.set(m.key, list);
+    tryAcks(m.key);
+  }
+
+  // Lets go of each acknowledgement whose version every live tenure has applied.
+  function tryAcks(k: string): void {
+    const list = acks.get(k);
+    if (list === undefined) return;
+    const x = owner(k);
+    const now = w.now();
+    const unknownUntil = x.since() + o.tenure + 100_000;
+    const hs = [...(tenures.get(k) ?? new Map<string, Holding>()).values()].filter((h) => h.expires > now);
+    const left = list.filter((a) => {
+      if (x.owns() && now >= unknownUntil && hs.every((h) => h.applied >= a.version)) {
+        a.go();
+        return false;
+      }
+      return true;
+    });
+    if (left.length > 0) acks.set(k, left);
+    else acks.delete(k);
+  }
+
+  function onSubscribe(m: MessageOf<'Subscribe'>): void {
+    const from = m.from as Address;
+    if (place.state() !== 'voting') return;
+    subscribers.set(from, w.now() + 3_000_000);
+    const out: NewsItem[] = [];
+    for (const h of m.have) {
+      const x = owner(h.key);
+      if (!x.owns() && preferred(h.key) === o.slot) x.take();
+      const r = x.row();
+      if (x.owns() && (r.version > h.version || (r.version === h.version && r.epoch > h.epoch && h.version === 0))) out.push(item(h.key, r));
+      if (isTenured(h.key) && x.owns() && m.tenures.length > 0) grant(h.key, x, m);
+    }
+    const named = new Set(m.have.map((h) => h.key));
+    for (const [k, x] of owners) if (!named.has(k) && x.owns() && x.row().version > 0 && !k.startsWith('claim/')) out.push(item(k, x.row()));
+    if (out.length > 0 || m.have.length === 0) sayNews(from, out);
+    else w.send(from, { kind: 'News', news: [], coreGen: place.core().gen, places: [...place.core().places] });
+  }
+
+  // A tenure is granted only for the version in force, and only after a majority has said,
+  // in a round begun after the asking, that this owner's epoch still holds.
+  function grant(k: string, x: Owner, m: MessageOf<'Subscribe'>): void {
+    x.read((r) => {
+      if (r === undefined) return;
+      const t = tenures.get(k) ?? new Map<string, Holding>();
+      tenures.set(k, t);
+      const grants: { router: string; asked: number; version: number }[] = [];
+      for (const a of m.tenures) {
+        const h = t.get(a.router);
+        if (h !== undefined) h.applied = Math.max(h.applied, a.applied);
+        if (a.applied !== r.version) continue;
+        t.set(a.router, { expires: w.now() + o.tenure, applied: a.applied });
+        grants.push({ router: a.router, asked: a.asked, version: r.version });
+      }
+      if (grants.length > 0) w.send(m.from as Address, { kind: 'Tenures', grants });
+      tryAcks(k);
+    });
+  }
+
+  function onHello(m: MessageOf<'PlaceHello'>): void {
+    if (m.slot !== o.slot) {
+      const known = heardAt.get(m.slot);
+      heardAt.set(m.slot, { at: w.now(), voting: m.state === 'voting' });
+      if (known?.voting !== true && m.state === 'voting') w.send(m.from as Address, place.hello());
+    }
+    place.heard(m);
+    const p = place.core().places.find((x) => x.slot === m.slot);
+    if (place.state() === 'voting' && m.state === 'blank' && p !== undefined && m.slot !== o.slot && p.disk !== m.disk && !place.hello().founders.includes(m.disk)) {
+      changeCore(m);
+    } else if (place.state() === 'voting' && m.state === 'blank' && p !== undefined && p.disk === m.disk) {
+      w.send(m.from as Address, place.hello());
+    }
+  }
+
+  // Writes a new disk into the core record. Both other places must agree, whatever the old one says.
+  function changeCore(m: MessageOf<'PlaceHello'>): void {
+    if (changing) return;
+    changing = true;
+    const gen = place.core().gen;
+    const r = place.row(coreKey);
+    const epoch = nextEpoch(r.promised, o.slot);
+    function over(): void {
+      w.after(micros(200_000 + w.random() * 400_000), () => { changing = false; });
+    }
+    rounds.start({ without: m.slot, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) }, (p) => {
+      if (!p.won) return over();
+      const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
+      if (top.epoch !== gen) return over();
+      const ps = replaceIn(place.core(), { slot: m.slot, address: m.from, disk: m.disk });
+      rounds.start({
+        without: m.slot,
+        make: (id) => ({ kind: 'Accept', id, from: '', key: coreKey, epoch, gen, version: top.version + 1, value: encodeCore(ps), changes: [] }),
+      }, () => {
+        w.log(2006, { slot: m.slot, disk: m.disk, gen: place.core().gen });
+        over();
+        greet();
+      });
+    });
+  }
+
+  function greet(): void {
+    const h = place.hello();
+    const to = new Set<string>([...o.core, ...place.core().places.map((p) => p.address)]);
+    to.delete(o.self);
+    for (const a of to) w.send(a as Address, h);
+    place.copyTick();
+  }
+
+  function announce(): void {
+    if (place.core().gen > 0) for (const a of o.seeds) sayNews(a, []);
+  }
+
+  // The sweep: one key after the other that this place should own is read, which mends it.
+  function sweep(): void {
+    const ks = place.keys().filter((k) => k !== coreKey && !k.startsWith('~') && preferred(k) === o.slot).sort();
+    if (place.state() !== 'voting' || ks.length === 0) return;
+    swept += 1;
+    owner(ks[swept % ks.length]!).read(() => undefined);
+  }
+
+  function receive(m: Message): void {
+    switch (m.kind) {
+      case 'Ask': return onAsk(m);
+      case 'Prepare':
+      case 'Accept':
+      case 'Check': return place.vote(m, (v) => w.send(m.from as Address, v));
+      case 'Vote': return rounds.vote(m);
+      case 'PlaceHello': return onHello(m);
+      case 'CopyAsk': return w.send(m.from as Address, place.copyAsk(m));
+      case 'CopyPage': return place.copyPage(m);
+      case 'Subscribe': return onSubscribe(m);
+      default: return undefined;
+    }
+  }
+
+  greet();
+  const stops = [
+    every(w, () => micros(300_000), greet),
+    every(w, () => micros(1_000_000), announce),
+    every(w, () => micros(o.sweepEvery ?? 500_000), sweep),
+    every(w, () => micros(100_000), () => { for (const k of [...acks.keys()]) tryAcks(k); }),
+  ];
+  return {
+    receive, place,
+    owned: () => [...owners].filter(([, x]) => x.owns()).map(([k, x]) => ({ key: toKey(k), epoch: x.row().epoch, version: x.row().version })),
+    stop: () => stops.forEach((s) => s()),
+  };
+}
--- /dev/null
+++ b/packages/control-state/src/rounds.ts
@@ -0,0 +1,74 @@
+// A round asks the three places one thing and counts their votes: won with two that say yes, lost
+// when two say no, when one shows that a higher epoch was promised, or when time runs out. A vote
+// counts only if it comes from the disk that the core record names for that place.
+import type { Address, Cancel, Message, MessageOf, World } from '@tansypost/inner-protocol';
+import { micros } from '@tansypost/inner-protocol';
+import type { Place } from './place.js';
+
+export type AskVote = MessageOf<'Prepare' | 'Accept' | 'Check'>;
+export interface RoundResult {
+  readonly won: boolean;
+  readonly votes: readonly MessageOf<'Vote'>[];
+}
+export interface RoundOptions {
+  readonly make: (id: string) => AskVote;
+  readonly without?: number;
+  readonly patience?: number;
+}
+export interface Rounds {
+  readonly start: (o: RoundOptions, done: (r: RoundResult) => void) => void;
+  readonly vote: (v: MessageOf<'Vote'>) => void;
+}
+
+interface Round {
+  readonly votes: Map<number, MessageOf<'Vote'>>;
+  readonly o: RoundOptions;
+  readonly ask: AskVote;
+  readonly end: (won: boolean) => void;
+}
+
+export function createRounds(w: World, place: Place, label: string): Rounds {
+  const open = new Map<string, Round>();
+  let n = 0;
+
+  function start(o: RoundOptions, done: (r: RoundResult) => void): void {
+    n += 1;
+    const id = `${label}/${place.diskId().slice(0, 8)}/${n}`;
+    const ask = o.make(id);
+    const gen = place.core().gen;
+    const votes = new Map<number, MessageOf<'Vote'>>();
+    const limit = w.now() + (o.patience ?? 1_500_000);
+    let cancel: Cancel = () => undefined;
+    function end(won: boolean): void {
+      if (!open.delete(id)) return;
+      cancel();
+      done({ won, votes: [...votes.values()] });
+    }
+    open.set(id, { votes, o, ask, end });
+    function beat(): void {
+      if (!open.has(id)) return;
+      if (w.now() >= limit || place.core().gen !== gen || place.state() !== 'voting') return end(false);
+      for (const p of place.core().places) {
+        if (votes.has(p.slot)) continue;
+        if (p.slot === place.slot) place.vote(ask, vote);
+        else w.send(p.address as Address, ask as Message);
+      }
+      if (open.has(id)) cancel = w.after(micros(200_000), beat);
+    }
+    beat();
+  }
+
+  function vote(v: MessageOf<'Vote'>): void {
+    const r = open.get(v.id);
+    if (r === undefined) return;
+    const p = place.core().places.find((x) => x.slot === v.slot);
+    if (p === undefined || p.disk !== v.disk || !v.voting || v.slot === r.o.without) return;
+    r.votes.set(v.slot, v);
+    const vs = [...r.votes.values()];
+    const yes = vs.filter((x) => x.ok);
+    if (yes.length >= 2) return r.end(true);
+    if (vs.length - yes.length >= 2) return r.end(false);
+    if (r.ask.kind === 'Prepare' && vs.some((x) => !x.ok && x.promised > r.ask.epoch)) r.end(false);
+  }
+  return { start, vote };
+}
--- /dev/null
+++ b/packages/desired-state/src/index.ts
@@ -0,0 +1,2 @@
+export * from './desired-state.js';
+export * from './template.js';
--- /dev/null
+++ b/packages/duty/src/index.ts
@@ -0,0 +1,2 @@
+export * from './candidate.js';
+export * from './voter.js';
--- /dev/null
+++ b/packages/event-log/src/catalogue.ts
@@ -0,0 +1,50 @@
+// The catalogue of numbered events. docs/events.md is written from it (a test keeps the two
+// alike). Numbers are never used again for something else.
+
+export interface CatalogueEntry {
+  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly means: string;
+  readonly remedy: string;
+}
+
+export const catalogue: { readonly [n: number]: CatalogueEntry } = {
+  1001: { level: 'info', means: 'program started', remedy: 'None.' },
+  1002: { level: 'info', means: 'graceful stop begun; answers under way go on', remedy: 'None.' },
+  1003: { level: 'info', means: 'program stopped', remedy: 'None.' },
+  1004: { level: 'error', means: 'program ended by an error', remedy: 'Read the message; it names the field or file.' },
+  1101: { level: 'warn', means: 'inner link closed on a bad frame', remedy: 'Check that only tansypost processes of releases sharing a protocol connect there.' },
+  2001: { level: 'info', means: 'place state changed', remedy: 'None; a place that stays blank for a minute lacks contact to the other two.' },
+  2002: { level: 'info', means: 'key taken over under a new epoch', remedy: 'None.' },
+  2003: { level: 'info', means: 'key lost to a higher epoch', remedy: 'None.' },
+  2004: { level: 'info', means: 'old copy mended by a read or the sweep', remedy: 'None.' },
+  2005: { level: 'error', means: 'disk failed a write; this place stops voting until restarted', remedy: 'Free or replace the disk, then restart the keeper.' },
+  2006: { level: 'info', means: 'core places changed', remedy: 'None.' },
+  2007: { level: 'info', means: 'data file rewritten', remedy: 'None.' },
+  2008: { level: 'warn', means: 'torn tail cut from the data file', remedy: 'None; it was never answered for.' },
+  2101: { level: 'info', means: 'change acknowledged', remedy: 'None.' },
+  2102: { level: 'info', means: 'change lost the race', remedy: 'Read the current state and submit again on its version.' },
+  2103: { level: 'warn', means: 'outcome of a change unknown', remedy: 'Ask for it by its change id.' },
+  3001: { level: 'info', means: 'member seen for the first time', remedy: 'None.' },
+  3002: { level: 'info', means: 'member no longer heard of', remedy: 'Look at that machine if it was not stopped on purpose.' },
+  3003: { level: 'info', means: 'worker mark taken', remedy: 'None.' },
+  3004: { level: 'info', means: 'home agent of the zone changed', remedy: 'None.' },
+  3101: { level: 'info', means: 'duty won', remedy: 'None.' },
+  3102: { level: 'info', means: 'duty lost or laid down', remedy: 'None.' },
+  4001: { level: 'info', means: 'placement fell back to the heuristic', remedy: 'None when cold; look at the reason when it lasts.' },
+  4002: { level: 'info', means: 'model swapped', remedy: 'None.' },
+  4003: { level: 'info', means: 'model trained', remedy: 'None.' },
+  4004: { level: 'warn', means: 'model refused: its content does not match its hash', remedy: 'None; the router keeps the one it has.' },
+  4101: { level: 'info', means: 'rehearsal begun', remedy: 'Approve or reject it if you wish.' },
+  4102: { level: 'info', means: 'rehearsal ended', remedy: 'None.' },
+  4103: { level: 'info', means: 'part of a worker ordered', remedy: 'None.' },
+  5001: { level: 'info', means: 'feed tenure gained', remedy: 'None.' },
+  5002: { level: 'warn', means: 'feed tenure ran out; requests are sent on', remedy: 'Check the link of this machine to the core.' },
+  5003: { level: 'info', means: 'desired state applied', remedy: 'None.' },
+  5101: { level: 'debug', means: 'request answered', remedy: 'None.' },
+  5102: { level: 'info', means: 'request given up on', remedy: 'See the kind; the requester was told when to come back.' },
+  5103: { level: 'warn', means: 'worker broke off, answered nonsense or reported impossible figures', remedy: 'Look at that worker if it lasts.' },
+  5104: { level: 'warn', means: 'answer cut after its first byte', remedy: 'Look at the worker named.' },
+  6001: { level: 'info', means: 'worker stand-in changed its part', remedy: 'None.' },
+  6002: { level: 'warn', means: 'order refused: its epoch is older than the fence', remedy: 'None.' },
+  7001: { level: 'info', means: 'fault brought about', remedy: 'None.' },
+};
--- /dev/null
+++ b/packages/event-log/src/index.ts
@@ -0,0 +1,3 @@
+export * from './catalogue.js';
+export * from './log.js';
+export * from './page.js';
--- /dev/null
+++ b/packages/inner-protocol/src/messages.ts
@@ -0,0 +1,94 @@
+// Every message that the fleet's own processes exchange. Links lose and delay messages as they
+// like: each conversation carries ids, epochs or versions, and is repeated by the one who needs it.
+import type { Of, Shape } from './shape.js';
+
+const entry = {
+  member: 'string', address: 'string', zone: 'string', born: 'long', beat: 'long',
+  http: 'string', tenured: 'boolean',
+} as const;
+const place = { slot: 'long', address: 'string', disk: 'string' } as const;
+const mark = { worker: 'string', incarnation: 'long', state: 'long', address: 'string' } as const;
+const duty = { duty: 'string', holder: 'string', address: 'string', epoch: 'long' } as const;
+const report = {
+  worker: 'string', incarnation: 'long', queued: 'long', active: 'long', kvUsed: 'double',
+  part: 'string', age: 'long', fence: 'long',
+} as const;
+const copied = {
+  key: 'string', promised: 'long', epoch: 'long', version: 'long', value: 'bytes', changes: ['string'],
+} as const;
+const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
+const arm = {
+  rehearsal: 'string', arm: 'string', count: 'long', failures: 'long', sum: 'double', squares: 'double',
+} as const;
+
+export const shapes = {
+  Shuffle: { answer: 'boolean', from: 'string', entries: [entry], coreGen: 'long', places: [place], duties: [duty] },
+  Marks: { marks: [mark] },
+  MarksDigest: { from: 'string', digest: 'string' },
+
+  Ask: {
+    id: 'string', origin: 'string', key: 'string', op: 'string', change: 'string', base: 'long',
+    value: 'bytes', hops: 'long',
+  },
+  Answer: { id: 'string', key: 'string', status: 'string', epoch: 'long', version: 'long', value: 'bytes' },
+
+  Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
+  Accept: {
+    id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long', version: 'long',
+    value: 'bytes', changes: ['string'],
+  },
+  Check: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
+  Vote: {
+    id: 'string', slot: 'long', disk: 'string', gen: 'long', voting: 'boolean', ok: 'boolean',
+    promised: 'long', epoch: 'long', version: 'long', value: 'bytes', changes: ['string'],
+  },
+  PlaceHello: {
+    from: 'string', slot: 'long', disk: 'string', state: 'string', founders: ['string'], gen: 'long',
+    places: [place],
+  },
+  CopyAsk: { id: 'string', from: 'string', after: 'string', disk: 'string' },
+  CopyPage: { id: 'string', slot: 'long', disk: 'string', gen: 'long', ok: 'boolean', records: [copied], last: 'boolean' },
+
+  Subscribe: {
+    from: 'string',
+    have: [{ key: 'string', epoch: 'long', version: 'long' }],
+    tenures: [{ router: 'string', asked: 'long', applied: 'long' }],
+    relay: 'boolean',
+  },
+  News: { news: [news], coreGen: 'long', places: [place] },
+  Tenures: { grants: [{ router: 'string', asked: 'long', version: 'long' }] },
+
+  Ballot: { id: 'string', from: 'string', duty: 'string', candidate: 'string', epoch: 'long', gen: 'long' },
+  BallotVote: {
+    id: 'string', slot: 'long', disk: 'string', duty: 'string', granted: 'boolean', epoch: 'long',
+    holder: 'string', address: 'string',
+  },
+
+  Reports: { reports: [report] },
+  Demand: { from: 'string', first: 'long', extra: 'long', allowance: 'double' },
+  Samples: { from: 'string', count: 'long', width: 'long', rows: 'bytes' },
+  Arms: { from: 'string', arms: [arm] },
+
+  RouterState: {
+    router: 'string', http: 'string', asked: 'long', applied: 'long', first: 'long', extra: 'long',
+    allowance: 'double', arms: [arm],
+    have: [{ key: 'string', epoch: 'long', version: 'long' }],
+  },
+  Feed: {
+    workers: [mark], reports: [report], news: [news], grants: [{ asked: 'long', version: 'long' }],
+    others: ['string'],
+  },
+} as const satisfies { [k: string]: Shape };
+
+export type Kind = keyof typeof shapes;
+export type Message = { [K in Kind]: { kind: K } & Of<(typeof shapes)[K]> }[Kind];
+export type MessageOf<K extends Kind> = Extract<Message, { kind: K }>;
+
+export type Entry = Of<typeof entry>;
+export type Place = Of<typeof place>;
+export type Mark = Of<typeof mark>;
+export type DutyMark = Of<typeof duty>;
+export type Report = Of<typeof report>;
+export type Copied = Of<typeof copied>;
+export type NewsItem = Of<typeof news>;
+export type ArmCount = Of<typeof arm>;
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,2 @@
+export * from './marks.js';
+export * from './views.js';
--- /dev/null
+++ b/packages/placement/src/assign.ts
@@ -0,0 +1,148 @@
+// The placement decision for prefill (the paper's algorithms 3 and 4): the heuristic first; then cold start
+// and range checks; exploration; the bounded scoring call; narrowing to k workers by consistent
+// hashing when the fleet's KV memory is saturated; and a uniform draw among the near best. Rewards
+// are negative TTFT, so near best means a predicted TTFT of at most (1 + delta) times the best,
+// and it is looked for inside the narrowed set.
+import { rendezvous } from '@tansypost/inner-protocol';
+import type { Candidate, PromptFacts } from './capture.js';
+import { features } from './features.js';
+import { heuristic, type HeuristicOptions } from './heuristic.js';
+import { inRange, scoreAll, type Model } from './model.js';
+
+export interface PlacementOptions extends HeuristicOptions {
+  readonly explore: number;
+  readonly minSamples: number;
+  readonly delta: number;
+  readonly saturation: number;
+  readonly benefit: number;
+  readonly k: number;
+  readonly timeout: number;
+}
+
+export const placementDefaults: PlacementOptions = {
+  imbalance: 8, overload: 1, explore: 0.02, minSamples: 1000, delta: 0.1, saturation: 0.8, benefit: 512, k: 2,
+  timeout: 5000,
+};
+
+export type Reason = 'scored' | 'explored' | 'cold' | 'range' | 'timeout' | 'error' | 'only';
+export interface Assignment {
+  readonly worker: Candidate;
+  readonly reason: Reason;
+  readonly narrowed: boolean;
+  readonly row: Float32Array;
+  readonly predicted: number | undefined;
+}
+
+export interface AssignInput {
+  readonly prompt: PromptFacts;
+  readonly candidates: readonly Candidate[];
+  readonly hits: ReadonlyMap<string, number>;
+  readonly model: Model | undefined;
+  readonly now: () => number;
+  readonly random: () => number;
+}
+
+export function assignPrefill(i: AssignInput, o: PlacementOptions): Assignment | undefined {
+  const cs = i.candidates;
+  if (cs.length === 0) return undefined;
+  const whole = Math.max(1, i.prompt.blocks.length);
+  function hit(c: Candidate): number {
+    return Math.min(1, (i.hits.get(c.worker) ?? 0) / whole);
+  }
+  const rows = cs.map((c) => features(i.prompt, hit(c), c));
+  const h = heuristic(cs, hit, o, i.random);
+  function take(c: Candidate, reason: Reason, narrowed = false, predicted?: number): Assignment {
+    return { worker: c, reason, narrowed, row: rows[cs.indexOf(c)]!, predicted };
+  }
+  if (i.random() < o.explore) return take(cs[Math.floor(i.random() * cs.length)]!, 'explored');
+  if (cs.length === 1) return take(h, 'only');
+  if (i.model === undefined || i.model.samples < o.minSamples) return take(h, 'cold');
+  if (i.model.predictor.sizes[0] !== rows[0]!.length) return take(h, 'error');
+  const s = i.model.scaling;
+  if (!rows.every((r) => inRange(s, r))) return take(h, 'range');
+  const limit = i.now() + o.timeout;
+  const ys = scoreAll(i.model, rows, () => i.now() > limit);
+  if (ys === undefined) return take(h, 'timeout');
+  if (!ys.every(Number.isFinite)) return take(h, 'error');
+  const kv = cs.reduce((a, c) => a + c.kvUsed, 0) / cs.length;
+  const narrowed = kv > o.saturation && Math.max(...cs.map(hit)) * i.prompt.tokens > o.benefit;
+  const set = narrowed ? rendezvous(i.prompt.group, cs, (c) => c.worker).slice(0, o.k) : cs;
+  const scored = set.map((c) => ({ c, y: Math.max(1e-4, ys[cs.indexOf(c)]!) }));
+  const best = Math.min(...scored.map((x) => x.y));
+  const near = scored.filter((x) => x.y <= (1 + o.delta) * best);
+  const one = near[Math.floor(i.random() * near.length)]!;
+  return take(one.c, 'scored', narrowed, one.y);
+}
+
+// Decode is bound by memory: the worker with the fewest decode tokens in flight for its pace, among those
+// whose KV memory has room; if none has, the one with the most room.
+export function assignDecode(cs: readonly Candidate[], random: () => number, full = 0.95): Candidate | undefined {
+  if (cs.length === 0) return undefined;
+  const roomy = cs.filter((c) => c.kvUsed < full);
+  if (roomy.length === 0) return [...cs].sort((a, b) => a.kvUsed - b.kvUsed)[0];
+  const cost = (c: Candidate): number => (c.decodeTokens + 64 * (c.running + c.queued)) / [1, 0.7, 1, 1.4][c.speedClass]!;
+  const min = Math.min(...roomy.map(cost));
+  const near = roomy.filter((c) => cost(c) <= min * 1.05 + 1);
+  return near[Math.floor(random() * near.length)];
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  const { createPredictor } = await import('./predictor.js');
+  const { width } = await import('./features.js');
+  const { seeded } = await import('@tansypost/inner-protocol');
+  function cand(worker: string, x: Partial<Candidate> = {}): Candidate {
+    return { worker: worker as never, incarnation: 1, running: 0, queued: 0, prefillTokens: 0, decodeTokens: 0, kvUsed: 0, speedClass: 0, ...x };
+  }
+  // A model of known behaviour: TTFT falls with the hit and rises with the running requests.
+  function linear(samples = 5000): Model {
+    const p = createPredictor(width, 1, [2]);
+    p.weights[0]!.fill(0);
+    p.weights[1]!.fill(-1);
+    p.weights[0]![3 * 2] = 1;
+    p.weights[0]![1 * 2] = -0.5;
+    p.biases[0]!.fill(1);
+    const s = { mean: new Float32Array(width), sd: new Float32Array(width).fill(1), low: new Float32Array(width), high: new Float32Array(width).fill(1e6), yMean: 0, ySd: 1 };
+    return { version: { epoch: 1, n: 1 }, samples, predictor: p, scaling: s };
+  }
+  const prompt = { tokens: 1600, blocks: [...Array(100).keys()], group: 'g' };
+  const base = { prompt, hits: new Map([['a', 80]]), now: () => 0, random: seeded(1) };
+  const o = { ...placementDefaults, explore: 0 };
+  it('says why it fell back, for each reason', () => {
+    const cs = [cand('a'), cand('b', { running: 3 })];
+    expect(assignPrefill({ ...base, candidates: cs, model: undefined }, o)).toMatchObject({ reason: 'cold', worker: { worker: 'a' } });
+    expect(assignPrefill({ ...base, candidates: cs, model: linear(10) }, o)?.reason).toBe('cold');
+    expect(assignPrefill({ ...base, candidates: [cand('a', { running: 9e6 }), cand('b')], model: linear() }, o)?.reason).toBe('range');
+    let t = 0;
+    expect(assignPrefill({ ...base, candidates: cs, model: linear(), now: () => (t += 9000) }, o)?.reason).toBe('timeout');
+    const nan = linear();
+    nan.predictor.weights[1]!.fill(NaN);
+    expect(assignPrefill({ ...base, candidates: cs, model: nan }, o)?.reason).toBe('error');
+    expect(assignPrefill({ ...base, candidates: cs, model: linear() }, { ...o, explore: 1 })?.reason).toBe('explored');
+    expect(assignPrefill({ ...base, candidates: [], model: linear() }, o)).toBeUndefined();
+  });
+  it('takes the best predicted, and draws evenly among the near best', () => {
+    const cs = [cand('a'), cand('b', { running: 3 }), cand('c')];
+    const m = linear();
+    const seen = new Map<string, number>();
+    for (let n = 0; n < 400; n += 1) {
+      const w = assignPrefill({ ...base, hits: new Map(), candidates: cs, model: m }, o)!.worker.worker;
+      seen.set(w, (seen.get(w) ?? 0) + 1);
+    }
+    expect(seen.get('b' as never)).toBeUndefined();
+    expect(Math.abs(seen.get('a' as never)! - 200)).toBeLessThan(60);
+  });
+  it('narrows to the same k workers for a prefix group only when saturated and worth it', () => {
+    const cs = ['a', 'b', 'c', 'd', 'e', 'f'].map((w) => cand(w, { kvUsed: 0.9 }));
+    const hits = new Map(cs.map((c) => [c.worker as string, 80]));
+    const seen = new Set<string>();
+    for (let n = 0; n < 100; n += 1) {
+      const a = assignPrefill({ ...base, hits, candidates: cs, model: linear() }, o)!;
+      expect(a.narrowed).toBe(true);
+      seen.add(a.worker.worker);
+    }
+    expect(seen.size).toBe(2);
+    const calm = cs.map((c) => ({ ...c, kvUsed: 0.5 }));
+    expect(assignPrefill({ ...base, hits, candidates: calm, model: linear() }, o)!.narrowed).toBe(false);
+  });
+}
--- /dev/null
+++ b/packages/placement/src/training.ts
@@ -0,0 +1,222 @@
+// The training side: a FIFO of the newest samples and a replay pool of those that left it, kept by a
+// gradient-coreset rule (what the last inner layer says of a sample, weighted by how wrong the
+// prediction was, must differ from what is kept already). A round trains on both pools, starting from
+// the last model. It runs in a worker thread, away from every request.
+import { seeded } from '@tansypost/inner-protocol';
+import { width } from './features.js';
+import type { Model, ModelVersion, Scaling } from './model.js';
+import { backward, createPredictor, forward, type Predictor } from './predictor.js';
+import type { Sample } from './samples.js';
+
+export interface TrainingOptions {
+  readonly fifo: number;
+  readonly replay: number;
+  readonly every: number;
+  readonly passes: number;
+  readonly batch: number;
+  readonly rate: number;
+  readonly dropout: number;
+}
+export const trainingDefaults: TrainingOptions = { fifo: 5000, replay: 5000, every: 1000, passes: 4, batch: 64, rate: 1e-3, dropout: 0.1 };
+
+export interface Trainer {
+  readonly add: (ss: readonly Sample[]) => void;
+  readonly due: () => boolean;
+  readonly train: (v: ModelVersion, seed: number) => Model;
+  readonly sizes: () => { fifo: number; replay: number };
+}
+
+interface Kept {
+  readonly s: Sample;
+  readonly g: Float32Array;
+  near: number;
+}
+const sketch = 16;
+
+export function createTrainer(o: TrainingOptions): Trainer {
+  let fifo: Sample[] = [];
+  let replay: Kept[] = [];
+  let fresh = 0;
+  let total = 0;
+  let last: Model | undefined;
+  const r = seeded(11);
+  const project = Float32Array.from({ length: 128 * sketch }, () => r() - 0.5);
+
+  function gradientOf(s: Sample): Float32Array {
+    const g = new Float32Array(sketch);
+    if (last === undefined) {
+      for (let j = 0; j < sketch; j += 1) g[j] = s.x[j % width]!;
+      return g;
+    }
+    const p = forward(last.predictor, scale(last.scaling, s.x), 1)!;
+    const h = p.outs.at(-2)!;
+    const res = p.outs.at(-1)![0]! - (s.y - last.scaling.yMean) / last.scaling.ySd;
+    for (let i = 0; i < h.length; i += 1) {
+      const v = h[i]! * res;
+      if (v !== 0) for (let j = 0; j < sketch; j += 1) g[j]! += v * project[i * sketch + j]!;
+    }
+    return g;
+  }
+
+  function apart(a: Float32Array, b: Float32Array): number {
+    let d = 0;
+    for (let i = 0; i < sketch; i += 1) d += (a[i]! - b[i]!) ** 2;
+    return d;
+  }
+
+  function admit(s: Sample): void {
+    const g = gradientOf(s);
+    let near = Infinity;
+    for (const k of replay) near = Math.min(near, apart(g, k.g));
+    if (replay.length < o.replay) {
+      replay.push({ s, g, near });
+      return;
+    }
+    let least = 0;
+    for (let i = 1; i < replay.length; i += 1) if (replay[i]!.near < replay[least]!.near) least = i;
+    if (near > replay[least]!.near) replay[least] = { s, g, near };
+  }
+
+  function add(ss: readonly Sample[]): void {
+    fifo.push(...ss);
+    fresh += ss.length;
+    total += ss.length;
+    const out = fifo.length - o.fifo;
+    if (out > 0) {
+      for (const s of fifo.slice(0, out)) admit(s);
+      fifo = fifo.slice(out);
+    }
+  }
+
+  function train(v: ModelVersion, seed: number): Model {
+    fresh = 0;
+    const all = [...fifo, ...replay.map((k) => k.s)];
+    const scaling = measure(all);
+    const p = last === undefined ? createPredictor(width, seed) : rescale(last, scaling);
+    fit(p, scaling, all, o, seeded(seed));
+    last = { version: v, samples: total, predictor: p, scaling };
+    return last;
+  }
+
+  return { add, due: () => fresh >= o.every, train, sizes: () => ({ fifo: fifo.length, replay: replay.length }) };
+}
+
+function scale(s: Scaling, x: Float32Array): Float32Array {
+  return x.map((v, j) => (v - s.mean[j]!) / s.sd[j]!);
+}
+
+export function measure(ss: readonly Sample[]): Scaling {
+  const mean = new Float32Array(width);
+  const sd = new Float32Array(width);
+  const low = new Float32Array(width).fill(Infinity);
+  const high = new Float32Array(width).fill(-Infinity);
+  for (let j = 0; j < width; j += 1) {
+    let m = 0;
+    for (const s of ss) {
+      m += s.x[j]!;
+      low[j] = Math.min(low[j]!, s.x[j]!);
+      high[j] = Math.max(high[j]!, s.x[j]!);
+    }
+    m /= ss.length;
+    let q = 0;
+    for (const s of ss) q += (s.x[j]! - m) ** 2;
+    mean[j] = m;
+    sd[j] = Math.sqrt(q / ss.length) || 1;
+  }
+  const yMean = ss.reduce((a, s) => a + s.y, 0) / ss.length;
+  const ySd = Math.sqrt(ss.reduce((a, s) => a + (s.y - yMean) ** 2, 0) / ss.length) || 1;
+  return { mean, sd, low, high, yMean, ySd };
+}
+
+// Carries the last weights over to new statistics, so that the model says the same as before it trains on.
+function rescale(m: Model, s: Scaling): Predictor {
+  const p = { sizes: m.predictor.sizes, weights: m.predictor.weights.map((w) => w.slice()), biases: m.predictor.biases.map((b) => b.slice()) };
+  const b = p.sizes[1]!;
+  for (let j = 0; j < width; j += 1) {
+    const f = s.sd[j]! / m.scaling.sd[j]!;
+    const shift = (s.mean[j]! - m.scaling.mean[j]!) / m.scaling.sd[j]!;
+    for (let k = 0; k < b; k += 1) {
+      p.biases[0]![k]! += p.weights[0]![j * b + k]! * shift;
+      p.weights[0]![j * b + k]! *= f;
+    }
+  }
+  const l = p.weights.length - 1;
+  const f = m.scaling.ySd / s.ySd;
+  p.weights[l] = p.weights[l]!.map((v) => v * f);
+  p.biases[l]![0] = p.biases[l]![0]! * f + (m.scaling.yMean - s.yMean) / s.ySd;
+  return p;
+}
+
+// Adam on a Huber loss: TTFT has a long tail, and squares would let a few waits rule the fit.
+function fit(p: Predictor, s: Scaling, all: readonly Sample[], o: TrainingOptions, random: () => number): void {
+  const xs = all.map((a) => scale(s, a.x));
+  const ys = all.map((a) => (a.y - s.yMean) / s.ySd);
+  const params = [...p.weights, ...p.biases];
+  const m1 = params.map((a) => new Float32Array(a.length));
+  const m2 = params.map((a) => new Float32Array(a.length));
+  const order = [...all.keys()];
+  let t = 0;
+  for (let e = 0; e < o.passes; e += 1) {
+    for (let i = order.length - 1; i > 0; i -= 1) {
+      const j = Math.floor(random() * (i + 1));
+      [order[i], order[j]] = [order[j]!, order[i]!];
+    }
+    for (let at = 0; at < order.length; at += o.batch) {
+      const ids = order.slice(at, at + o.batch);
+      const n = ids.length;
+      const x = new Float32Array(n * width);
+      ids.forEach((id, i) => x.set(xs[id]!, i * width));
+      const pass = forward(p, x, n, { rate: o.dropout, random })!;
+      const up = Float32Array.from(pass.outs.at(-1)!, (v, i) => Math.max(-1, Math.min(1, v - ys[ids[i]!]!)) / n);
+      const g = backward(p, pass, n, up);
+      const gs = [...g.weights, ...g.biases];
+      t += 1;
+      const c1 = 1 - 0.9 ** t;
+      const c2 = 1 - 0.999 ** t;
+      params.forEach((a, k) => {
+        const [b1, b2, d] = [m1[k]!, m2[k]!, gs[k]!];
+        for (let i = 0; i < a.length; i += 1) {
+          b1[i] = 0.9 * b1[i]! + 0.1 * d[i]!;
+          b2[i] = 0.999 * b2[i]! + 0.001 * d[i]! * d[i]!;
+          a[i]! -= (o.rate * (b1[i]! / c1)) / (Math.sqrt(b2[i]! / c2) + 1e-8);
+        }
+      });
+    }
+  }
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  const { decodeModel, encodeModel, modelHash, scoreAll } = await import('./model.js');
+  function sample(r: () => number): Sample {
+    const x = new Float32Array(width);
+    x[0] = 100 + 3000 * r();
+    x[1] = r();
+    x[2] = x[0] * (1 - x[1]);
+    x[4] = Math.floor(10 * r());
+    const fast = r() < 0.5;
+    x[fast ? 11 : 9] = 1;
+    return { x, y: -((x[2] / (fast ? 8000 : 3000)) * (1 + 0.3 * x[4])) };
+  }
+  it('learns a TTFT that no straight line fits, and the model survives its encoding', () => {
+    const r = seeded(21);
+    const t = createTrainer({ ...trainingDefaults, fifo: 1000, replay: 500, passes: 6 });
+    t.add(Array.from({ length: 1500 }, () => sample(r)));
+    expect(t.due()).toBe(true);
+    t.train({ epoch: 64, n: 1 }, 5);
+    t.add(Array.from({ length: 600 }, () => sample(r)));
+    const m = t.train({ epoch: 64, n: 2 }, 6);
+    expect(t.sizes()).toEqual({ fifo: 1000, replay: 500 });
+    const test = Array.from({ length: 300 }, () => sample(r));
+    const b = encodeModel(m);
+    const d = decodeModel(b, modelHash(b));
+    if (d._tag === 'Left') throw d.left;
+    const ys = scoreAll(d.right, test.map((s) => s.x))!;
+    const err = test.reduce((a, s, i) => a + Math.abs(-s.y - ys[i]!), 0) / test.length;
+    const mean = test.reduce((a, s) => a - s.y, 0) / test.length;
+    const flat = test.reduce((a, s) => a + Math.abs(-s.y - mean), 0) / test.length;
+    expect(err).toBeLessThan(0.3 * flat);
+    b[b.length - 1]! ^= 1;
+    expect(decodeModel(b, modelHash(encodeModel(m)))._tag).toBe('Left');
+  });
+}
--- /dev/null
+++ b/programs/worker-stand-in/src/index.ts
@@ -0,0 +1,2 @@
+export * from './answer.js';
+export * from './worker-core.js';
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,20 @@
+import { defineConfig } from 'vitest/config';
+import { readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+
+const root = fileURLToPath(new URL('.', import.meta.url));
+const alias = Object.fromEntries(
+  ['packages', 'programs'].flatMap((g) =>
+    readdirSync(`${root}${g}`).map((n) => [`@tansypost/${n}`, `${root}${g}/${n}/src/index.ts`]),
+  ),
+);
+
+export default defineConfig({
+  resolve: { alias },
+  test: {
+    includeSource: ['packages/*/src/**/*.ts', 'programs/*/src/**/*.ts'],
+    include: ['tests/**/*.test.ts'],
+    testTimeout: 300_000,
+    hookTimeout: 120_000,
+  },
+});
