--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -75,6 +75,7 @@
   }
 
   function push(k: string, r: Row): void {
+    if (r.version === 0 || k.startsWith('claim/')) return;
     for (const [a, until] of subscribers) {
       if (until < w.now()) subscribers.delete(a);
       else sayNews(a, [item(k, r)]);
@@ -145,7 +146,7 @@
       const x = owner(h.key);
       if (!x.owns() && preferred(h.key) === o.slot) x.take();
       const r = x.row();
-      if (x.owns() && (r.version > h.version || (r.version === h.version && r.epoch > h.epoch && h.version === 0))) out.push(item(h.key, r));
+      if (x.owns() && r.version > h.version) out.push(item(h.key, r));
       if (isTenured(h.key) && x.owns() && m.tenures.length > 0) grant(h.key, x, m);
     }
     const named = new Set(m.have.map((h) => h.key));
--- a/packages/control-state/src/rounds.ts
+++ b/packages/control-state/src/rounds.ts
@@ -38,10 +38,10 @@
     const gen = place.core().gen;
     const votes = new Map<number, MessageOf<'Vote'>>();
     const limit = w.now() + (o.patience ?? 1_500_000);
-    let cancel: Cancel = () => undefined;
+    let cancel: Cancel | undefined;
     function end(won: boolean): void {
       if (!open.delete(id)) return;
-      cancel();
+      cancel?.();
       done({ won, votes: [...votes.values()] });
     }
     open.set(id, { votes, o, ask, end });
--- a/packages/desired-state/src/desired-state.ts
+++ b/packages/desired-state/src/desired-state.ts
@@ -43,7 +43,9 @@
 
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
-  const good = (): DesiredState => ({ templates: [{ tenant: 'ferry', kinds: { quote: { worth: 2, patienceMs: 3000, share: 5, repeatable: true } } }] });
+  function good(): DesiredState {
+    return { templates: [{ tenant: 'ferry', kinds: { quote: { worth: 2, patienceMs: 3000, share: 5, repeatable: true } } }] };
+  }
   it('reports every fault at its place, and takes a sound state', () => {
     expect(E.isRight(checkDesiredState(good()))).toBe(true);
     const bad = { templates: [{ tenant: 'Ferry!', colour: 1, kinds: { quote: { worth: -1, patienceMs: 3000.5, share: 5 } } }], x: 1 };
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -18,7 +18,7 @@
 } as const;
 const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
 const arm = {
-  rehearsal: 'string', arm: 'string', count: 'long', failures: 'long', sum: 'double', squares: 'double',
+  rehearsal: 'string', arm: 'string', stratum: 'string', count: 'long', failures: 'long', sum: 'double', squares: 'double',
 } as const;
 
 export const shapes = {
@@ -64,7 +64,7 @@
     holder: 'string', address: 'string',
   },
 
-  Reports: { reports: [report] },
+  Reports: { reports: [report], relay: 'boolean' },
   Demand: { from: 'string', first: 'long', extra: 'long', allowance: 'double' },
   Samples: { from: 'string', count: 'long', width: 'long', rows: 'bytes' },
   Arms: { from: 'string', arms: [arm] },
--- a/packages/inner-protocol/src/real-world.ts
+++ b/packages/inner-protocol/src/real-world.ts
@@ -27,8 +27,8 @@
 }
 
 export async function createRealWorld(listen: Address, log: World['log']): Promise<RealWorld> {
-  let receive: (m: Message, from: Address) => void = () => undefined;
-  const carrier = await createCarrier({ listen, log, receive: (m, from) => receive(m, from) });
+  const to: { f: (m: Message, from: Address) => void } = { f: () => undefined };
+  const carrier = await createCarrier({ listen, log, receive: (m, from) => to.f(m, from) });
   const world: World = { now: monotonic, random: randomReal, after: afterReal, send: carrier.send, log };
-  return { world, carrier, onMessage: (f) => { receive = f; } };
+  return { world, carrier, onMessage: (f) => { to.f = f; } };
 }
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -80,7 +80,9 @@
   if (cs.length === 0) return undefined;
   const roomy = cs.filter((c) => c.kvUsed < full);
   if (roomy.length === 0) return [...cs].sort((a, b) => a.kvUsed - b.kvUsed)[0];
-  const cost = (c: Candidate): number => (c.decodeTokens + 64 * (c.running + c.queued)) / [1, 0.7, 1, 1.4][c.speedClass]!;
+  function cost(c: Candidate): number {
+    return (c.decodeTokens + 64 * (c.running + c.queued)) / [1, 0.7, 1, 1.4][c.speedClass]!;
+  }
   const min = Math.min(...roomy.map(cost));
   const near = roomy.filter((c) => cost(c) <= min * 1.05 + 1);
   return near[Math.floor(random() * near.length)];
--- a/packages/placement/src/training.ts
+++ b/packages/placement/src/training.ts
@@ -35,7 +35,7 @@
 
 export function createTrainer(o: TrainingOptions): Trainer {
   let fifo: Sample[] = [];
-  let replay: Kept[] = [];
+  const replay: Kept[] = [];
   let fresh = 0;
   let total = 0;
   let last: Model | undefined;
--- a/packages/rehearsal/src/index.ts
+++ b/packages/rehearsal/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './arm.js';
+export * from './rehearsal.js';
+export * from './verdict.js';
--- a/programs/change-tracer/src/index.ts
+++ b/programs/change-tracer/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './trace.js';
--- /dev/null
+++ b/programs/change-tracer/src/trace.ts
@@ -0,0 +1,34 @@
+// Follows one version of the desired state through every daemon: asks each agent what it saw of it and when, and
+// each router what it has applied, until all routers named by the members have it or the time is up.
+import { request } from 'undici';
+
+export interface Seen {
+  readonly at: number;
+  readonly who: string;
+  readonly what: string;
+}
+export interface Trace {
+  readonly version: number;
+  readonly seen: readonly Seen[];
+  readonly missing: readonly string[];
+}
+
+async function get<T>(at: string, path: string): Promise<T | undefined> {
+  try {
+    const r = await request(`http://${at}${path}`, { headersTimeout: 2000, bodyTimeout: 2000 });
+    return (await r.body.json()) as T;
+  } catch {
+    return undefined;
+  }
+}
+
+export async function traceOnce(agents: readonly string[], version: number): Promise<Trace> {
+  const seen: Seen[] = [];
+  const missing: string[] = [];
+  await Promise.all(agents.map(async (a) => {
+    const es = await get<{ at: number; what: string }[]>(a, `/trace/${version}`);
+    for (const e of es ?? []) seen.push({ at: e.at, who: a, what: e.what });
+    if (!es?.some((e) => e.what === 'applied')) missing.push(a);
+  }));
+  return { version, seen: seen.sort((x, y) => x.at - y.at), missing };
+}
--- a/programs/fleet-runner/src/index.ts
+++ b/programs/fleet-runner/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './fleet.js';
+export * from './plan.js';
+export * from './run.js';
+export * from './schedule.js';
--- /dev/null
+++ b/programs/request-router/src/admission.ts
@@ -0,0 +1,153 @@
+// Decides who goes on to the workers when there are more requests than they can take. With room, a
+// request goes at once and nothing here is felt. Under overload it waits: kinds that used less than
+// their share of credits first (so a share that is not used is lent out, and only then), by worth within
+// that. Whoever cannot be reached within half of its patience is given up on at once.
+import { every, micros, type Cancel, type World } from '@tansypost/inner-protocol';
+
+export interface Claimant {
+  readonly purse: string;
+  readonly share: number;
+  readonly worth: number;
+  readonly cost: number;
+  readonly patience: number;
+}
+export type Admitted = { readonly tag: 'go' } | { readonly tag: 'shed'; readonly retryAfter: number };
+export interface Admission {
+  readonly enter: (c: Claimant) => Promise<Admitted>;
+  readonly waiting: () => number;
+  readonly left: () => void;
+  readonly stop: Cancel;
+}
+interface Waiting {
+  readonly c: Claimant;
+  readonly since: number;
+  readonly done: (a: Admitted) => void;
+}
+const half = 10_000_000;
+
+export function createAdmission(w: Pick<World, 'now' | 'after'>, room: () => boolean): Admission {
+  const used = new Map<string, { n: number; at: number; share: number }>();
+  let queue: Waiting[] = [];
+  let pace = 0;
+  let paceAt = w.now() as number;
+
+  function spent(p: string): number {
+    const u = used.get(p);
+    return u === undefined ? 0 : u.n * 2 ** (-(w.now() - u.at) / half);
+  }
+  function charge(c: Claimant): void {
+    used.set(c.purse, { n: spent(c.purse) + c.cost, at: w.now(), share: c.share });
+  }
+  function over(c: Claimant): boolean {
+    const shares = new Map(queue.map((x) => [x.c.purse, x.c.share]));
+    let all = 0;
+    for (const [p, u] of used) {
+      all += spent(p);
+      shares.set(p, u.share);
+    }
+    const whole = [...shares.values()].reduce((a, b) => a + b, 0);
+    return all > 0 && spent(c.purse) / all > c.share / Math.max(1e-9, whole);
+  }
+  function order(): void {
+    const rank = new Map(queue.map((x) => [x, over(x.c) ? 1 : 0]));
+    queue.sort((a, b) => rank.get(a)! - rank.get(b)! || b.c.worth - a.c.worth || a.since - b.since);
+  }
+  function rate(): number {
+    return pace * 2 ** (-(w.now() - paceAt) / 2_000_000);
+  }
+  function left(): void {
+    pace = rate() + Math.LN2 / 2;
+    paceAt = w.now();
+    drain();
+  }
+  function retryAfter(n: number): number {
+    return Math.min(30, Math.max(1, Math.ceil(n / Math.max(0.2, rate()))));
+  }
+
+  function drain(): void {
+    if (queue.length === 0) return;
+    order();
+    while (queue.length > 0 && room()) {
+      const x = queue.shift()!;
+      charge(x.c);
+      x.done({ tag: 'go' });
+    }
+    const r = rate();
+    const keep: Waiting[] = [];
+    for (const x of queue) {
+      const waited = w.now() - x.since;
+      const wait = r > 0.2 ? ((keep.length + 1) / r) * 1e6 : 500_000;
+      if (waited + wait > x.c.patience / 2) x.done({ tag: 'shed', retryAfter: retryAfter(queue.length) });
+      else keep.push(x);
+    }
+    queue = keep;
+  }
+
+  function enter(c: Claimant): Promise<Admitted> {
+    if (queue.length === 0 && room()) {
+      charge(c);
+      return Promise.resolve({ tag: 'go' });
+    }
+    return new Promise((done) => {
+      queue.push({ c, since: w.now(), done });
+      drain();
+    });
+  }
+  const stop = every(w, () => micros(20_000), drain);
+  return { enter, waiting: () => queue.length, left, stop };
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  function bench(): { a: Admission; step: (us: number) => void; free: (n: number) => void } {
+    let [t, slots] = [0, 0];
+    let timers: { at: number; f: () => void }[] = [];
+    const a = createAdmission({
+      now: () => micros(t),
+      after: (d, f) => {
+        const x = { at: t + d, f };
+        timers.push(x);
+        return () => { timers = timers.filter((y) => y !== x); };
+      },
+    }, () => slots > 0 && (slots -= 1, true));
+    function step(us: number): void {
+      const end = t + us;
+      for (;;) {
+        const n = timers.filter((x) => x.at <= end).sort((p, q) => p.at - q.at)[0];
+        if (n === undefined) break;
+        timers = timers.filter((x) => x !== n);
+        t = n.at;
+        n.f();
+      }
+      t = end;
+    }
+    return { a, step, free: (n) => { slots += n; } };
+  }
+  function kind(purse: string, x: Partial<Claimant> = {}): Claimant {
+    return { purse, share: 1, worth: 1, cost: 1, patience: 4_000_000, ...x };
+  }
+  it('gives up at once on what it cannot reach, far before its patience ends, and says when to come back', async () => {
+    const b = bench();
+    const r = b.a.enter(kind('p', { patience: 800_000 }));
+    expect(await r).toMatchObject({ tag: 'shed' });
+    expect(((await r) as { retryAfter: number }).retryAfter).toBeGreaterThanOrEqual(1);
+  });
+  it('lets the one under its share go first, then the worthier', async () => {
+    const b = bench();
+    b.free(8);
+    for (let i = 0; i < 8; i += 1) await b.a.enter(kind('greedy'));
+    const went: string[] = [];
+    const all = [kind('greedy', { worth: 9 }), kind('modest', { worth: 1 }), kind('modest', { worth: 5 })].map(async (c, i) => {
+      const x = await b.a.enter(c);
+      if (x.tag === 'go') went.push(`${c.purse}${i}`);
+    });
+    for (let i = 0; i < 3; i += 1) {
+      b.free(1);
+      b.step(20_000);
+      await Promise.resolve();
+      await Promise.resolve();
+    }
+    await Promise.all(all);
+    expect(went).toEqual(['modest2', 'modest1', 'greedy0']);
+  });
+}
--- a/programs/request-router/src/index.ts
+++ b/programs/request-router/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './admission.js';
+export * from './decision.js';
+export * from './extra-budget.js';
+export * from './failure.js';
+export * from './feed.js';
+export * from './router-core.js';
+export * from './send-ledger.js';
+export * from './worker-port.js';
+export * from './worker-table.js';
--- /dev/null
+++ b/programs/request-router/src/router-core.ts
@@ -0,0 +1,363 @@
+// The request-router without its sockets: takes a request, asks for admission, asks the decision what to
+// do, and obeys it until the answer is whole or given up on. The program passes HTTP and the clock, the
+// simulator passes virtual ones; the code is the same.
+import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
+import { kindOf, type KindTemplate } from '@tansypost/desired-state';
+import {
+  assignDecode, assignPrefill, batchSize, createPaces, createRadixTree, encodeSamples, placementDefaults, promptFacts, width,
+  type Assignment, type Candidate, type Model, type PlacementOptions, type PromptFacts, type Sample,
+} from '@tansypost/placement';
+import { armOf, type Arm, type Part } from '@tansypost/rehearsal';
+import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
+import { createAdmission } from './admission.js';
+import { decide, type Step } from './decision.js';
+import { createExtraBudget } from './extra-budget.js';
+import { failure, type Failure, type FailureKind } from './failure.js';
+import { createFeed, type Feed } from './feed.js';
+import { newLedger, type Send, type SendLedger } from './send-ledger.js';
+import { handleFits, type HandleParams, type WorkerJob, type WorkerPort } from './worker-port.js';
+import { createWorkerTable, type WorkerTable } from './worker-table.js';
+
+export interface RouterOptions {
+  readonly router: string;
+  readonly http: string;
+  readonly agent: Address;
+  readonly service: string;
+  readonly tenure: number;
+  readonly promptLimit: number;
+  readonly queueRoom: number;
+  readonly placement: PlacementOptions;
+  readonly claims?: boolean;
+}
+export const routerDefaults = { tenure: 10_000_000, promptLimit: 32_768, queueRoom: 12, placement: placementDefaults };
+
+export interface Incoming {
+  readonly id: string;
+  readonly tenant: string;
+  readonly kind: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly sentOn: boolean;
+  readonly idempotencyKey?: string;
+}
+export interface Reply {
+  readonly chunk: (text: string) => void;
+  readonly end: () => void;
+  readonly fail: (f: Failure) => void;
+}
+export interface RouterPorts {
+  readonly workers: WorkerPort;
+  readonly digest: (prompt: string) => string;
+  readonly sendOn: (to: string, r: Incoming, reply: Reply, gone: AbortSignal) => Promise<boolean>;
+}
+export interface RouterCore {
+  readonly serve: (r: Incoming, reply: Reply, gone: AbortSignal) => Promise<void>;
+  readonly receive: (m: Message) => void;
+  readonly feed: Feed;
+  readonly table: WorkerTable;
+  readonly figures: () => Record<string, unknown>;
+  readonly stopTaking: () => void;
+  readonly active: () => number;
+  readonly stop: () => void;
+}
+
+interface Course {
+  readonly r: Incoming;
+  readonly reply: Reply;
+  readonly kind: KindTemplate;
+  readonly ledger: SendLedger;
+  readonly facts: PromptFacts;
+  readonly job: WorkerJob;
+  readonly arrived: number;
+  readonly limit: number;
+  readonly arm: Arm;
+  readonly tried: Set<string>;
+  readonly abort: AbortController;
+  handle: { h: HandleParams; from: Mark } | undefined;
+  assigned: Assignment | undefined;
+  sentAt: number;
+  firstAt: number;
+}
+
+export function createRouterCore(w: World, o: RouterOptions, p: RouterPorts): RouterCore {
+  const feed = createFeed({ service: o.service, tenure: o.tenure, now: w.now, log: w.log });
+  const paces = createPaces();
+  const table = createWorkerTable(w.now, paces);
+  const tree = createRadixTree();
+  const budget = createExtraBudget(w.now);
+  const admission = createAdmission(w, room);
+  const reasons = new Map<string, number>();
+  const ends = new Map<string, number>();
+  const arms = new Map<string, ArmCount>();
+  let samples: Sample[] = [];
+  let flushedAt = w.now() as number;
+  let taking = true;
+  let active = 0;
+  let paceUs = 300_000;
+
+  function note(m: Map<string, number>, k: string): void {
+    m.set(k, (m.get(k) ?? 0) + 1);
+  }
+
+  function partFor(arm: Arm): (m: Mark, reported: Part | undefined) => Part {
+    const rec = feed.record();
+    const run = rec.running?.subject;
+    return function part(m, reported) {
+      if (run?.type === 'part' && run.shift.worker === m.worker && run.shift.incarnation === m.incarnation) {
+        return arm === 'slice' ? run.shift.to : run.shift.from;
+      }
+      const e = rec.parts[m.worker];
+      return e !== undefined && e.incarnation === m.incarnation ? e.part : (reported ?? 'both');
+    };
+  }
+
+  function candidates(phase: 'prefill' | 'decode', arm: Arm, without: ReadonlySet<string>): Candidate[] {
+    return table.candidates(phase, partFor(arm), without);
+  }
+
+  // Room for one more: some prefill worker's queue is short enough.
+  function room(): boolean {
+    const cs = candidates('prefill', 'none', new Set());
+    return cs.length === 0 || cs.some((c) => c.queued + Math.max(0, c.prefillTokens > 0 ? c.running : 0) < o.queueRoom);
+  }
+
+  function modelFor(arm: Arm): Model | undefined {
+    const rec = feed.record();
+    const s = rec.running?.subject;
+    if (arm === 'slice' && s?.type === 'model') return feed.model(s.model);
+    return feed.model(rec.live);
+  }
+
+  async function serve(r: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
+    const f = await refusalBefore(r, reply, gone);
+    if (f === 'sent on') return;
+    if (f !== undefined) return giveUp(r, reply, f);
+    const k = kindOf(feed.desired()!, r.tenant, r.kind);
+    if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
+    active += 1;
+    try {
+      await admitAndRun(r, reply, k, gone);
+    } finally {
+      active -= 1;
+      admission.left();
+    }
+  }
+
+  async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal): Promise<Failure | 'sent on' | undefined> {
+    if (!taking) return failure('stopping', 'This router is stopping.');
+    const t = promptFacts(r.prompt).tokens;
+    if (t > o.promptLimit) return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
+    if (feed.tenured() && feed.desired() !== undefined) return undefined;
+    if (!r.sentOn) {
+      for (const a of feed.others().slice(0, 2)) if (await p.sendOn(a, r, reply, gone)) return 'sent on';
+    }
+    return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
+  }
+
+  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<void> {
+    const arrived = w.now();
+    const facts = promptFacts(r.prompt);
+    const a = await admission.enter({
+      purse: `${r.tenant}/${r.kind}`, share: kind.share, worth: kind.worth, cost: facts.tokens + 4 * r.maxTokens, patience: kind.patienceMs * 1000,
+    });
+    if (a.tag === 'shed') return giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
+    const run = feed.record().running;
+    const c: Course = {
+      r, reply, kind, ledger: newLedger(), facts, arrived, limit: arrived + kind.patienceMs * 1000,
+      job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens },
+      arm: run === undefined ? 'none' : armOf(run.id, r.id, run.slice), tried: new Set(), abort: new AbortController(),
+      handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0,
+    };
+    const rehearsal = run?.id;
+    const stopTimer = w.after(micros(c.limit - w.now()), () => c.abort.abort());
+    function left(): void {
+      c.abort.abort();
+    }
+    gone.addEventListener('abort', left);
+    let end: FailureKind | 'whole' | 'gone' = 'whole';
+    try {
+      end = await run1(c, gone);
+    } finally {
+      stopTimer();
+      gone.removeEventListener('abort', left);
+      note(ends, end);
+      if (rehearsal !== undefined && c.arm !== 'none' && end !== 'gone') count(rehearsal, c, end);
+    }
+  }
+
+  async function run1(c: Course, gone: AbortSignal): Promise<FailureKind | 'whole' | 'gone'> {
+    for (;;) {
+      if (gone.aborted) return 'gone';
+      if (c.ledger.sends.length === 0 && !feed.tenured()) {
+        const f = failure('no_tenure', 'This router has lost touch with the control state.');
+        giveUp(c.r, c.reply, f);
+        return f.kind;
+      }
+      const ps = candidates('prefill', c.arm, c.tried);
+      const ds = candidates('decode', c.arm, c.tried);
+      const step: Step = decide(c.ledger, {
+        repeatable: c.kind.repeatable, timeLeft: c.abort.signal.aborted ? 0 : c.limit - w.now(), extraAllowed: budget.mayExtra(),
+        prefillWorkers: ps.length, decodeWorkers: ds.length, retryAfter: Math.max(1, Math.ceil(paceUs / 1e6)),
+      });
+      if (step.do === 'fail') {
+        if (step.failure.kind === 'answer_cut') w.log(5104, { request: c.r.id, worker: c.ledger.sends.at(-1)?.worker });
+        giveUp(c.r, c.reply, step.failure);
+        return step.failure.kind;
+      }
+      if (step.do === 'prefill') await prefill(c, ps);
+      else if (await decode(c, ds)) return 'whole';
+    }
+  }
+
+  function enterSend(c: Course, phase: 'prefill' | 'decode', worker: WorkerId): Send {
+    if (c.ledger.sends.length === 0) budget.first();
+    else if (c.ledger.sends.some((s) => s.phase === phase)) budget.extra();
+    const s: Send = { phase, worker, outcome: 'pending' };
+    c.ledger.sends.push(s);
+    return s;
+  }
+
+  async function prefill(c: Course, ps: Candidate[]): Promise<void> {
+    const hits = tree.hits(c.facts.blocks);
+    const a = assignPrefill({ prompt: c.facts, candidates: ps, hits, model: modelFor(c.arm), now: w.now, random: w.random }, o.placement)!;
+    note(reasons, a.reason);
+    const m = table.mark(a.worker.worker)!;
+    c.assigned = a;
+    c.sentAt = w.now();
+    const s = enterSend(c, 'prefill', a.worker.worker);
+    tree.insert(c.facts.blocks, a.worker.worker, w.now());
+    const end = table.began(a.worker.worker, 'prefill', c.facts.tokens);
+    const patience = new AbortController();
+    const dark = Math.max(2_000_000, 6_000_000 * (a.predicted ?? 0.5));
+    const cancel = c.kind.repeatable ? w.after(micros(dark), () => patience.abort()) : () => undefined;
+    const x = await p.workers.prefill(m, c.job, AbortSignal.any([c.abort.signal, patience.signal]));
+    cancel();
+    end();
+    if (x.tag === 'done' && handleFits(x.handle, c.job, m)) {
+      s.outcome = 'done';
+      c.handle = { h: x.handle, from: m };
+      table.went(a.worker.worker);
+      paces.saw(a.worker.worker, c.facts.tokens - ((hits.get(a.worker.worker) ?? 0) * c.facts.tokens) / Math.max(1, c.facts.blocks.length), w.now() - c.sentAt, a.worker.running + a.worker.queued);
+      return;
+    }
+    s.outcome = x.tag === 'notStarted' ? 'notStarted' : 'unknown';
+    c.tried.add(a.worker.worker);
+    if (x.tag === 'notStarted' && (x.why === 'queue_full' || x.why === 'wrong_part')) return;
+    if (!c.abort.signal.aborted) blame(c, a.worker.worker, x.tag === 'done' ? 'handle of another request' : x.why);
+  }
+
+  function blame(c: Course, worker: WorkerId, why: string): void {
+    w.log(5103, { request: c.r.id, worker, why });
+    table.failed(worker);
+  }
+
+  // True once the answer is whole. The requester sees nothing of a send that failed before its first byte.
+  async function decode(c: Course, ds: Candidate[]): Promise<boolean> {
+    const d = assignDecode(ds, w.random)!;
+    const m = table.mark(d.worker)!;
+    const s = enterSend(c, 'decode', d.worker);
+    const end = table.began(d.worker, 'decode', c.facts.tokens + c.r.maxTokens);
+    const patience = new AbortController();
+    const cancel = c.kind.repeatable ? w.after(micros(3_000_000), () => patience.abort()) : () => undefined;
+    function chunk(text: string): void {
+      if (c.abort.signal.aborted) return;
+      if (!c.ledger.firstByte) {
+        c.ledger.firstByte = true;
+        c.firstAt = w.now();
+        cancel();
+        learn(c);
+      }
+      c.reply.chunk(text);
+    }
+    const x = await p.workers.decode(m, c.job, c.handle!.h, chunk, AbortSignal.any([c.abort.signal, patience.signal]));
+    cancel();
+    end();
+    if (x.tag === 'done') {
+      s.outcome = 'done';
+      table.went(d.worker);
+      paceUs += 0.05 * (w.now() - c.arrived - paceUs);
+      if (!c.abort.signal.aborted) c.reply.end();
+      w.log(5101, { request: c.r.id, kind: c.r.kind, us: w.now() - c.arrived });
+      return true;
+    }
+    s.outcome = x.tag;
+    if (x.tag === 'lapsed') return false;
+    if (x.tag === 'notStarted' && (x.why === 'queue_full' || x.why === 'kv_full' || x.why === 'wrong_part')) {
+      c.tried.add(d.worker);
+      return false;
+    }
+    c.tried.add(d.worker);
+    if (!c.abort.signal.aborted) blame(c, d.worker, x.why);
+    return false;
+  }
+
+  function learn(c: Course): void {
+    if (c.assigned === undefined || c.ledger.sends.length !== 2) return;
+    samples.push({ x: c.assigned.row, y: -(c.firstAt - c.sentAt) / 1e6 });
+    if (samples.length >= batchSize) flush();
+  }
+
+  function flush(): void {
+    flushedAt = w.now();
+    if (samples.length === 0) return;
+    w.send(o.agent, { kind: 'Samples', from: o.router, count: samples.length, width, rows: encodeSamples(samples, width) });
+    samples = [];
+  }
+
+  function count(rehearsal: string, c: Course, end: FailureKind | 'whole'): void {
+    const stratum = `${c.r.tenant}/${c.r.kind}`;
+    const k = `${rehearsal}/${c.arm}/${stratum}`;
+    const a = arms.get(k) ?? { rehearsal, arm: c.arm, stratum, count: 0, failures: 0, sum: 0, squares: 0 };
+    a.count += 1;
+    if (end !== 'whole') a.failures += 1;
+    else {
+      const l = Math.log(Math.max(1, c.firstAt - c.sentAt));
+      a.sum += l;
+      a.squares += l * l;
+    }
+    arms.set(k, a);
+    for (const old of arms.keys()) if (arms.size > 64 && !old.startsWith(rehearsal)) arms.delete(old);
+  }
+
+  function giveUp(r: Incoming, reply: Reply, f: Failure): void {
+    w.log(5102, { request: r.id, kind: f.kind, tenant: r.tenant, of: r.kind });
+    note(ends, f.kind);
+    reply.fail(f);
+  }
+
+  function receive(m: Message): void {
+    if (m.kind !== 'Feed') return;
+    for (const x of table.marks(m.workers)) {
+      tree.forget(x);
+      paces.forget(x);
+    }
+    table.reports(m.reports);
+    const before = feed.applied();
+    feed.take(m);
+    if (feed.applied() !== before) tell();
+  }
+
+  function tell(): void {
+    if (w.now() - flushedAt > 5_000_000) flush();
+    const t = budget.totals();
+    w.send(o.agent, {
+      kind: 'RouterState', router: o.router, http: o.http, asked: w.now(), applied: feed.applied(), first: t.first, extra: t.extra,
+      allowance: budget.granted(), arms: [...arms.values()], have: feed.have(),
+    });
+  }
+
+  tell();
+  const stopTelling = every(w, () => micros(100_000), tell);
+  return {
+    serve, receive, feed, table,
+    figures: () => ({
+      router: o.router, tenured: feed.tenured(), desiredVersion: feed.applied(), live: feed.record().live?.version, running: feed.record().running?.id,
+      active, waiting: admission.waiting(), ends: Object.fromEntries(ends), placement: Object.fromEntries(reasons), ...budget.totals(), probes: budget.granted(),
+      treeBlocks: tree.size(),
+    }),
+    stopTaking: () => { taking = false; },
+    active: () => active,
+    stop: () => { stopTelling(); admission.stop(); },
+  };
+}
--- /dev/null
+++ b/programs/request-router/src/worker-port.ts
@@ -0,0 +1,40 @@
+// What the executor asks of the way to the workers. A port never throws: each send ends in one of these
+// results, and `notStarted` is claimed only on proof. Programs pass HTTP, the simulator its own links.
+import type { Mark } from '@tansypost/inner-protocol';
+
+export interface WorkerJob {
+  readonly request: string;
+  readonly model: string;
+  readonly prompt: string;
+  readonly digest: string;
+  readonly maxTokens: number;
+}
+export interface HandleParams {
+  readonly remote_engine_id: string;
+  readonly remote_block_ids: readonly string[];
+  readonly remote_host: string;
+  readonly remote_port: number;
+  readonly request_id: string;
+  readonly prompt_digest: string;
+  readonly incarnation: number;
+}
+export type PrefillResult =
+  | { readonly tag: 'done'; readonly handle: HandleParams }
+  | { readonly tag: 'notStarted'; readonly why: string }
+  | { readonly tag: 'unknown'; readonly why: string };
+export type DecodeResult =
+  | { readonly tag: 'done' }
+  | { readonly tag: 'notStarted'; readonly why: string }
+  | { readonly tag: 'lapsed'; readonly why: string }
+  | { readonly tag: 'unknown'; readonly why: string };
+
+export interface WorkerPort {
+  readonly prefill: (m: Mark, j: WorkerJob, signal: AbortSignal) => Promise<PrefillResult>;
+  readonly decode: (m: Mark, j: WorkerJob, h: HandleParams, chunk: (text: string) => void, signal: AbortSignal) => Promise<DecodeResult>;
+}
+
+// The router's end of the hand-over check: the handle must name the request, the prompt and the very
+// worker and incarnation that was asked to read it.
+export function handleFits(h: HandleParams, j: WorkerJob, m: Mark): boolean {
+  return h.request_id === j.request && h.prompt_digest === j.digest && h.remote_engine_id === m.worker && h.incarnation === m.incarnation;
+}
--- /dev/null
+++ b/programs/request-router/src/worker-table.ts
@@ -0,0 +1,128 @@
+// The router's table of workers: marks from the feed, the last report with what this router has done since,
+// its own tokens in flight, and a short memory of failures. It alone says who is a candidate: never a
+// worker that is leaving, gone, or resting after failures.
+import type { Mark, Micros, Report, WorkerId } from '@tansypost/inner-protocol';
+import type { Candidate, Paces } from '@tansypost/placement';
+import type { Part } from '@tansypost/rehearsal';
+
+interface Deed {
+  readonly at: number;
+  readonly by: number;
+  readonly kv: number;
+}
+interface Row {
+  mark: Mark;
+  report: { r: Report; at: number } | undefined;
+  deeds: Deed[];
+  running: number;
+  prefillTokens: number;
+  decodeTokens: number;
+  failures: number;
+  restUntil: number;
+}
+export interface WorkerTable {
+  readonly marks: (ms: readonly Mark[]) => string[];
+  readonly reports: (rs: readonly Report[]) => void;
+  readonly began: (w: WorkerId, phase: 'prefill' | 'decode', tokens: number) => () => void;
+  readonly failed: (w: WorkerId) => void;
+  readonly went: (w: WorkerId) => void;
+  readonly mark: (w: WorkerId) => Mark | undefined;
+  readonly reportedPart: (w: WorkerId) => Part | undefined;
+  readonly candidates: (phase: 'prefill' | 'decode', part: (m: Mark, reported: Part | undefined) => Part, without: ReadonlySet<string>) => Candidate[];
+  readonly view: () => object[];
+}
+
+export function sane(r: Report): boolean {
+  return r.queued >= 0 && r.active >= 0 && r.queued < 1e6 && r.active < 1e6 && r.kvUsed >= 0 && r.kvUsed <= 1;
+}
+
+export function createWorkerTable(now: () => Micros, paces: Paces): WorkerTable {
+  const rows = new Map<string, Row>();
+
+  function marks(ms: readonly Mark[]): string[] {
+    const renewed: string[] = [];
+    for (const m of ms) {
+      const r = rows.get(m.worker);
+      if (r === undefined || m.incarnation > r.mark.incarnation) {
+        rows.set(m.worker, { mark: m, report: undefined, deeds: [], running: 0, prefillTokens: 0, decodeTokens: 0, failures: 0, restUntil: 0 });
+        if (r !== undefined) renewed.push(m.worker);
+      } else if (m.incarnation === r.mark.incarnation && m.state > r.mark.state) r.mark = m;
+    }
+    return renewed;
+  }
+
+  function reports(rs: readonly Report[]): void {
+    for (const r of rs) {
+      const x = rows.get(r.worker);
+      const at = now() - r.age;
+      if (x === undefined || r.incarnation !== x.mark.incarnation || (x.report !== undefined && at <= x.report.at)) continue;
+      if (!sane(r)) {
+        x.failures += 1;
+        continue;
+      }
+      x.report = { r, at };
+      x.deeds = x.deeds.filter((d) => d.at > at);
+    }
+  }
+
+  function began(w: WorkerId, phase: 'prefill' | 'decode', tokens: number): () => void {
+    const x = rows.get(w);
+    if (x === undefined) return () => undefined;
+    x.running += 1;
+    if (phase === 'prefill') x.prefillTokens += tokens;
+    else x.decodeTokens += tokens;
+    deed(x, 1);
+    let over = false;
+    return function end() {
+      if (over) return;
+      over = true;
+      x.running -= 1;
+      if (phase === 'prefill') x.prefillTokens -= tokens;
+      else x.decodeTokens -= tokens;
+      deed(x, -1);
+    };
+  }
+  function deed(x: Row, by: number): void {
+    if (x.deeds.length > 4000) x.deeds.shift();
+    x.deeds.push({ at: now(), by, kv: 0 });
+  }
+
+  function failed(w: WorkerId): void {
+    const x = rows.get(w);
+    if (x === undefined) return;
+    x.failures += 1;
+    x.restUntil = now() + Math.min(8_000_000, 500_000 * 2 ** Math.min(4, x.failures - 1));
+  }
+  function went(w: WorkerId): void {
+    const x = rows.get(w);
+    if (x !== undefined) x.failures = 0;
+  }
+
+  function candidate(x: Row): Candidate {
+    const r = x.report?.r;
+    const since = x.deeds.reduce((a, d) => a + d.by, 0);
+    const all = Math.max(x.running, (r === undefined ? x.running : r.queued + r.active + since));
+    const queued = r === undefined ? 0 : Math.min(r.queued, all);
+    return {
+      worker: x.mark.worker as WorkerId, incarnation: x.mark.incarnation, running: Math.max(0, all - queued), queued,
+      prefillTokens: x.prefillTokens, decodeTokens: x.decodeTokens, kvUsed: r?.kvUsed ?? 0, speedClass: paces.speedClass(x.mark.worker),
+    };
+  }
+
+  function candidates(phase: 'prefill' | 'decode', part: (m: Mark, reported: Part | undefined) => Part, without: ReadonlySet<string>): Candidate[] {
+    const not = phase === 'prefill' ? 'decode' : 'prefill';
+    const fit = [...rows.values()].filter((x) => x.mark.state === 1 && part(x.mark, x.report?.r.part as Part | undefined) !== not);
+    const t = now();
+    const well = fit.filter((x) => x.restUntil <= t && !without.has(x.mark.worker));
+    if (well.length > 0) return well.map(candidate);
+    const rest = fit.filter((x) => !without.has(x.mark.worker));
+    return (rest.length > 0 ? rest : fit).map(candidate);
+  }
+
+  return {
+    marks, reports, began, failed, went, candidates,
+    mark: (w) => rows.get(w)?.mark,
+    reportedPart: (w) => rows.get(w)?.report?.r.part as Part | undefined,
+    view: () => [...rows.values()].map((x) => ({ ...x.mark, running: x.running, failures: x.failures, resting: x.restUntil > now(), report: x.report?.r })),
+  };
+}
--- a/programs/requester-stand-in/src/index.ts
+++ b/programs/requester-stand-in/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './drive.js';
+export * from './report.js';
+export * from './requester.js';
+export * from './traffic.js';
--- /dev/null
+++ b/programs/router-agent/src/app.ts
@@ -0,0 +1,95 @@
+// The agent's HTTP side: the platform's calls about workers, the operators' desired state and rehearsals, and
+// what tools ask. Bodies are checked before anything happens.
+import { randomUUID } from 'node:crypto';
+import { Type, type Static } from '@sinclair/typebox';
+import { Value } from '@sinclair/typebox/value';
+import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
+import { CloudEvent, HTTP } from 'cloudevents';
+import { markStates } from '@tansypost/membership';
+import type { AgentCore } from './agent-core.js';
+
+const WorkerCall = Type.Object({
+  worker: Type.String({ minLength: 1, maxLength: 64 }),
+  incarnation: Type.Integer({ minimum: 1 }),
+  state: Type.Union(markStates.map((s) => Type.Literal(s))),
+  address: Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' }),
+}, { additionalProperties: false });
+const Submission = Type.Object({
+  base: Type.Integer({ minimum: 0 }),
+  change: Type.Optional(Type.String({ pattern: '^[A-Za-z0-9._:-]{1,64}$' })),
+  state: Type.Unknown(),
+}, { additionalProperties: false });
+
+export interface AgentAppOptions {
+  readonly core: AgentCore;
+  readonly service: string;
+}
+
+export function createAgentApp(o: AgentAppOptions): FastifyInstance {
+  const app = fastify({ bodyLimit: 4 * 1024 * 1024, forceCloseConnections: true });
+  const { core } = o;
+  const desiredKey = `desired/${o.service}`;
+
+  function bad(a: FastifyReply, message: string, remedy: string): FastifyReply {
+    return a.code(400).send({ error: { kind: 'bad_request', message, remedy } });
+  }
+  app.setErrorHandler((e: { message: string; statusCode?: number }, _q, a) => a.code(e.statusCode ?? 500).send({ error: { kind: 'bad_request', message: e.message, remedy: 'Correct the call.' } }));
+
+  app.post('/platform/workers', async (q, a) => {
+    const e = [...Value.Errors(WorkerCall, q.body)][0];
+    if (e !== undefined) return bad(a, `${e.path}: ${e.message}`, 'Correct the field named.');
+    const b = q.body as Static<typeof WorkerCall>;
+    const fresh = core.platform([{ worker: b.worker, incarnation: b.incarnation, state: markStates.indexOf(b.state), address: b.address }]);
+    return { taken: fresh.length > 0 };
+  });
+  app.get('/platform/workers', async () => core.marks().map((m) => ({ ...m, state: markStates[m.state] })));
+
+  app.post('/desired-state', async (q, a) => {
+    const e = [...Value.Errors(Submission, q.body)][0];
+    if (e !== undefined) return bad(a, `${e.path}: ${e.message}`, 'Send {base, change, state}; base is the version you read.');
+    const b = q.body as Static<typeof Submission>;
+    const r = await core.submit(b.base, b.change ?? randomUUID(), b.state);
+    const code = { acknowledged: 200, refused: 422, 'lost the race': 409, 'outcome unknown': 504 }[r.answer];
+    if (code === 504) a.header('retry-after', '5');
+    return a.code(code).send(r);
+  });
+  app.get('/desired-state', async (_q, a) => {
+    const r = await core.readDesired();
+    if (r.status !== 'value') return a.code(504).header('retry-after', '2').send({ error: { kind: 'outcome_unknown', message: 'The core did not answer in time.', remedy: 'Ask again.' } });
+    return { version: r.version, state: r.version === 0 ? null : (JSON.parse(r.value.toString()) as unknown) };
+  });
+  app.get<{ Params: { id: string } }>('/changes/:id', async (q, a) => {
+    const r = await core.lookup(q.params.id);
+    if (r.status === 'done') return { change: q.params.id, answer: 'acknowledged', version: r.version };
+    if (r.status === 'none') return { change: q.params.id, answer: 'not in force', version: r.version };
+    return a.code(504).header('retry-after', '2').send({ change: q.params.id, answer: 'outcome unknown' });
+  });
+
+  app.get('/rehearsals', async () => core.rehearsals());
+  app.post<{ Params: { id: string; word: string } }>('/rehearsals/:id/:word', async (q, a) => {
+    const { id, word } = q.params;
+    if (word !== 'approve' && word !== 'reject') return bad(a, `There is no word ${word}.`, 'Use approve or reject.');
+    const kind = await core.decide(id, word);
+    return a.code({ taken: 200, unknown_rehearsal: 404, ended_rehearsal: 409, superseded_rehearsal: 409, outcome_unknown: 504 }[kind]).send({ rehearsal: id, answer: kind });
+  });
+
+  app.get('/vitals', async (_q, a) => {
+    const f = core.figures();
+    return a.code(f['routerHeard'] === true ? 200 : 503).send({ ok: f['routerHeard'], ...f });
+  });
+  app.get('/members', async () => core.members());
+  app.get<{ Params: { version: string } }>('/trace/:version', async (q) => core.trace(desiredKey, Number(q.params.version)));
+  app.get<{ Params: { version: string } }>('/cloudevents/:version', async (q, a) => {
+    const es = core.trace(desiredKey, Number(q.params.version)).map((t) => new CloudEvent({
+      type: `tansypost.desired-state.${t.what}`, source: `/agents/${String(core.figures()['member'])}`, subject: `${t.key}@${t.version}`,
+      time: new Date(t.at / 1000).toISOString(), data: { key: t.key, version: t.version },
+    }));
+    return a.type('application/cloudevents-batch+json').send(JSON.stringify(es.map((e) => JSON.parse(HTTP.structured(e).body as string) as unknown)));
+  });
+  app.get('/metrics', async (_q, a) => {
+    const f = core.figures();
+    const lines = Object.entries(f).flatMap(([k, v]) => (typeof v === 'number' ? [`tansypost_agent_${k} ${v}`] : typeof v === 'boolean' ? [`tansypost_agent_${k} ${v ? 1 : 0}`] : []));
+    return a.type('text/plain; version=0.0.4').send(`${lines.join('\n')}\n`);
+  });
+  return app;
+}
--- /dev/null
+++ b/programs/router-agent/src/ask.ts
@@ -0,0 +1,67 @@
+// How an agent asks the core: it sends to one place after the other until one answers. A write is repeated under
+// the same change id, which the owner remembers, so repeating it is harmless; what is still open
+// when patience ends is reported as unknown, with the id to ask after.
+import { micros, type Address, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
+
+export type AskStatus = 'done' | 'lost' | 'value' | 'none' | 'unknown';
+export interface AskResult {
+  readonly status: AskStatus;
+  readonly epoch: number;
+  readonly version: number;
+  readonly value: Buffer;
+}
+export interface AskRequest {
+  readonly op: 'read' | 'write' | 'lookup';
+  readonly key: string;
+  readonly change?: string;
+  readonly base?: number;
+  readonly value?: Buffer;
+  readonly patience: number;
+}
+export interface Asker {
+  readonly ask: (r: AskRequest) => Promise<AskResult>;
+  readonly answer: (m: MessageOf<'Answer'>) => void;
+}
+const none = Buffer.alloc(0);
+
+export function createAsker(w: World, self: Address, places: () => readonly Place[]): Asker {
+  const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
+  let n = Math.floor(w.random() * 1e9);
+
+  function ask(r: AskRequest): Promise<AskResult> {
+    const limit = w.now() + r.patience;
+    let turn = Math.floor(w.random() * 3);
+    return new Promise((done) => {
+      function once(): void {
+        const ps = places();
+        const left = limit - w.now();
+        if (left <= 0) return done({ status: 'unknown', epoch: 0, version: 0, value: none });
+        if (ps.length === 0) return void w.after(micros(Math.min(left, 200_000)), once);
+        n += 1;
+        turn += 1;
+        const id = `${self}/${n}`;
+        let cancel = w.after(micros(Math.min(left, 2_500_000)), again);
+        function again(): void {
+          open.delete(id);
+          cancel();
+          once();
+        }
+        open.set(id, (m) => {
+          cancel();
+          if (m.status === 'retry' || m.status === 'unknown') {
+            open.delete(id);
+            cancel = w.after(micros(100_000 + w.random() * 100_000), once);
+            return;
+          }
+          open.delete(id);
+          done({ status: m.status as AskStatus, epoch: m.epoch, version: m.version, value: m.value });
+        });
+        w.send(ps[turn % ps.length]!.address as Address, {
+          kind: 'Ask', id, origin: self, key: r.key, op: r.op, change: r.change ?? '', base: r.base ?? 0, value: r.value ?? none, hops: 0,
+        });
+      }
+      once();
+    });
+  }
+  return { ask, answer: (m) => open.get(m.id)?.(m) };
+}
--- a/programs/router-agent/src/index.ts
+++ b/programs/router-agent/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './agent-core.js';
+export * from './ask.js';
+export * from './parts-duty.js';
+export * from './reports.js';
+export * from './training-duty.js';
--- /dev/null
+++ b/programs/router-agent/src/reports.ts
@@ -0,0 +1,101 @@
+// Reports of the workers' load. Each costs a probe, so they are fetched only as fast as the routers' extra
+// budget grants, each worker by one home agent, and shared with the whole fleet. The grants come as
+// running totals, so that a lost message loses nothing.
+import { every, micros, rendezvous, type Address, type Mark, type MessageOf, type Report, type World } from '@tansypost/inner-protocol';
+
+export interface FetchedReport {
+  readonly queued: number;
+  readonly active: number;
+  readonly kv_used: number;
+  readonly part: string;
+  readonly incarnation: number;
+  readonly fence: number;
+}
+export interface ReportsOptions {
+  readonly self: Address;
+  readonly isHome: () => boolean;
+  readonly home: () => Address;
+  readonly homes: () => Address[];
+  readonly subscribers: () => Address[];
+  readonly workers: () => Mark[];
+  readonly fetch: (m: Mark) => Promise<FetchedReport | undefined>;
+  readonly changed: () => void;
+}
+export interface Reports {
+  readonly all: () => Report[];
+  readonly take: (m: MessageOf<'Reports'>) => void;
+  readonly demand: (m: MessageOf<'Demand'>) => void;
+  readonly routerGrants: (router: string, first: number, extra: number, allowance: number) => void;
+  readonly probes: () => number;
+  readonly stop: () => void;
+}
+
+export function createReports(w: World, o: ReportsOptions): Reports {
+  const held = new Map<string, { r: Report; at: number }>();
+  const asked = new Map<string, number>();
+  const totals = new Map<string, number>();
+  let own: MessageOf<'Demand'> | undefined;
+  let pot = 0;
+  let probes = 0;
+
+  function out(r: { r: Report; at: number }): Report {
+    return { ...r.r, age: Math.max(0, w.now() - r.at) };
+  }
+  function keep(r: Report): boolean {
+    const at = w.now() - r.age;
+    const old = held.get(r.worker);
+    if (old !== undefined && (old.r.incarnation > r.incarnation || (old.r.incarnation === r.incarnation && old.at >= at))) return false;
+    held.set(r.worker, { r, at });
+    return true;
+  }
+  function take(m: MessageOf<'Reports'>): void {
+    const fresh = m.reports.filter(keep);
+    if (fresh.length === 0) return;
+    o.changed();
+    if (m.relay && o.isHome()) for (const a of o.subscribers()) w.send(a, { kind: 'Reports', reports: fresh, relay: false });
+  }
+  function demand(m: MessageOf<'Demand'>): void {
+    const had = totals.get(m.from);
+    totals.set(m.from, m.allowance);
+    if (had !== undefined && m.allowance > had) pot = Math.min(pot + m.allowance - had, Math.max(4, o.workers().length));
+  }
+  function routerGrants(router: string, first: number, extra: number, allowance: number): void {
+    own = { kind: 'Demand', from: router, first, extra, allowance };
+  }
+
+  function tick(): void {
+    if (own !== undefined) {
+      if (o.isHome()) demand(own);
+      else w.send(o.home(), own);
+    }
+    if (!o.isHome()) return;
+    const hs = o.homes();
+    const mine = o.workers().filter((m) => rendezvous(m.worker, hs, (a) => a)[0] === o.self);
+    const due = mine.filter((m) => (asked.get(m.worker) ?? -Infinity) <= w.now() - 100_000).sort((a, b) => (asked.get(a.worker) ?? 0) - (asked.get(b.worker) ?? 0));
+    for (const m of due) {
+      if (pot < 1) return;
+      pot -= 1;
+      probes += 1;
+      asked.set(m.worker, w.now());
+      void fetchOne(m);
+    }
+  }
+
+  async function fetchOne(m: Mark): Promise<void> {
+    const at = w.now();
+    const f = await o.fetch(m);
+    if (f === undefined || f.incarnation !== m.incarnation) return;
+    const r: Report = { worker: m.worker, incarnation: m.incarnation, queued: f.queued, active: f.active, kvUsed: f.kv_used, part: f.part, age: w.now() - at, fence: f.fence };
+    if (!Number.isFinite(r.queued + r.active + r.kvUsed) || r.queued < 0 || r.active < 0 || r.kvUsed < 0 || r.kvUsed > 1) {
+      w.log(5103, { worker: m.worker, why: 'impossible figures in its report', report: f });
+      return;
+    }
+    if (!keep(r)) return;
+    o.changed();
+    for (const a of o.subscribers()) w.send(a, { kind: 'Reports', reports: [r], relay: false });
+    for (const a of o.homes()) if (a !== o.self) w.send(a, { kind: 'Reports', reports: [r], relay: true });
+  }
+
+  const stop = every(w, () => micros(100_000), tick);
+  return { all: () => [...held.values()].map(out), take, demand, routerGrants, probes: () => probes, stop };
+}
--- /dev/null
+++ b/programs/router-agent/src/training-duty.ts
@@ -0,0 +1,92 @@
+// The duty of training: pools the samples of all agents, trains when enough are new, and puts the model up for
+// rehearsal. The bytes go into one of four slots that neither the live model, the one before, nor a
+// running rehearsal uses. Only a rehearsal can make it live.
+import { micros, type MessageOf, type World } from '@tansypost/inner-protocol';
+import { decodeSamples, modelHash, width, type ModelVersion, type Sample } from '@tansypost/placement';
+import { begin, readRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
+import type { Asker } from './ask.js';
+import type { RecordWriter } from './record-writer.js';
+
+export interface TrainerPort {
+  readonly add: (ss: readonly Sample[]) => void;
+  readonly train: (v: ModelVersion) => Promise<Buffer>;
+}
+export interface TrainingDutyOptions {
+  readonly service: string;
+  readonly holds: () => number | undefined;
+  readonly record: () => Buffer | undefined;
+  readonly asker: Asker;
+  readonly writer: RecordWriter;
+  readonly trainer: TrainerPort;
+  readonly every: number;
+  readonly slice: number;
+  readonly approval: () => 'automatic' | 'operator';
+}
+export interface TrainingDuty {
+  readonly samples: (m: MessageOf<'Samples'>) => void;
+  readonly tick: () => void;
+  readonly figures: () => { fresh: number; trained: number };
+}
+
+function freeSlot(r: RehearsalRecord, service: string): string | undefined {
+  const s = r.running?.subject;
+  const used = new Set([r.live?.blob, r.before?.blob, s?.type === 'model' ? s.model.blob : undefined]);
+  return [0, 1, 2, 3].map((n) => `blob/${service}/${n}`).find((k) => !used.has(k));
+}
+
+export function createTrainingDuty(w: World, o: TrainingDutyOptions): TrainingDuty {
+  let fresh = 0;
+  let trained = 0;
+  let busy = false;
+  let waiting: { v: ModelVersion; bytes: Buffer } | undefined;
+
+  function samples(m: MessageOf<'Samples'>): void {
+    if (m.width !== width) return;
+    const ss = decodeSamples(m.rows, m.count, m.width);
+    o.trainer.add(ss);
+    fresh += ss.length;
+  }
+
+  function tick(): void {
+    const epoch = o.holds();
+    if (busy || epoch === undefined) return;
+    const b = o.record();
+    const running = b !== undefined && readRecord(b).running !== undefined;
+    if (fresh >= o.every) {
+      busy = true;
+      fresh = 0;
+      trained += 1;
+      const v = { epoch, n: trained };
+      void o.trainer.train(v).then((bytes) => {
+        waiting = { v, bytes };
+        w.log(4003, { version: v, bytes: bytes.length });
+      }).finally(() => { busy = false; });
+    } else if (waiting !== undefined && !running) {
+      busy = true;
+      void offer(waiting).finally(() => { w.after(micros(500_000), () => { busy = false; }); });
+    }
+  }
+
+  async function offer(x: { v: ModelVersion; bytes: Buffer }): Promise<void> {
+    const r = await o.asker.ask({ op: 'read', key: `rehearsal/${o.service}`, patience: 5_000_000 });
+    if (r.status !== 'value' || o.holds() === undefined) return;
+    const blob = freeSlot(readRecord(r.value), o.service);
+    if (blob === undefined || readRecord(r.value).running !== undefined) return;
+    const old = await o.asker.ask({ op: 'read', key: blob, patience: 5_000_000 });
+    if (old.status !== 'value') return;
+    const hash = modelHash(x.bytes);
+    const put = await o.asker.ask({ op: 'write', key: blob, change: hash, base: old.version, value: x.bytes, patience: 5_000_000 });
+    if (put.status !== 'done' || o.holds() === undefined) return;
+    const model: ModelRef = { version: x.v, hash, blob };
+    const done = await o.writer.change(
+      (rec) => (rec.running === undefined && freeSlotFits(rec, blob, o.service) ? begin(rec, `model-${x.v.epoch}-${x.v.n}`, { type: 'model', model }, o.slice, o.approval()) : undefined),
+      () => o.holds() !== undefined,
+    );
+    if (done !== undefined && waiting === x) waiting = undefined;
+  }
+  return { samples, tick, figures: () => ({ fresh, trained }) };
+}
+
+function freeSlotFits(r: RehearsalRecord, blob: string, service: string): boolean {
+  return r.live?.blob !== blob && r.before?.blob !== blob && blob.startsWith(`blob/${service}/`);
+}
--- a/programs/state-keeper/src/index.ts
+++ b/programs/state-keeper/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './keeper-core.js';
--- /dev/null
+++ b/programs/state-keeper/src/main.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+// The state-keeper as a process: one core place on its own disk.
+import { randomBytes } from 'node:crypto';
+import fastify from 'fastify';
+import * as E from 'fp-ts/lib/Either.js';
+import { KeeperBoot, runProgram } from '@tansypost/boot';
+import { createRealWorld, splitAddress, type Address } from '@tansypost/inner-protocol';
+import { openFileDisk } from './file-disk.js';
+import { createKeeperCore } from './keeper-core.js';
+
+await runProgram({
+  name: 'state-keeper',
+  about: 'Holds one of the three places of the control state.',
+  schema: KeeperBoot,
+  flags: Object.keys(KeeperBoot.properties),
+  start: async (b, log) => {
+    const d = await openFileDisk(b.data);
+    if (E.isLeft(d)) throw d.left;
+    const file = d.right;
+    if (d.right.cut > 0) log(2008, { bytes: d.right.cut });
+    const real = await createRealWorld(b.listen as Address, log);
+    const core = createKeeperCore(real.world, {
+      slot: b.slot, self: b.listen as Address, core: b.core as Address[], seeds: b.seeds as Address[], disk: d.right.disk, found: d.right.found,
+      newDiskId: randomBytes(8).toString('hex'), tenure: (b.feedTenureMs ?? 10_000) * 1000, dutyTenure: (b.dutyTenureMs ?? 3000) * 1000,
+    });
+    real.onMessage(core.receive);
+    const app = fastify();
+    app.get('/vitals', async (_q, a) => {
+      const ok = core.place.state() === 'voting';
+      return a.code(ok ? 200 : 503).send({ ok, state: core.place.state(), disk: core.place.diskId(), core: core.place.core(), owned: core.owned(), bytes: d.right.disk.size() });
+    });
+    app.get('/metrics', async (_q, a) => a.type('text/plain; version=0.0.4').send(
+      `tansypost_place_voting ${core.place.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${core.place.core().gen}\ntansypost_keys_owned ${core.owned().length}\ntansypost_file_bytes ${d.right.disk.size()}\n`,
+    ));
+    await app.listen(splitAddress(b.http));
+    async function stop(): Promise<void> {
+      core.stop();
+      await Promise.all([app.close(), real.carrier.close()]);
+      await file.close();
+    }
+    return { stop };
+  },
+});
--- a/programs/tansypost/src/index.ts
+++ b/programs/tansypost/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './call.js';
--- a/programs/worker-stand-in/src/main.ts
+++ b/programs/worker-stand-in/src/main.ts
@@ -2,6 +2,7 @@
 // The worker stand-in as a process: HTTP/1.1 in front of the worker core, with the hand-over that vLLM's
 // kv_transfer_params describe. A decode worker reads the memory from the prefill worker it is
 // named, and both check the handle.
+import { appendFileSync } from 'node:fs';
 import { Type } from '@sinclair/typebox';
 import fastify from 'fastify';
 import { request } from 'undici';
@@ -19,6 +20,7 @@
   kvTokens: Type.Optional(Type.Integer({ minimum: 100 })),
   holdUs: Type.Optional(Type.Integer({ minimum: 1000 })),
   logLevel: Type.Optional(Type.Integer()),
+  runsFile: Type.Optional(Type.String()),
 }, { additionalProperties: false });
 
 interface Body {
@@ -43,8 +45,8 @@
   schema: Boot,
   flags: Object.keys(Boot.properties),
   start: async (b, log) => {
-    const { logLevel: _l, listen, member, incarnation, ...rest } = b;
-    const core = createWorkerCore({ now: monotonic, after: afterReal, log }, { ...workerDefaults, ...rest, worker: member, incarnation });
+    const { logLevel: _l, listen, member, incarnation, runsFile, ...rest } = b;
+    const core = createWorkerCore({ now: monotonic, after: afterReal, log }, { ...workerDefaults, ...rest, worker: member, incarnation, onRun: (q, what) => { if (runsFile !== undefined) appendFileSync(runsFile, `${q} ${what}\n`); } });
     const { host, port } = splitAddress(listen);
     const app = fastify({ bodyLimit: 8 * 1024 * 1024, forceCloseConnections: true });
     let dark = false;
@@ -90,7 +92,7 @@
       a.raw.writeHead(200, { 'content-type': 'text/event-stream' });
       a.raw.on('error', () => undefined);
       const off = core.decode(job, h, {
-        chunk: (text) => a.raw.write(`data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`),
+        chunk: (text) => a.raw.write(core.faults.nonsense === true ? 'garbage\n\n' : `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`),
         end: () => a.raw.end(`data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: 'stop' }] })}\n\ndata: [DONE]\n\n`),
         broke: () => a.raw.destroy(),
       });
@@ -125,6 +127,7 @@
       Object.assign(core.faults, f);
       return {};
     });
+    app.get('/idle', async () => core.idle());
     app.get('/runs', async () => Object.fromEntries(core.runs()));
     await app.listen({ host, port });
     return { stop: () => app.close() };
--- a/programs/worker-stand-in/src/worker-core.ts
+++ b/programs/worker-stand-in/src/worker-core.ts
@@ -16,6 +16,7 @@
   readonly queueLimit: number;
   readonly holdUs: number;
   readonly reportLagUs: number;
+  readonly onRun?: (request: string, what: 'prefill' | 'decode') => void;
 }
 export const workerDefaults: Omit<WorkerOptions, 'worker' | 'incarnation'> = {
   prefillPace: 30_000, stepUs: 12_000, slots: 48, kvTokens: 200_000, queueLimit: 64, holdUs: 5_000_000, reportLagUs: 300_000,
@@ -66,6 +67,7 @@
   readonly faults: Faults;
   readonly runs: () => ReadonlyMap<string, { prefill: number; decode: number }>;
   readonly part: () => Part;
+  readonly idle: () => { active: number; queued: number };
 }
 
 interface Active {
@@ -107,6 +109,7 @@
     const r = runs.get(request) ?? { prefill: 0, decode: 0 };
     r[what] += 1;
     runs.set(request, r);
+    o.onRun?.(request, what);
   }
 
   // Walks the prompt's blocks through the prefix cache; what is not there is computed and kept.
@@ -211,8 +214,7 @@
       active.delete(a);
       return a.sink.broke();
     }
-    const text = faults.nonsense === true ? ' \u0000garbage' : answerText(a.digest, a.at, to);
-    a.sink.chunk(text, to - a.at);
+    a.sink.chunk(answerText(a.digest, a.at, to), to - a.at);
     a.at = to;
     if (a.at < a.length) return;
     active.delete(a);
@@ -254,7 +256,7 @@
     held.clear();
   }
 
-  return { prefill, admit, decode, take, report, order, lapse, faults, runs: () => runs, part: () => part };
+  return { prefill, admit, decode, take, report, order, lapse, faults, runs: () => runs, part: () => part, idle: () => ({ active: active.size + (busy ? 1 : 0) + held.size, queued: queue.length }) };
 }
 
 if (import.meta.vitest) {
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -14,7 +14,7 @@
   test: {
     includeSource: ['packages/*/src/**/*.ts', 'programs/*/src/**/*.ts'],
     include: ['tests/**/*.test.ts'],
-    testTimeout: 300_000,
+    testTimeout: 120_000,
     hookTimeout: 120_000,
   },
 });
