--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -76,7 +76,7 @@
   },
   Feed: {
     workers: [mark], reports: [report], news: [news], grants: [{ asked: 'long', version: 'long' }],
-    others: ['string'],
+    others: ['string'], contact: 'boolean',
   },
 } as const satisfies { [k: string]: Shape };
 
--- a/packages/membership/src/views.ts
+++ b/packages/membership/src/views.ts
@@ -28,6 +28,7 @@
   readonly neighbours: () => Address[];
   readonly live: () => Entry[];
   readonly zone: () => Entry[];
+  readonly contact: () => boolean;
   readonly stop: () => void;
 }
 
@@ -39,6 +40,7 @@
 export function createViews(w: World, o: ViewsOptions): Views {
   const known = new Map<string, Known>();
   const old = new Set<string>(o.persisted.map((e) => e.address).filter((a) => a !== o.self));
+  const gone = new Map<string, number>();
   let beat = 0;
 
   function me(): Entry {
@@ -54,6 +56,7 @@
       if (e.member === o.member || e.member === '') continue;
       const k = known.get(e.member);
       if (k === undefined) w.log(3001, { member: e.member, address: e.address, zone: e.zone });
+      if (k === undefined || later(e, k.e)) gone.delete(e.member);
       if (k === undefined || later(e, k.e)) known.set(e.member, { e, risen: w.now() });
     }
   }
@@ -62,6 +65,7 @@
     for (const [m, k] of known) {
       if (w.now() - k.risen <= o.forgetAfter) continue;
       known.delete(m);
+      gone.set(m, w.now());
       old.add(k.e.address);
       w.log(3002, { member: m });
     }
@@ -88,6 +92,13 @@
     return [me(), ...live().filter((e) => e.zone === o.zone)];
   }
 
+  // Whether at least half of the members heard of in the last minute are still heard of.
+  function contact(): boolean {
+    for (const [m, at] of gone) if (w.now() - at > 60_000_000) gone.delete(m);
+    const fresh = [...known.values()].filter((k) => w.now() - k.risen < 2_000_000).length;
+    return 2 * fresh >= known.size + gone.size && (fresh > 0 || known.size + gone.size === 0);
+  }
+
   function shuffle(answer: boolean): MessageOf<'Shuffle'> {
     const c = o.core();
     return {
@@ -117,5 +128,5 @@
 
   w.after(micros(1000), tick);
   const stop = every(w, () => micros(o.period * (0.8 + 0.4 * w.random())), tick);
-  return { receive, neighbours, live, zone, stop };
+  return { receive, neighbours, live, zone, contact, stop };
 }
--- /dev/null
+++ b/packages/simulator/src/checks.ts
@@ -0,0 +1,202 @@
+// The checks: each reads a history and names what it found against one of the points that must never happen.
+// An empty list is a run that kept them all.
+import type { History } from './history.js';
+
+export interface CheckOptions {
+  readonly faultless: boolean;
+  readonly overloaded: boolean;
+}
+export interface Breach {
+  readonly point: string;
+  readonly what: string;
+}
+export type Check = (h: History, o: CheckOptions) => Breach[];
+
+function breach(point: string, what: string): Breach {
+  return { point, what };
+}
+
+function noSecondRun(h: History): Breach[] {
+  const once = new Map(h.requests.filter((r) => !r.repeatable).map((r) => [r.id, r]));
+  const n = new Map<string, number>();
+  for (const r of h.runs) if (once.has(r.request)) n.set(`${r.request} ${r.what}`, (n.get(`${r.request} ${r.what}`) ?? 0) + 1);
+  return [...n].filter(([, c]) => c > 1).map(([k, c]) => breach('ran twice', `${k} ${c} times`));
+}
+
+function noRunAfterRefusal(h: History): Breach[] {
+  const refused = new Map(h.requests.filter((r) => r.ran === 'no').map((r) => [r.id, r]));
+  return h.runs.filter((r) => refused.has(r.request)).map((r) => breach('ran though refused', `${r.request} ${refused.get(r.request)!.ended} ${r.what} at ${r.at}`));
+}
+
+function rightAnswers(h: History): Breach[] {
+  return h.requests.flatMap((r) => {
+    if (r.verdict === 'foreign' || r.verdict === 'overlong') return [breach('foreign or stitched answer', `${r.id} ${r.verdict}`)];
+    return r.ended === 'whole' && r.verdict !== 'whole' ? [breach('cut answer as whole', r.id)] : [];
+  });
+}
+
+function ownMemory(h: History): Breach[] {
+  return h.runs.filter((r) => r.what === 'decode' && r.memoryOf !== r.request).map((r) => breach('memory of another request', `${r.request} from that of ${r.memoryOf}`));
+}
+
+const leavingLimit = 3_000_000;
+function leavingLeftAlone(h: History): Breach[] {
+  return h.leaving.flatMap((l) =>
+    h.sends.filter((s) => s.worker === `${l.worker}/${l.incarnation}` && s.at > l.at + leavingLimit).slice(0, 1)
+      .map((s) => breach('sent to a leaving worker', `${s.request} by ${s.router} to ${l.worker} ${((s.at - l.at) / 1e6).toFixed(2)} s after its mark`)));
+}
+
+const governLimit = 2_000_000;
+function acknowledgedGoverns(h: History): Breach[] {
+  const acks = h.changes.filter((c) => c.answer === 'acknowledged').map((c) => ({ end: c.end!, version: c.version! }));
+  const arrived = new Map(h.requests.map((r) => [r.id, r.at]));
+  return h.sends.flatMap((s) => {
+    const at = arrived.get(s.request) ?? s.at;
+    const due = acks.filter((a) => a.end + governLimit < at).reduce((m, a) => Math.max(m, a.version), 0);
+    return s.version < due ? [breach('older desired state governs', `${s.request} by ${s.router} under ${s.version}, acknowledged ${due}`)] : [];
+  }).slice(0, 3);
+}
+
+function noSlipBack(h: History): Breach[] {
+  const top = new Map<string, number>();
+  const out: Breach[] = [];
+  for (const s of h.sends) {
+    const had = top.get(s.router) ?? 0;
+    if (s.version < had) out.push(breach('slipped back', `${s.router} from ${had} to ${s.version}`));
+    top.set(s.router, Math.max(had, s.version));
+  }
+  return out.slice(0, 3);
+}
+
+function ackSurvives(h: History): Breach[] {
+  const acks = h.changes.filter((c) => c.answer === 'acknowledged');
+  const last = acks.reduce((m, c) => (c.version! > (m?.version ?? 0) ? c : m), undefined as (typeof acks)[number] | undefined);
+  if (last === undefined) return [];
+  if (h.readBack === undefined) return [breach('read back', 'the end-of-day read-back was not answered')];
+  if (h.readBack.version < last.version!) return [breach('acknowledged state lost', `read back ${h.readBack.version}, acknowledged ${last.version}`)];
+  const same = acks.find((c) => c.version === h.readBack!.version);
+  return same !== undefined && same.tag !== h.readBack.tag ? [breach('acknowledged state altered', `version ${same.version}: ${h.readBack.tag} instead of ${same.tag}`)] : [];
+}
+
+function losersNeverTakeEffect(h: History): Breach[] {
+  const bad = new Map(h.changes.filter((c) => c.answer === 'lost the race' || c.answer === 'refused').map((c) => [c.tag, c]));
+  const out = h.applied.filter((a) => bad.has(a.tag)).map((a) => breach('a losing change took effect', `${bad.get(a.tag)!.id} at ${a.router}`));
+  if (h.readBack !== undefined && bad.has(h.readBack.tag)) out.push(breach('a losing change took effect', `read back ${h.readBack.version}`));
+  return out.slice(0, 3);
+}
+
+function oneWinner(h: History): Breach[] {
+  const by = new Map<number, number>();
+  const out: Breach[] = [];
+  for (const c of h.changes.filter((x) => x.answer === 'acknowledged')) {
+    const had = by.get(c.version!);
+    if (had !== undefined && had !== c.tag) out.push(breach('two winners', `version ${c.version}`));
+    by.set(c.version!, c.tag);
+  }
+  return out;
+}
+
+function extrasBounded(h: History): Breach[] {
+  const first = new Map<string, number>();
+  for (const s of h.sends) if (!first.has(s.request)) first.set(s.request, s.at);
+  const fs = [...first.values()].sort((a, b) => a - b);
+  const xs = [...h.sends.filter((s) => s.extra).map((s) => s.at), ...h.probes].sort((a, b) => a - b);
+  let [i, j, k, l] = [0, 0, 0, 0];
+  for (let t = 10_000_000; t <= h.end; t += 250_000) {
+    while (i < fs.length && fs[i]! <= t) i += 1;
+    while (j < fs.length && fs[j]! <= t - 10_000_000) j += 1;
+    while (k < xs.length && xs[k]! <= t) k += 1;
+    while (l < xs.length && xs[l]! <= t - 10_000_000) l += 1;
+    if (k - l > 0.25 * (i - j) + 4) return [breach('too many extra sends', `${k - l} beside ${i - j} in the ten seconds to ${t / 1e6}`)];
+  }
+  return [];
+}
+
+function oneOrderer(h: History): Breach[] {
+  let top = 0;
+  const out: Breach[] = [];
+  const at = new Map<string, number>();
+  for (const o of h.orders.filter((x) => x.obeyed)) {
+    if (o.epoch < (at.get(o.worker) ?? 0)) out.push(breach('older epoch obeyed', `${o.worker} ${o.epoch}`));
+    at.set(o.worker, o.epoch);
+    if (o.part !== '' && o.epoch < top) out.push(breach('two holders ordered', `${o.by} under ${o.epoch} after ${top}`));
+    if (o.part !== '') top = Math.max(top, o.epoch);
+  }
+  return out.slice(0, 3);
+}
+
+function backInService(h: History, o: CheckOptions): Breach[] {
+  if (o.overloaded) return [];
+  const from = h.calmFrom + 12_000_000;
+  const rs = h.requests.filter((r) => r.at >= from);
+  const whole = rs.filter((r) => r.ended === 'whole').length;
+  const bad = [...new Set(rs.filter((r) => r.ended !== 'whole').map((r) => `${r.ended}@${r.router}`))].slice(0, 4).join(', ');
+  return rs.length > 20 && whole < 0.97 * rs.length ? [breach('not back in service', `${whole} of ${rs.length} whole after 12 s of calm: ${bad}`)] : [];
+}
+
+function nothingTurnedAway(h: History, o: CheckOptions): Breach[] {
+  if (!o.faultless || o.overloaded) return [];
+  return h.requests.filter((r) => r.ended !== 'whole').slice(0, 3).map((r) => breach('turned away in calm', `${r.id} ${r.ended} at ${r.at}`));
+}
+
+function answeredAtOnce(h: History): Breach[] {
+  return h.requests.flatMap((r) => {
+    if (r.end === undefined) return r.at < h.end - r.patience - 16_000_000 ? [breach('never answered', r.id)] : [];
+    if (r.ended === 'overloaded' && r.end - r.at > 0.6 * r.patience) return [breach('held before giving up', `${r.id} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)];
+    if (r.ran === 'no' && r.ended !== 'unreachable' && !r.retryAfter) return [breach('refused without Retry-After', `${r.id} ${r.ended}`)];
+    return r.end - r.at > r.patience + 1_500_000 && !['unreachable', 'broken'].includes(r.ended) ? [breach('answered after its budget', `${r.id} ${r.ended} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)] : [];
+  }).slice(0, 3);
+}
+
+export const checks: { readonly [name: string]: Check } = {
+  noSecondRun, noRunAfterRefusal, rightAnswers, ownMemory, leavingLeftAlone, acknowledgedGoverns, noSlipBack, ackSurvives, losersNeverTakeEffect,
+  oneWinner, extrasBounded, oneOrderer, backInService, nothingTurnedAway, answeredAtOnce,
+};
+
+export function checkAll(h: History, o: CheckOptions): Breach[] {
+  return Object.values(checks).flatMap((c) => c(h, o));
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  const { newHistory } = await import('./history.js');
+  function req(x: Partial<History['requests'][number]> = {}): History['requests'][number] {
+    return {
+    id: 'q', kind: 'k', tenant: 't', repeatable: false, patience: 5e6, at: 0, router: 'r', end: 1e6, ended: 'whole', ran: undefined, verdict: 'whole', ttft: 1, retryAfter: false, ...x,
+    };
+  }
+  function run(x: Partial<History['runs'][number]> = {}): History['runs'][number] {
+    return { at: 1, request: 'q', worker: 'w', incarnation: 1, what: 'decode', memoryOf: 'q', ...x };
+  }
+  function send(x: Partial<History['sends'][number]> = {}): History['sends'][number] {
+    return { at: 0, request: 'q', router: 'r', worker: 'w/1', extra: false, phase: 'prefill', version: 1, ...x };
+  }
+  function change(x: Partial<History['changes'][number]> = {}): History['changes'][number] {
+    return { id: 'c', tag: 1, at: 0, end: 1, answer: 'acknowledged', version: 2, ...x };
+  }
+  const o = { faultless: false, overloaded: false };
+  it('finds each breach in a history that holds it, and none in one that does not', () => {
+    const cases: [keyof typeof checks, Partial<History>][] = [
+      ['noSecondRun', { requests: [req()], runs: [run(), run({ at: 2 })] }],
+      ['noRunAfterRefusal', { requests: [req({ ran: 'no', ended: 'overloaded' })], runs: [run()] }],
+      ['rightAnswers', { requests: [req({ verdict: 'cut' })] }],
+      ['rightAnswers', { requests: [req({ ended: 'answer_cut', verdict: 'foreign' })] }],
+      ['ownMemory', { runs: [run({ memoryOf: 'other' })] }],
+      ['leavingLeftAlone', { leaving: [{ at: 0, worker: 'w', incarnation: 1 }], sends: [send({ at: 3_100_000 })] }],
+      ['acknowledgedGoverns', { requests: [req({ at: 3e6 })], changes: [change()], sends: [send({ at: 3e6 })] }],
+      ['noSlipBack', { sends: [send({ version: 2 }), send({ version: 1 })] }],
+      ['ackSurvives', { changes: [change()], readBack: { version: 1, tag: 0 } }],
+      ['ackSurvives', { changes: [change()], readBack: { version: 2, tag: 9 } }],
+      ['losersNeverTakeEffect', { changes: [change({ answer: 'lost the race' })], applied: [{ at: 1, router: 'r', version: 2, tag: 1 }] }],
+      ['oneWinner', { changes: [change(), change({ tag: 2 })] }],
+      ['extrasBounded', { end: 20e6, sends: [send()], probes: [1, 2, 3, 4, 5, 6] }],
+      ['oneOrderer', { orders: [{ at: 1, worker: 'a', epoch: 9, part: 'prefill', obeyed: true, by: 'x' }, { at: 2, worker: 'b', epoch: 8, part: 'decode', obeyed: true, by: 'y' }] }],
+      ['backInService', { requests: Array.from({ length: 30 }, () => req({ at: 13e6, ended: 'no_tenure' })) }],
+      ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no', end: 4e6, retryAfter: true })] }],
+      ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no' })] }],
+    ];
+    for (const [name, h] of cases) expect([name, checks[name]!({ ...newHistory(), ...h }, o).length]).toEqual([name, 1]);
+    const fine: Partial<History> = { requests: [req()], runs: [run()], sends: [send({ version: 2 })], changes: [change()], readBack: { version: 2, tag: 1 } };
+    expect(checkAll({ ...newHistory(), ...fine }, o)).toEqual([]);
+  });
+}
--- /dev/null
+++ b/packages/simulator/src/faults.ts
@@ -0,0 +1,66 @@
+// Fault schedules drawn from a seed, in virtual seconds. Every fault is healed before the calm at the end of a
+// run, so that what must never happen and what must come back can both be judged. A schedule can be shrunk
+// to the faults that a breach needs.
+import type { Deployment } from '@tansypost/requester-stand-in';
+
+export type SimFault =
+  | { readonly at: number; readonly do: 'kill' | 'freeze' | 'drain' | 'empty'; readonly who: string; readonly for: number }
+  | { readonly at: number; readonly do: 'isolate' | 'one-way' | 'split'; readonly who: string; readonly for: number }
+  | { readonly at: number; readonly do: 'disk-stall' | 'disk-slow' | 'disk-full'; readonly who: string; readonly for: number }
+  | { readonly at: number; readonly do: 'worker-kill' | 'worker-dark' | 'worker-freeze' | 'worker-release' | 'worker-slow-link' | 'lapse'; readonly who: string; readonly for: number }
+  | { readonly at: number; readonly do: 'replace-core' | 'mass-kill' | 'core-kill' | 'seeds-swapped' | 'clock-jump'; readonly who: string; readonly for: number }
+  | { readonly at: number; readonly do: 'submit' | 'race' | 'storm' | 'refused' | 'crowd' | 'swing'; readonly who: string; readonly for: number };
+export type SimFaultKind = SimFault['do'];
+
+const weights: readonly (readonly [SimFaultKind, number])[] = [
+  ['kill', 4], ['freeze', 4], ['drain', 2], ['empty', 2], ['isolate', 3], ['one-way', 2], ['split', 2], ['disk-stall', 2], ['disk-slow', 1], ['disk-full', 1],
+  ['worker-kill', 3], ['worker-dark', 2], ['worker-freeze', 2], ['worker-release', 4], ['worker-slow-link', 2], ['lapse', 3], ['replace-core', 1], ['mass-kill', 1],
+  ['core-kill', 1], ['seeds-swapped', 1], ['clock-jump', 1], ['submit', 4], ['race', 4], ['storm', 2], ['refused', 1], ['crowd', 2], ['swing', 1],
+];
+
+export function drawFaults(d: Deployment, r: () => number, span: number): SimFault[] {
+  const n = 3 + Math.floor(r() * 6);
+  const all = weights.reduce((a, [, w]) => a + w, 0);
+  const out: SimFault[] = [];
+  let diskGone = false;
+  for (let i = 0; i < n; i += 1) {
+    let u = r() * all;
+    const kind = weights.find(([, w]) => (u -= w) < 0)![0];
+    const at = 2 + r() * (span - 8);
+    const long = Math.min(0.5 + r() * 7, span - at);
+    let who = '';
+    if (kind.startsWith('worker-') || kind === 'lapse') who = `worker${Math.floor(r() * d.workers)}`;
+    else if (kind.startsWith('disk-')) who = `keeper${Math.floor(r() * 3)}`;
+    else if (kind === 'empty' || kind === 'replace-core') {
+      // One disk at a time: losing two of three is losing the majority, which no store survives.
+      if (diskGone) continue;
+      diskGone = true;
+      who = `keeper${Math.floor(r() * 3)}`;
+    } else if (['isolate', 'one-way'].includes(kind)) who = r() < 0.3 ? `w${Math.floor(r() * d.workers)}` : `m${Math.floor(r() * d.machines)}`;
+    else if (['kill', 'freeze', 'drain'].includes(kind)) {
+      const k = r();
+      who = k < 0.25 ? `keeper${Math.floor(r() * 3)}` : k < 0.6 ? `agent${Math.floor(r() * d.machines)}` : `router${Math.floor(r() * d.machines)}`;
+    }
+    out.push({ at, do: kind, who, for: long } as SimFault);
+  }
+  return out.sort((a, b) => a.at - b.at);
+}
+
+// Leaves out one fault after the other for as long as the breach stays.
+export async function shrink(fs: readonly SimFault[], still: (fs: readonly SimFault[]) => Promise<boolean>): Promise<readonly SimFault[]> {
+  let now = fs;
+  for (let i = now.length - 1; i >= 0; i -= 1) {
+    const less = now.filter((_, k) => k !== i);
+    if (await still(less)) now = less;
+  }
+  return now;
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  it('shrinks to just the faults that are needed', async () => {
+    const fs = Array.from({ length: 9 }, (_, i): SimFault => ({ at: i, do: 'kill', who: `router${i}`, for: 1 }));
+    const s = await shrink(fs, async (x) => x.some((f) => f.who === 'router3') && x.some((f) => f.who === 'router7'));
+    expect(s.map((f) => f.who)).toEqual(['router3', 'router7']);
+  });
+}
--- /dev/null
+++ b/packages/simulator/src/main.ts
@@ -0,0 +1,96 @@
+#!/usr/bin/env node
+// The simulator's command: runs as many seeds as wanted, in worker threads, and prints each breach with the
+// seed and the faults it needs.
+import { availableParallelism } from 'node:os';
+import { Worker, isMainThread, parentPort } from 'node:worker_threads';
+import { Builtins, Cli, Command, Option } from 'clipanion';
+import { deployments } from '@tansypost/requester-stand-in';
+import { shrink, type SimFault } from './faults.js';
+import { runOne, type OneResult } from './one.js';
+
+interface Job {
+  readonly deployment: string;
+  readonly seed: number;
+}
+
+class Simulate extends Command {
+  static override paths = [Command.Default];
+  static override usage = Command.Usage({ description: 'Run seeds of a simulated fleet and check what must never happen. Ends with 1 on any breach.' });
+  shape = Option.String('--deployment', 'ferry');
+  from = Option.String('--from', '1');
+  count = Option.String('--count', '20');
+  threads = Option.String('--threads', `${Math.max(1, availableParallelism() - 1)}`);
+  less = Option.Boolean('--shrink', false, { description: 'for each breach, find the faults that it needs' });
+  logs = Option.Boolean('--logs', false, { description: 'print the events of the (one) seed' });
+  only = Option.String('--faults', { description: 'a JSON list of faults instead of the drawn ones' });
+  async execute(): Promise<number> {
+    const d = deployments[this.shape];
+    if (d === undefined) {
+      this.context.stderr.write(`simulator: unknown deployment ${this.shape}\n`);
+      return 2;
+    }
+    const [from, count] = [Number(this.from), Number(this.count)];
+    if (count === 1) return this.single(from);
+    let next = from;
+    let [bad, done, requests, whole] = [0, 0, 0, 0];
+    const worker = async (): Promise<void> => {
+      const w = new Worker(new URL(import.meta.url));
+      for (; next < from + count;) {
+        const seed = next;
+        next += 1;
+        const x = await new Promise<OneResult | string>((ok) => {
+          w.once('message', ok);
+          w.once('error', (e) => ok(String(e.stack)));
+          w.postMessage({ deployment: this.shape, seed } satisfies Job);
+        });
+        w.removeAllListeners();
+        done += 1;
+        if (typeof x === 'string') {
+          bad += 1;
+          this.context.stdout.write(`seed ${seed}: ${x}\n`);
+          return worker();
+        }
+        requests += x.requests;
+        whole += x.whole;
+        if (x.breaches.length > 0) {
+          bad += 1;
+          this.context.stdout.write(`seed ${seed}: ${x.breaches.map((b) => `${b.point}: ${b.what}`).join('; ')}\n`);
+        }
+      }
+      await w.terminate();
+    };
+    await Promise.all(Array.from({ length: Math.min(count, Number(this.threads)) }, worker));
+    this.context.stdout.write(`${this.shape}: ${done} seeds from ${from}, ${bad} with a breach; ${requests} requests, ${whole} answered whole\n`);
+    return bad > 0 ? 1 : 0;
+  }
+
+  private async single(seed: number): Promise<number> {
+    const d = deployments[this.shape]!;
+    const given = this.only === undefined ? undefined : (JSON.parse(this.only) as SimFault[]);
+    const x = await runOne(d, seed, given, { keepLogs: this.logs });
+    const out = this.context.stdout;
+    for (const l of x.history.logs) out.write(`${(l.at / 1e6).toFixed(3)} E${l.event} ${l.who} ${JSON.stringify(l.fields)}\n`);
+    for (const f of x.faults) out.write(`fault ${JSON.stringify(f)}\n`);
+    for (const b of x.breaches) out.write(`breach ${b.point}: ${b.what}\n`);
+    const ends: Record<string, number> = {};
+    for (const q of x.history.requests) ends[q.ended] = (ends[q.ended] ?? 0) + 1;
+    out.write(`${JSON.stringify(ends)} ${JSON.stringify(x.history.changes.map((c) => `${c.answer} ${c.version ?? ''} ${((c.end ?? 0) - c.at) / 1e6}`))} read back ${JSON.stringify(x.history.readBack)}\n`);
+    if (this.less && x.breaches.length > 0) {
+      const points = new Set(x.breaches.map((b) => b.point));
+      const s = await shrink(x.faults, async (fs) => (await runOne(d, seed, fs)).breaches.some((b) => points.has(b.point)));
+      out.write(`needs ${JSON.stringify(s)}\n`);
+    }
+    return x.breaches.length > 0 ? 1 : 0;
+  }
+}
+
+if (isMainThread) {
+  const cli = new Cli({ binaryLabel: 'simulator', binaryName: 'simulator', binaryVersion: '0.1.0' });
+  cli.register(Builtins.HelpCommand);
+  cli.register(Simulate);
+  process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
+} else {
+  parentPort!.on('message', (j: Job) => {
+    void runOne(deployments[j.deployment]!, j.seed).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
+  });
+}
--- /dev/null
+++ b/packages/simulator/src/network.ts
@@ -0,0 +1,87 @@
+// The simulated links between machines. Messages between two processes keep their order, take a little time, and
+// cross the real codec. A cut, in one direction or both, loses some of what is sent into it and holds the rest
+// until it heals, as TCP does. Slow links add a delay.
+import { decoderForSelf, encode, type Address, type Message } from '@tansypost/inner-protocol';
+import type { Engine } from './engine.js';
+import { into, type Proc } from './process.js';
+
+export interface Network {
+  readonly add: (a: string, p: Proc) => void;
+  readonly proc: (a: string) => Proc | undefined;
+  readonly send: (from: Proc, fromAddress: string, to: Address, m: Message) => void;
+  readonly blocked: (from: string, to: string) => boolean;
+  readonly cut: (name: string, f: (from: string, to: string) => boolean) => void;
+  readonly heal: (name: string) => void;
+  readonly slow: (machine: string, us: number) => void;
+  readonly latency: (from: string, to: string) => number;
+  readonly onHeal: (f: () => void) => void;
+  readonly tamper: (f: ((m: Message, from: string, to: string) => Message[] | undefined) | undefined) => void;
+}
+
+export function createNetwork(e: Engine, random: () => number): Network {
+  const procs = new Map<string, Proc>();
+  const cuts = new Map<string, (from: string, to: string) => boolean>();
+  const slowed = new Map<string, number>();
+  const last = new Map<string, number>();
+  let held: { from: string; to: string; go: () => void }[] = [];
+  let waiting: (() => void)[] = [];
+  let change: ((m: Message, from: string, to: string) => Message[] | undefined) | undefined;
+  const decode = decoderForSelf();
+
+  function blocked(from: string, to: string): boolean {
+    for (const f of cuts.values()) if (from !== to && f(from, to)) return true;
+    return false;
+  }
+  function latency(from: string, to: string): number {
+    if (from === to) return 30 + random() * 50;
+    return 200 + random() * 1200 + (slowed.get(from) ?? 0) + (slowed.get(to) ?? 0);
+  }
+
+  function send(from: Proc, fromAddress: string, to: Address, m: Message): void {
+    const found = procs.get(to);
+    if (found === undefined) return;
+    const p: Proc = found;
+    const ms = change === undefined ? [m] : (change(m, from.machine, p.machine) ?? [m]);
+    for (const x of ms) {
+      const b = encode(x);
+      const link = `${fromAddress}>${to}`;
+      function go(): void {
+        const t = Math.max(e.now() + latency(from.machine, p.machine), (last.get(link) ?? 0) + 1);
+        last.set(link, t);
+        e.at(t, () => {
+          if (blocked(from.machine, p.machine)) return;
+          const gen = p.gen;
+          into(p, gen, () => {
+            const d = decode(b);
+            if (d._tag === 'Right' && d.right.known) p.receive(d.right.message, fromAddress as Address);
+          });
+        });
+      }
+      if (!blocked(from.machine, p.machine)) go();
+      else if (random() < 0.5) held.push({ from: from.machine, to: p.machine, go });
+    }
+  }
+
+  function heal(name: string): void {
+    cuts.delete(name);
+    const hs = held;
+    held = [];
+    for (const h of hs) {
+      if (blocked(h.from, h.to)) held.push(h);
+      else h.go();
+    }
+    const ws = waiting;
+    waiting = [];
+    for (const f of ws) f();
+  }
+
+  return {
+    add: (a, p) => procs.set(a, p),
+    proc: (a) => procs.get(a),
+    send, blocked, latency, heal,
+    cut: (name, f) => cuts.set(name, f),
+    slow: (m, us) => { if (us > 0) slowed.set(m, us); else slowed.delete(m); },
+    onHeal: (f) => waiting.push(f),
+    tamper: (f) => { change = f; },
+  };
+}
--- /dev/null
+++ b/packages/simulator/src/one.ts
@@ -0,0 +1,25 @@
+// One seed of one deployment: draws its faults, runs it, checks it.
+import { seeded } from '@tansypost/inner-protocol';
+import type { Deployment } from '@tansypost/requester-stand-in';
+import { checkAll, type Breach } from './checks.js';
+import { drawFaults, type SimFault } from './faults.js';
+import type { History } from './history.js';
+import { createSim, type SimOptions } from './sim-fleet.js';
+
+export interface OneResult {
+  readonly seed: number;
+  readonly faults: readonly SimFault[];
+  readonly breaches: readonly Breach[];
+  readonly requests: number;
+  readonly whole: number;
+}
+export const spanDefault = 20;
+export const calmDefault = 20;
+
+export async function runOne(d: Deployment, seed: number, faults?: readonly SimFault[], over: Partial<SimOptions> = {}): Promise<OneResult & { history: History }> {
+  const fs = faults ?? drawFaults(d, seeded(seed * 40503 + 1), spanDefault);
+  const sim = createSim({ deployment: d, seed, span: spanDefault, calm: calmDefault, rate: d.rate / 4, faults: fs, ...over });
+  const history = await sim.run();
+  const breaches = checkAll(history, { faultless: fs.length === 0, overloaded: false });
+  return { seed, faults: fs, breaches, requests: history.requests.length, whole: history.requests.filter((q) => q.ended === 'whole').length, history };
+}
--- /dev/null
+++ b/packages/simulator/src/process.ts
@@ -0,0 +1,57 @@
+// A simulated process: it can be killed, frozen and woken. What reaches it while frozen waits and is handled
+// when it wakes, timers included, as on a real machine; what reaches it when dead is lost.
+import { micros, type Address, type Cancel, type Message, type World } from '@tansypost/inner-protocol';
+import type { Engine } from './engine.js';
+
+export interface Proc {
+  readonly name: string;
+  readonly machine: string;
+  alive: boolean;
+  frozen: boolean;
+  gen: number;
+  backlog: (() => void)[];
+  receive: (m: Message, from: Address) => void;
+  deaths: Set<() => void>;
+}
+
+export function createProc(name: string, machine: string): Proc {
+  return { name, machine, alive: false, frozen: false, gen: 0, backlog: [], receive: () => undefined, deaths: new Set() };
+}
+
+export function into(p: Proc, gen: number, f: () => void): void {
+  if (!p.alive || p.gen !== gen) return;
+  if (p.frozen) p.backlog.push(f);
+  else f();
+}
+
+export function die(p: Proc): void {
+  if (!p.alive) return;
+  p.alive = false;
+  p.frozen = false;
+  p.gen += 1;
+  p.backlog = [];
+  const ds = [...p.deaths];
+  p.deaths.clear();
+  for (const d of ds) d();
+}
+
+export function wake(e: Engine, p: Proc): void {
+  if (!p.frozen) return;
+  p.frozen = false;
+  const gen = p.gen;
+  const b = p.backlog;
+  p.backlog = [];
+  for (const f of b) e.at(e.now(), () => into(p, gen, f));
+}
+
+export function procWorld(e: Engine, p: Proc, random: () => number, send: World['send'], log: World['log']): World {
+  const gen = p.gen;
+  function after(d: number, f: () => void): Cancel {
+    let off = false;
+    e.at(e.now() + Math.max(0, d), () => into(p, gen, () => {
+      if (!off) f();
+    }));
+    return () => { off = true; };
+  }
+  return { now: () => micros(e.now()), random, after, send: (to, m) => { if (p.alive && p.gen === gen) send(to, m); }, log };
+}
--- /dev/null
+++ b/packages/simulator/src/sim-disk.ts
@@ -0,0 +1,88 @@
+// A simulated disk: bytes that are synced, and bytes that are not yet. A crash keeps any prefix of what was not
+// synced, cut anywhere. It can be slow, stall, fill up, or be lost whole.
+import type { Disk, JournalRecord } from '@tansypost/control-state';
+import { encodeRecord } from '@tansypost/control-state';
+import type { Engine } from './engine.js';
+import { into, type Proc } from './process.js';
+
+export interface SimDisk {
+  readonly open: (p: Proc) => Disk;
+  readonly bytes: () => Buffer;
+  readonly crash: () => void;
+  readonly lose: () => void;
+  slowUs: number;
+  stalled: boolean;
+  full: boolean;
+  readonly resume: () => void;
+}
+
+export function createSimDisk(e: Engine, random: () => number): SimDisk {
+  let synced: Buffer = Buffer.alloc(0);
+  let loose: Buffer = Buffer.alloc(0);
+  let era = 0;
+  let waiting: (() => void)[] = [];
+
+  function open(p: Proc): Disk {
+    const gen = p.gen;
+    const mine = era;
+    let last = 0;
+    function soon(f: () => void): void {
+      const t = Math.max(e.now() + 300 + random() * 2500 + disk.slowUs, last + 1);
+      last = t;
+      e.at(t, () => {
+        if (disk.stalled) waiting.push(f);
+        else f();
+      });
+    }
+    function finish(done: (x?: Error) => void, err?: Error): void {
+      into(p, gen, () => done(err));
+    }
+    function append(r: JournalRecord, done: (x?: Error) => void): void {
+      const b = encodeRecord(r);
+      if (!disk.full) loose = Buffer.concat([loose, b]);
+      const refused = disk.full;
+      const n = loose.length;
+      soon(() => {
+        if (mine !== era || p.gen !== gen) return;
+        if (refused) return finish(done, new Error('no space left on the disk'));
+        const k = Math.min(n, b.length, loose.length);
+        synced = Buffer.concat([synced, loose.subarray(0, k)]);
+        loose = loose.subarray(k);
+        finish(done);
+      });
+    }
+    function rewrite(rs: readonly JournalRecord[], done: (x?: Error) => void): void {
+      const all = Buffer.concat(rs.map(encodeRecord));
+      soon(() => {
+        if (mine !== era || p.gen !== gen) return;
+        synced = all;
+        finish(done);
+      });
+    }
+    return { append, rewrite, size: () => synced.length + loose.length };
+  }
+
+  const disk: SimDisk = {
+    open, slowUs: 0, stalled: false, full: false,
+    bytes: () => synced,
+    crash: () => {
+      era += 1;
+      waiting = [];
+      synced = Buffer.concat([synced, loose.subarray(0, Math.floor(random() * (loose.length + 1)))]);
+      loose = Buffer.alloc(0);
+    },
+    lose: () => {
+      era += 1;
+      waiting = [];
+      synced = Buffer.alloc(0);
+      loose = Buffer.alloc(0);
+    },
+    resume: () => {
+      disk.stalled = false;
+      const ws = waiting;
+      waiting = [];
+      for (const f of ws) e.at(e.now(), f);
+    },
+  };
+  return disk;
+}
--- /dev/null
+++ b/packages/simulator/src/sim-fleet.ts
@@ -0,0 +1,455 @@
+// A whole simulated fleet of a deployment: the cores of all programs, requesters, operators and the platform, in
+// virtual time. `runSim` runs one seed to its end-of-day read-back and gives the history.
+import { address, digest, seeded, type Address } from '@tansypost/inner-protocol';
+import { readJournal } from '@tansypost/control-state';
+import { createTrainer, encodeModel, placementDefaults, trainingDefaults } from '@tansypost/placement';
+import { createKeeperCore } from '@tansypost/state-keeper';
+import { agentDefaults, createAgentCore, type AgentCore, type AgentOptions } from '@tansypost/router-agent';
+import { createRouterCore, failureKinds, routerDefaults, type FailureKind, type Incoming, type Reply, type RouterCore } from '@tansypost/request-router';
+import { createTraffic, steadyMix, swingMix, templates, type Ask, type Deployment } from '@tansypost/requester-stand-in';
+import { judge } from '@tansypost/worker-stand-in';
+import { createEngine, type Engine } from './engine.js';
+import { newHistory, type History, type RequestSeen } from './history.js';
+import { createNetwork, type Network } from './network.js';
+import { createProc, die, into, procWorld, wake, type Proc } from './process.js';
+import { createSimDisk, type SimDisk } from './sim-disk.js';
+import { createSimWorkers, type SimWorker, type SimWorkers } from './sim-workers.js';
+import type { SimFault } from './faults.js';
+
+export interface SimOptions {
+  readonly deployment: Deployment;
+  readonly seed: number;
+  readonly span: number;
+  readonly calm: number;
+  readonly rate: number;
+  readonly faults: readonly SimFault[];
+  readonly policy?: 'lodestar' | 'heuristic' | 'least';
+  readonly paces?: readonly number[];
+  readonly trainEvery?: number;
+  readonly swing?: number;
+  readonly keepLogs?: boolean;
+  readonly breakIt?: (n: Network) => void;
+  readonly warm?: number;
+  readonly trainer?: Partial<typeof trainingDefaults>;
+  readonly shiftParts?: boolean;
+  readonly slice?: number;
+}
+
+interface Node {
+  readonly proc: Proc;
+  readonly start: () => void;
+  stop: () => void;
+  running: boolean;
+}
+interface AgentNode extends Node {
+  core: AgentCore | undefined;
+  persisted: AgentOptions['persisted'];
+}
+interface RouterNode extends Node {
+  core: RouterCore | undefined;
+}
+interface KeeperNode extends Node {
+  disk: SimDisk;
+  address: string;
+}
+
+export interface Sim {
+  readonly engine: Engine;
+  readonly history: History;
+  readonly network: Network;
+  readonly workers: SimWorkers;
+  readonly routers: RouterNode[];
+  readonly agents: AgentNode[];
+  readonly run: () => Promise<History>;
+}
+
+function s(x: number): number {
+  return Math.round(x * 1e6);
+}
+
+export function createSim(o: SimOptions): Sim {
+  const d = o.deployment;
+  const r = seeded(o.seed * 2654435761 + 17);
+  const e = createEngine();
+  const net = createNetwork(e, seeded(o.seed ^ 0x9e3779b9));
+  const h = newHistory();
+  const workers = createSimWorkers(e, net, h, seeded(o.seed ^ 0x51ed270b), d.workers, o.paces ?? [14_000, 9000, 6000, 12_000]);
+  const zoneOf = (i: number): string => `z${i % d.zones}`;
+  const seedsAt: Address[] = [0, 1, 2].map((i) => address(`agent${i}:1`));
+  const coreAt: string[] = [0, 1, 2].map((i) => `keeper${i}:1`);
+  const wallJump = { by: 0 };
+  let rate = o.rate;
+  let swing = o.swing;
+  let traffic = createTraffic(d, o.seed, swing === undefined ? steadyMix : swingMix(swing));
+  let over = false;
+  const span = s(o.span);
+  const total = s(o.span + o.calm);
+
+  function log(who: string): (event: number, fields: Record<string, unknown>) => void {
+    return function note(event, fields) {
+      if (o.keepLogs === true) h.logs.push({ at: e.now(), who, event, fields });
+    };
+  }
+  function world(p: Proc, a: string): ReturnType<typeof procWorld> {
+    return procWorld(e, p, r, (to, m) => net.send(p, a, to, m), log(p.name));
+  }
+
+  // The core places.
+  const keepers: KeeperNode[] = coreAt.map((a, slot) => keeper(`keeper${slot}`, slot, a));
+  function keeper(name: string, slot: number, a: string): KeeperNode {
+    const proc = createProc(name, `m${slot}`);
+    const n: KeeperNode = { proc, disk: createSimDisk(e, r), address: a, running: false, start, stop: () => undefined };
+    net.add(a, proc);
+    function start(): void {
+      proc.alive = true;
+      const f = readJournal(n.disk.bytes());
+      if (f._tag === 'Left') throw f.left;
+      const core = createKeeperCore(world(proc, a), {
+        slot, self: address(a), core: coreAt.map((x, i) => address(i === slot ? a : x)), disk: n.disk.open(proc), found: f.right.records, seeds: seedsAt, tenure: 10_000_000,
+        dutyTenure: 3_000_000, newDiskId: Math.floor(r() * 2 ** 48).toString(36), sweepEvery: 2_000_000,
+      });
+      proc.receive = core.receive;
+      n.running = true;
+    }
+    return n;
+  }
+
+  const agents: AgentNode[] = Array.from({ length: d.machines }, (_, i) => {
+    const proc = createProc(`agent${i}`, `m${i}`);
+    const a = `agent${i}:1`;
+    net.add(a, proc);
+    const n: AgentNode = { proc, core: undefined, persisted: agentDefaults.persisted, running: false, start, stop: () => n.core?.stop() };
+    function start(): void {
+      proc.alive = true;
+      const gen = proc.gen;
+      const t = createTrainer({ ...trainingDefaults, fifo: 400, replay: 100, passes: 1, ...o.trainer });
+      n.core = createAgentCore(world(proc, a), {
+        ...agentDefaults, member: `agent${i}`, self: address(a), zone: zoneOf(i), router: address(`router${i}:1`), routerHttp: `router${i}`, service: 'main',
+        seeds: seedsAt, slot: i, born: Math.max(1, e.now() + wallJump.by), persisted: n.persisted, trainEvery: o.trainEvery ?? 150, verdict: { minCount: 40, ttftMargin: 0.25, failureMargin: 0.05 },
+        rehearsalLimit: 20_000_000, slice: o.slice ?? 0.2, shiftHold: 3_000_000, shiftRest: 10_000_000, shiftParts: o.shiftParts ?? true,
+      }, {
+        fetchReport: workers.fetchFor(proc, gen), order: workers.orderFor(proc, gen),
+        trainer: {
+          add: (ss) => t.add(ss),
+          train: (v) => {
+            const b = encodeModel(t.train(v, v.n));
+            return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, gen, () => ok(b))));
+          },
+        },
+        save: (x) => { if (i % 3 !== 2) n.persisted = x; },
+        wall: () => e.now() + wallJump.by,
+      });
+      proc.receive = n.core.receive;
+      n.running = true;
+    }
+    return n;
+  });
+
+  const routers: RouterNode[] = Array.from({ length: d.machines }, (_, i) => {
+    const proc = createProc(`router${i}`, `m${i}`);
+    const a = `router${i}:1`;
+    net.add(a, proc);
+    const n: RouterNode = { proc, core: undefined, running: false, start, stop: () => n.core?.stop() };
+    function start(): void {
+      proc.alive = true;
+      const gen = proc.gen;
+      const w = world(proc, a);
+      let seen = 0;
+      const core = createRouterCore(w, {
+        ...routerDefaults, router: `router${i}#${gen}`, http: `router${i}`, agent: address(`agent${i}:1`), service: 'main',
+        placement: { ...placementDefaults, minSamples: 100, timeout: 1e9, ...(o.policy === 'heuristic' ? { minSamples: Infinity, explore: 0 } : {}), ...(o.policy === 'least' ? { minSamples: Infinity, explore: 0, imbalance: 0 } : {}) },
+      }, {
+        workers: workers.portFor(proc, gen), digest: (p) => digest(p).slice(0, 32),
+        sendOn: (to, q, reply, gone) => sendOn(proc, gen, to, q, reply, gone),
+        sending: (request, worker, phase, extra, version) => {
+          const inc = core.table.mark(worker as never)?.incarnation ?? 0;
+          h.sends.push({ at: e.now(), request, router: `router${i}`, worker: `${worker}/${inc}`, extra, phase, version });
+        },
+      });
+      n.core = core;
+      proc.receive = (m) => {
+        core.receive(m);
+        const v = core.feed.applied();
+        if (v !== seen) {
+          seen = v;
+          h.applied.push({ at: e.now(), router: `router${i}`, version: v, tag: tagOf(core.feed.desired()) });
+        }
+      };
+      n.running = true;
+    }
+    return n;
+  });
+
+  function tagOf(x: unknown): number {
+    const t = (x as { templates: { kinds: Record<string, { worth: number }> }[] } | undefined)?.templates[0];
+    const k = t === undefined ? undefined : Object.values(t.kinds)[0];
+    return k === undefined ? 0 : Math.round((k.worth - d.kinds[0]!.worth) * 1000);
+  }
+
+  function sendOn(p: Proc, gen: number, to: string, q: Incoming, reply: Reply, gone: AbortSignal): Promise<boolean> {
+    const n = routers.find((x) => `router${routers.indexOf(x)}` === to);
+    return new Promise((ok) => {
+      let begun = false;
+      function home(f: () => void): void {
+        e.at(e.now() + net.latency(n!.proc.machine, p.machine), () => into(p, gen, f));
+      }
+      if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 1_000_000, () => into(p, gen, () => ok(false)));
+      e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
+        if (!n.proc.alive) return home(() => ok(false));
+        function died(): void {
+          home(() => {
+            reply.fail({ kind: begun ? 'answer_cut' : 'outcome_unknown', message: 'died', retryAfter: 1 });
+            ok(true);
+          });
+        }
+        n.proc.deaths.add(died);
+        into(n.proc, n.proc.gen, () => void n.core!.serve({ ...q, sentOn: true }, {
+          chunk: (t) => home(() => { begun = true; reply.chunk(t); }),
+          end: () => { n.proc.deaths.delete(died); home(() => { reply.end(); ok(true); }); },
+          fail: (f) => {
+            n.proc.deaths.delete(died);
+            home(() => {
+              if (f.kind === 'no_tenure' || f.kind === 'stopping') return ok(false);
+              reply.fail(f);
+              ok(true);
+            });
+          },
+        }, gone));
+      });
+    });
+  }
+
+  // The requesters: each asks a router of its zone that answers the door.
+  function ask(): void {
+    if (over) return;
+    const a: Ask = traffic.next(e.now() / 1e6);
+    const zone = Math.floor(r() * d.zones);
+    const near = routers.map((x, i) => ({ x, i })).filter(({ x, i }) => i % d.zones === zone && x.proc.alive);
+    const far = routers.map((x, i) => ({ x, i })).filter(({ x }) => x.proc.alive);
+    const from = near.length > 0 ? near : far;
+    const pick = from[Math.floor(r() * from.length)];
+    const q: RequestSeen = {
+      id: a.id, kind: a.kind, tenant: a.tenant, repeatable: a.repeatable, patience: a.patienceMs * 1000, at: e.now(), router: pick === undefined ? 'none' : `router${pick.i}`,
+      end: undefined, ended: '', ran: undefined, verdict: undefined, ttft: undefined, retryAfter: false,
+    };
+    h.requests.push(q);
+    if (pick === undefined) {
+      q.end = e.now();
+      q.ended = 'unreachable';
+      return;
+    }
+    const p = pick.x.proc;
+    let text = '';
+    let out = false;
+    const gone = new AbortController();
+    function end(ended: string, ran?: 'no' | 'maybe', retryAfter = false): void {
+      if (out) return;
+      out = true;
+      p.deaths.delete(died);
+      Object.assign(q, { end: e.now(), ended, ran, retryAfter, verdict: judge(a.prompt, a.maxTokens, text) });
+    }
+    function died(): void {
+      end('broken');
+    }
+    e.at(e.now() + 200, () => {
+      if (!p.alive) return end('unreachable');
+      p.deaths.add(died);
+      e.at(q.at + q.patience + s(14), () => {
+        if (out) return;
+        end('broken');
+        gone.abort();
+      });
+      into(p, p.gen, () => void pick.x.core!.serve(
+        { id: a.id, tenant: a.tenant, kind: a.kind, model: 'm', prompt: a.prompt, maxTokens: a.maxTokens, sentOn: false },
+        {
+          chunk: (t) => {
+            if (q.ttft === undefined) q.ttft = e.now() - q.at;
+            text += t;
+          },
+          end: () => end('whole'),
+          fail: (f) => end(f.kind, failureKinds[f.kind as FailureKind].ran, f.retryAfter !== undefined || f.kind === 'stopping'),
+        }, gone.signal,
+      ));
+    });
+  }
+  function keepAsking(): void {
+    if (e.now() > total - s(1)) return;
+    ask();
+    e.at(e.now() + (-Math.log(1 - r()) / rate) * 1e6, keepAsking);
+  }
+
+  // Operators.
+  let changes = 0;
+  function liveAgent(): AgentNode | undefined {
+    const up = agents.filter((x) => x.proc.alive && !x.proc.frozen);
+    return up[Math.floor(r() * up.length)];
+  }
+  function submit(base?: number, sound = true): void {
+    const at = liveAgent();
+    if (at === undefined) return;
+    changes += 1;
+    const tag = changes;
+    const c = { id: `change-${tag}`, tag: sound ? tag : -1, at: e.now() as number, end: undefined as number | undefined, answer: undefined as string | undefined, version: undefined as number | undefined };
+    h.changes.push(c);
+    const gen = at.proc.gen;
+    async function go(): Promise<void> {
+      const b = base ?? (await at!.core!.readDesired()).version;
+      const state = sound ? templates(d, (k) => k.worth + tag / 1000) : { templates: [] };
+      const x = await at!.core!.submit(b, c.id, state);
+      c.end = e.now();
+      c.answer = x.answer;
+      if ('version' in x) c.version = x.version;
+    }
+    into(at.proc, gen, () => void go());
+  }
+
+  // The platform tells all agents that answer, as it does of workers.
+  function platform(w: SimWorker, state: number): void {
+    const a = liveAgent();
+    if (state === 2) h.leaving.push({ at: e.now(), worker: w.name, incarnation: w.incarnation });
+    const m = { worker: w.name, incarnation: w.incarnation, state, address: `${w.name}:1` };
+    if (a !== undefined) a.core!.platform([m]);
+    if (state !== 2) e.at(e.now() + s(1), () => liveAgent()?.core!.platform([m]));
+  }
+
+  function node(name: string): Node | undefined {
+    const i = Number(name.replace(/\D/g, ''));
+    if (name.startsWith('keeper')) return keepers[i];
+    if (name.startsWith('agent')) return agents[i];
+    return name.startsWith('router') ? routers[i] : undefined;
+  }
+  function killNode(n: Node): void {
+    if (!n.proc.alive) return;
+    die(n.proc);
+    n.running = false;
+    if ('disk' in n) (n as KeeperNode).disk.crash();
+  }
+  function startNode(n: Node): void {
+    if (!n.proc.alive) n.start();
+  }
+
+  function bring(f: SimFault): void {
+    const end = Math.min(e.now() + s(f.for), span);
+    const w = workers.all.find((x) => x.name === f.who);
+    const name = `${f.do}/${f.who}/${f.at}`;
+    switch (f.do) {
+      case 'kill': { const n = node(f.who)!; killNode(n); e.at(end, () => startNode(n)); return; }
+      case 'freeze': { const n = node(f.who)!; n.proc.frozen = n.proc.alive; e.at(end, () => wake(e, n.proc)); return; }
+      case 'drain': return drain(node(f.who)!, end);
+      case 'empty': { const n = node(f.who) as KeeperNode; killNode(n); n.disk.lose(); e.at(end, () => startNode(n)); return; }
+      case 'replace-core': return replaceCore(Number(f.who.slice(6)), end);
+      case 'isolate': net.cut(name, (a, b) => a === f.who || b === f.who); e.at(end, () => net.heal(name)); return;
+      case 'one-way': net.cut(name, (a) => a === f.who); e.at(end, () => net.heal(name)); return;
+      case 'split': { const k = 1 + Math.floor(r() * 3); const side = (m: string): boolean => m.startsWith('m') && Number(m.slice(1)) % (k + 1) === 0; net.cut(name, (a, b) => a.startsWith('m') && b.startsWith('m') && side(a) !== side(b)); e.at(end, () => net.heal(name)); return; }
+      case 'disk-stall': { const x = keepers[Number(f.who.slice(6))]!.disk; x.stalled = true; e.at(end, () => x.resume()); return; }
+      case 'disk-slow': { const x = keepers[Number(f.who.slice(6))]!.disk; x.slowUs = 300_000; e.at(end, () => { x.slowUs = 0; }); return; }
+      case 'disk-full': { const n = keepers[Number(f.who.slice(6))]!; n.disk.full = true; e.at(end, () => { n.disk.full = false; killNode(n); startNode(n); }); return; }
+      case 'worker-kill': if (w!.proc.alive) { workers.kill(w!); e.at(end, () => { if (!w!.proc.alive) { workers.start(w!); platform(w!, 1); } }); } return;
+      case 'worker-dark': w!.dark = true; e.at(end, () => { w!.dark = false; }); return;
+      case 'worker-freeze': w!.proc.frozen = w!.proc.alive; e.at(end, () => wake(e, w!.proc)); return;
+      case 'worker-release': return release(w!, end);
+      case 'worker-slow-link': net.slow(w!.proc.machine, 200_000); e.at(end, () => net.slow(w!.proc.machine, 0)); return;
+      case 'lapse': for (const x of workers.all) if (x.proc.alive) x.core.lapse(); return;
+      case 'mass-kill': { const ns = [...routers, ...agents].filter(() => r() < 0.5); ns.forEach(killNode); e.at(Math.min(end, e.now() + s(3)), () => ns.forEach(startNode)); return; }
+      case 'core-kill': keepers.forEach(killNode); e.at(Math.min(end, e.now() + s(3)), () => keepers.forEach(startNode)); return;
+      case 'seeds-swapped': { const ns = agents.slice(0, 2); ns.forEach(killNode); for (const n of ns) n.persisted = agentDefaults.persisted; e.at(end, () => ns.forEach(startNode)); return; }
+      case 'clock-jump': wallJump.by += (r() < 0.5 ? -1 : 1) * s(3600); return;
+      case 'submit': return submit();
+      case 'race': { const b = h.applied.reduce((m, x) => Math.max(m, x.version), 0); submit(b); submit(b); if (r() < 0.5) submit(b); return; }
+      case 'storm': for (let i = 0; i < 6; i += 1) e.at(e.now() + s(i * 0.15 * r()), () => submit()); return;
+      case 'refused': return submit(undefined, false);
+      case 'crowd': rate = o.rate * 3; e.at(end, () => { rate = o.rate; }); return;
+      case 'swing': swing = 8; traffic = createTraffic(d, o.seed + 1_000_000, swingMix(8)); return;
+    }
+  }
+
+  // A planned restart: the router lets its answers finish, the others just stop.
+  function drain(n: Node, end: number): void {
+    if (!n.proc.alive) return;
+    const i = routers.indexOf(n as RouterNode);
+    if (i < 0) {
+      n.stop();
+      killNode(n);
+      e.at(Math.min(end, e.now() + s(1)), () => startNode(n));
+      return;
+    }
+    const x = n as RouterNode;
+    x.core!.stopTaking();
+    const gen = n.proc.gen;
+    function look(): void {
+      if (!n.proc.alive || n.proc.gen !== gen) return;
+      if (x.core!.active() > 0) return e.at(e.now() + s(0.05), look);
+      killNode(n);
+      e.at(e.now() + s(0.5), () => startNode(n));
+    }
+    e.at(e.now() + s(0.05), look);
+  }
+
+  function release(w: SimWorker, end: number): void {
+    if (!w.proc.alive || w.proc.frozen || w.dark) return;
+    platform(w, 2);
+    const inc = w.incarnation;
+    function look(): void {
+      if (!w.proc.alive || w.incarnation !== inc) return;
+      const x = w.core.idle();
+      if (x.active + x.queued > 0 && e.now() < end + s(8)) return e.at(e.now() + s(0.1), look);
+      workers.kill(w);
+      e.at(e.now() + s(0.5), () => {
+        if (w.proc.alive) return;
+        workers.start(w);
+        platform(w, 1);
+      });
+    }
+    e.at(e.now() + s(3.2), look);
+  }
+
+  // An empty machine takes a core place at a new address.
+  function replaceCore(slot: number, end: number): void {
+    const old = keepers[slot]!;
+    killNode(old);
+    const a = `keeper${slot}:${2 + Math.floor(r() * 1000)}`;
+    e.at(Math.min(end, e.now() + s(2)), () => {
+      const n = keeper(`keeper${slot}`, slot, a);
+      keepers[slot] = n;
+      n.start();
+    });
+  }
+
+  async function run(): Promise<History> {
+    o.breakIt?.(net);
+    for (const w of workers.all) workers.start(w);
+    for (const n of [...keepers, ...agents, ...routers]) e.at(e.now() + Math.floor(r() * 500_000), () => startNode(n));
+    await e.run(s(2.5));
+    for (const w of workers.all) platform(w, 1);
+    submit(0);
+    await e.run(s(4));
+    const t0 = e.now();
+    for (const f of o.faults) e.at(t0 + s(f.at), () => bring(f));
+    e.at(t0, keepAsking);
+    e.at(span, () => {
+      h.calmFrom = e.now();
+      for (const n of [...keepers, ...agents, ...routers]) {
+        wake(e, n.proc);
+        startNode(n);
+      }
+      for (const w of workers.all) {
+        wake(e, w.proc);
+        w.dark = false;
+        if (!w.proc.alive) {
+          workers.start(w);
+          platform(w, 1);
+        }
+      }
+    });
+    await e.run(total);
+    over = true;
+    const at = liveAgent()!;
+    void at.core!.readDesired().then((x) => {
+      if (x.status === 'value') h.readBack = { version: x.version, tag: x.version === 0 ? 0 : tagOf(JSON.parse(x.value.toString())) };
+    });
+    await e.run(total + s(9));
+    h.end = e.now();
+    return h;
+  }
+  return { engine: e, history: h, network: net, workers, routers, agents, run };
+}
--- /dev/null
+++ b/packages/simulator/src/sim-workers.ts
@@ -0,0 +1,196 @@
+// Simulated workers: the stand-in's own core in a simulated process, and the routers' way to it. A send into a
+// cut or to a frozen worker may still arrive much later and run; what the router was told meanwhile is for
+// the checks to judge.
+import type { Mark } from '@tansypost/inner-protocol';
+import type { DecodeResult, HandleParams, PrefillResult, WorkerJob, WorkerPort } from '@tansypost/request-router';
+import type { FetchedReport } from '@tansypost/router-agent';
+import { createWorkerCore, workerDefaults, type Handle, type Part, type WorkerCore } from '@tansypost/worker-stand-in';
+import type { Engine } from './engine.js';
+import type { History } from './history.js';
+import type { Network } from './network.js';
+import { createProc, die, into, procWorld, type Proc } from './process.js';
+
+export interface SimWorker {
+  readonly name: string;
+  readonly proc: Proc;
+  readonly pace: number;
+  core: WorkerCore;
+  incarnation: number;
+  dark: boolean;
+}
+export interface SimWorkers {
+  readonly all: SimWorker[];
+  readonly portFor: (p: Proc, gen: number) => WorkerPort;
+  readonly fetchFor: (p: Proc, gen: number) => (m: Mark) => Promise<FetchedReport | undefined>;
+  readonly orderFor: (p: Proc, gen: number) => (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined>;
+  readonly start: (w: SimWorker) => void;
+  readonly kill: (w: SimWorker) => void;
+}
+
+export function createSimWorkers(e: Engine, net: Network, h: History, random: () => number, count: number, paces: readonly number[]): SimWorkers {
+  const memoryOf = new Map<string, string>();
+  const all: SimWorker[] = Array.from({ length: count }, (_, i) => ({
+    name: `worker${i}`, proc: createProc(`worker${i}`, `w${i}`), pace: paces[i % paces.length]!, core: undefined as unknown as WorkerCore, incarnation: 0, dark: false,
+  }));
+
+  function start(w: SimWorker): void {
+    w.proc.alive = true;
+    w.incarnation += 1;
+    w.dark = false;
+    const world = procWorld(e, w.proc, random, () => undefined, () => undefined);
+    const incarnation = w.incarnation;
+    w.core = createWorkerCore(world, {
+      ...workerDefaults, worker: w.name, incarnation, prefillPace: w.pace, stepUs: 8000,
+      onRun: (request, what) => h.runs.push({ at: e.now(), request, worker: w.name, incarnation, what, memoryOf: what === 'prefill' ? undefined : memoryOf.get(`${w.name}/${request}`) }),
+    });
+  }
+  function kill(w: SimWorker): void {
+    die(w.proc);
+  }
+
+  // Brings f to the worker as a connection would: refused when nobody listens, held or lost in a cut, waiting
+  // in a frozen one. `lost` says that no connection came about.
+  function reach(p: Proc, m: Mark, f: (w: SimWorker) => void, lost: (why: string) => void): void {
+    const w = all.find((x) => x.name === m.worker);
+    if (w === undefined) return lost('ECONNREFUSED');
+    function arrive(): void {
+      const gen = w!.proc.gen;
+      if (!w!.proc.alive) return lost('ECONNREFUSED');
+      into(w!.proc, gen, () => {
+        if (!w!.dark) f(w!);
+      });
+    }
+    if (net.blocked(p.machine, w.proc.machine)) {
+      const pooled = random() < 0.6;
+      if (!pooled) e.at(e.now() + 1_500_000, () => lost('UND_ERR_CONNECT_TIMEOUT'));
+      else if (random() < 0.5) net.onHeal(() => e.at(e.now() + net.latency(p.machine, w.proc.machine), arrive));
+      return;
+    }
+    e.at(e.now() + net.latency(p.machine, w.proc.machine), arrive);
+  }
+
+  function back(p: Proc, gen: number, w: SimWorker, f: () => void): void {
+    e.at(e.now() + net.latency(w.proc.machine, p.machine), () => {
+      if (net.blocked(w.proc.machine, p.machine)) net.onHeal(() => into(p, gen, f));
+      else into(p, gen, f);
+    });
+  }
+
+  function portFor(p: Proc, gen: number): WorkerPort {
+    function prefill(m: Mark, j: WorkerJob, signal: AbortSignal): Promise<PrefillResult> {
+      return new Promise((ok) => {
+        let off: (() => void) | undefined;
+        let dead: (() => void) | undefined;
+        function done(r: PrefillResult): void {
+          dead?.();
+          ok(r);
+        }
+        signal.addEventListener('abort', () => {
+          done({ tag: 'unknown', why: 'aborted' });
+          e.at(e.now() + 1000, () => off?.());
+        });
+        if (signal.aborted) return done({ tag: 'unknown', why: 'aborted' });
+        reach(p, m, (w) => {
+          if (m.incarnation !== w.incarnation) return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+          if (signal.aborted && random() < 0.5) return;
+          function broke(): void {
+            back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
+          }
+          w.proc.deaths.add(broke);
+          dead = () => { w.proc.deaths.delete(broke); };
+          off = w.core.prefill({ request: j.request, prompt: j.prompt, maxTokens: j.maxTokens }, (a) => {
+            if (a.tag === 'refused') return back(p, gen, w, () => done({ tag: 'notStarted', why: a.why }));
+            const x = a.handle;
+            back(p, gen, w, () => done({ tag: 'done', handle: { remote_engine_id: x.worker, remote_block_ids: [x.id], remote_host: w.name, remote_port: 1, request_id: x.request, prompt_digest: x.digest, incarnation: x.incarnation } }));
+          });
+        }, (why) => into(p, gen, () => done({ tag: 'notStarted', why })));
+      });
+    }
+
+    function decode(m: Mark, j: WorkerJob, hp: HandleParams, chunk: (t: string) => void, signal: AbortSignal): Promise<DecodeResult> {
+      return new Promise((ok) => {
+        let off: (() => void) | undefined;
+        let dead: (() => void) | undefined;
+        let over = false;
+        let order = 0;
+        function done(r: DecodeResult): void {
+          if (over) return;
+          over = true;
+          dead?.();
+          ok(r);
+        }
+        signal.addEventListener('abort', () => {
+          done({ tag: 'unknown', why: 'aborted' });
+          e.at(e.now() + 1000, () => off?.());
+        });
+        if (signal.aborted) return done({ tag: 'unknown', why: 'aborted' });
+        const hd: Handle = { id: hp.remote_block_ids[0] ?? '', worker: hp.remote_engine_id, incarnation: hp.incarnation, request: hp.request_id, digest: hp.prompt_digest };
+        const job = { request: j.request, prompt: j.prompt, maxTokens: j.maxTokens };
+        reach(p, m, (w) => {
+          if (m.incarnation !== w.incarnation) return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+          const no = w.core.admit(job, hd);
+          if (no !== undefined) return back(p, gen, w, () => done(no.startsWith('memory') ? { tag: 'lapsed', why: no } : { tag: 'notStarted', why: no }));
+          const wgen = w.proc.gen;
+          function broke(): void {
+            back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
+          }
+          w.proc.deaths.add(broke);
+          dead = () => { w.proc.deaths.delete(broke); };
+          takeFrom(w, hd, (why, of) => into(w.proc, wgen, () => {
+            if (why !== undefined) return back(p, gen, w, () => done({ tag: 'lapsed', why }));
+            if (signal.aborted && random() < 0.8) return;
+            memoryOf.set(`${w.name}/${j.request}`, of!);
+            // A stream keeps its order: each piece arrives after the one before.
+            function piece(f: () => void): void {
+              order = Math.max(e.now() + net.latency(w.proc.machine, p.machine), order + 1);
+              e.at(order, () => {
+                if (net.blocked(w.proc.machine, p.machine)) return net.onHeal(() => into(p, gen, () => { if (!over) done({ tag: 'unknown', why: 'cut' }); }));
+                into(p, gen, () => { if (!over) f(); });
+              });
+            }
+            off = w.core.decode(job, hd, { chunk: (t) => piece(() => chunk(t)), end: () => piece(() => done({ tag: 'done' })), broke: () => piece(() => done({ tag: 'unknown', why: 'broke off' })) });
+          }));
+        }, (why) => into(p, gen, () => done({ tag: 'notStarted', why })));
+      });
+    }
+    return { prefill, decode };
+  }
+
+  function takeFrom(w: SimWorker, hd: Handle, done: (why: string | undefined, of?: string) => void): void {
+    const from = all.find((x) => x.name === hd.worker)!;
+    const l = from === w ? 0 : net.latency(w.proc.machine, from.proc.machine);
+    if (net.blocked(w.proc.machine, from.proc.machine) || !from.proc.alive || from.dark || from.proc.frozen) return e.at(e.now() + 2_000_000, () => done('memory_lapsed'));
+    e.at(e.now() + l, () => {
+      if (!from.proc.alive) return done('memory_lapsed');
+      const why = from.core.take(hd);
+      e.at(e.now() + l, () => done(why, hd.request));
+    });
+  }
+
+  function fetchFor(p: Proc, gen: number): (m: Mark) => Promise<FetchedReport | undefined> {
+    return function fetch(m) {
+      h.probes.push(e.now());
+      return new Promise((ok) => {
+        e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
+        reach(p, m, (w) => {
+          const r = w.core.report();
+          back(p, gen, w, () => ok(r));
+        }, () => into(p, gen, () => ok(undefined)));
+      });
+    };
+  }
+
+  function orderFor(p: Proc, gen: number): (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined> {
+    return function order(m, epoch, part) {
+      return new Promise((ok) => {
+        e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
+        reach(p, m, (w) => {
+          const obeyed = w.core.order(epoch, part);
+          h.orders.push({ at: e.now(), worker: `${w.name}/${w.incarnation}`, epoch, part, obeyed, by: p.name });
+          back(p, gen, w, () => ok(obeyed));
+        }, () => into(p, gen, () => ok(undefined)));
+      });
+    };
+  }
+  return { all, portFor, fetchFor, orderFor, start, kill };
+}
--- a/programs/request-router/src/feed.ts
+++ b/programs/request-router/src/feed.ts
@@ -28,6 +28,9 @@
   const held = new Map<string, NewsItem>();
   const models = new Map<string, Model>();
   let until = -Infinity;
+  let askedLast = -Infinity;
+  let fedAt = -Infinity;
+  let contact = false;
   let had = false;
   let desired: DesiredState | undefined;
   let version = 0;
@@ -44,7 +47,13 @@
       held.set(n.key, n);
       if (!same) apply(n);
     }
-    for (const g of m.grants) if (g.version === version) until = Math.max(until, g.asked + o.tenure);
+    for (const g of m.grants) {
+      if (g.version !== version) continue;
+      until = Math.max(until, g.asked + o.tenure);
+      askedLast = Math.max(askedLast, g.asked);
+    }
+    fedAt = o.now();
+    contact = m.contact;
     others = m.others;
     tenured();
   }
@@ -65,8 +74,13 @@
     }
   }
 
+  // Beside the tenure, the marks must be current: fed just now, and either the core was heard through the home
+  // agent or the agent hears at least half of the members that it knows. Otherwise a leaving mark may have
+  // passed this machine by.
   function tenured(): boolean {
-    const is = o.now() < until;
+    const t = o.now();
+    const current = t - fedAt < 2_000_000 && (t - askedLast < 2_500_000 || contact);
+    const is = t < until && current;
     if (is !== had) o.log(is ? 5001 : 5002, { version });
     had = is;
     return is;
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -49,6 +49,7 @@
 export interface RouterPorts {
   readonly workers: WorkerPort;
   readonly digest: (prompt: string) => string;
+  readonly sending?: (request: string, worker: string, phase: 'prefill' | 'decode', extra: boolean, version: number) => void;
   readonly sendOn: (to: string, r: Incoming, reply: Reply, gone: AbortSignal) => Promise<boolean>;
 }
 export interface RouterCore {
@@ -213,6 +214,7 @@
   function enterSend(c: Course, phase: 'prefill' | 'decode', worker: WorkerId): Send {
     if (c.ledger.sends.length === 0) budget.first();
     else if (c.ledger.sends.some((s) => s.phase === phase)) budget.extra();
+    p.sending?.(c.r.id, worker, phase, c.ledger.sends.some((x) => x.phase === phase), feed.applied());
     const s: Send = { phase, worker, outcome: 'pending' };
     c.ledger.sends.push(s);
     return s;
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -172,6 +172,7 @@
     });
     w.send(o.router, {
       kind: 'Feed', workers: marks.all(), reports: reports.all(), news: out, grants,
+      contact: views.contact(),
       others: views.live().filter((e) => e.tenured && e.http !== o.routerHttp).map((e) => e.http),
     });
   }
--- a/programs/router-agent/src/parts-duty.ts
+++ b/programs/router-agent/src/parts-duty.ts
@@ -73,6 +73,7 @@
 export function createPartsDuty(w: World, o: PartsDutyOptions): PartsDuty {
   const ordered = new Map<string, { epoch: number; part: Part | '' }>();
   let busy = false;
+  let fencing: number | undefined;
   let orders = 0;
   let lean: { to: Part; since: number } | undefined;
   let restUntil = 0;
@@ -92,13 +93,17 @@
     lean = undefined;
     restUntil = w.now() + 10_000_000;
     const e = o.holds();
-    if (e !== undefined) for (const m of o.workers()) void send(m, e, '');
+    if (e === undefined) return;
+    fencing = e;
+    void Promise.all(o.workers().map((m) => send(m, e, ''))).finally(() => {
+      if (fencing === e) fencing = undefined;
+    });
   }
 
   function tick(): void {
     const epoch = o.holds();
     const b = o.record();
-    if (epoch === undefined || b === undefined || busy) return;
+    if (epoch === undefined || b === undefined || busy || fencing === epoch) return;
     const r = readRecord(b);
     const ms = o.workers();
     busy = true;
