--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -1,3 +1,4 @@
+export * from './claims.js';
 export * from './core-record.js';
 export * from './disk.js';
 export * from './journal.js';
--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -5,6 +5,7 @@
 import {
   every, key as toKey, micros, rendezvous, type Address, type Message, type MessageOf, type NewsItem, type World,
 } from '@tansypost/inner-protocol';
+import { applyClaim, type ClaimOp } from './claims.js';
 import { coreKey, encodeCore, replaceIn, type CoreRecord } from './core-record.js';
 import { createOwner, type Owner, type WriteAnswer } from './owner.js';
 import { createPlace, type Place, type PlaceOptions } from './place.js';
@@ -96,6 +97,13 @@
     if (m.op === 'write') {
       return x.write({ change: m.change, base: m.base, value: m.value, done: (a) => settle(m, a, (s) => answer(s, { epoch: a.epoch, version: a.version, value: Buffer.alloc(0) })) });
     }
+    if (m.op === 'claim') {
+      const c = JSON.parse(m.value.toString()) as ClaimOp;
+      return x.mutate({
+        apply: (value, epoch) => applyClaim(value, epoch, w.now(), c),
+        done: (status, result) => answer(status, { epoch: 0, version: 0, value: Buffer.from(result) }),
+      });
+    }
     x.read((r) => {
       if (r === undefined) return answer('retry');
       if (m.op === 'read') return answer('value', r);
--- a/packages/control-state/src/owner.ts
+++ b/packages/control-state/src/owner.ts
@@ -20,7 +20,14 @@
   readonly done: (a: WriteAnswer) => void;
 }
 
+// A change worked out from the value in force. Those that wait together are written together.
+export interface Mutation {
+  readonly apply: (value: Buffer, epoch: number) => { readonly value: Buffer; readonly result: string };
+  readonly done: (status: WriteStatus, result: string) => void;
+}
+
 export interface Owner {
+  readonly mutate: (m: Mutation) => void;
   readonly owns: () => boolean;
   readonly since: () => number;
   readonly row: () => Row;
@@ -49,6 +56,7 @@
   let busy = false;
   let checking = false;
   const writes: Write[] = [];
+  let mutations: Mutation[] = [];
   let reads: ((r: Row | undefined) => void)[] = [];
 
   function layDown(): void {
@@ -59,6 +67,9 @@
     for (const r of rs) r(undefined);
     const ws = writes.splice(0);
     for (const x of ws) x.done({ status: 'retry', epoch: 0, version: 0 });
+    const ms = mutations;
+    mutations = [];
+    for (const m of ms) m.done('retry', '');
   }
 
   function take(): void {
@@ -87,7 +98,7 @@
   function missed(): void {
     mode = 'none';
     tries += 1;
-    if (tries < 4 && writes.length + reads.length > 0) {
+    if (tries < 4 && writes.length + reads.length + mutations.length > 0) {
       w.after(micros((20_000 + w.random() * 80_000) * tries), take);
     } else {
       tries = 0;
@@ -115,7 +126,7 @@
   function nextWrite(): void {
     if (mode !== 'owned' || busy) return;
     const x = writes.shift();
-    if (x === undefined) return;
+    if (x === undefined) return nextMutations();
     const had = versionOfChange(row.changes, x.change);
     if (had !== undefined || x.base !== row.version) {
       busy = true;
@@ -148,6 +159,35 @@
     });
   }
 
+  function mutate(m: Mutation): void {
+    mutations.push(m);
+    if (mode === 'none') take();
+    else nextWrite();
+  }
+
+  function nextMutations(): void {
+    if (mutations.length === 0) return;
+    const ms = mutations;
+    mutations = [];
+    let value = row.value;
+    const results = ms.map((m) => {
+      const a = m.apply(value, row.epoch);
+      value = a.value;
+      return a.result;
+    });
+    const next: Row = { ...row, promised: row.epoch, version: row.version + 1, value };
+    busy = true;
+    const gen = o.place.core().gen;
+    o.rounds.start({ make: (id) => accept(id, next, gen) }, (a) => {
+      busy = false;
+      for (const v of a.votes) seen = Math.max(seen, v.promised);
+      if (a.won) row = next;
+      else layDown();
+      ms.forEach((m, i) => m.done(a.won ? 'done' : 'unknown', results[i]!));
+      nextWrite();
+    });
+  }
+
   // Asks a majority whether this epoch still holds, and mends old copies on the way.
   function check(done: (ok: boolean) => void): void {
     const at = row;
@@ -194,7 +234,7 @@
   }
 
   return {
-    owns: () => mode === 'owned', since: () => since, row: () => row, take, write, read,
+    owns: () => mode === 'owned', since: () => since, row: () => row, take, write, read, mutate,
     writing: () => busy, layDown,
   };
 }
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -32,6 +32,9 @@
   },
   Answer: { id: 'string', key: 'string', status: 'string', epoch: 'long', version: 'long', value: 'bytes' },
 
+  Claim: { id: 'string', op: 'string', key: 'string', holder: 'string', request: 'string', ended: 'string' },
+  ClaimAnswer: { id: 'string', status: 'string', known: 'string' },
+
   Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
   Accept: {
     id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long', version: 'long',
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -28,6 +28,12 @@
   return h.runs.filter((r) => refused.has(r.request)).map((r) => breach('ran though refused', `${r.request} ${refused.get(r.request)!.ended} ${r.what} at ${r.at}`));
 }
 
+// Of the requests that came with one Idempotency-Key, at any routers, at most one ran.
+function oneRunPerKey(h: History): Breach[] {
+  const ran = new Set(h.runs.map((r) => r.request));
+  return h.claims.filter((c) => c.ids.filter((id) => ran.has(id)).length > 1).map((c) => breach('ran twice under one key', `${c.key}: ${c.ids.join(', ')}`));
+}
+
 function rightAnswers(h: History): Breach[] {
   return h.requests.flatMap((r) => {
     if (r.verdict === 'foreign' || r.verdict === 'overlong') return [breach('foreign or stitched answer', `${r.id} ${r.verdict}`)];
@@ -128,7 +134,7 @@
 function backInService(h: History, o: CheckOptions): Breach[] {
   if (o.overloaded) return [];
   const from = h.calmFrom + 12_000_000;
-  const rs = h.requests.filter((r) => r.at >= from);
+  const rs = h.requests.filter((r) => r.at >= from && r.ended !== 'claimed');
   const whole = rs.filter((r) => r.ended === 'whole').length;
   const bad = [...new Set(rs.filter((r) => r.ended !== 'whole').map((r) => `${r.ended}@${r.router}`))].slice(0, 4).join(', ');
   return rs.length > 20 && whole < 0.97 * rs.length ? [breach('not back in service', `${whole} of ${rs.length} whole after 12 s of calm: ${bad}`)] : [];
@@ -136,7 +142,7 @@
 
 function nothingTurnedAway(h: History, o: CheckOptions): Breach[] {
   if (!o.faultless || o.overloaded) return [];
-  return h.requests.filter((r) => r.ended !== 'whole').slice(0, 3).map((r) => breach('turned away in calm', `${r.id} ${r.ended} at ${r.at}`));
+  return h.requests.filter((r) => r.ended !== 'whole' && r.ended !== 'claimed').slice(0, 3).map((r) => breach('turned away in calm', `${r.id} ${r.ended} at ${r.at}`));
 }
 
 function answeredAtOnce(h: History): Breach[] {
@@ -150,7 +156,7 @@
 }
 
 export const checks: { readonly [name: string]: Check } = {
-  noSecondRun, noRunAfterRefusal, rightAnswers, ownMemory, leavingLeftAlone, acknowledgedGoverns, noSlipBack, ackSurvives, losersNeverTakeEffect,
+  noSecondRun, oneRunPerKey, noRunAfterRefusal, rightAnswers, ownMemory, leavingLeftAlone, acknowledgedGoverns, noSlipBack, ackSurvives, losersNeverTakeEffect,
   oneWinner, extrasBounded, oneOrderer, backInService, nothingTurnedAway, answeredAtOnce,
 };
 
@@ -179,6 +185,7 @@
   it('finds each breach in a history that holds it, and none in one that does not', () => {
     const cases: [keyof typeof checks, Partial<History>][] = [
       ['noSecondRun', { requests: [req()], runs: [run(), run({ at: 2 })] }],
+      ['oneRunPerKey', { claims: [{ at: 0, key: 'k', ids: ['q', 'q2'] }], runs: [run(), run({ request: 'q2' })] }],
       ['noRunAfterRefusal', { requests: [req({ ran: 'no', ended: 'overloaded' })], runs: [run()] }],
       ['rightAnswers', { requests: [req({ verdict: 'cut' })] }],
       ['rightAnswers', { requests: [req({ ended: 'answer_cut', verdict: 'foreign' })] }],
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -63,7 +63,14 @@
   readonly tag: number;
 }
 
+export interface ClaimSeen {
+  readonly at: number;
+  readonly key: string;
+  readonly ids: readonly string[];
+}
+
 export interface History {
+  readonly claims: ClaimSeen[];
   readonly requests: RequestSeen[];
   readonly runs: Run[];
   readonly sends: SendSeen[];
@@ -79,5 +86,5 @@
 }
 
 export function newHistory(): History {
-  return { requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], readBack: undefined, calmFrom: 0, end: 0 };
+  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], readBack: undefined, calmFrom: 0, end: 0 };
 }
--- /dev/null
+++ b/programs/request-router/src/claims.ts
@@ -0,0 +1,34 @@
+// The router's side of Idempotency-Keys: a claim is asked of the core through the agent before the first send,
+// and what became of the request is told afterwards, without waiting.
+import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
+
+export type ClaimResult = { readonly tag: 'won' } | { readonly tag: 'taken'; readonly known: string } | { readonly tag: 'failed' };
+export interface Claims {
+  readonly claim: (key: string, request: string) => Promise<ClaimResult>;
+  readonly tell: (op: 'release' | 'ended', key: string, request: string, ended: string) => void;
+  readonly answer: (m: MessageOf<'ClaimAnswer'>) => void;
+}
+
+export function createClaims(w: World, agent: Address, holder: string): Claims {
+  const open = new Map<string, (r: ClaimResult) => void>();
+  let n = 0;
+  function claim(key: string, request: string): Promise<ClaimResult> {
+    n += 1;
+    const id = `${holder}/${n}`;
+    return new Promise((done) => {
+      const cancel = w.after(micros(3_000_000), () => end({ tag: 'failed' }));
+      function end(r: ClaimResult): void {
+        cancel();
+        open.delete(id);
+        done(r);
+      }
+      open.set(id, end);
+      w.send(agent, { kind: 'Claim', id, op: 'claim', key, holder, request, ended: '' });
+    });
+  }
+  return {
+    claim,
+    tell: (op, key, request, ended) => w.send(agent, { kind: 'Claim', id: '', op, key, holder, request, ended }),
+    answer: (m) => open.get(m.id)?.(m.status === 'won' ? { tag: 'won' } : m.status === 'taken' ? { tag: 'taken', known: m.known } : { tag: 'failed' }),
+  };
+}
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -10,6 +10,7 @@
 import { armOf, type Arm, type Part } from '@tansypost/rehearsal';
 import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
 import { createAdmission } from './admission.js';
+import { createClaims } from './claims.js';
 import { decide, type Step } from './decision.js';
 import { createExtraBudget } from './extra-budget.js';
 import { failure, type Failure, type FailureKind } from './failure.js';
@@ -27,7 +28,6 @@
   readonly promptLimit: number;
   readonly queueRoom: number;
   readonly placement: PlacementOptions;
-  readonly claims?: boolean;
 }
 export const routerDefaults = { tenure: 10_000_000, promptLimit: 32_768, queueRoom: 12, placement: placementDefaults };
 
@@ -88,6 +88,7 @@
   const tree = createRadixTree();
   const budget = createExtraBudget(w.now);
   const admission = createAdmission(w, room);
+  const claims = createClaims(w, o.agent, o.router);
   const reasons = new Map<string, number>();
   const ends = new Map<string, number>();
   const arms = new Map<string, ArmCount>();
@@ -138,13 +139,28 @@
     if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
     active += 1;
     try {
-      await admitAndRun(r, reply, k, gone);
+      if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone);
+      else await claimAndRun(r, r.idempotencyKey, reply, k, gone);
     } finally {
       active -= 1;
       admission.left();
     }
   }
 
+  // A claim that was won but led to no send is given back, so that the requester may come again with its key.
+  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<void> {
+    const whole = `${r.tenant}/${key}`;
+    const c = await claims.claim(whole, r.id);
+    if (c.tag === 'taken') return giveUp(r, reply, failure('claimed', `This key is taken: ${c.known}`));
+    if (c.tag === 'failed') {
+      claims.tell('release', whole, r.id, '');
+      return giveUp(r, reply, failure('claim_failed', 'The core did not answer the claim in time.', 2));
+    }
+    const end = await admitAndRun(r, reply, kind, gone);
+    if (end === 'not sent') claims.tell('release', whole, r.id, '');
+    else claims.tell('ended', whole, r.id, end);
+  }
+
   async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal): Promise<Failure | 'sent on' | undefined> {
     if (!taking) return failure('stopping', 'This router is stopping.');
     const t = promptFacts(r.prompt).tokens;
@@ -156,13 +172,16 @@
     return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
   }
 
-  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<void> {
+  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<string> {
     const arrived = w.now();
     const facts = promptFacts(r.prompt);
     const a = await admission.enter({
       purse: `${r.tenant}/${r.kind}`, share: kind.share, worth: kind.worth, cost: facts.tokens + 4 * r.maxTokens, patience: kind.patienceMs * 1000,
     });
-    if (a.tag === 'shed') return giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
+    if (a.tag === 'shed') {
+      giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
+      return 'not sent';
+    }
     const run = feed.record().running;
     const c: Course = {
       r, reply, kind, ledger: newLedger(), facts, arrived, limit: arrived + kind.patienceMs * 1000,
@@ -185,6 +204,7 @@
       note(ends, end);
       if (rehearsal !== undefined && c.arm !== 'none' && end !== 'gone') count(rehearsal, c, end);
     }
+    return c.ledger.sends.length === 0 ? 'not sent' : end;
   }
 
   async function run1(c: Course, gone: AbortSignal): Promise<FailureKind | 'whole' | 'gone'> {
@@ -329,6 +349,7 @@
   }
 
   function receive(m: Message): void {
+    if (m.kind === 'ClaimAnswer') return claims.answer(m);
     if (m.kind !== 'Feed') return;
     for (const x of table.marks(m.workers)) {
       tree.forget(x);
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -4,6 +4,7 @@
   every, micros, rendezvous, type Address, type DutyMark, type Entry, type Mark, type Message, type MessageOf, type Place, type World,
 } from '@tansypost/inner-protocol';
 import { checkDesiredState, needsApproval, type DesiredState, type Fault } from '@tansypost/desired-state';
+import { claimKey } from '@tansypost/control-state';
 import { createCandidate, type Candidate } from '@tansypost/duty';
 import { createMarks, createViews, markStates } from '@tansypost/membership';
 import { answerOperator, readRecord, emptyRecord, type AnswerKind, type Part, type RehearsalRecord, type VerdictOptions } from '@tansypost/rehearsal';
@@ -225,6 +226,7 @@
         if (holds('training') !== undefined) training.samples(m);
         return undefined;
       }
+      case 'Claim': return onClaim(m);
       case 'Arms': return keeping.arms(m);
       default: return undefined;
     }
@@ -236,6 +238,16 @@
     w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest() });
   }
 
+  // A claim is repeated until it is answered or its patience ends; the bucket forgives a holder's own repeat.
+  function onClaim(m: MessageOf<'Claim'>): void {
+    const value = Buffer.from(JSON.stringify({ op: m.op, key: m.key, holder: m.holder, request: m.request, ended: m.ended }));
+    void asker.ask({ op: 'claim', key: claimKey(m.key), value, patience: 2_500_000 }).then((r) => {
+      const known = r.value.toString();
+      const status = r.status !== 'done' ? 'failed' : known === 'won' ? 'won' : 'taken';
+      w.send(o.router, { kind: 'ClaimAnswer', id: m.id, status, known });
+    });
+  }
+
   function platform(ms: readonly Mark[]): Mark[] {
     const fresh = marks.take(ms);
     spread(fresh);
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -11,7 +11,7 @@
   readonly value: Buffer;
 }
 export interface AskRequest {
-  readonly op: 'read' | 'write' | 'lookup';
+  readonly op: 'read' | 'write' | 'lookup' | 'claim';
   readonly key: string;
   readonly change?: string;
   readonly base?: number;
