--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -43,6 +43,7 @@
   const tenures = new Map<string, Map<string, Holding>>();
   const acks = new Map<string, { version: number; go: () => void }[]>();
   let changing = false;
+  let coreSeen = 0;
   let swept = 0;
 
   function owner(k: string): Owner {
@@ -190,6 +191,7 @@
       if (known?.voting !== true && m.state === 'voting') w.send(m.from as Address, place.hello());
     }
     place.heard(m);
+    if (place.state() === 'voting' && m.state === 'voting' && m.gen > 0 && m.gen < place.core().gen) changeCore(undefined);
     const p = place.core().places.find((x) => x.slot === m.slot);
     if (place.state() === 'voting' && m.state === 'blank' && p !== undefined && m.slot !== o.slot && p.disk !== m.disk && !place.hello().founders.includes(m.disk)) {
       changeCore(m);
@@ -198,26 +200,28 @@
     }
   }
 
-  // Writes a new disk into the core record. Both other places must agree, whatever the old one says.
-  function changeCore(m: MessageOf<'PlaceHello'>): void {
+  // Writes a new disk into the core record: both other places must agree, whatever the old one says. Without a
+  // new disk it only finishes what is there: a record that one place took and the other did not is written again
+  // under a higher epoch, else the two would fence each other for good.
+  function changeCore(m: MessageOf<'PlaceHello'> | undefined): void {
     if (changing) return;
     changing = true;
     const gen = place.core().gen;
-    const r = place.row(coreKey);
-    const epoch = nextEpoch(r.promised, o.slot);
+    const epoch = nextEpoch(Math.max(place.row(coreKey).promised, coreSeen), o.slot);
     function over(): void {
       w.after(micros(200_000 + w.random() * 400_000), () => { changing = false; });
     }
-    rounds.start({ without: m.slot, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) }, (p) => {
+    rounds.start({ without: m?.slot, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) }, (p) => {
+      for (const v of p.votes) coreSeen = Math.max(coreSeen, v.promised);
       if (!p.won) return over();
       const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
-      if (top.epoch !== gen) return over();
-      const ps = replaceIn(place.core(), { slot: m.slot, address: m.from, disk: m.disk });
+      if (top.epoch < gen || (m !== undefined && top.epoch !== gen)) return over();
+      const value = m === undefined ? top.value : encodeCore(replaceIn(place.core(), { slot: m.slot, address: m.from, disk: m.disk }));
       rounds.start({
-        without: m.slot,
-        make: (id) => ({ kind: 'Accept', id, from: '', key: coreKey, epoch, gen, version: top.version + 1, value: encodeCore(ps), changes: [] }),
+        without: m?.slot,
+        make: (id) => ({ kind: 'Accept', id, from: '', key: coreKey, epoch, gen, version: top.version + 1, value, changes: [] }),
       }, () => {
-        w.log(2006, { slot: m.slot, disk: m.disk, gen: place.core().gen });
+        w.log(2006, { slot: m?.slot, disk: m?.disk, gen: place.core().gen });
         over();
         greet();
       });
