--- a/packages/boot/src/settings.ts
+++ b/packages/boot/src/settings.ts
@@ -12,6 +12,7 @@
   member: Type.String({ minLength: 1, maxLength: 64 }),
   zone: Type.String({ minLength: 1, maxLength: 64 }),
   listen: Addr,
+  advertise: Type.Optional(Addr),
   seeds: Type.Array(Addr, { minItems: 3, maxItems: 3 }),
   data: Type.Optional(Type.String()),
   logLevel: Type.Optional(Type.Integer({ minimum: 0, maximum: 5 })),
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -15,6 +15,7 @@
 }
 export interface CarrierOptions {
   readonly listen: Address;
+  readonly advertise?: Address;
   readonly receive: (m: Message, from: Address) => void;
   readonly log: (event: number, fields: Record<string, unknown>) => void;
   readonly heldLimit?: number;
@@ -42,7 +43,7 @@
       if (s.connecting) s.destroy();
     });
     s.on('data', () => undefined);
-    s.write(frame(hello(o.listen)));
+    s.write(frame(hello(o.advertise ?? o.listen)));
     outs.set(to, s);
     return s;
   }
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -6,6 +6,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { deployments } from '@tansypost/requester-stand-in';
 import { shrink, type SimFault } from './faults.js';
+import { loads, measureOne, policies, type Figure, type Load, type Policy } from './measure.js';
 import { runOne, type OneResult } from './one.js';
 
 interface Job {
@@ -93,13 +94,64 @@
   }
 }
 
+interface MeasureJob {
+  readonly deployment: string;
+  readonly policy: Policy;
+  readonly load: Load;
+  readonly seed: number;
+  readonly seconds: number;
+}
+
+class Measure extends Command {
+  static override paths = [['measure']];
+  static override usage = Command.Usage({ description: 'Compare the placement policies on the same arrivals, paired by seed.' });
+  shape = Option.String('--deployment', 'ferry');
+  seeds = Option.String('--seeds', '3');
+  secondsFor = Option.String('--seconds', '240');
+  threads = Option.String('--threads', `${Math.max(1, availableParallelism() - 1)}`);
+  async execute(): Promise<number> {
+    const jobs: MeasureJob[] = [];
+    for (let seed = 1; seed <= Number(this.seeds); seed += 1) {
+      for (const load of loads) for (const policy of policies) jobs.push({ deployment: this.shape, policy, load, seed, seconds: Number(this.secondsFor) });
+    }
+    const out: Figure[] = [];
+    async function work(): Promise<void> {
+      for (let j = jobs.shift(); j !== undefined; j = jobs.shift()) {
+        const job = j;
+        const w = new Worker(new URL(import.meta.url));
+        out.push(await new Promise<Figure>((ok, no) => {
+          w.once('message', ok);
+          w.once('error', no);
+          w.postMessage(job);
+        }));
+        await w.terminate();
+      }
+    }
+    await Promise.all(Array.from({ length: Number(this.threads) }, work));
+    const print = this.context.stdout;
+    for (const load of loads) {
+      for (const policy of policies) {
+        const fs = out.filter((f) => f.load === load && f.policy === policy).sort((a, b) => a.seed - b.seed);
+        const base = fs.map((f) => out.find((x) => x.load === load && x.policy === 'heuristic' && x.seed === f.seed)!);
+        const ratios = fs.map((f, i) => f.mean / base[i]!.mean);
+        print.write(`| ${load} | ${policy} | ${fs.map((f) => f.mean.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p50.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p99.toFixed(0)).join(' / ')} | ${ratios.map((x) => x.toFixed(2)).join(' / ')} | ${fs.map((f) => f.failed).join(' / ')} |\n`);
+      }
+    }
+    for (const f of out.filter((x) => x.policy === 'lodestar')) print.write(`${f.load} seed ${f.seed}: live ${f.live}; ${f.shares}; ${f.rehearsals}\n`);
+    return 0;
+  }
+}
+
 if (isMainThread) {
   const cli = new Cli({ binaryLabel: 'simulator', binaryName: 'simulator', binaryVersion: '0.1.0' });
   cli.register(Builtins.HelpCommand);
   cli.register(Simulate);
+  cli.register(Measure);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
-  parentPort!.on('message', (j: Job) => {
-    void runOne(deployments[j.deployment]!, j.seed).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
+  parentPort!.on('message', (j: Job | MeasureJob) => {
+    const d = deployments[j.deployment]!;
+    if ('policy' in j) void measureOne(d, j.policy, j.load, j.seed, j.seconds).then((f) => parentPort!.postMessage(f));
+    else void runOne(d, j.seed).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
   });
 }
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -7,6 +7,7 @@
 import { agentDefaults, createAgentCore, type AgentCore, type AgentOptions } from '@tansypost/router-agent';
 import { createRouterCore, failureKinds, routerDefaults, type FailureKind, type Incoming, type Reply, type RouterCore } from '@tansypost/request-router';
 import { createTraffic, steadyMix, swingMix, templates, type Ask, type Deployment } from '@tansypost/requester-stand-in';
+import type { VerdictOptions } from '@tansypost/rehearsal';
 import { judge } from '@tansypost/worker-stand-in';
 import { createEngine, type Engine } from './engine.js';
 import { newHistory, type History, type RequestSeen } from './history.js';
@@ -33,6 +34,9 @@
   readonly trainer?: Partial<typeof trainingDefaults>;
   readonly shiftParts?: boolean;
   readonly slice?: number;
+  readonly verdict?: VerdictOptions;
+  readonly rehearsalLimit?: number;
+  readonly plain?: boolean;
 }
 
 interface Node {
@@ -128,8 +132,8 @@
       const t = createTrainer({ ...trainingDefaults, fifo: 400, replay: 100, passes: 1, ...o.trainer });
       n.core = createAgentCore(world(proc, a), {
         ...agentDefaults, member: `agent${i}`, self: address(a), zone: zoneOf(i), router: address(`router${i}:1`), routerHttp: `router${i}`, service: 'main',
-        seeds: seedsAt, slot: i, born: Math.max(1, e.now() + wallJump.by), persisted: n.persisted, trainEvery: o.trainEvery ?? 150, verdict: { minCount: 40, ttftMargin: 0.25, failureMargin: 0.05 },
-        rehearsalLimit: 20_000_000, slice: o.slice ?? 0.2, shiftHold: 3_000_000, shiftRest: 10_000_000, shiftParts: o.shiftParts ?? true,
+        seeds: seedsAt, slot: i, born: Math.max(1, e.now() + wallJump.by), persisted: n.persisted, trainEvery: o.trainEvery ?? 150, verdict: o.verdict ?? { minCount: 40, ttftMargin: 0.25, failureMargin: 0.05 },
+        rehearsalLimit: o.rehearsalLimit ?? 20_000_000, slice: o.slice ?? 0.2, shiftHold: 3_000_000, shiftRest: 10_000_000, shiftParts: o.shiftParts ?? true,
       }, {
         fetchReport: workers.fetchFor(proc, gen), order: workers.orderFor(proc, gen),
         trainer: {
@@ -228,7 +232,7 @@
   function ask(): void {
     if (over) return;
     const a: Ask = traffic.next(e.now() / 1e6);
-    if (r() > 0.1) return askOne(a);
+    if (o.plain === true || r() > 0.1) return askOne(a);
     // Some come twice under one key, at two routers, close together.
     const twin = { ...a, id: `${a.id}-again` };
     const key = `key-${a.id}`;
--- a/programs/fleet-runner/src/fleet.ts
+++ b/programs/fleet-runner/src/fleet.ts
@@ -5,6 +5,7 @@
 import { templates } from '@tansypost/requester-stand-in';
 import { planFleet, type Member, type Plan, type PlanOptions } from './plan.js';
 import { createProcesses, type Processes } from './processes.js';
+import { createRelays } from './relay.js';
 import type { Fault } from './schedule.js';
 
 export interface Fleet {
@@ -25,6 +26,7 @@
 export function createFleet(d: Deployment, o: PlanOptions): Fleet {
   const plan = planFleet(d, o);
   const ps = createProcesses(plan, o.folder);
+  const relays = createRelays();
   const incarnations = new Map<string, number>();
   const down = new Set<string>();
 
@@ -65,12 +67,13 @@
   async function platform(name: string, state: string): Promise<void> {
     const m = member(name);
     for (let n = 0; n < 20; n += 1) {
-      const r = await post(liveAgent().http, '/platform/workers', { worker: name, incarnation: incarnations.get(name) ?? 1, state, address: m.http });
+      const r = await post(liveAgent().http, '/platform/workers', { worker: name, incarnation: incarnations.get(name) ?? 1, state, address: m.relay!.shown });
       if (r?.status === 200) return;
     }
   }
 
   async function serve(): Promise<void> {
+    for (const m of plan.members) if (m.relay !== undefined) await relays.add(m.relay.shown, m.relay.real, m.relay.inner);
     for (const m of plan.members) ps.start(m);
     await until('the core votes', async () => (await Promise.all(of('state-keeper').map((k) => get(k.http, '/vitals')))).every((v) => v !== undefined));
     await until('agents know each other', async () => (await Promise.all(of('router-agent').map((a) => get<unknown[]>(a.http, '/members')))).every((v) => (v?.length ?? 0) >= d.machines - 1));
@@ -124,6 +127,15 @@
         await until(`${m.name} is back`, async () => (await get(m.http, '/report')) !== undefined, 20);
         await platform(m.name, 'ready');
         return;
+      case 'isolate': {
+        const ip = m.ip;
+        relays.cut(ip, (from, to) => (from !== undefined && from.startsWith(`${ip}:`)) !== to.startsWith(`${ip}:`));
+        return;
+      }
+      case 'one-way': relays.cut(m.ip, (from, to) => from !== undefined && from.startsWith(`${m.ip}:`) && !to.startsWith(`${m.ip}:`)); return;
+      case 'rejoin': relays.heal(m.ip); return;
+      case 'slow': relays.slow(m.relay!.shown, 150); return;
+      case 'fast': relays.slow(m.relay!.shown, 0); return;
       case 'dark': await post(m.http, '/fault', { dark: true }); return;
       case 'light': await post(m.http, '/fault', { dark: false }); return;
       case 'lapse': await post(m.http, '/fault', { lapse: true }); return;
@@ -157,7 +169,11 @@
   }
 
   return {
-    plan, processes: ps, member, get, post, until, serve, submit, fault, runs, stop: ps.stopAll,
+    plan, processes: ps, member, get, post, until, serve, submit, fault, runs,
+    stop: async () => {
+      await ps.stopAll();
+      await relays.close();
+    },
     routers: () => of('request-router').filter((m) => !down.has(m.name)).map((m) => m.http),
   };
 }
--- a/programs/fleet-runner/src/schedule.ts
+++ b/programs/fleet-runner/src/schedule.ts
@@ -3,7 +3,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { BadSchedule } from '@tansypost/inner-protocol';
 
-export const faultKinds = ['kill', 'freeze', 'wake', 'restart', 'empty', 'drain', 'release', 'dark', 'light', 'lapse', 'submit', 'crowd', 'calm', 'leave'] as const;
+export const faultKinds = ['kill', 'freeze', 'wake', 'restart', 'empty', 'drain', 'release', 'dark', 'light', 'lapse', 'submit', 'crowd', 'calm', 'leave', 'isolate', 'one-way', 'rejoin', 'slow', 'fast'] as const;
 export type FaultKind = (typeof faultKinds)[number];
 export interface Fault {
   readonly at: number;
--- a/programs/router-agent/src/main.ts
+++ b/programs/router-agent/src/main.ts
@@ -15,7 +15,8 @@
   schema: AgentBoot,
   flags: Object.keys(AgentBoot.properties),
   start: async (b, log) => {
-    const real = await createRealWorld(b.listen as Address, log);
+    const self = (b.advertise ?? b.listen) as Address;
+    const real = await createRealWorld(b.listen as Address, log, self);
     const http = new Agent({ connect: { timeout: 800 }, headersTimeout: 1500, bodyTimeout: 1500 });
     const trainer = createThreadTrainer();
     const file = createViewsFile(b.data);
@@ -39,7 +40,7 @@
     }
     const service = b.service ?? 'main';
     const core = createAgentCore(real.world, {
-      ...agentDefaults, member: b.member, self: b.listen as Address, zone: b.zone, router: b.router as Address, routerHttp: b.routerHttp, service,
+      ...agentDefaults, member: b.member, self, zone: b.zone, router: b.router as Address, routerHttp: b.routerHttp, service,
       seeds: b.seeds as Address[], slot: b.slot, born: Date.now(), persisted: file.read(),
       ...(b.dutyTenureMs === undefined ? {} : { dutyTenure: b.dutyTenureMs * 1000 }),
       ...(b.trainEvery === undefined ? {} : { trainEvery: b.trainEvery }),
--- a/programs/state-keeper/src/main.ts
+++ b/programs/state-keeper/src/main.ts
@@ -18,9 +18,10 @@
     if (E.isLeft(d)) throw d.left;
     const file = d.right;
     if (d.right.cut > 0) log(2008, { bytes: d.right.cut });
-    const real = await createRealWorld(b.listen as Address, log);
+    const self = (b.advertise ?? b.listen) as Address;
+    const real = await createRealWorld(b.listen as Address, log, self);
     const core = createKeeperCore(real.world, {
-      slot: b.slot, self: b.listen as Address, core: b.core as Address[], seeds: b.seeds as Address[], disk: d.right.disk, found: d.right.found,
+      slot: b.slot, self, core: b.core as Address[], seeds: b.seeds as Address[], disk: d.right.disk, found: d.right.found,
       newDiskId: randomBytes(8).toString('hex'), tenure: (b.feedTenureMs ?? 10_000) * 1000, dutyTenure: (b.dutyTenureMs ?? 3000) * 1000,
     });
     real.onMessage(core.receive);
--- a/programs/worker-stand-in/src/main.ts
+++ b/programs/worker-stand-in/src/main.ts
@@ -14,6 +14,7 @@
 const Boot = Type.Object({
   member: Type.String({ minLength: 1 }),
   listen: Addr,
+  advertise: Type.Optional(Addr),
   incarnation: Type.Integer({ minimum: 1 }),
   prefillPace: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
   stepUs: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
@@ -45,9 +46,10 @@
   schema: Boot,
   flags: Object.keys(Boot.properties),
   start: async (b, log) => {
-    const { logLevel: _l, listen, member, incarnation, runsFile, ...rest } = b;
+    const { logLevel: _l, advertise, listen, member, incarnation, runsFile, ...rest } = b;
     const core = createWorkerCore({ now: monotonic, after: afterReal, log }, { ...workerDefaults, ...rest, worker: member, incarnation, onRun: (q, what) => { if (runsFile !== undefined) appendFileSync(runsFile, `${q} ${what}\n`); } });
     const { host, port } = splitAddress(listen);
+    const shown = splitAddress(advertise ?? listen);
     const app = fastify({ bodyLimit: 8 * 1024 * 1024, forceCloseConnections: true });
     let dark = false;
 
@@ -75,7 +77,7 @@
           id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: 'length' }],
           usage: { prompt_tokens_details: { cached_tokens: got.cached } },
           kv_transfer_params: {
-            do_remote_prefill: true, remote_engine_id: h.worker, remote_block_ids: [h.id], remote_host: host, remote_port: port,
+            do_remote_prefill: true, remote_engine_id: h.worker, remote_block_ids: [h.id], remote_host: shown.host, remote_port: shown.port,
             request_id: h.request, prompt_digest: h.digest, incarnation: h.incarnation,
           },
         });
@@ -101,7 +103,7 @@
     });
 
     async function takeFrom(at: string, h: Handle): Promise<string | undefined> {
-      if (at === listen) return core.take(h);
+      if (at === (advertise ?? listen)) return core.take(h);
       try {
         const r = await request(`http://${at}/kv/take`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(h), headersTimeout: 2000, bodyTimeout: 2000 });
         const x = (await r.body.json()) as { why?: string };
