--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -131,6 +131,18 @@
   return out.slice(0, 3);
 }
 
+// Whatever is live, model or shifted part, has a rehearsal behind it that measured enough and passed.
+function neverOnFaith(h: History): Breach[] {
+  const out: Breach[] = [];
+  for (const r of h.records) {
+    const passed = r.ended.filter((e) => (e.outcome === 'live' || e.outcome === 'rolled back') && e.measured !== undefined && e.measured.slice.count >= 40 && e.measured.control.count >= 40);
+    for (const m of [r.live, r.before]) {
+      if (m !== undefined && !passed.some((e) => e.subject.type === 'model' && e.subject.model.hash === m.hash)) out.push(breach('live on faith', `model ${m.version.epoch}/${m.version.n}`));
+    }
+  }
+  return out.slice(0, 2);
+}
+
 function backInService(h: History, o: CheckOptions): Breach[] {
   if (o.overloaded) return [];
   const from = h.calmFrom + 12_000_000;
@@ -157,7 +169,7 @@
 
 export const checks: { readonly [name: string]: Check } = {
   noSecondRun, oneRunPerKey, noRunAfterRefusal, rightAnswers, ownMemory, leavingLeftAlone, acknowledgedGoverns, noSlipBack, ackSurvives, losersNeverTakeEffect,
-  oneWinner, extrasBounded, oneOrderer, backInService, nothingTurnedAway, answeredAtOnce,
+  oneWinner, extrasBounded, oneOrderer, neverOnFaith, backInService, nothingTurnedAway, answeredAtOnce,
 };
 
 export function checkAll(h: History, o: CheckOptions): Breach[] {
@@ -199,6 +211,7 @@
       ['oneWinner', { changes: [change(), change({ tag: 2 })] }],
       ['extrasBounded', { end: 20e6, sends: [send()], probes: [1, 2, 3, 4, 5, 6] }],
       ['oneOrderer', { orders: [{ at: 1, worker: 'a', epoch: 9, part: 'prefill', obeyed: true, by: 'x' }, { at: 2, worker: 'b', epoch: 8, part: 'decode', obeyed: true, by: 'y' }] }],
+      ['neverOnFaith', { records: [{ live: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' }, before: undefined, parts: {}, running: undefined, ended: [] }] }],
       ['backInService', { requests: Array.from({ length: 30 }, () => req({ at: 13e6, ended: 'no_tenure' })) }],
       ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no', end: 4e6, retryAfter: true })] }],
       ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no' })] }],
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -1,6 +1,8 @@
 // What a run did, as the checks read it: requests and their ends, runs at workers, sends, orders, marks, changes
 // of the desired state, and what each router applied.
 
+import type { RehearsalRecord } from '@tansypost/rehearsal';
+
 export interface RequestSeen {
   readonly id: string;
   readonly kind: string;
@@ -81,10 +83,12 @@
   readonly applied: AppliedSeen[];
   readonly logs: { at: number; who: string; event: number; fields: Record<string, unknown> }[];
   readBack: { version: number; tag: number } | undefined;
+  // Every rehearsal record that any agent held, in the order seen.
+  readonly records: RehearsalRecord[];
   calmFrom: number;
   end: number;
 }
 
 export function newHistory(): History {
-  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], readBack: undefined, calmFrom: 0, end: 0 };
+  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], readBack: undefined, calmFrom: 0, end: 0 };
 }
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -459,6 +459,13 @@
         }
       }
     });
+    // Looks at one agent's rehearsal record every half second.
+    function look(): void {
+      const rec = liveAgent()?.core?.rehearsals();
+      if (rec !== undefined && JSON.stringify(rec) !== JSON.stringify(h.records.at(-1))) h.records.push(rec);
+      if (e.now() < total) e.at(e.now() + s(0.5), look);
+    }
+    e.at(t0, look);
     await e.run(total);
     over = true;
     const at = liveAgent()!;
--- /dev/null
+++ b/tests/rehearsal.test.ts
@@ -0,0 +1,51 @@
+// Rehearsals in whole simulated fleets: models and part shifts go live only by measurement, survive the loss of
+// whoever keeps them, and are rolled back by an operator's word.
+import { expect, it } from 'vitest';
+import { checkAll, createSim, type SimFault, type SimOptions } from '../packages/simulator/src/index.js';
+import { coldStorage } from '../programs/requester-stand-in/src/index.js';
+
+const base: SimOptions = { deployment: { ...coldStorage, machines: 5 }, seed: 3, span: 60, calm: 10, rate: 20, faults: [], plain: true, trainEvery: 200 };
+
+it('lets a model go live after its rehearsal, and an operator reject it and so roll it back', async () => {
+  const sim = createSim({ ...base, shiftParts: false });
+  const words: string[] = [];
+  let live: string | undefined;
+  sim.engine.at(62_000_000, () => {
+    const a = sim.agents[0]!.core!;
+    const last = a.rehearsals().ended.find((e) => e.outcome === 'live');
+    live = a.rehearsals().live?.hash;
+    if (last === undefined) return;
+    void a.decide(last.id, 'reject').then((k) => words.push(k));
+    void a.decide('no-such', 'approve').then((k) => words.push(k));
+  });
+  const h = await sim.run();
+  expect(checkAll(h, { faultless: true, overloaded: false })).toEqual([]);
+  expect(live).toBeDefined();
+  expect(words.sort()).toEqual(['taken', 'unknown_rehearsal']);
+  const end = sim.agents[1]!.core!.rehearsals();
+  expect(end.ended.some((e) => e.outcome === 'rolled back' && e.subject.type === 'model' && e.subject.model.hash === live)).toBe(true);
+  expect(end.live?.hash).not.toBe(live);
+});
+
+it('goes on with a rehearsal through the loss of its keeper, and no restart makes it live', async () => {
+  const faults: SimFault[] = [10, 18, 26, 34, 42].flatMap((at, i) => [0, 1, 2, 3, 4].filter((a) => a !== i).slice(0, 2).map((a) => ({ at, do: 'kill', who: `agent${a}`, for: 3 }) as SimFault));
+  const h = await createSim({ ...base, shiftParts: false, faults }).run();
+  expect(checkAll(h, { faultless: false, overloaded: false })).toEqual([]);
+  expect(h.records.at(-1)!.ended.length).toBeGreaterThan(0);
+});
+
+it('shifts a part when prompts pile up: proposes, rehearses on a slice, ends by measurement, and orders accordingly', async () => {
+  const sim = createSim({ ...base, seed: 4, span: 80, rate: 16, paces: [2600], trainEvery: 1e9 });
+  const h = await sim.run();
+  expect(checkAll(h, { faultless: false, overloaded: true })).toEqual([]);
+  const rec = h.records.at(-1)!;
+  const shifts = [...rec.ended, ...(rec.running === undefined ? [] : [rec.running])].flatMap((e) => (e.subject.type === 'part' ? [{ e, s: e.subject.shift }] : []));
+  expect(shifts.length).toBeGreaterThan(0);
+  for (const { e, s } of shifts) {
+    expect(['live', 'harmful', 'inconclusive', 'rejected', undefined]).toContain(e.outcome);
+    if (e.outcome === 'live') expect(e.measured!.slice.count).toBeGreaterThanOrEqual(40);
+    expect(h.orders.some((o) => o.obeyed && o.worker.startsWith(`${s.worker}/`) && o.part === 'both')).toBe(true);
+    if (e.outcome !== undefined) expect(h.orders.some((o) => o.obeyed && o.worker.startsWith(`${s.worker}/`) && o.part === (e.outcome === 'live' ? s.to : s.from))).toBe(true);
+  }
+  console.log(shifts.map(({ e, s }) => `${s.worker} ${s.from} to ${s.to}: ${e.outcome ?? 'running'} (${e.measured?.why ?? ''})`).join('; '));
+});
