Keep a register of feed tenures, so a new owner need not wait out a whole one

Cause: a new owner of the desired state did not know its predecessor's grants and waited 10 s before acknowledging; and an agent waited 2.5 s on one dead place before it asked the next. Ruled out: the majority write itself (4 ms), the news (under 20 ms to all routers).

--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -1,7 +1,8 @@
 // The core of the state-keeper: the place, the keys it owns, the news it pushes to home agents, and the
 // feed tenures it grants. A change of the desired state is acknowledged only when, beyond the majority,
-// every router whose tenure may be live has applied it. A new owner does not know the
-// tenures of the one before, so it waits one whole tenure after its takeover instead.
+// every router whose tenure may be live has applied it. Whoever is granted a tenure stands in a register, a key
+// beside the desired state's, before the first grant; so a new owner knows whom its predecessor may have
+// granted one, and waits for each of these to apply the change, or for one whole tenure after its takeover.
 import {
   every, key as toKey, micros, rendezvous, type Address, type Message, type MessageOf, type NewsItem, type World,
 } from '@tansypost/inner-protocol';
@@ -33,6 +34,10 @@
 export function isTenured(k: string): boolean {
   return k.startsWith('desired/');
 }
+// Kept for the core's own use, never pushed as news.
+function isPrivate(k: string): boolean {
+  return k.startsWith('claim/') || k.startsWith('tenures/');
+}
 
 export function createKeeper(w: World, o: KeeperOptions): Keeper {
   const place = createPlace(w, o);
@@ -41,6 +46,7 @@
   const heardAt = new Map<number, { at: number; voting: boolean }>();
   const subscribers = new Map<Address, number>();
   const tenures = new Map<string, Map<string, Holding>>();
+  const registers = new Map<string, { routers: Set<string>; asked: number }>();
   const acks = new Map<string, { version: number; go: () => void }[]>();
   let changing = false;
   let coreSeen = 0;
@@ -64,7 +70,7 @@
   }
 
   function preferred(k: string): number {
-    const ps = rendezvous(k, live(), (p) => `${p.slot}`);
+    const ps = rendezvous(k.replace(/^tenures\//, ''), live(), (p) => `${p.slot}`);
     return ps[0]?.slot ?? o.slot;
   }
 
@@ -77,7 +83,7 @@
   }
 
   function push(k: string, r: Row): void {
-    if (r.version === 0 || k.startsWith('claim/')) return;
+    if (r.version === 0 || isPrivate(k)) return;
     for (const [a, until] of subscribers) {
       if (until < w.now()) subscribers.delete(a);
       else sayNews(a, [item(k, r)]);
@@ -134,13 +140,17 @@
     const x = owner(k);
     const now = w.now();
     const unknownUntil = x.since() + o.tenure + 100_000;
-    const hs = [...(tenures.get(k) ?? new Map<string, Holding>()).values()].filter((h) => h.expires > now);
+    const t = tenures.get(k) ?? new Map<string, Holding>();
+    const g = registers.get(k);
+    function free(version: number): boolean {
+      if (!x.owns() || ![...t.values()].every((h) => h.expires <= now || h.applied >= version)) return false;
+      if (now >= unknownUntil) return true;
+      return g !== undefined && g.asked >= x.since() && [...g.routers].every((r) => (t.get(r)?.applied ?? -1) >= version);
+    }
     const left = list.filter((a) => {
-      if (x.owns() && now >= unknownUntil && hs.every((h) => h.applied >= a.version)) {
-        a.go();
-        return false;
-      }
-      return true;
+      if (!free(a.version)) return true;
+      a.go();
+      return false;
     });
     if (left.length > 0) acks.set(k, left);
     else acks.delete(k);
@@ -159,7 +169,7 @@
       if (isTenured(h.key) && x.owns() && m.tenures.length > 0) grant(h.key, x, m);
     }
     const named = new Set(m.have.map((h) => h.key));
-    for (const [k, x] of owners) if (!named.has(k) && x.owns() && x.row().version > 0 && !k.startsWith('claim/')) out.push(item(k, x.row()));
+    for (const [k, x] of owners) if (!named.has(k) && x.owns() && x.row().version > 0 && !isPrivate(k)) out.push(item(k, x.row()));
     if (out.length > 0 || m.have.length === 0) sayNews(from, out);
     else w.send(from, { kind: 'News', news: [], coreGen: place.core().gen, places: [...place.core().places] });
   }
@@ -171,19 +181,49 @@
       if (r === undefined) return;
       const t = tenures.get(k) ?? new Map<string, Holding>();
       tenures.set(k, t);
+      const g = registers.get(k);
+      const known = g !== undefined && g.asked >= x.since();
+      const strangers: string[] = [];
       const grants: { router: string; asked: number; version: number }[] = [];
       for (const a of m.tenures) {
-        const h = t.get(a.router);
-        if (h !== undefined) h.applied = Math.max(h.applied, a.applied);
+        const h = t.get(a.router) ?? { expires: 0, applied: 0 };
+        h.applied = Math.max(h.applied, a.applied);
+        t.set(a.router, h);
         if (a.applied !== r.version) continue;
-        t.set(a.router, { expires: w.now() + o.tenure, applied: a.applied });
+        if (!known || !g.routers.has(a.router)) {
+          strangers.push(a.router);
+          continue;
+        }
+        h.expires = w.now() + o.tenure;
         grants.push({ router: a.router, asked: a.asked, version: r.version });
       }
+      if (!known || strangers.length > 0) enrol(k, x, strangers, m);
       if (grants.length > 0) w.send(m.from as Address, { kind: 'Tenures', grants });
       tryAcks(k);
     });
   }
 
+  // Brings the register up to date, then grants what waited for it. Routers that cannot hold a tenure any more are
+  // dropped on the way.
+  function enrol(k: string, x: Owner, strangers: readonly string[], m: MessageOf<'Subscribe'>): void {
+    const asked = w.now();
+    const t = tenures.get(k)!;
+    let after: string[] = [];
+    owner(`tenures/${k}`).mutate({
+      apply: (value) => {
+        const had = value.length === 0 ? [] : (JSON.parse(value.toString()) as string[]);
+        const may = asked < x.since() + o.tenure + 100_000 ? had : had.filter((r) => (t.get(r)?.expires ?? 0) > asked);
+        after = [...new Set([...may, ...strangers])];
+        return { value: Buffer.from(JSON.stringify(after)), result: '' };
+      },
+      done: (status) => {
+        if (status !== 'done') return;
+        registers.set(k, { routers: new Set(after), asked });
+        if (x.owns() && asked >= x.since()) grant(k, x, m);
+      },
+    });
+  }
+
   function onHello(m: MessageOf<'PlaceHello'>): void {
     if (m.slot !== o.slot) {
       const known = heardAt.get(m.slot);
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -397,8 +397,12 @@
     function look(): void {
       if (!n.proc.alive || n.proc.gen !== gen) return;
       if (x.core!.active() > 0) return e.at(e.now() + s(0.05), look);
-      killNode(n);
-      e.at(e.now() + s(0.5), () => startNode(n));
+      x.core!.stop();
+      e.at(e.now() + s(0.1), () => {
+        if (!n.proc.alive || n.proc.gen !== gen) return;
+        killNode(n);
+        e.at(e.now() + s(0.5), () => startNode(n));
+      });
     }
     e.at(e.now() + s(0.05), look);
   }
--- a/programs/request-router/src/main.ts
+++ b/programs/request-router/src/main.ts
@@ -32,6 +32,7 @@
       while (core.active() > 0) await new Promise((ok) => setTimeout(ok, 50));
       await app.close();
       core.stop();
+      await new Promise((ok) => setTimeout(ok, 100));
       await Promise.all([workers.close(), others.destroy(), real.carrier.close()]);
     }
     return { stop };
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -361,17 +361,18 @@
     if (feed.applied() !== before) tell();
   }
 
-  function tell(): void {
+  // A router that stops says that it has applied all there will ever be: no change need wait for its tenure.
+  function tell(applied: number = feed.applied()): void {
     if (w.now() - flushedAt > 5_000_000) flush();
     const t = budget.totals();
     w.send(o.agent, {
-      kind: 'RouterState', router: o.router, http: o.http, asked: w.now(), applied: feed.applied(), first: t.first, extra: t.extra,
+      kind: 'RouterState', router: o.router, http: o.http, asked: w.now(), applied, first: t.first, extra: t.extra,
       allowance: budget.granted(), arms: [...arms.values()], have: feed.have(),
     });
   }
 
   tell();
-  const stopTelling = every(w, () => micros(100_000), tell);
+  const stopTelling = every(w, () => micros(100_000), () => tell());
   return {
     serve, receive, feed, table,
     figures: () => ({
@@ -381,6 +382,10 @@
     }),
     stopTaking: () => { taking = false; },
     active: () => active,
-    stop: () => { stopTelling(); admission.stop(); },
+    stop: () => {
+      stopTelling();
+      admission.stop();
+      tell(Number.MAX_SAFE_INTEGER);
+    },
   };
 }
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -180,7 +180,7 @@
 
   function onRouterState(m: MessageOf<'RouterState'>): void {
     if (router?.router !== m.router) grants = [];
-    if (router === undefined || router.applied !== m.applied) note('applied', `desired/${o.service}`, m.applied);
+    if (m.applied !== Number.MAX_SAFE_INTEGER && router?.applied !== m.applied) note('applied', `desired/${o.service}`, m.applied);
     router = m;
     routerAt = w.now();
     news.routerAsks(m.router, m.asked, m.applied);
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -31,6 +31,8 @@
   function ask(r: AskRequest): Promise<AskResult> {
     const limit = w.now() + r.patience;
     let turn = Math.floor(w.random() * 3);
+    // Only a change of the desired state may rightly be long in answering: it waits for the routers.
+    const perTry = r.op === 'write' && r.key.startsWith('desired/') ? 2_500_000 : 600_000;
     return new Promise((done) => {
       function once(): void {
         const ps = places();
@@ -40,7 +42,7 @@
         n += 1;
         turn += 1;
         const id = `${self}/${n}`;
-        let cancel = w.after(micros(Math.min(left, 2_500_000)), again);
+        let cancel = w.after(micros(Math.min(left, perTry)), again);
         function again(): void {
           open.delete(id);
           cancel();
