Hold prompts back at the router under overload instead of in the workers' queues

Cause: a crowd went on one free place, since a place given away did not count until its send; the room was judged by reports that stop in a lull; cancelled prompts kept their place in a stand-in's queue; and reports that were old held routers still for good. So prompts died in the queues. Ruled out: the order of shedding (right once there was room to order).

--- a/packages/inner-protocol/src/brands.ts
+++ b/packages/inner-protocol/src/brands.ts
@@ -15,6 +15,9 @@
 export type Epoch = Brand<number, 'Epoch'>;
 export type Version = Brand<number, 'Version'>;
 
+// Said by a router that stops: it has applied every version there will be.
+export const appliedAll = 2 ** 50;
+
 export function micros(n: number): Micros {
   return Math.round(n) as Micros;
 }
--- a/programs/request-router/src/admission.ts
+++ b/programs/request-router/src/admission.ts
@@ -11,7 +11,7 @@
   readonly cost: number;
   readonly patience: number;
 }
-export type Admitted = { readonly tag: 'go' } | { readonly tag: 'shed'; readonly retryAfter: number };
+export type Admitted = { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
 export interface Admission {
   readonly enter: (c: Claimant) => Promise<Admitted>;
   readonly waiting: () => number;
@@ -25,9 +25,10 @@
 }
 const half = 10_000_000;
 
-export function createAdmission(w: Pick<World, 'now' | 'after'>, room: () => boolean): Admission {
+export function createAdmission(w: Pick<World, 'now' | 'after'>, room: (granted: number) => boolean): Admission {
   const used = new Map<string, { n: number; at: number; share: number }>();
   let queue: Waiting[] = [];
+  let granted = 0;
   let pace = 0;
   let paceAt = w.now() as number;
 
@@ -64,13 +65,26 @@
     return Math.min(30, Math.max(1, Math.ceil(n / Math.max(0.2, rate()))));
   }
 
+  // A place that was given away is taken until its holder has begun, else a whole crowd would go on one free place.
+  function go(c: Claimant): Admitted {
+    charge(c);
+    granted += 1;
+    let over = false;
+    return {
+      tag: 'go',
+      begun: () => {
+        if (!over) granted -= 1;
+        over = true;
+      },
+    };
+  }
+
   function drain(): void {
     if (queue.length === 0) return;
     order();
-    while (queue.length > 0 && room()) {
+    while (queue.length > 0 && room(granted)) {
       const x = queue.shift()!;
-      charge(x.c);
-      x.done({ tag: 'go' });
+      x.done(go(x.c));
     }
     const r = rate();
     const keep: Waiting[] = [];
@@ -84,10 +98,7 @@
   }
 
   function enter(c: Claimant): Promise<Admitted> {
-    if (queue.length === 0 && room()) {
-      charge(c);
-      return Promise.resolve({ tag: 'go' });
-    }
+    if (queue.length === 0 && room(granted)) return Promise.resolve(go(c));
     return new Promise((done) => {
       queue.push({ c, since: w.now(), done });
       drain();
@@ -135,7 +146,10 @@
   it('lets the one under its share go first, then the worthier', async () => {
     const b = bench();
     b.free(8);
-    for (let i = 0; i < 8; i += 1) await b.a.enter(kind('greedy'));
+    for (let i = 0; i < 8; i += 1) {
+      const x = await b.a.enter(kind('greedy'));
+      if (x.tag === 'go') x.begun();
+    }
     const went: string[] = [];
     const all = [kind('greedy', { worth: 9 }), kind('modest', { worth: 1 }), kind('modest', { worth: 5 })].map(async (c, i) => {
       const x = await b.a.enter(c);
--- a/programs/request-router/src/feed.ts
+++ b/programs/request-router/src/feed.ts
@@ -4,7 +4,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import type { Micros, MessageOf, NewsItem } from '@tansypost/inner-protocol';
 import { checkDesiredState, type DesiredState } from '@tansypost/desired-state';
-import { decodeModel, type Model } from '@tansypost/placement';
+import { decodeModel, scoreAll, type Model } from '@tansypost/placement';
 import { emptyRecord, readRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
 
 export interface FeedOptions {
@@ -55,9 +55,22 @@
     fedAt = o.now();
     contact = m.contact;
     others = m.others;
+    prepare();
     tenured();
   }
 
+  // Decodes what the record names before a request needs it, and runs it a few times so that it is quick by then.
+  function prepare(): void {
+    const s = record.running?.subject;
+    for (const r of [record.live, s?.type === 'model' ? s.model : undefined]) {
+      if (r === undefined || models.has(r.hash)) continue;
+      const x = model(r);
+      if (x === undefined) continue;
+      const rows = Array.from({ length: 12 }, () => new Float32Array(x.predictor.sizes[0]!));
+      for (let n = 0; n < 3; n += 1) scoreAll(x, rows);
+    }
+  }
+
   function apply(n: NewsItem): void {
     if (n.key === desiredKey) {
       const d = checkDesiredState(JSON.parse(n.value.toString()));
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -1,7 +1,7 @@
 // The request-router without its sockets: takes a request, asks for admission, asks the decision what to
 // do, and obeys it until the answer is whole or given up on. The program passes HTTP and the clock, the
 // simulator passes virtual ones; the code is the same.
-import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
+import { appliedAll, every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import { kindOf, type KindTemplate } from '@tansypost/desired-state';
 import {
   assignDecode, assignPrefill, batchSize, createPaces, createRadixTree, encodeSamples, placementDefaults, promptFacts, width,
@@ -17,6 +17,7 @@
 import { createFeed, type Feed } from './feed.js';
 import { newLedger, type Send, type SendLedger } from './send-ledger.js';
 import { handleFits, type HandleParams, type WorkerJob, type WorkerPort } from './worker-port.js';
+import { createWindow } from './window.js';
 import { createWorkerTable, type WorkerTable } from './worker-table.js';
 
 export interface RouterOptions {
@@ -87,6 +88,7 @@
   const table = createWorkerTable(w.now, paces);
   const tree = createRadixTree();
   const budget = createExtraBudget(w.now);
+  const window = createWindow(w.now, readTarget);
   const admission = createAdmission(w, room);
   const claims = createClaims(w, o.agent, o.router);
   const reasons = new Map<string, number>();
@@ -118,8 +120,16 @@
     return table.candidates(phase, partFor(arm), without);
   }
 
-  // Room for one more: some prefill worker's queue is short enough.
-  function room(): boolean {
+  // Reading a prompt should take no more than a fifth of the least patience in force.
+  function readTarget(): number {
+    const ps = (feed.desired()?.templates ?? []).flatMap((t) => Object.values(t.kinds).map((k) => k.patienceMs));
+    return 200 * Math.max(2500, Math.min(10_000, ...ps));
+  }
+
+  // Room for one more: the window is open and some prefill worker's queue is short enough.
+  function room(granted: number): boolean {
+    if (!window.open(granted)) return false;
+    if (window.idle() && granted === 0) return true;
     const cs = candidates('prefill', 'none', new Set());
     return cs.length === 0 || cs.some((c) => c.queued + Math.max(0, c.prefillTokens > 0 ? c.running : 0) < o.queueRoom);
   }
@@ -197,8 +207,9 @@
     gone.addEventListener('abort', left);
     let end: FailureKind | 'whole' | 'gone' = 'whole';
     try {
-      end = await run1(c, gone);
+      end = await run1(c, gone, a.begun);
     } finally {
+      a.begun();
       stopTimer();
       gone.removeEventListener('abort', left);
       note(ends, end);
@@ -207,7 +218,7 @@
     return c.ledger.sends.length === 0 ? 'not sent' : end;
   }
 
-  async function run1(c: Course, gone: AbortSignal): Promise<FailureKind | 'whole' | 'gone'> {
+  async function run1(c: Course, gone: AbortSignal, begun: () => void): Promise<FailureKind | 'whole' | 'gone'> {
     for (;;) {
       if (gone.aborted) return 'gone';
       if (c.ledger.sends.length === 0 && !feed.tenured()) {
@@ -226,7 +237,11 @@
         giveUp(c.r, c.reply, step.failure);
         return step.failure.kind;
       }
-      if (step.do === 'prefill') await prefill(c, ps);
+      if (step.do === 'prefill') {
+        const done = prefill(c, ps);
+        begun();
+        await done;
+      }
       else if (await decode(c, ds)) return 'whole';
     }
   }
@@ -250,12 +265,14 @@
     const s = enterSend(c, 'prefill', a.worker.worker);
     tree.insert(c.facts.blocks, a.worker.worker, w.now());
     const end = table.began(a.worker.worker, 'prefill', c.facts.tokens);
+    const read = window.began();
     const patience = new AbortController();
     const dark = Math.max(2_000_000, 6_000_000 * (a.predicted ?? 0.5));
     const cancel = c.kind.repeatable ? w.after(micros(dark), () => patience.abort()) : () => undefined;
     const x = await p.workers.prefill(m, c.job, AbortSignal.any([c.abort.signal, patience.signal]));
     cancel();
     end();
+    read(x.tag === 'done' || c.abort.signal.aborted);
     if (x.tag === 'done' && handleFits(x.handle, c.job, m)) {
       s.outcome = 'done';
       c.handle = { h: x.handle, from: m };
@@ -377,7 +394,7 @@
     serve, receive, feed, table,
     figures: () => ({
       router: o.router, tenured: feed.tenured(), desiredVersion: feed.applied(), live: feed.record().live?.version, running: feed.record().running?.id,
-      active, waiting: admission.waiting(), ends: Object.fromEntries(ends), placement: Object.fromEntries(reasons), ...budget.totals(), probes: budget.granted(),
+      active, waiting: admission.waiting(), window: Math.round(window.size()), ends: Object.fromEntries(ends), placement: Object.fromEntries(reasons), ...budget.totals(), probes: budget.granted(),
       treeBlocks: tree.size(),
     }),
     stopTaking: () => { taking = false; },
@@ -385,7 +402,7 @@
     stop: () => {
       stopTelling();
       admission.stop();
-      tell(Number.MAX_SAFE_INTEGER);
+      tell(appliedAll);
     },
   };
 }
--- a/programs/request-router/src/worker-table.ts
+++ b/programs/request-router/src/worker-table.ts
@@ -99,7 +99,8 @@
   }
 
   function candidate(x: Row): Candidate {
-    const r = x.report?.r;
+    // Reports are paid for by traffic, so in a lull they stop; an old one must not go on speaking.
+    const r = x.report !== undefined && now() - x.report.at < 5_000_000 ? x.report.r : undefined;
     const since = x.deeds.reduce((a, d) => a + d.by, 0);
     const all = Math.max(x.running, (r === undefined ? x.running : r.queued + r.active + since));
     const queued = r === undefined ? 0 : Math.min(r.queued, all);
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -1,7 +1,7 @@
 // The router-agent without its sockets: membership, worker marks, news, reports and duties, put together.
 // It feeds the router on its machine and speaks for it to the core.
 import {
-  every, micros, rendezvous, type Address, type DutyMark, type Entry, type Mark, type Message, type MessageOf, type Place, type World,
+  appliedAll, every, micros, rendezvous, type Address, type DutyMark, type Entry, type Mark, type Message, type MessageOf, type Place, type World,
 } from '@tansypost/inner-protocol';
 import { checkDesiredState, needsApproval, type DesiredState, type Fault } from '@tansypost/desired-state';
 import { claimKey } from '@tansypost/control-state';
@@ -180,7 +180,7 @@
 
   function onRouterState(m: MessageOf<'RouterState'>): void {
     if (router?.router !== m.router) grants = [];
-    if (m.applied !== Number.MAX_SAFE_INTEGER && router?.applied !== m.applied) note('applied', `desired/${o.service}`, m.applied);
+    if (m.applied !== appliedAll && router?.applied !== m.applied) note('applied', `desired/${o.service}`, m.applied);
     router = m;
     routerAt = w.now();
     news.routerAsks(m.router, m.asked, m.applied);
--- a/programs/worker-stand-in/src/worker-core.ts
+++ b/programs/worker-stand-in/src/worker-core.ts
@@ -144,6 +144,8 @@
     }
     return function off() {
       item.off = true;
+      const i = queue.indexOf(item);
+      if (i >= 0) queue.splice(i, 1);
     };
   }
 
