--- a/packages/simulator/src/sim-disk.ts
+++ b/packages/simulator/src/sim-disk.ts
@@ -8,6 +8,8 @@
 export interface SimDisk {
   readonly open: (p: Proc) => Disk;
   readonly bytes: () => Buffer;
+  // Cuts away a torn tail, as opening the file does.
+  readonly cut: (good: number) => void;
   readonly crash: () => void;
   readonly lose: () => void;
   slowUs: number;
@@ -65,6 +67,7 @@
   const disk: SimDisk = {
     open, slowUs: 0, stalled: false, full: false,
     bytes: () => synced,
+    cut: (good) => { synced = synced.subarray(0, good); },
     crash: () => {
       era += 1;
       waiting = [];
