--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -17,6 +17,7 @@
   readonly tenure: number;
   readonly seeds: readonly Address[];
   readonly sweepEvery?: number;
+  readonly note?: (what: 'committed' | 'acknowledged', key: string, version: number) => void;
 }
 
 export interface Keeper {
@@ -55,7 +56,7 @@
   function owner(k: string): Owner {
     let x = owners.get(k);
     if (x === undefined) {
-      x = createOwner(w, { key: k, place, rounds, committed: (r) => push(k, r) });
+      x = createOwner(w, { key: k, place, rounds, committed: (r) => { o.note?.('committed', k, r.version); push(k, r); } });
       owners.set(k, x);
     }
     return x;
@@ -124,6 +125,7 @@
     if (a.status === 'unknown') w.log(2103, { key: m.key, change: m.change });
     if (a.status !== 'done' || !isTenured(m.key)) return say(a.status);
     function go(): void {
+      o.note?.('acknowledged', m.key, a.version);
       w.log(2101, { key: m.key, change: m.change, version: a.version });
       say('done');
     }
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -30,7 +30,7 @@
   3004: { level: 'info', means: 'home agent of the zone changed', remedy: 'None.' },
   3101: { level: 'info', means: 'duty won', remedy: 'None.' },
   3102: { level: 'info', means: 'duty lost or laid down', remedy: 'None.' },
-  4001: { level: 'info', means: 'placement fell back to the heuristic', remedy: 'None when cold; look at the reason when it lasts.' },
+  4001: { level: 'info', means: 'placement fell back to the heuristic (logged at the 1st, 10th, 100th ... of a reason)', remedy: 'None when cold; look at the reason when it lasts.' },
   4002: { level: 'info', means: 'model swapped', remedy: 'None.' },
   4003: { level: 'info', means: 'model trained', remedy: 'None.' },
   4004: { level: 'warn', means: 'model refused: its content does not match its hash', remedy: 'None; the router keeps the one it has.' },
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -101,3 +101,39 @@
   }
   return { send, close, dropped: () => lost };
 }
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  const port = 20_000 + (process.pid % 20_000);
+  it('closes a link on garbage, an oversized or cut frame or another protocol, logs it, and goes on with others', async () => {
+    const logged: string[] = [];
+    const got: Message[] = [];
+    let more: (() => void) | undefined;
+    const at = `127.0.0.1:${port}` as Address;
+    const c = await createCarrier({ listen: at, log: (n, f) => { logged.push(`${n} ${String(f['why'])}`); }, receive: (m) => { got.push(m); more?.(); } });
+    const other = await createCarrier({ listen: `127.0.0.1:${port + 1}` as Address, log: () => undefined, receive: () => undefined });
+    function closed(...bs: Buffer[]): Promise<void> {
+      return new Promise((ok) => {
+        const s = net.connect(splitAddress(at));
+        s.on('error', () => undefined);
+        s.on('close', () => ok());
+        for (const b of bs) s.write(b);
+      });
+    }
+    const hi = frame(hello('127.0.0.1:9'));
+    const old = Buffer.from(hello('x').toString().replace('"tansypost":1', '"tansypost":99'));
+    await closed(Buffer.from('GET / HTTP/1.1\r\n\r\n'));
+    await closed(Buffer.from([0x7f, 0, 0, 0]));
+    await closed(frame(old));
+    await closed(hi, frame(Buffer.from([0, 0, 1])));
+    await closed(hi, frame(Buffer.from([255, 255, 1])));
+    expect(logged.length).toBe(5);
+    expect(logged.every((l) => l.startsWith('1101 '))).toBe(true);
+    const told = new Promise<void>((ok) => { more = ok; });
+    other.send(at, { kind: 'MarksDigest', from: 'a', digest: 'b' });
+    await told;
+    expect(got).toEqual([{ kind: 'MarksDigest', from: 'a', digest: 'b' }]);
+    await c.close();
+    await other.close();
+  });
+}
--- a/programs/change-tracer/src/main.ts
+++ b/programs/change-tracer/src/main.ts
@@ -8,9 +8,10 @@
   static override paths = [Command.Default];
   static override usage = Command.Usage({
     description: 'Follow one version of the desired state through every daemon, with times.',
-    details: 'Name every agent with --agent. Without --version the version in force is followed. Ends with 0 when all have applied it, 1 when some have not by the time given.',
+    details: 'Name every agent with --agent and every keeper with --keeper. Without --version the version in force is followed. Ends with 0 when all have applied it, 1 when some have not by the time given.',
   });
   agents = Option.Array('--agent', { required: true, description: 'HTTP address of an agent; give it once for each' });
+  keepers = Option.Array('--keeper', [], { description: 'HTTP address of a keeper; give it once for each' });
   version = Option.String('--of', { description: 'the version to follow' });
   wait = Option.String('--wait', '10', { description: 'seconds to wait for all' });
   async execute(): Promise<number> {
@@ -20,10 +21,10 @@
       v = ((await r.body.json()) as { version: number }).version;
     }
     const until = Date.now() + Number(this.wait) * 1000;
-    let t = await traceOnce(this.agents, v);
+    let t = await traceOnce(this.agents, this.keepers, v);
     while (t.missing.length > 0 && Date.now() < until) {
       await new Promise((ok) => setTimeout(ok, 200));
-      t = await traceOnce(this.agents, v);
+      t = await traceOnce(this.agents, this.keepers, v);
     }
     const first = t.seen[0]?.at ?? 0;
     this.context.stdout.write(`version ${v}\n`);
--- a/programs/change-tracer/src/trace.ts
+++ b/programs/change-tracer/src/trace.ts
@@ -1,5 +1,5 @@
-// Follows one version of the desired state through every daemon: asks each agent what it saw of it and when, and
-// each router what it has applied, until all routers named by the members have it or the time is up.
+// Follows one version of the desired state through every daemon: asks each keeper when it was committed and
+// acknowledged, and each agent when the news came and when its router had applied it.
 import { request } from 'undici';
 
 export interface Seen {
@@ -22,7 +22,7 @@
   }
 }
 
-export async function traceOnce(agents: readonly string[], version: number): Promise<Trace> {
+export async function traceOnce(agents: readonly string[], keepers: readonly string[], version: number): Promise<Trace> {
   const seen: Seen[] = [];
   const missing: string[] = [];
   await Promise.all(agents.map(async (a) => {
@@ -30,5 +30,8 @@
     for (const e of es ?? []) seen.push({ at: e.at, who: a, what: e.what });
     if (!es?.some((e) => e.what === 'applied')) missing.push(a);
   }));
+  await Promise.all(keepers.map(async (k) => {
+    for (const e of (await get<{ at: number; what: string }[]>(k, `/trace/${version}`)) ?? []) seen.push({ at: e.at, who: k, what: e.what });
+  }));
   return { version, seen: seen.sort((x, y) => x.at - y.at), missing };
 }
--- a/programs/request-router/src/failure.ts
+++ b/programs/request-router/src/failure.ts
@@ -37,3 +37,15 @@
   const k = failureKinds[f.kind];
   return { error: { kind: f.kind, message: f.message, remedy: k.remedy, ran: k.ran, request_id: request, retry_after: f.retryAfter } };
 }
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  it('docs/requests.md lists every kind as it is, and every refusal that may be tried again says when', async () => {
+    const { readFileSync } = await import('node:fs');
+    const page = readFileSync(new URL('../../../docs/requests.md', import.meta.url), 'utf8');
+    for (const [k, v] of Object.entries(failureKinds)) {
+      expect(page).toContain(`| ${k} | ${v.status} | ${v.ran} | ${v.remedy} |`);
+      if (v.status >= 502) expect(failure(k as FailureKind, '').retryAfter).toBeGreaterThanOrEqual(1);
+    }
+  });
+}
--- a/programs/request-router/src/feed.ts
+++ b/programs/request-router/src/feed.ts
@@ -32,6 +32,7 @@
   let fedAt = -Infinity;
   let contact = false;
   let had = false;
+  let refused = '';
   let desired: DesiredState | undefined;
   let version = 0;
   let record = emptyRecord;
@@ -106,7 +107,11 @@
     const b = held.get(r.blob);
     if (b === undefined) return undefined;
     const d = decodeModel(b.value, r.hash);
-    if (E.isLeft(d)) return undefined;
+    if (E.isLeft(d)) {
+      if (refused !== `${r.hash}/${b.version}`) o.log(4004, { version: r.version, hash: r.hash, blob: r.blob });
+      refused = `${r.hash}/${b.version}`;
+      return undefined;
+    }
     models.set(r.hash, d.right);
     o.log(4002, { version: r.version, hash: r.hash });
     return d.right;
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -259,6 +259,8 @@
     const hits = tree.hits(c.facts.blocks);
     const a = assignPrefill({ prompt: c.facts, candidates: ps, hits, model: modelFor(c.arm), now: w.now, random: w.random }, o.placement)!;
     note(reasons, a.reason);
+    const n = reasons.get(a.reason)!;
+    if (!['scored', 'explored', 'only'].includes(a.reason) && Number.isInteger(Math.log10(n))) w.log(4001, { reason: a.reason, times: n });
     const m = table.mark(a.worker.worker)!;
     c.assigned = a;
     c.sentAt = w.now();
--- a/programs/request-router/src/worker-table.ts
+++ b/programs/request-router/src/worker-table.ts
@@ -19,6 +19,7 @@
   decodeTokens: number;
   failures: number;
   restUntil: number;
+  nonsenseAt?: number;
 }
 export interface WorkerTable {
   readonly marks: (ms: readonly Mark[]) => string[];
@@ -57,7 +58,8 @@
       const at = now() - r.age;
       if (x === undefined || r.incarnation !== x.mark.incarnation || (x.report !== undefined && at <= x.report.at)) continue;
       if (!sane(r)) {
-        x.failures += 1;
+        if (at > (x.nonsenseAt ?? -Infinity)) failed(r.worker as WorkerId);
+        x.nonsenseAt = at;
         continue;
       }
       x.report = { r, at };
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -136,7 +136,7 @@
   }
   const writer = createRecordWriter(w, o.service, asker, (version, epoch, value) => news.learn({ key: `rehearsal/${o.service}`, epoch, version, value }));
   const parts = createPartsDuty(w, {
-    holds: () => holds('parts'), record: () => record() ?? Buffer.alloc(0), workers: ready, reports: reports.all, writer, order: p.order,
+    holds: () => holds('parts'), record: () => record() ?? Buffer.alloc(0), workers: ready, reports: () => reports.all().filter((r) => r.active >= 0), writer, order: p.order,
     shift: o.shiftParts, slice: o.slice, approval, hold: o.shiftHold, rest: o.shiftRest,
   });
   const training = createTrainingDuty(w, {
--- a/programs/router-agent/src/reports.ts
+++ b/programs/router-agent/src/reports.ts
@@ -30,6 +30,9 @@
   readonly stop: () => void;
 }
 
+// What stands for a report with impossible figures: routers count it against the worker's vitals.
+export const nonsense = { queued: -1, active: -1, kvUsed: 0 };
+
 export function createReports(w: World, o: ReportsOptions): Reports {
   const held = new Map<string, { r: Report; at: number }>();
   const asked = new Map<string, number>();
@@ -86,9 +89,10 @@
     const f = await o.fetch(m);
     if (f === undefined || f.incarnation !== m.incarnation) return;
     const r: Report = { worker: m.worker, incarnation: m.incarnation, queued: f.queued, active: f.active, kvUsed: f.kv_used, part: f.part, age: w.now() - at, fence: f.fence };
-    if (!Number.isFinite(r.queued + r.active + r.kvUsed) || r.queued < 0 || r.active < 0 || r.kvUsed < 0 || r.kvUsed > 1) {
+    const sound = Number.isInteger(r.queued) && Number.isInteger(r.active) && Number.isFinite(r.kvUsed) && r.queued >= 0 && r.active >= 0 && r.kvUsed >= 0 && r.kvUsed <= 1;
+    if (!sound) {
       w.log(5103, { worker: m.worker, why: 'impossible figures in its report', report: f });
-      return;
+      Object.assign(r, nonsense);
     }
     if (!keep(r)) return;
     o.changed();
--- a/programs/state-keeper/src/main.ts
+++ b/programs/state-keeper/src/main.ts
@@ -20,9 +20,15 @@
     if (d.right.cut > 0) log(2008, { bytes: d.right.cut });
     const self = (b.advertise ?? b.listen) as Address;
     const real = await createRealWorld(b.listen as Address, log, self);
+    const traces: { at: number; what: string; key: string; version: number }[] = [];
     const core = createKeeperCore(real.world, {
       slot: b.slot, self, core: b.core as Address[], seeds: b.seeds as Address[], disk: d.right.disk, found: d.right.found,
       newDiskId: randomBytes(8).toString('hex'), tenure: (b.feedTenureMs ?? 10_000) * 1000, dutyTenure: (b.dutyTenureMs ?? 3000) * 1000,
+      note: (what, key, version) => {
+        if (!key.startsWith('desired/')) return;
+        traces.push({ at: Date.now() * 1000, what, key, version });
+        if (traces.length > 500) traces.shift();
+      },
     });
     real.onMessage(core.receive);
     const app = fastify();
@@ -30,6 +36,7 @@
       const ok = core.place.state() === 'voting';
       return a.code(ok ? 200 : 503).send({ ok, state: core.place.state(), disk: core.place.diskId(), core: core.place.core(), owned: core.owned(), bytes: d.right.disk.size() });
     });
+    app.get<{ Params: { version: string } }>('/trace/:version', async (q) => traces.filter((t) => t.version === Number(q.params.version)));
     app.get('/metrics', async (_q, a) => a.type('text/plain; version=0.0.4').send(
       `tansypost_place_voting ${core.place.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${core.place.core().gen}\ntansypost_keys_owned ${core.owned().length}\ntansypost_file_bytes ${d.right.disk.size()}\n`,
     ));
--- a/tests/smoke.test.ts
+++ b/tests/smoke.test.ts
@@ -73,6 +73,12 @@
     await f.until('the emptied keeper votes again', async () => (await f.get<{ ok: boolean }>(f.member('keeper1').http, '/vitals'))?.ok === true);
     await f.until('the restarted router serves', async () => (await f.get(f.member('router3').http, '/vitals')) !== undefined);
 
+    const planned = traffic(14, 150);
+    await f.fault({ at: 0, do: 'drain', who: 'router2' });
+    await f.fault({ at: 0, do: 'release', who: 'worker2' });
+    const third = await planned;
+    expect(third.filter((o) => ['WRONG', 'cut, and said so', 'given up'].includes(o.ended)).map((o) => `${o.ended} ${o.kind}`)).toEqual([]);
+
     const changed = await f.submit(1);
     expect(changed.answer).toBe('acknowledged');
     for (const r of f.routers()) expect((await f.get<{ version: number }>(r, '/desired-state'))!.version).toBe(changed.version);
@@ -80,13 +86,15 @@
     expect((await callOnce(f.member('router3').http, t, agent)).ended).toBe('whole');
 
     const runs = f.runs();
-    const once = [...first, ...second].filter((o) => !o.ask.repeatable);
+    const once = [...first, ...second, ...third].filter((o) => !o.ask.repeatable);
     expect(once.filter((o) => (runs.get(o.ask.id)?.prefill ?? 0) > 1 || (runs.get(o.ask.id)?.decode ?? 0) > 1)).toEqual([]);
     expect([...first, ...second].filter((o) => o.ended === 'refused' && runs.has(o.ask.id))).toEqual([]);
     const traced = await new Promise<string>((okk) => {
-      execFile(process.execPath, [programFile('change-tracer'), '--of', `${changed.version}`, ...['agent0', 'agent1', 'agent2', 'agent3'].flatMap((a) => ['--agent', f.member(a).http])], (_e, out) => okk(out));
+      execFile(process.execPath, [programFile('change-tracer'), '--of', `${changed.version}`, ...['agent0', 'agent1', 'agent2', 'agent3'].flatMap((a) => ['--agent', f.member(a).http]), ...['keeper0', 'keeper1', 'keeper2'].flatMap((k) => ['--keeper', f.member(k).http])], (_e, out) => okk(out));
     });
     expect(traced.match(/applied/g)?.length).toBe(4);
+    expect(traced).toMatch(/committed/);
+    expect(traced).toMatch(/acknowledged/);
     const badBoot = await new Promise<{ code: unknown; err: string }>((okk) => {
       execFile(process.execPath, [programFile('request-router'), '--set', 'member=x'], (e, _o, err) => okk({ code: e?.code, err }));
     });
