--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -207,7 +207,7 @@
 
   // Brings the register up to date, then grants what waited for it. Routers that cannot hold a tenure any more are
   // dropped on the way.
-  function enrol(k: string, x: Owner, strangers: readonly string[], m: MessageOf<'Subscribe'>): void {
+  function enrol(k: string, x: Owner, strangers: readonly string[], m?: MessageOf<'Subscribe'>): void {
     const asked = w.now();
     const t = tenures.get(k)!;
     let after: string[] = [];
@@ -221,11 +221,22 @@
       done: (status) => {
         if (status !== 'done') return;
         registers.set(k, { routers: new Set(after), asked });
-        if (x.owns() && asked >= x.since()) grant(k, x, m);
+        if (m !== undefined && x.owns() && asked >= x.since()) grant(k, x, m);
       },
     });
   }
 
+  // Takes out of the register who can hold no tenure any more, so that the next owner need not wait for the dead.
+  function prune(): void {
+    const now = w.now();
+    for (const [k, g] of registers) {
+      const x = owners.get(k);
+      if (x === undefined || !x.owns() || g.asked < x.since() || now < x.since() + o.tenure + 100_000) continue;
+      const t = tenures.get(k);
+      if ([...g.routers].some((r) => (t?.get(r)?.expires ?? 0) <= now)) enrol(k, x, []);
+    }
+  }
+
   function onHello(m: MessageOf<'PlaceHello'>): void {
     if (m.slot !== o.slot) {
       const known = heardAt.get(m.slot);
@@ -309,6 +320,7 @@
   const stops = [
     every(w, () => micros(300_000), greet),
     every(w, () => micros(1_000_000), announce),
+    every(w, () => micros(1_000_000), prune),
     every(w, () => micros(o.sweepEvery ?? 500_000), sweep),
     every(w, () => micros(100_000), () => { for (const k of [...acks.keys()]) tryAcks(k); }),
   ];
--- a/programs/fleet-runner/src/run.ts
+++ b/programs/fleet-runner/src/run.ts
@@ -119,7 +119,7 @@
     const rec = await f.get<{ live?: { version: unknown }; running?: { id: string }; ended: { id: string; outcome?: string; measured?: { why: string } }[] }>(a.http, '/rehearsals');
     return {
       deployment: o.deployment.name, seed: o.seed, served: summarise(outcomes), ranTwice, ranAfterRefusal, extraOverTen: worstRatio(series),
-      faults: seen.map((x) => ({ ...x, backAfterMs: backAfter(outcomes, from + x.at) })), submissions, readBack: back, placement,
+      faults: seen.map((x, i) => ({ ...x, at: Math.round(x.at), backAfterMs: backAfter(outcomes, from + x.at, from + (seen[i + 1]?.at ?? Infinity)) })), submissions, readBack: back, placement,
       rehearsals: [...(rec?.running === undefined ? [] : [{ id: rec.running.id, outcome: 'running' }]), ...(rec?.ended ?? []).map((e) => ({ id: e.id, outcome: e.outcome, why: e.measured?.why }))],
       live: rec?.live?.version ?? null,
     };
@@ -130,9 +130,10 @@
   }
 }
 
-// The last moment after a fault, within half a minute, at which a request begun then was still failed.
-function backAfter(os: readonly Outcome[], at: number): number | undefined {
-  const bad = os.filter((o) => o.at >= at && o.at < at + 30_000 && o.ended !== 'whole');
+// The last moment after a fault, before the next one and within half a minute, at which a request was begun that
+// then failed.
+function backAfter(os: readonly Outcome[], at: number, next: number): number | undefined {
+  const bad = os.filter((o) => o.at >= at && o.at < Math.min(next, at + 30_000) && o.ended !== 'whole');
   return bad.length === 0 ? 0 : Math.round(Math.max(...bad.map((o) => o.at)) - at);
 }
 
--- a/programs/request-router/src/app.ts
+++ b/programs/request-router/src/app.ts
@@ -32,7 +32,7 @@
 }
 
 export function createApp(o: AppOptions): FastifyInstance {
-  const app = fastify({ bodyLimit: o.bodyLimit, forceCloseConnections: 'idle' });
+  const app = fastify({ bodyLimit: o.bodyLimit, forceCloseConnections: 'idle', return503OnClosing: false });
   const ids = /^[A-Za-z0-9._:-]{1,128}$/;
 
   function refuse(a: FastifyReply, f: Failure, id: string): FastifyReply {
--- a/programs/request-router/src/feed.ts
+++ b/programs/request-router/src/feed.ts
@@ -55,7 +55,7 @@
     }
     fedAt = o.now();
     contact = m.contact;
-    others = m.others;
+    if (m.others.length > 0) others = m.others;
     prepare();
     tenured();
   }
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -176,7 +176,9 @@
     if (t > o.promptLimit) return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
     if (taking && feed.tenured() && feed.desired() !== undefined) return undefined;
     if (!r.sentOn) {
-      for (const a of feed.others().slice(0, 2)) if (await p.sendOn(a, r, reply, gone)) return 'sent on';
+      const at = Math.floor(w.random() * 64);
+      const all = feed.others();
+      for (const a of [0, 1, 2].filter((i) => i < all.length).map((i) => all[(at + i) % all.length]!)) if (await p.sendOn(a, r, reply, gone)) return 'sent on';
     }
     if (!taking) return failure('stopping', 'This router is stopping.');
     return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
