--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -108,11 +108,13 @@
   shape = Option.String('--deployment', 'ferry');
   seeds = Option.String('--seeds', '3');
   secondsFor = Option.String('--seconds', '240');
+  which = Option.String('--loads', loads.join(','), { description: loads.join(', ') });
   threads = Option.String('--threads', `${Math.max(1, availableParallelism() - 1)}`);
   async execute(): Promise<number> {
+    const chosen = loads.filter((l) => this.which.split(',').includes(l));
     const jobs: MeasureJob[] = [];
     for (let seed = 1; seed <= Number(this.seeds); seed += 1) {
-      for (const load of loads) for (const policy of policies) jobs.push({ deployment: this.shape, policy, load, seed, seconds: Number(this.secondsFor) });
+      for (const load of chosen) for (const policy of policies) jobs.push({ deployment: this.shape, policy, load, seed, seconds: Number(this.secondsFor) });
     }
     const out: Figure[] = [];
     async function work(): Promise<void> {
@@ -129,7 +131,7 @@
     }
     await Promise.all(Array.from({ length: Number(this.threads) }, work));
     const print = this.context.stdout;
-    for (const load of loads) {
+    for (const load of chosen) {
       for (const policy of policies) {
         const fs = out.filter((f) => f.load === load && f.policy === policy).sort((a, b) => a.seed - b.seed);
         const base = fs.map((f) => out.find((x) => x.load === load && x.policy === 'heuristic' && x.seed === f.seed)!);
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -37,6 +37,7 @@
   readonly verdict?: VerdictOptions;
   readonly rehearsalLimit?: number;
   readonly plain?: boolean;
+  readonly approval?: 'operator';
 }
 
 interface Node {
@@ -313,7 +314,8 @@
     const gen = at.proc.gen;
     async function go(): Promise<void> {
       const b = base ?? (await at!.core!.readDesired()).version;
-      const state = sound ? templates(d, (k) => k.worth + tag / 1000) : { templates: [] };
+      const t = templates(d, (k) => k.worth + tag / 1000).templates;
+      const state = sound ? { templates: o.approval === undefined ? t : t.map((x) => ({ ...x, approval: o.approval })) } : { templates: [] };
       const x = await at!.core!.submit(b, c.id, state);
       c.end = e.now();
       c.answer = x.answer;
--- a/tests/rehearsal.test.ts
+++ b/tests/rehearsal.test.ts
@@ -27,6 +27,31 @@
   expect(end.live?.hash).not.toBe(live);
 });
 
+it('waits for an approve where the template asks for one, and takes it only beside a pass', async () => {
+  const sim = createSim({ ...base, shiftParts: false, approval: 'operator', trainEvery: 300 });
+  const seen: string[] = [];
+  let early = false;
+  function look(): void {
+    const a = sim.agents[0]!.core!;
+    const r = a.rehearsals();
+    if (r.running !== undefined) seen.push(`${r.running.state} ${r.live === undefined ? 'nothing live' : 'live'}`);
+    if (r.running?.state === 'running' && !early) {
+      early = true;
+      void a.decide(r.running.id, 'approve');
+    }
+    if (sim.engine.now() < 60e6) sim.engine.at(sim.engine.now() + 500_000, look);
+  }
+  sim.engine.at(10e6, look);
+  const h = await sim.run();
+  expect(checkAll(h, { faultless: true, overloaded: false })).toEqual([]);
+  expect(seen).toContain('running nothing live');
+  const first = h.records.at(-1)!.ended.at(-1)!;
+  expect(first.asked).toBe('approve');
+  expect(first.outcome === 'live' ? first.measured!.slice.count : 40).toBeGreaterThanOrEqual(40);
+  const later = h.records.at(-1)!.running;
+  if (later?.state === 'passed') expect(later.asked).toBe('none');
+});
+
 it('goes on with a rehearsal through the loss of its keeper, and no restart makes it live', async () => {
   const faults: SimFault[] = [10, 18, 26, 34, 42].flatMap((at, i) => [0, 1, 2, 3, 4].filter((a) => a !== i).slice(0, 2).map((a) => ({ at, do: 'kill', who: `agent${a}`, for: 3 }) as SimFault));
   const h = await createSim({ ...base, shiftParts: false, faults }).run();
