Grant nothing to a router that is being dropped from the tenure register

Cause: seen on reading: a grant between the working out of a prune and its commit would leave a live tenure that the next owner does not know. Ruled out elsewhere: enrolment is committed before its grant.

--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -216,6 +216,8 @@
         const had = value.length === 0 ? [] : (JSON.parse(value.toString()) as string[]);
         const may = asked < x.since() + o.tenure + 100_000 ? had : had.filter((r) => (t.get(r)?.expires ?? 0) > asked);
         after = [...new Set([...may, ...strangers])];
+        // Whoever is dropped must not be granted anything while the write is under way.
+        for (const r of had) if (!after.includes(r)) registers.get(k)?.routers.delete(r);
         return { value: Buffer.from(JSON.stringify(after)), result: '' };
       },
       done: (status) => {
