--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -38,6 +38,8 @@
   readonly rehearsalLimit?: number;
   readonly plain?: boolean;
   readonly approval?: 'operator';
+  // Turns each trained model's judgement round, so that it prefers the worst worker.
+  readonly sabotage?: boolean;
 }
 
 interface Node {
@@ -141,7 +143,10 @@
         trainer: {
           add: (ss) => t.add(ss),
           train: (v) => {
-            const b = encodeModel(t.train(v, v.n));
+            const m = t.train(v, v.n);
+            const last = m.predictor.weights.length - 1;
+            const turned = { ...m, predictor: { ...m.predictor, weights: m.predictor.weights.map((x, k) => (k === last ? x.map((y) => -y) : x)), biases: m.predictor.biases.map((x, k) => (k === last ? x.map((y) => -y) : x)) } };
+            const b = encodeModel(o.sabotage === true ? turned : m);
             return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, gen, () => ok(b))));
           },
         },
--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -49,6 +49,22 @@
   });
 });
 
+it('serves without a breach while every second machine is of a release that lacks the newest fields', async () => {
+  function old(net: Network): void {
+    net.tamper((m, from) => {
+      if (!/^m[13]$/.test(from)) return undefined;
+      if (m.kind === 'Feed') return [{ m: { ...m, contact: false } }];
+      if (m.kind === 'RouterState') return [{ m: { ...m, have: [] } }];
+      if (m.kind === 'Reports') return [{ m: { ...m, relay: false } }];
+      return m.kind === 'Claim' || m.kind === 'MarksDigest' ? [] : undefined;
+    });
+  }
+  const drains = [0, 1, 2, 3, 4].map((i): SimFault => ({ at: 1 + 1.5 * i, do: 'drain', who: `router${i}`, for: 2 }));
+  const x = await runOne(small, 6, drains, { span: 12, calm: 14, rate: 8, plain: true, breakIt: old });
+  expect(x.breaches).toEqual([]);
+  expect(x.history.requests.filter((q) => !['whole', 'unreachable'].includes(q.ended))).toEqual([]);
+});
+
 it('calls every cut or lengthened frame bad and every single altered byte either bad or a message of the same kind', () => {
   const decode = decoderForSelf();
   const m: Message = { kind: 'Accept', id: 'a', from: 'b', key: 'desired/main', epoch: 9, gen: 1, version: 3, value: Buffer.from('{}'), changes: ['c@3'] };
--- a/tests/rehearsal.test.ts
+++ b/tests/rehearsal.test.ts
@@ -52,6 +52,15 @@
   if (later?.state === 'passed') expect(later.asked).toBe('none');
 });
 
+it('never lets a model that prefers the worst worker go live', async () => {
+  const h = await createSim({ ...base, shiftParts: false, sabotage: true, rate: 34, trainEvery: 400 }).run();
+  const ended = h.records.at(-1)!.ended;
+  expect(h.records.every((r) => r.live === undefined)).toBe(true);
+  expect(ended.map((e) => e.outcome)).toContain('harmful');
+  const first = ended.filter((e) => e.outcome === 'harmful').at(-1)!;
+  console.log(`stopped after ${first.measured!.slice.count} requests in the slice: ${first.measured!.why}`);
+});
+
 it('goes on with a rehearsal through the loss of its keeper, and no restart makes it live', async () => {
   const faults: SimFault[] = [10, 18, 26, 34, 42].flatMap((at, i) => [0, 1, 2, 3, 4].filter((a) => a !== i).slice(0, 2).map((a) => ({ at, do: 'kill', who: `agent${a}`, for: 3 }) as SimFault));
   const h = await createSim({ ...base, shiftParts: false, faults }).run();
