Let a stopping router finish what it sent on, too

Cause: only requests decided here counted as under way, so a router that stopped cut the streams that it was passing through from another (found by rolling restarts in the simulator). Ruled out: the other router (it went on), the release skew that the test is about.

--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -53,6 +53,8 @@
   persisted: AgentOptions['persisted'];
 }
 interface RouterNode extends Node {
+  // It no longer takes connections.
+  closed: boolean;
   core: RouterCore | undefined;
 }
 interface KeeperNode extends Node {
@@ -163,7 +165,7 @@
     const proc = createProc(`router${i}`, `m${i}`);
     const a = `router${i}:1`;
     net.add(a, proc);
-    const n: RouterNode = { proc, core: undefined, running: false, start, stop: () => n.core?.stop() };
+    const n: RouterNode = { proc, core: undefined, closed: false, running: false, start, stop: () => n.core?.stop() };
     function start(): void {
       proc.alive = true;
       const gen = proc.gen;
@@ -181,6 +183,7 @@
         },
       });
       n.core = core;
+      n.closed = false;
       proc.receive = (m) => {
         core.receive(m);
         const v = core.feed.applied();
@@ -211,7 +214,7 @@
       }
       if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 1_000_000, () => into(p, gen, () => ok(false)));
       e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
-        if (!n.proc.alive) return home(() => ok(false));
+        if (!n.proc.alive || n.closed) return home(() => ok(false));
         function died(): void {
           home(() => {
             reply.fail({ kind: begun ? 'answer_cut' : 'outcome_unknown', message: 'died', retryAfter: 1 });
@@ -277,7 +280,7 @@
       end('broken');
     }
     e.at(e.now() + 200, () => {
-      if (!p.alive) return end('unreachable');
+      if (!p.alive || pick.x.closed) return end('unreachable');
       p.deaths.add(died);
       e.at(q.at + q.patience + s(14), () => {
         if (out) return;
@@ -405,6 +408,7 @@
     function look(): void {
       if (!n.proc.alive || n.proc.gen !== gen) return;
       if (x.core!.active() > 0) return e.at(e.now() + s(0.05), look);
+      x.closed = true;
       x.core!.stop();
       e.at(e.now() + s(0.1), () => {
         if (!n.proc.alive || n.proc.gen !== gen) return;
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -141,18 +141,25 @@
     return feed.model(rec.live);
   }
 
+  // Everything under way counts as active, what was sent on to another router too: a stop waits for all of it.
   async function serve(r: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
-    const f = await refusalBefore(r, reply, gone);
-    if (f === 'sent on') return;
-    if (f !== undefined) return giveUp(r, reply, f);
+    active += 1;
+    try {
+      const f = await refusalBefore(r, reply, gone);
+      if (f === undefined) await serveHere(r, reply, gone);
+      else if (f !== 'sent on') giveUp(r, reply, f);
+    } finally {
+      active -= 1;
+    }
+  }
+
+  async function serveHere(r: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
     const k = kindOf(feed.desired()!, r.tenant, r.kind);
     if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
-    active += 1;
     try {
       if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone);
       else await claimAndRun(r, r.idempotencyKey, reply, k, gone);
     } finally {
-      active -= 1;
       admission.left();
     }
   }
