--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -119,7 +119,7 @@
       n.disk.cut(f.right.good);
       const core = createKeeperCore(world(proc, a), {
         slot, self: address(a), core: coreAt.map((x, i) => address(i === slot ? a : x)), disk: n.disk.open(proc), found: f.right.records, seeds: seedsAt, tenure: 10_000_000,
-        dutyTenure: 3_000_000, newDiskId: Math.floor(r() * 2 ** 48).toString(36), sweepEvery: 2_000_000,
+        dutyTenure: 3_000_000, rewriteOver: 100_000, newDiskId: Math.floor(r() * 2 ** 48).toString(36), sweepEvery: 2_000_000,
       });
       proc.receive = core.receive;
       n.running = true;
