--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -18,14 +18,16 @@
   ['core-kill', 1], ['seeds-swapped', 1], ['clock-jump', 1], ['submit', 4], ['race', 4], ['storm', 2], ['refused', 1], ['crowd', 2], ['swing', 1],
 ];
 
-export function drawFaults(d: Deployment, r: () => number, span: number): SimFault[] {
-  const n = 3 + Math.floor(r() * 6);
-  const all = weights.reduce((a, [, w]) => a + w, 0);
+// With `only`, draws a dozen faults of these kinds instead of a few of all.
+export function drawFaults(d: Deployment, r: () => number, span: number, only?: readonly string[]): SimFault[] {
+  const n = only === undefined ? 3 + Math.floor(r() * 6) : 12;
+  const some = only === undefined ? weights : weights.filter(([k]) => only.includes(k));
+  const all = some.reduce((a, [, w]) => a + w, 0);
   const out: SimFault[] = [];
   let diskGone = false;
   for (let i = 0; i < n; i += 1) {
     let u = r() * all;
-    const kind = weights.find(([, w]) => (u -= w) < 0)![0];
+    const kind = some.find(([, w]) => (u -= w) < 0)![0];
     const at = 2 + r() * (span - 8);
     const long = Math.min(0.5 + r() * 7, span - at);
     let who = '';
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -12,6 +12,7 @@
 interface Job {
   readonly deployment: string;
   readonly seed: number;
+  readonly only: readonly string[] | undefined;
 }
 
 class Simulate extends Command {
@@ -21,6 +22,7 @@
   from = Option.String('--from', '1');
   count = Option.String('--count', '20');
   threads = Option.String('--threads', `${Math.max(1, availableParallelism() - 1)}`);
+  kinds = Option.String('--kinds', { description: 'draw a dozen faults a run of these kinds only, with commas between' });
   less = Option.Boolean('--shrink', false, { description: 'for each breach, find the faults that it needs' });
   logs = Option.Boolean('--logs', false, { description: 'print the events of the (one) seed' });
   only = Option.String('--faults', { description: 'a JSON list of faults instead of the drawn ones' });
@@ -36,6 +38,7 @@
     let [bad, done, requests, whole] = [0, 0, 0, 0];
     const { stdout } = this.context;
     const { shape } = this;
+    const only = this.kinds?.split(',');
     async function worker(): Promise<void> {
       const w = new Worker(new URL(import.meta.url));
       for (; next < from + count;) {
@@ -52,7 +55,7 @@
           }
           w.once('message', told);
           w.once('error', failed);
-          w.postMessage({ deployment: shape, seed } satisfies Job);
+          w.postMessage({ deployment: shape, seed, only } satisfies Job);
         });
         done += 1;
         if (typeof x === 'string') {
@@ -77,7 +80,7 @@
   private async single(seed: number): Promise<number> {
     const d = deployments[this.shape]!;
     const given = this.only === undefined ? undefined : (JSON.parse(this.only) as SimFault[]);
-    const x = await runOne(d, seed, given, { keepLogs: this.logs });
+    const x = await runOne(d, seed, given, { keepLogs: this.logs }, this.kinds?.split(','));
     const out = this.context.stdout;
     for (const l of x.history.logs) out.write(`${(l.at / 1e6).toFixed(3)} E${l.event} ${l.who} ${JSON.stringify(l.fields)}\n`);
     for (const f of x.faults) out.write(`fault ${JSON.stringify(f)}\n`);
@@ -154,6 +157,6 @@
   parentPort!.on('message', (j: Job | MeasureJob) => {
     const d = deployments[j.deployment]!;
     if ('policy' in j) void measureOne(d, j.policy, j.load, j.seed, j.seconds).then((f) => parentPort!.postMessage(f));
-    else void runOne(d, j.seed).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
+    else void runOne(d, j.seed, undefined, {}, j.only).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
   });
 }
