--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -24,7 +24,7 @@
 export const shapes = {
   Shuffle: { answer: 'boolean', from: 'string', entries: [entry], coreGen: 'long', places: [place], duties: [duty] },
   Marks: { marks: [mark] },
-  MarksDigest: { from: 'string', digest: 'string' },
+  MarksDigest: { from: 'string', digest: 'string', answer: 'boolean' },
 
   Ask: {
     id: 'string', origin: 'string', key: 'string', op: 'string', change: 'string', base: 'long',
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -334,11 +334,24 @@
 
   // The platform tells all agents that answer, as it does of workers.
   function platform(w: SimWorker, state: number): void {
-    const a = liveAgent();
     if (state === 2) h.leaving.push({ at: e.now(), worker: w.name, incarnation: w.incarnation });
     const m = { worker: w.name, incarnation: w.incarnation, state, address: `${w.name}:1` };
-    if (a !== undefined) a.core!.platform([m]);
-    if (state !== 2) e.at(e.now() + s(1), () => liveAgent()?.core!.platform([m]));
+    // It tells one agent, and another one when none of its neighbours has confirmed.
+    function tell(left: number): void {
+      const a = liveAgent();
+      if (a === undefined || left === 0) return;
+      let told = false;
+      void a.core!.platform([m]).then((x) => {
+        if (told) return;
+        told = true;
+        if (!x.confirmed) tell(left - 1);
+      });
+      e.at(e.now() + s(1), () => {
+        if (!told) tell(left - 1);
+        told = true;
+      });
+    }
+    tell(6);
   }
 
   function node(name: string): Node | undefined {
--- a/programs/fleet-runner/src/fleet.ts
+++ b/programs/fleet-runner/src/fleet.ts
@@ -66,8 +66,9 @@
   }
   async function platform(name: string, state: string): Promise<void> {
     const m = member(name);
+    const agents = of('router-agent').filter((x) => ps.alive(x.name) && !down.has(x.name));
     for (let n = 0; n < 20; n += 1) {
-      const r = await post(liveAgent().http, '/platform/workers', { worker: name, incarnation: incarnations.get(name) ?? 1, state, address: m.relay!.shown });
+      const r = await post(agents[n % agents.length]!.http, '/platform/workers', { worker: name, incarnation: incarnations.get(name) ?? 1, state, address: m.relay!.shown });
       if (r?.status === 200) return;
     }
   }
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -63,7 +63,7 @@
 
 export interface AgentCore {
   readonly receive: (m: Message, from: Address) => void;
-  readonly platform: (ms: readonly Mark[]) => Mark[];
+  readonly platform: (ms: readonly Mark[]) => Promise<{ readonly fresh: Mark[]; readonly confirmed: boolean }>;
   readonly submit: (base: number, change: string, state: unknown) => Promise<Submitted>;
   readonly readDesired: () => Promise<AskResult>;
   readonly lookup: (change: string) => Promise<AskResult>;
@@ -85,6 +85,7 @@
   let routerAt = -Infinity;
   let grants: { asked: number; version: number }[] = [];
   let grantedAt = -Infinity;
+  const confirmations = new Set<(confirmed: boolean) => void>();
   let traces: TraceEvent[] = [];
   const marks = createMarks();
   marks.take(o.persisted.marks);
@@ -211,7 +212,10 @@
   function receive(m: Message, from: Address): void {
     switch (m.kind) {
       case 'Shuffle': return views.receive(m);
-      case 'Marks': return spread(marks.take(m.marks), from);
+      case 'Marks': {
+        spread(marks.take(m.marks), from);
+        return w.send(from, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: false });
+      }
       case 'MarksDigest': return onDigest(m);
       case 'Answer': return asker.answer(m);
       case 'News': return news.onNews(m);
@@ -233,9 +237,13 @@
   }
 
   function onDigest(m: MessageOf<'MarksDigest'>): void {
-    if (m.digest === marks.digest()) return;
+    if (m.digest === marks.digest()) {
+      if (confirmations.size > 0) for (const f of [...confirmations]) f(true);
+      else if (m.answer) w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: false });
+      return;
+    }
     w.send(m.from as Address, { kind: 'Marks', marks: marks.all() });
-    w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest() });
+    if (m.answer) w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
   }
 
   // A claim is repeated until it is answered or its patience ends; the bucket forgives a holder's own repeat.
@@ -248,10 +256,21 @@
     });
   }
 
-  function platform(ms: readonly Mark[]): Mark[] {
+  // Takes marks from the platform and says whether a neighbour has confirmed that it holds them; from an agent
+  // that is cut off a mark goes nowhere, and the platform should tell another one too.
+  function platform(ms: readonly Mark[]): Promise<{ fresh: Mark[]; confirmed: boolean }> {
     const fresh = marks.take(ms);
     spread(fresh);
-    return fresh;
+    if (fresh.length === 0) for (const a of views.neighbours().slice(0, 3)) w.send(a, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
+    return new Promise((done) => {
+      const cancel = w.after(micros(600_000), () => end(false));
+      function end(confirmed: boolean): void {
+        cancel();
+        confirmations.delete(end);
+        done({ fresh, confirmed });
+      }
+      confirmations.add(end);
+    });
   }
 
   async function submit(base: number, change: string, state: unknown): Promise<Submitted> {
@@ -278,7 +297,7 @@
   const stops = [
     every(w, () => micros(500_000), () => {
       const to = views.neighbours()[0];
-      if (to !== undefined) w.send(to, { kind: 'MarksDigest', from: o.self, digest: marks.digest() });
+      if (to !== undefined) w.send(to, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
     }),
     every(w, () => micros(500_000), () => {
       tellArms();
--- a/programs/router-agent/src/app.ts
+++ b/programs/router-agent/src/app.ts
@@ -39,8 +39,9 @@
     const e = [...Value.Errors(WorkerCall, q.body)][0];
     if (e !== undefined) return bad(a, `${e.path}: ${e.message}`, 'Correct the field named.');
     const b = q.body as Static<typeof WorkerCall>;
-    const fresh = core.platform([{ worker: b.worker, incarnation: b.incarnation, state: markStates.indexOf(b.state), address: b.address }]);
-    return { taken: fresh.length > 0 };
+    const r = await core.platform([{ worker: b.worker, incarnation: b.incarnation, state: markStates.indexOf(b.state), address: b.address }]);
+    if (r.confirmed || core.members().length === 0) return { taken: r.fresh.length > 0 };
+    return a.code(503).header('retry-after', '1').send({ error: { kind: 'not_confirmed', message: 'The mark is kept here, but no neighbour has confirmed it yet.', remedy: 'Tell another agent too; telling twice is harmless.' } });
   });
   app.get('/platform/workers', async () => core.marks().map((m) => ({ ...m, state: markStates[m.state] })));
 
