--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -260,8 +260,9 @@
     });
   }
 
-  // Takes marks from the platform and says whether a neighbour has confirmed that it holds them; from an agent
-  // that is cut off a mark goes nowhere, and the platform should tell another one too.
+  // Takes marks from the platform and says whether a neighbour has confirmed that it holds them while this agent hears
+  // at least half of its members; from a side that is cut off a mark does not reach the others, and the platform
+  // should tell another agent too.
   function platform(ms: readonly Mark[]): Promise<{ fresh: Mark[]; confirmed: boolean }> {
     const fresh = marks.take(ms);
     warm = true;
@@ -272,7 +273,7 @@
       function end(confirmed: boolean): void {
         cancel();
         confirmations.delete(end);
-        done({ fresh, confirmed });
+        done({ fresh, confirmed: confirmed && views.contact() });
       }
       confirmations.add(end);
     });
