--- a/packages/boot/src/settings.ts
+++ b/packages/boot/src/settings.ts
@@ -81,7 +81,7 @@
   const first = [...Value.Errors(schema, raw)][0];
   if (first !== undefined) {
     const f = first.path === '' ? '(file)' : first.path.slice(1).replace(/\//g, '.');
-    return E.left(new BadBoot(`boot field ${f}: ${first.message}; got ${JSON.stringify(first.value) ?? 'nothing'}. Set it in the file or with --${f.split('.')[0]}.`));
+    return E.left(new BadBoot(`boot field ${f}: ${first.message}; got ${JSON.stringify(first.value) ?? 'nothing'}. Set it in the file or with --set ${f.split('.')[0]}=...`));
   }
   return E.right(raw as Static<S>);
 }
--- a/tests/smoke.test.ts
+++ b/tests/smoke.test.ts
@@ -76,6 +76,13 @@
     await f.until('the emptied keeper votes again', async () => (await f.get<{ ok: boolean }>(f.member('keeper1').http, '/vitals'))?.ok === true);
     await f.until('the restarted router serves', async () => (await f.get(f.member('router3').http, '/vitals')) !== undefined);
 
+    for (const w of ['worker0', 'worker1', 'worker3']) await f.post(f.member(w).http, '/fault', { nonsense: true, badReport: true });
+    const odd = await traffic(15, 60);
+    for (const w of ['worker0', 'worker1', 'worker3']) await f.post(f.member(w).http, '/fault', { nonsense: false, badReport: false });
+    expect(odd.filter((o) => o.ended === 'WRONG')).toEqual([]);
+    const counted = await Promise.all(f.routers().map((r) => f.get<{ workers: { failures: number }[] }>(r, '/figures')));
+    expect(counted.some((c) => c?.workers.some((w) => w.failures > 0))).toBe(true);
+
     const planned = traffic(14, 150);
     await f.fault({ at: 0, do: 'drain', who: 'router2' });
     await f.fault({ at: 0, do: 'release', who: 'worker2' });
