Let a restarted agent compare its kept marks before its router decides

An agent with a disk took the marks of before its stop as current and passed tenures on at once; a worker marked leaving meanwhile was sent to 4.4 s after its mark. Ruled out: the spreading of marks (all running agents had it in 1 ms), the tenure (rightly granted), the sends of the router (it obeyed the feed it had). Change: a starting agent passes no tenure on until it has compared its whole table of marks with a member that is current itself, or, where all have just started, with half of those it hears of. Marks are saved when they change.

--- a/packages/inner-protocol/src/codec.ts
+++ b/packages/inner-protocol/src/codec.ts
@@ -95,12 +95,12 @@
     if (E.isLeft(r)) throw r.left;
     const i = h.schemas.indexOf(marks);
     const b = Buffer.concat([Buffer.from([0, i]), old.toBuffer({ from: 'x', newer: 5 })]);
-    expect(r.right.decode(b)).toEqual(E.right({ known: true, message: { kind: 'MarksDigest', from: 'x', digest: '', answer: false } }));
+    expect(r.right.decode(b)).toEqual(E.right({ known: true, message: { kind: 'MarksDigest', from: 'x', digest: '', answer: false, warm: false } }));
     expect(r.right.decode(Buffer.from([0, 0]))).toEqual(E.right({ known: false }));
   });
   it('calls cut or altered bytes bad instead of throwing', () => {
     const d = decoderForSelf();
-    const b = encode({ kind: 'MarksDigest', from: 'abc', digest: 'def', answer: true });
+    const b = encode({ kind: 'MarksDigest', from: 'abc', digest: 'def', answer: true, warm: false });
     for (let n = 0; n < b.length; n += 1) expect(E.isLeft(d(b.subarray(0, n)))).toBe(true);
     expect(E.isRight(d(b))).toBe(true);
   });
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -130,9 +130,9 @@
     expect(logged.length).toBe(5);
     expect(logged.every((l) => l.startsWith('1101 '))).toBe(true);
     const told = new Promise<void>((ok) => { more = ok; });
-    other.send(at, { kind: 'MarksDigest', from: 'a', digest: 'b', answer: false });
+    other.send(at, { kind: 'MarksDigest', from: 'a', digest: 'b', answer: false, warm: false });
     await told;
-    expect(got).toEqual([{ kind: 'MarksDigest', from: 'a', digest: 'b', answer: false }]);
+    expect(got).toEqual([{ kind: 'MarksDigest', from: 'a', digest: 'b', answer: false, warm: false }]);
     await c.close();
     await other.close();
   });
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -23,8 +23,8 @@
 
 export const shapes = {
   Shuffle: { answer: 'boolean', from: 'string', entries: [entry], coreGen: 'long', places: [place], duties: [duty] },
-  Marks: { marks: [mark] },
-  MarksDigest: { from: 'string', digest: 'string', answer: 'boolean' },
+  Marks: { marks: [mark], whole: 'boolean', warm: 'boolean' },
+  MarksDigest: { from: 'string', digest: 'string', answer: 'boolean', warm: 'boolean' },
 
   Ask: {
     id: 'string', origin: 'string', key: 'string', op: 'string', change: 'string', base: 'long',
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -85,8 +85,10 @@
   let routerAt = -Infinity;
   let grants: { asked: number; version: number }[] = [];
   let grantedAt = -Infinity;
-  // Until it knows of workers, or that its neighbours know of none either, the router may not decide.
-  let warm = o.persisted.marks.length > 0;
+  // Marks kept on disk are as old as the stop; so the router may not decide until this agent has compared its marks with
+  // a member that is itself current, or, where all have just started, with half of those it hears of.
+  let warm = false;
+  const met = new Set<string>();
   const confirmations = new Set<(confirmed: boolean) => void>();
   let traces: TraceEvent[] = [];
   const marks = createMarks();
@@ -116,8 +118,11 @@
     member: o.member, self: o.self, zone: o.zone, http: o.routerHttp, born: o.born, seeds: o.seeds, persisted: o.persisted.entries, size: 8,
     period: 300_000, forgetAfter: 2_500_000, tenured, core: () => core, duties, heardCore,
     heardDuty: (d) => candidates.get(d.duty)?.heard(d),
-    save: (es) => p.save({ entries: es, marks: marks.all(), gen: core.gen, places: core.places }),
+    save,
   });
+  function save(es: readonly Entry[]): void {
+    p.save({ entries: es, marks: marks.all(), gen: core.gen, places: core.places });
+  }
   const asker = createAsker(w, o.self, () => core.places);
   const news = createNews(w, {
     self: o.self, member: o.member, service: o.service, zone: views.zone, places: () => core.places, heardCore,
@@ -194,10 +199,31 @@
   function spread(ms: Mark[], but?: Address): void {
     if (ms.length === 0) return;
     for (const m of ms) w.log(3003, { worker: m.worker, incarnation: m.incarnation, state: markStates[m.state] });
-    for (const a of views.neighbours()) if (a !== but) w.send(a, { kind: 'Marks', marks: ms });
+    for (const a of views.neighbours()) if (a !== but) w.send(a, { kind: 'Marks', marks: ms, whole: false, warm: false });
+    save(views.live());
     feed();
   }
 
+  function current(): boolean {
+    return warm && views.contact();
+  }
+  function digest(answer: boolean): MessageOf<'MarksDigest'> {
+    return { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer, warm: current() };
+  }
+  function compared(from: string, theirs: boolean): void {
+    if (warm) return;
+    met.add(from);
+    const live = views.live();
+    if (theirs || (w.now() - started > 1_500_000 && 2 * live.filter((e) => met.has(e.address)).length >= live.length)) warm = true;
+    if (warm) feed();
+  }
+  // While cold it asks all its neighbours. A fleet of one agent has nobody to compare with.
+  function warmUp(): void {
+    if (warm) return;
+    for (const a of views.neighbours()) w.send(a, digest(true));
+    if (w.now() - started > 3_000_000 && views.live().length === 0 && o.persisted.entries.length === 0 && marks.all().length > 0) warm = true;
+  }
+
   function toHolder(d: string, m: Message, self: () => void): void {
     const h = candidates.get(d)?.holder();
     if (h === undefined) return;
@@ -215,9 +241,9 @@
     switch (m.kind) {
       case 'Shuffle': return views.receive(m);
       case 'Marks': {
-        warm = true;
         spread(marks.take(m.marks), from);
-        return w.send(from, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: false });
+        if (m.whole) compared(from, m.warm);
+        return w.send(from, digest(false));
       }
       case 'MarksDigest': return onDigest(m);
       case 'Answer': return asker.answer(m);
@@ -241,13 +267,13 @@
 
   function onDigest(m: MessageOf<'MarksDigest'>): void {
     if (m.digest === marks.digest()) {
-      warm = true;
-      if (confirmations.size > 0) for (const f of [...confirmations]) f(true);
-      else if (m.answer) w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: false });
+      compared(m.from, m.warm);
+      for (const f of [...confirmations]) f(true);
+      if (m.answer) w.send(m.from as Address, digest(false));
       return;
     }
-    w.send(m.from as Address, { kind: 'Marks', marks: marks.all() });
-    if (m.answer) w.send(m.from as Address, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
+    w.send(m.from as Address, { kind: 'Marks', marks: marks.all(), whole: true, warm: current() });
+    if (m.answer) w.send(m.from as Address, digest(true));
   }
 
   // A claim is repeated until it is answered or its patience ends; the bucket forgives a holder's own repeat.
@@ -265,9 +291,8 @@
   // should tell another agent too.
   function platform(ms: readonly Mark[]): Promise<{ fresh: Mark[]; confirmed: boolean }> {
     const fresh = marks.take(ms);
-    warm = true;
     spread(fresh);
-    if (fresh.length === 0) for (const a of views.neighbours().slice(0, 3)) w.send(a, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
+    if (fresh.length === 0) for (const a of views.neighbours().slice(0, 3)) w.send(a, digest(true));
     return new Promise((done) => {
       const cancel = w.after(micros(600_000), () => end(false));
       function end(confirmed: boolean): void {
@@ -303,8 +328,9 @@
   const stops = [
     every(w, () => micros(500_000), () => {
       const to = views.neighbours()[0];
-      if (to !== undefined) w.send(to, { kind: 'MarksDigest', from: o.self, digest: marks.digest(), answer: true });
+      if (to !== undefined) w.send(to, digest(true));
     }),
+    every(w, () => micros(100_000), warmUp),
     every(w, () => micros(500_000), () => {
       tellArms();
       parts.tick();
@@ -327,3 +353,80 @@
     stop: () => { stops.forEach((s) => s()); views.stop(); news.stop(); reports.stop(); for (const c of candidates.values()) c.stop(); },
   };
 }
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  function bench(marks: readonly Mark[], entries: readonly Entry[]): { agent: AgentCore; step: (us: number) => void; granted: () => boolean; tell: (m: Message, from: string) => void } {
+    let t = 0;
+    let timers: { at: number; f: () => void }[] = [];
+    let feeds: MessageOf<'Feed'>[] = [];
+    const places = [0, 1, 2].map((slot) => ({ slot, address: `keeper${slot}:1`, disk: `d${slot}` }));
+    const agent = createAgentCore({
+      now: () => micros(t), random: () => 0.3, log: () => undefined, send: (_to, m) => { if (m.kind === 'Feed') feeds.push(m); },
+      after: (d, f) => {
+        const x = { at: t + d, f };
+        timers.push(x);
+        return () => { timers = timers.filter((y) => y !== x); };
+      },
+    }, {
+      ...agentDefaults, member: 'a1', self: 'a1:1' as Address, zone: 'z', router: 'r1:1' as Address, routerHttp: 'r1', service: 'main', seeds: [], slot: 1, born: 9,
+      persisted: { entries, marks, gen: 1, places },
+    }, { fetchReport: async () => undefined, order: async () => undefined, trainer: { add: () => undefined, train: async () => Buffer.alloc(0) }, save: () => undefined, wall: () => t });
+    function step(us: number): void {
+      const end = t + us;
+      for (;;) {
+        const n = timers.filter((x) => x.at <= end).sort((p, q) => p.at - q.at)[0];
+        if (n === undefined) break;
+        timers = timers.filter((x) => x !== n);
+        t = n.at;
+        n.f();
+      }
+      t = end;
+    }
+    function tell(m: Message, from: string): void {
+      agent.receive(m, from as Address);
+    }
+    // Asks for a tenure, is granted it by the core, and looks whether the router is let have it.
+    function granted(): boolean {
+      tell({ kind: 'RouterState', router: 'r1#1', http: 'r1', asked: t, applied: 1, first: 0, extra: 0, allowance: 0, arms: [], have: [] }, 'r1:1');
+      tell({ kind: 'Tenures', grants: [{ router: 'r1#1', asked: t, version: 1 }] }, 'keeper0:1');
+      const is = feeds.at(-1)!.grants.length > 0;
+      feeds = [];
+      return is;
+    }
+    return { agent, step, granted, tell };
+  }
+  const kept: Mark = { worker: 'w', incarnation: 1, state: 1, address: 'w:1' };
+  function entry(member: string, beat: number): Entry {
+    return { member, address: `${member}:1`, zone: 'z', born: 1, beat, http: member, tenured: true };
+  }
+  function shuffle(beat: number): Message {
+    return { kind: 'Shuffle', answer: false, from: 'a2:1', entries: [entry('a2', beat), entry('a3', beat)], coreGen: 1, places: [], duties: [] };
+  }
+  it('lets its router decide on marks from its disk only once a member that is current has been compared with', () => {
+    const b = bench([kept], [entry('a2', 0), entry('a3', 0)]);
+    b.step(200_000);
+    expect(b.granted()).toBe(false);
+    b.tell(shuffle(1), 'a2:1');
+    b.step(100_000);
+    expect(b.granted()).toBe(false);
+    b.tell({ kind: 'Marks', marks: [{ ...kept, worker: 'v' }], whole: false, warm: true }, 'a2:1');
+    b.tell({ kind: 'MarksDigest', from: 'a2:1', digest: 'another', answer: false, warm: true }, 'a2:1');
+    expect(b.granted()).toBe(false);
+    b.tell({ kind: 'Marks', marks: [{ ...kept, state: 2 }], whole: true, warm: true }, 'a2:1');
+    expect(b.granted()).toBe(true);
+    expect(b.agent.marks().find((m) => m.worker === 'w')!.state).toBe(2);
+  });
+  it('serves after all agents have started together, and as the only agent there is', () => {
+    const b = bench([kept], [entry('a2', 0), entry('a3', 0)]);
+    b.tell(shuffle(1), 'a2:1');
+    b.step(1_600_000);
+    b.tell(shuffle(2), 'a2:1');
+    expect(b.granted()).toBe(false);
+    b.tell({ kind: 'Marks', marks: [kept], whole: true, warm: false }, 'a2:1');
+    expect(b.granted()).toBe(true);
+    const lone = bench([kept], []);
+    lone.step(3_200_000);
+    expect(lone.granted()).toBe(true);
+  });
+}
