Let patience cover a request's whole stay, and pass sampling and finish reasons on

Ruled out: the worker side, which kept its times in all of these. Change: one arrival time for the whole stay; the time spent goes along when a request is sent on; a short question before it tells a router that does not answer; a slow reader holds the worker's stream back and is cut off at its budget; typed internal_error and a typed answer for whatever another router says. Ends were counted twice: mended.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -44,6 +44,7 @@
   5102: { level: 'info', means: 'request given up on', remedy: 'See the kind; the requester was told when to come back.' },
   5103: { level: 'warn', means: 'worker broke off, answered nonsense or reported impossible figures', remedy: 'Look at that worker if it lasts.' },
   5104: { level: 'warn', means: 'answer cut after its first byte', remedy: 'Look at the worker named.' },
+  5105: { level: 'error', means: 'unforeseen error inside the router; its request got a typed answer', remedy: 'Report it with the message.' },
   6001: { level: 'info', means: 'worker stand-in changed its part', remedy: 'None.' },
   6002: { level: 'warn', means: 'order refused: its epoch is older than the fence', remedy: 'None.' },
   7001: { level: 'info', means: 'fault brought about', remedy: 'None.' },
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -219,6 +219,8 @@
       if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 1_000_000, () => into(p, gen, () => ok(false)));
       e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
         if (!n.proc.alive || n.closed) return home(() => ok(false));
+        // The short question before it: a frozen router does not answer it.
+        if (n.proc.frozen) return e.at(e.now() + 500_000, () => home(() => ok(false)));
         function died(): void {
           home(() => {
             reply.fail({ kind: begun ? 'answer_cut' : 'outcome_unknown', message: 'died', retryAfter: 1 });
@@ -227,8 +229,8 @@
         }
         n.proc.deaths.add(died);
         into(n.proc, n.proc.gen, () => void n.core!.serve({ ...q, sentOn: true }, {
-          chunk: (t) => home(() => { begun = true; reply.chunk(t); }),
-          end: () => { n.proc.deaths.delete(died); home(() => { reply.end(); ok(true); }); },
+          chunk: (t) => home(() => { begun = true; void reply.chunk(t); }),
+          end: (finish) => { n.proc.deaths.delete(died); home(() => { reply.end(finish); ok(true); }); },
           fail: (f) => {
             n.proc.deaths.delete(died);
             home(() => {
--- a/packages/simulator/src/sim-workers.ts
+++ b/packages/simulator/src/sim-workers.ts
@@ -148,7 +148,7 @@
                 into(p, gen, () => { if (!over) f(); });
               });
             }
-            off = w.core.decode(job, hd, { chunk: (t) => piece(() => chunk(t)), end: () => piece(() => done({ tag: 'done' })), broke: () => piece(() => done({ tag: 'unknown', why: 'broke off' })) });
+            off = w.core.decode(job, hd, { chunk: (t) => piece(() => void chunk(t)), end: (finish) => piece(() => done({ tag: 'done', finish })), broke: () => piece(() => done({ tag: 'unknown', why: 'broke off' })) });
           }));
         }, (why) => into(p, gen, () => done({ tag: 'notStarted', why })));
       });
--- a/programs/request-router/src/admission.ts
+++ b/programs/request-router/src/admission.ts
@@ -10,6 +10,8 @@
   readonly worth: number;
   readonly cost: number;
   readonly patience: number;
+  // What of the patience went by before it came here.
+  readonly waited: number;
 }
 export type Admitted = { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
 export interface Admission {
@@ -89,7 +91,7 @@
     const r = rate();
     const keep: Waiting[] = [];
     for (const x of queue) {
-      const waited = w.now() - x.since;
+      const waited = x.c.waited + w.now() - x.since;
       const wait = r > 0.2 ? ((keep.length + 1) / r) * 1e6 : 500_000;
       if (waited + wait > x.c.patience / 2) x.done({ tag: 'shed', retryAfter: retryAfter(queue.length) });
       else keep.push(x);
@@ -135,7 +137,7 @@
     return { a, step, free: (n) => { slots += n; } };
   }
   function kind(purse: string, x: Partial<Claimant> = {}): Claimant {
-    return { purse, share: 1, worth: 1, cost: 1, patience: 4_000_000, ...x };
+    return { purse, share: 1, worth: 1, cost: 1, patience: 4_000_000, waited: 0, ...x };
   }
   it('gives up at once on what it cannot reach, far before its patience ends, and says when to come back', async () => {
     const b = bench();
--- a/programs/request-router/src/app.ts
+++ b/programs/request-router/src/app.ts
@@ -6,8 +6,9 @@
 import { Value } from '@sinclair/typebox/value';
 import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
 import { Agent, request } from 'undici';
-import { failure, failureBody, failureKinds, type Failure } from './failure.js';
+import { failure, failureBody, failureFrom, failureKinds, type Failure } from './failure.js';
 import type { Incoming, Reply, RouterCore } from './router-core.js';
+import type { Sampling } from './worker-port.js';
 
 const Body = Type.Object({
   model: Type.String({ minLength: 1, maxLength: 200 }),
@@ -31,6 +32,13 @@
   return typeof v === 'string' ? v : undefined;
 }
 
+function samplingOf(b: Static<typeof Body>): Sampling {
+  return {
+    ...(b.temperature === undefined ? {} : { temperature: b.temperature }), ...(b.top_p === undefined ? {} : { top_p: b.top_p }),
+    ...(b.seed === undefined ? {} : { seed: b.seed }), ...(b.user === undefined ? {} : { user: b.user }),
+  };
+}
+
 export function createApp(o: AppOptions): FastifyInstance {
   const app = fastify({ bodyLimit: o.bodyLimit, forceCloseConnections: 'idle', return503OnClosing: false });
   const ids = /^[A-Za-z0-9._:-]{1,128}$/;
@@ -40,9 +48,10 @@
     return a.code(failureKinds[f.kind].status).send(failureBody(f, id));
   }
 
-  app.setErrorHandler((e: { code?: string; message: string }, _q, a) => {
-    const big = e.code === 'FST_ERR_CTP_BODY_TOO_LARGE';
-    return refuse(a, failure(big ? 'body_too_large' : 'bad_request', e.message), '');
+  app.setErrorHandler((e: { code?: string; message: string; statusCode?: number }, _q, a) => {
+    if (e.code === 'FST_ERR_CTP_BODY_TOO_LARGE') return refuse(a, failure('body_too_large', e.message), '');
+    if (e.statusCode !== undefined && e.statusCode < 500) return refuse(a, failure('bad_request', e.message), '');
+    return refuse(a, failure('internal_error', 'Something unforeseen went wrong inside this router.'), '');
   });
   app.setNotFoundHandler((q, a) => a.code(404).send({ error: { kind: 'bad_request', message: `There is no ${q.method} ${q.url}.`, remedy: 'POST /v1/completions.' } }));
 
@@ -57,13 +66,19 @@
     if (tenant === undefined || kind === undefined) return refuse(a, failure('bad_request', 'x-tansypost-tenant and x-tansypost-kind must be given.'), id);
     const r: Incoming = {
       id, tenant, kind, model: b.model, prompt: b.prompt, maxTokens: b.max_tokens ?? 16, sentOn: header(q.headers, 'x-tansypost-sent-on') !== undefined,
-      idempotencyKey: header(q.headers, 'idempotency-key'),
+      idempotencyKey: header(q.headers, 'idempotency-key'), spent: Math.max(0, Number(header(q.headers, 'x-tansypost-spent-us') ?? 0) || 0),
+      sampling: samplingOf(b),
     };
     const gone = new AbortController();
     a.hijack();
     a.raw.on('error', () => undefined);
     a.raw.on('close', () => { if (!a.raw.writableEnded) gone.abort(); });
-    await o.core.serve(r, b.stream === true ? streamed(a, id, b.model) : gathered(a, id, b.model), gone.signal);
+    const reply = b.stream === true ? streamed(a, id, b.model) : gathered(a, id, b.model);
+    try {
+      await o.core.serve(r, reply, gone.signal);
+    } catch {
+      reply.fail(failure('internal_error', 'Something unforeseen went wrong inside this router.'));
+    }
     return undefined;
   });
 
@@ -85,10 +100,22 @@
       begun = true;
     }
     return {
-      chunk: (t) => { begin(); a.raw.write(event(t, null)); },
-      end: () => { begin(); a.raw.end(`${event('', 'stop')}data: [DONE]\n\n`); },
+      chunk: (t) => {
+        begin();
+        if (a.raw.write(event(t, null)) || a.raw.destroyed) return undefined;
+        return new Promise((ok) => {
+          function on(): void {
+            a.raw.off('drain', on).off('close', on);
+            ok();
+          }
+          a.raw.on('drain', on).on('close', on);
+        });
+      },
+      end: (finish) => { begin(); a.raw.end(`${event('', finish)}data: [DONE]\n\n`); },
+      // Whoever does not read is cut off; there is no telling it more.
       fail: (f) => {
-        if (begun) a.raw.end(`event: error\ndata: ${JSON.stringify(failureBody(f, id))}\n\n`);
+        if (a.raw.writableNeedDrain) a.raw.destroy();
+        else if (begun) a.raw.end(`event: error\ndata: ${JSON.stringify(failureBody(f, id))}\n\n`);
         else head(a, failureKinds[f.kind].status, f, id);
       },
     };
@@ -98,9 +125,9 @@
     let text = '';
     return {
       chunk: (t) => { text += t; },
-      end: () => {
+      end: (finish) => {
         a.raw.writeHead(200, { 'content-type': 'application/json' });
-        a.raw.end(JSON.stringify({ id, object: 'text_completion', model, choices: [{ index: 0, text, finish_reason: 'stop' }] }));
+        a.raw.end(JSON.stringify({ id, object: 'text_completion', model, choices: [{ index: 0, text, finish_reason: finish }] }));
       },
       fail: (f) => head(a, failureKinds[f.kind].status, f, id),
     };
@@ -113,23 +140,33 @@
   return app;
 }
 
-// Sends a request on to another router, once. Its refusal before any send lets the next one be asked; whatever
-// else it says is the final answer, and a broken link leaves the outcome unknown.
+// Sends a request on to another router, once, if that router answers a short question first. Its refusal before any
+// send lets the next one be asked; whatever else it says is the final answer, and a broken link leaves the
+// outcome unknown.
 export async function sendOnHttp(to: string, r: Incoming, reply: Reply, gone: AbortSignal, dispatcher: Agent): Promise<boolean> {
   let begun = false;
+  let finish = 'stop';
+  try {
+    const v = await request(`http://${to}/vitals`, { dispatcher, signal: gone, headersTimeout: 500, bodyTimeout: 500 });
+    await v.body.dump();
+    if (v.statusCode !== 200) return false;
+  } catch {
+    return false;
+  }
   try {
     const x = await request(`http://${to}/v1/completions`, {
       method: 'POST', dispatcher, signal: gone,
       headers: {
         'content-type': 'application/json', 'x-request-id': r.id, 'x-tansypost-tenant': r.tenant, 'x-tansypost-kind': r.kind, 'x-tansypost-sent-on': '1',
+        'x-tansypost-spent-us': `${Math.round(r.spent ?? 0)}`,
         ...(r.idempotencyKey === undefined ? {} : { 'idempotency-key': r.idempotencyKey }),
       },
-      body: JSON.stringify({ model: r.model, prompt: r.prompt, max_tokens: r.maxTokens, stream: true }),
+      body: JSON.stringify({ ...r.sampling, model: r.model, prompt: r.prompt, max_tokens: r.maxTokens, stream: true }),
     });
     if (x.statusCode !== 200) {
-      const e = (await x.body.json()) as { error: Failure & { retry_after?: number } };
-      if (e.error.kind === 'no_tenure' || e.error.kind === 'stopping') return false;
-      reply.fail(failure(e.error.kind in failureKinds ? e.error.kind : 'outcome_unknown', e.error.message, e.error.retry_after));
+      const f = failureFrom(await x.body.text(), x.statusCode);
+      if (f.kind === 'no_tenure' || f.kind === 'stopping') return false;
+      reply.fail(f);
       return true;
     }
     const d = new TextDecoder();
@@ -141,16 +178,17 @@
         held = held.slice(i + 2);
         begun = true;
         if (line === 'data: [DONE]') {
-          reply.end();
+          reply.end(finish);
           return true;
         }
         if (line.startsWith('event: error')) {
-          const e = JSON.parse(line.slice(line.indexOf('data: ') + 6)) as { error: Failure };
-          reply.fail(failure(e.error.kind, e.error.message));
+          const f = failureFrom(line.slice(line.indexOf('data: ') + 6));
+          reply.fail(failureKinds[f.kind].ran === 'no' ? failure('answer_cut', f.message) : f);
           return true;
         }
-        const t = (JSON.parse(line.slice(6)) as { choices: { text: string }[] }).choices[0]!.text;
-        if (t !== '') reply.chunk(t);
+        const c = (JSON.parse(line.slice(6)) as { choices: { text: string; finish_reason: string | null }[] }).choices[0]!;
+        if (c.text !== '') await reply.chunk(c.text);
+        finish = c.finish_reason ?? finish;
       }
     }
     reply.fail(failure('answer_cut', 'The router it was sent on to broke off.'));
--- a/programs/request-router/src/claims.ts
+++ b/programs/request-router/src/claims.ts
@@ -4,7 +4,7 @@
 
 export type ClaimResult = { readonly tag: 'won' } | { readonly tag: 'taken'; readonly known: string } | { readonly tag: 'failed' };
 export interface Claims {
-  readonly claim: (key: string, request: string) => Promise<ClaimResult>;
+  readonly claim: (key: string, request: string, patience: number) => Promise<ClaimResult>;
   readonly tell: (op: 'release' | 'ended', key: string, request: string, ended: string) => void;
   readonly answer: (m: MessageOf<'ClaimAnswer'>) => void;
 }
@@ -12,11 +12,11 @@
 export function createClaims(w: World, agent: Address, holder: string): Claims {
   const open = new Map<string, (r: ClaimResult) => void>();
   let n = 0;
-  function claim(key: string, request: string): Promise<ClaimResult> {
+  function claim(key: string, request: string, patience: number): Promise<ClaimResult> {
     n += 1;
     const id = `${holder}/${n}`;
     return new Promise((done) => {
-      const cancel = w.after(micros(3_000_000), () => end({ tag: 'failed' }));
+      const cancel = w.after(micros(patience), () => end({ tag: 'failed' }));
       // Asked again while unanswered: the agent may be restarting, and a holder's own repeat is forgiven.
       const stop = every(w, () => micros(700_000), ask);
       function ask(): void {
--- a/programs/request-router/src/http-workers.ts
+++ b/programs/request-router/src/http-workers.ts
@@ -13,7 +13,7 @@
     return request(`http://${m.address}/v1/completions`, {
       method: 'POST', dispatcher: agent, signal,
       headers: { 'content-type': 'application/json', 'x-request-id': j.request, 'x-worker-incarnation': `${m.incarnation}` },
-      body: JSON.stringify({ model: j.model, prompt: j.prompt, ...body }),
+      body: JSON.stringify({ ...j.sampling, model: j.model, prompt: j.prompt, ...body }),
     });
   }
   function broke(e: unknown): { tag: 'notStarted' | 'unknown'; why: string } {
@@ -47,11 +47,11 @@
     }
   }
 
-  async function decode(m: Mark, j: WorkerJob, h: HandleParams, chunk: (t: string) => void, signal: AbortSignal): Promise<DecodeResult> {
+  async function decode(m: Mark, j: WorkerJob, h: HandleParams, chunk: (t: string) => void | Promise<void>, signal: AbortSignal): Promise<DecodeResult> {
     try {
       const r = await post(m, j, { max_tokens: j.maxTokens, stream: true, kv_transfer_params: { ...h, do_remote_prefill: true, do_remote_decode: false } }, signal);
       if (r.statusCode !== 200) return await refusal(await r.body.text(), r.statusCode);
-      return await readStream(r.body, chunk);
+      return await readStream(r.body, chunk, signal);
     } catch (e) {
       return broke(e);
     }
@@ -60,10 +60,15 @@
 }
 
 // Reads a worker's event stream. It is whole only if every event was sound, a finish reason came, and [DONE]
-// after it.
-export async function readStream(body: AsyncIterable<Buffer | string>, chunk: (t: string) => void): Promise<DecodeResult> {
+// after it. While a requester reads slowly nothing is read from the worker, so the stream is held back by TCP; the
+// wait ends with the signal at the latest.
+export async function readStream(body: AsyncIterable<Buffer | string>, chunk: (t: string) => void | Promise<void>, signal?: AbortSignal): Promise<DecodeResult> {
   let held = '';
-  let finished = false;
+  let finished: string | undefined;
+  const off = new Promise<void>((ok) => {
+    if (signal?.aborted === true) ok();
+    signal?.addEventListener('abort', () => ok());
+  });
   const d = new TextDecoder();
   for await (const b of body) {
     held += typeof b === 'string' ? b : d.decode(b, { stream: true });
@@ -72,7 +77,7 @@
       held = held.slice(i + 2);
       if (!line.startsWith('data: ')) return { tag: 'unknown', why: 'nonsense instead of an event' };
       const data = line.slice(6);
-      if (data === '[DONE]') return finished ? { tag: 'done' } : { tag: 'unknown', why: '[DONE] without a finish reason' };
+      if (data === '[DONE]') return finished !== undefined ? { tag: 'done', finish: finished } : { tag: 'unknown', why: '[DONE] without a finish reason' };
       let e: { choices?: { text?: unknown; finish_reason?: unknown }[] };
       try {
         e = JSON.parse(data) as typeof e;
@@ -80,9 +85,11 @@
         return { tag: 'unknown', why: 'an event that is not JSON' };
       }
       const x = e.choices?.[0];
-      if (x === undefined || typeof x.text !== 'string' || finished) return { tag: 'unknown', why: 'an event without its choice' };
-      if (x.text !== '') chunk(x.text);
-      if (x.finish_reason !== null && x.finish_reason !== undefined) finished = true;
+      if (x === undefined || typeof x.text !== 'string' || finished !== undefined) return { tag: 'unknown', why: 'an event without its choice' };
+      const slow = x.text === '' ? undefined : chunk(x.text);
+      if (slow !== undefined) await Promise.race([slow, off]);
+      if (signal?.aborted === true) return { tag: 'unknown', why: 'aborted' };
+      if (x.finish_reason !== null && x.finish_reason !== undefined) finished = String(x.finish_reason);
     }
     if (held.length > 1_000_000) return { tag: 'unknown', why: 'an event without end' };
   }
--- a/programs/request-router/src/index.ts
+++ b/programs/request-router/src/index.ts
@@ -7,3 +7,5 @@
 export * from './send-ledger.js';
 export * from './worker-port.js';
 export * from './worker-table.js';
+export * from './app.js';
+export * from './http-workers.js';
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -16,7 +16,7 @@
 import { failure, type Failure, type FailureKind } from './failure.js';
 import { createFeed, type Feed } from './feed.js';
 import { newLedger, type Send, type SendLedger } from './send-ledger.js';
-import { handleFits, type HandleParams, type WorkerJob, type WorkerPort } from './worker-port.js';
+import { handleFits, type HandleParams, type Sampling, type WorkerJob, type WorkerPort } from './worker-port.js';
 import { createWindow } from './window.js';
 import { createWorkerTable, type WorkerTable } from './worker-table.js';
 
@@ -41,10 +41,14 @@
   readonly maxTokens: number;
   readonly sentOn: boolean;
   readonly idempotencyKey?: string;
+  readonly sampling?: Sampling;
+  // What of its patience went by at routers before this one.
+  readonly spent?: number;
 }
+// A promise from `chunk` means that the requester reads slowly; nothing more is read from the worker until it is kept.
 export interface Reply {
-  readonly chunk: (text: string) => void;
-  readonly end: () => void;
+  readonly chunk: (text: string) => void | Promise<void>;
+  readonly end: (finish: string) => void;
   readonly fail: (f: Failure) => void;
 }
 export interface RouterPorts {
@@ -144,58 +148,94 @@
   // Everything under way counts as active, what was sent on to another router too: a stop waits for all of it.
   async function serve(r: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
     active += 1;
+    const arrived = w.now() - (r.spent ?? 0);
     try {
-      const f = await refusalBefore(r, reply, gone);
-      if (f === undefined) await serveHere(r, reply, gone);
+      const f = await refusalBefore(r, reply, gone, arrived);
+      if (f === undefined) await serveHere(r, reply, gone, arrived);
       else if (f !== 'sent on') giveUp(r, reply, f);
+    } catch (e) {
+      w.log(5105, { request: r.id, why: e instanceof Error ? e.message : String(e) });
+      giveUp(r, reply, failure('internal_error', 'Something unforeseen went wrong inside this router.'));
     } finally {
       active -= 1;
     }
   }
 
-  async function serveHere(r: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
+  async function serveHere(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<void> {
     const k = kindOf(feed.desired()!, r.tenant, r.kind);
     if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
     try {
-      if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone);
-      else await claimAndRun(r, r.idempotencyKey, reply, k, gone);
+      if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone, arrived);
+      else await claimAndRun(r, r.idempotencyKey, reply, k, gone, arrived);
     } finally {
       admission.left();
     }
   }
 
   // A claim that was won but led to no send is given back, so that the requester may come again with its key.
-  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<void> {
+  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number): Promise<void> {
     const whole = `${r.tenant}/${key}`;
-    const c = await claims.claim(whole, r.id);
+    const c = await claims.claim(whole, r.id, Math.max(0, Math.min(3_000_000, (arrived + kind.patienceMs * 1000 - w.now()) / 2)));
     if (c.tag === 'taken') return giveUp(r, reply, failure('claimed', `This key is taken: ${c.known}`));
     if (c.tag === 'failed') {
       claims.tell('release', whole, r.id, '');
       return giveUp(r, reply, failure('claim_failed', 'The core did not answer the claim in time.', 2));
     }
-    const end = await admitAndRun(r, reply, kind, gone);
+    const end = await admitAndRun(r, reply, kind, gone, arrived);
     if (end === 'not sent') claims.tell('release', whole, r.id, '');
     else claims.tell('ended', whole, r.id, end);
   }
 
-  async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal): Promise<Failure | 'sent on' | undefined> {
+  async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<Failure | 'sent on' | undefined> {
     const t = promptFacts(r.prompt).tokens;
     if (t > o.promptLimit) return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
     if (taking && feed.tenured() && feed.desired() !== undefined) return undefined;
     if (!r.sentOn) {
       const at = Math.floor(w.random() * 64);
       const all = feed.others();
-      for (const a of [0, 1, 2].filter((i) => i < all.length).map((i) => all[(at + i) % all.length]!)) if (await p.sendOn(a, r, reply, gone)) return 'sent on';
+      const known = feed.desired() === undefined ? 'unknown_kind' : kindOf(feed.desired()!, r.tenant, r.kind);
+      const limit = arrived + (typeof known === 'string' ? 30_000_000 : known.patienceMs * 1000);
+      for (const a of [0, 1, 2].filter((i) => i < all.length).map((i) => all[(at + i) % all.length]!)) {
+        if (gone.aborted || w.now() >= limit) break;
+        if (await sendOn(a, r, reply, gone, arrived, limit)) return 'sent on';
+      }
     }
     if (!taking) return failure('stopping', 'This router is stopping.');
     return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
   }
 
-  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal): Promise<string> {
-    const arrived = w.now();
+  // The next router gets what is left of the patience, and no answer of its comes after that.
+  function sendOn(to: string, r: Incoming, reply: Reply, gone: AbortSignal, arrived: number, limit: number): Promise<boolean> {
+    return new Promise((ok, no) => {
+      let [over, begun] = [false, false];
+      const late = new AbortController();
+      function end(taken: boolean, f: () => void): void {
+        if (over) return;
+        over = true;
+        cancel();
+        f();
+        ok(taken);
+      }
+      const cancel = w.after(micros(limit - w.now()), () => end(true, () => {
+        giveUp(r, reply, failure(begun ? 'answer_cut' : 'budget_spent', 'Its patience ran out at the router it was sent on to.', Math.max(1, Math.ceil(paceUs / 1e6))));
+        late.abort();
+      }));
+      p.sendOn(to, { ...r, spent: w.now() - arrived }, {
+        chunk: (t) => {
+          if (over) return undefined;
+          begun = true;
+          return reply.chunk(t);
+        },
+        end: (finish) => end(true, () => reply.end(finish)),
+        fail: (f) => end(true, () => reply.fail(f)),
+      }, AbortSignal.any([gone, late.signal])).then((taken) => end(taken, () => undefined), no);
+    });
+  }
+
+  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number): Promise<string> {
     const facts = promptFacts(r.prompt);
     const a = await admission.enter({
-      purse: `${r.tenant}/${r.kind}`, share: kind.share, worth: kind.worth, cost: facts.tokens + 4 * r.maxTokens, patience: kind.patienceMs * 1000,
+      purse: `${r.tenant}/${r.kind}`, share: kind.share, worth: kind.worth, cost: facts.tokens + 4 * r.maxTokens, patience: kind.patienceMs * 1000, waited: w.now() - arrived,
     });
     if (a.tag === 'shed') {
       giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
@@ -204,7 +244,7 @@
     const run = feed.record().running;
     const c: Course = {
       r, reply, kind, ledger: newLedger(), facts, arrived, limit: arrived + kind.patienceMs * 1000,
-      job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens },
+      job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens, sampling: r.sampling ?? {} },
       arm: run === undefined ? 'none' : armOf(run.id, r.id, run.slice), tried: new Set(), abort: new AbortController(),
       handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0,
     };
@@ -221,7 +261,7 @@
       a.begun();
       stopTimer();
       gone.removeEventListener('abort', left);
-      note(ends, end);
+      if (end === 'whole' || end === 'gone') note(ends, end);
       if (rehearsal !== undefined && c.arm !== 'none' && end !== 'gone') count(rehearsal, c, end);
     }
     return c.ledger.sends.length === 0 ? 'not sent' : end;
@@ -310,15 +350,15 @@
     const end = table.began(d.worker, 'decode', c.facts.tokens + c.r.maxTokens);
     const patience = new AbortController();
     const cancel = c.kind.repeatable ? w.after(micros(3_000_000), () => patience.abort()) : () => undefined;
-    function chunk(text: string): void {
-      if (c.abort.signal.aborted) return;
+    function chunk(text: string): void | Promise<void> {
+      if (c.abort.signal.aborted) return undefined;
       if (!c.ledger.firstByte) {
         c.ledger.firstByte = true;
         c.firstAt = w.now();
         cancel();
         learn(c);
       }
-      c.reply.chunk(text);
+      return c.reply.chunk(text);
     }
     const x = await p.workers.decode(m, c.job, c.handle!.h, chunk, AbortSignal.any([c.abort.signal, patience.signal]));
     cancel();
@@ -327,7 +367,7 @@
       s.outcome = 'done';
       table.went(d.worker);
       paceUs += 0.05 * (w.now() - c.arrived - paceUs);
-      if (!c.abort.signal.aborted) c.reply.end();
+      if (!c.abort.signal.aborted) c.reply.end(x.finish);
       w.log(5101, { request: c.r.id, kind: c.r.kind, us: w.now() - c.arrived });
       return true;
     }
--- a/programs/request-router/src/worker-port.ts
+++ b/programs/request-router/src/worker-port.ts
@@ -8,6 +8,14 @@
   readonly prompt: string;
   readonly digest: string;
   readonly maxTokens: number;
+  readonly sampling: Sampling;
+}
+// Taken from the requester and passed to prefill and decode as it is.
+export interface Sampling {
+  readonly temperature?: number;
+  readonly top_p?: number;
+  readonly seed?: number;
+  readonly user?: string;
 }
 export interface HandleParams {
   readonly remote_engine_id: string;
@@ -23,14 +31,14 @@
   | { readonly tag: 'notStarted'; readonly why: string }
   | { readonly tag: 'unknown'; readonly why: string };
 export type DecodeResult =
-  | { readonly tag: 'done' }
+  | { readonly tag: 'done'; readonly finish: string }
   | { readonly tag: 'notStarted'; readonly why: string }
   | { readonly tag: 'lapsed'; readonly why: string }
   | { readonly tag: 'unknown'; readonly why: string };
 
 export interface WorkerPort {
   readonly prefill: (m: Mark, j: WorkerJob, signal: AbortSignal) => Promise<PrefillResult>;
-  readonly decode: (m: Mark, j: WorkerJob, h: HandleParams, chunk: (text: string) => void, signal: AbortSignal) => Promise<DecodeResult>;
+  readonly decode: (m: Mark, j: WorkerJob, h: HandleParams, chunk: (text: string) => void | Promise<void>, signal: AbortSignal) => Promise<DecodeResult>;
 }
 
 // The router's end of the hand-over check: the handle must name the request, the prompt and the very
--- a/programs/worker-stand-in/src/main.ts
+++ b/programs/worker-stand-in/src/main.ts
@@ -95,7 +95,7 @@
       a.raw.on('error', () => undefined);
       const off = core.decode(job, h, {
         chunk: (text) => a.raw.write(core.faults.nonsense === true ? 'garbage\n\n' : `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`),
-        end: () => a.raw.end(`data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: 'stop' }] })}\n\ndata: [DONE]\n\n`),
+        end: (finish) => a.raw.end(`data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: finish }] })}\n\ndata: [DONE]\n\n`),
         broke: () => a.raw.destroy(),
       });
       a.raw.on('close', off);
--- a/programs/worker-stand-in/src/worker-core.ts
+++ b/programs/worker-stand-in/src/worker-core.ts
@@ -45,7 +45,7 @@
   | { readonly tag: 'refused'; readonly why: string };
 export interface DecodeSink {
   readonly chunk: (text: string, tokens: number) => void;
-  readonly end: () => void;
+  readonly end: (finish: string) => void;
   readonly broke: () => void;
 }
 export interface WorkerReport {
@@ -220,7 +220,7 @@
     a.at = to;
     if (a.at < a.length) return;
     active.delete(a);
-    a.sink.end();
+    a.sink.end(a.length === a.job.maxTokens ? 'length' : 'stop');
   }
 
   // Reports are as old as the lag: what is told is what was so that long ago.
