Judge reads, duties, parts and waiting requests strictly; govern each by the template in force

Cause: the check of what governs read the newest version applied at the send. Ruled out: the feed and its tenure (the router had applied the change in time in every case). Change: admission and each decision take the terms in force; a kind that is gone refuses what was not begun; without a tenure nothing is begun anew. New in the checks: every read during faults, whole value against whole value; the read-back with one core machine gone for good; no two awake members hold a duty; a shifted part has its passed rehearsal behind it; a decode that carries on its own prefill is no decision of its own, as written there.

--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -17,8 +17,11 @@
   verdict: 'whole' | 'cut' | 'foreign' | 'overlong' | undefined;
   ttft: number | undefined;
   retryAfter: boolean;
-  // Its router was frozen meanwhile, so no answer could come in time.
+  // A router that had it in hand was frozen meanwhile, so no answer could come in time.
   excused: boolean;
+  readonly zone: number;
+  // The routers that had it in hand: the one asked, and those it was sent on to.
+  readonly via: Set<string>;
 }
 export interface Run {
   readonly at: number;
@@ -35,6 +38,9 @@
   readonly worker: string;
   readonly extra: boolean;
   readonly phase: 'prefill' | 'decode';
+  // A decision of its own, and not the decode that carries on what the prefill just before it began.
+  readonly decided: boolean;
+  // The version of the desired state whose template governed it.
   readonly version: number;
 }
 export interface OrderSeen {
@@ -53,6 +59,8 @@
 export interface ChangeSeen {
   readonly id: string;
   readonly tag: number;
+  // The state submitted, whole.
+  whole: string;
   readonly at: number;
   base: number | undefined;
   end: number | undefined;
@@ -66,6 +74,39 @@
   readonly tag: number;
 }
 
+// One read of the desired state, asked of any agent at any time.
+export interface ReadSeen {
+  readonly from: number;
+  readonly end: number;
+  readonly version: number;
+  readonly whole: string;
+}
+// Members that were awake and held one duty at one instant, where they were two or more.
+export interface HoldersSeen {
+  readonly at: number;
+  readonly duty: string;
+  readonly members: readonly string[];
+}
+// A router's word that it gives a request up.
+export interface GaveUp {
+  readonly at: number;
+  readonly request: string;
+  readonly router: string;
+  readonly kind: string;
+}
+// A fault that struck, or healed; `gone` says what it takes away while it stands.
+export interface Disturbance {
+  readonly at: number;
+  readonly until: number;
+  readonly what: string;
+  readonly who: string;
+}
+export interface RecordSeen {
+  readonly at: number;
+  readonly version: number;
+  readonly record: RehearsalRecord;
+}
+
 export interface ClaimSeen {
   readonly at: number;
   readonly key: string;
@@ -83,13 +124,17 @@
   readonly changes: ChangeSeen[];
   readonly applied: AppliedSeen[];
   readonly logs: { at: number; who: string; event: number; fields: Record<string, unknown> }[];
-  readBack: { version: number; tag: number } | undefined;
-  // Every rehearsal record that any agent held, in the order seen.
-  readonly records: RehearsalRecord[];
+  readBack: { version: number; whole: string } | undefined;
+  readonly reads: ReadSeen[];
+  readonly holders: HoldersSeen[];
+  readonly gaveUp: GaveUp[];
+  readonly disturbed: Disturbance[];
+  // Every version of the rehearsal record that any agent held, by version.
+  readonly records: RecordSeen[];
   calmFrom: number;
   end: number;
 }
 
 export function newHistory(): History {
-  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], readBack: undefined, calmFrom: 0, end: 0 };
+  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], reads: [], holders: [], gaveUp: [], disturbed: [], readBack: undefined, calmFrom: 0, end: 0 };
 }
--- a/programs/request-router/src/admission.ts
+++ b/programs/request-router/src/admission.ts
@@ -15,13 +15,15 @@
 }
 export type Admitted = { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
 export interface Admission {
-  readonly enter: (c: Claimant) => Promise<Admitted>;
+  // `renew` gives the terms in force, as these may change while it waits.
+  readonly enter: (c: Claimant, renew?: () => Claimant) => Promise<Admitted>;
   readonly waiting: () => number;
   readonly left: () => void;
   readonly stop: Cancel;
 }
 interface Waiting {
-  readonly c: Claimant;
+  c: Claimant;
+  readonly renew: () => Claimant;
   readonly since: number;
   readonly done: (a: Admitted) => void;
 }
@@ -83,6 +85,7 @@
 
   function drain(): void {
     if (queue.length === 0) return;
+    for (const x of queue) x.c = x.renew();
     order();
     while (queue.length > 0 && room(granted)) {
       const x = queue.shift()!;
@@ -99,10 +102,10 @@
     queue = keep;
   }
 
-  function enter(c: Claimant): Promise<Admitted> {
+  function enter(c: Claimant, renew = (): Claimant => c): Promise<Admitted> {
     if (queue.length === 0 && room(granted)) return Promise.resolve(go(c));
     return new Promise((done) => {
-      queue.push({ c, since: w.now(), done });
+      queue.push({ c, renew, since: w.now(), done });
       drain();
     });
   }
@@ -145,6 +148,20 @@
     expect(await r).toMatchObject({ tag: 'shed' });
     expect(((await r) as { retryAfter: number }).retryAfter).toBeGreaterThanOrEqual(1);
   });
+  it('goes by the terms in force, which may change while a request waits', async () => {
+    const b = bench();
+    let worth = 1;
+    const went: string[] = [];
+    const all = [b.a.enter(kind('p', { worth: 2 })).then(() => went.push('same')), b.a.enter(kind('p', { worth }), () => kind('p', { worth })).then(() => went.push('raised'))];
+    worth = 3;
+    b.free(1);
+    b.step(20_000);
+    await Promise.race(all);
+    b.free(1);
+    b.step(20_000);
+    await Promise.all(all);
+    expect(went).toEqual(['raised', 'same']);
+  });
   it('lets the one under its share go first, then the worthier', async () => {
     const b = bench();
     b.free(8);
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -9,7 +9,7 @@
 } from '@tansypost/placement';
 import { armOf, type Arm, type Part } from '@tansypost/rehearsal';
 import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
-import { createAdmission } from './admission.js';
+import { createAdmission, type Claimant } from './admission.js';
 import { createClaims } from './claims.js';
 import { decide, type Step } from './decision.js';
 import { createExtraBudget } from './extra-budget.js';
@@ -71,15 +71,18 @@
 interface Course {
   readonly r: Incoming;
   readonly reply: Reply;
-  readonly kind: KindTemplate;
+  kind: KindTemplate;
   readonly ledger: SendLedger;
   readonly facts: PromptFacts;
   readonly job: WorkerJob;
   readonly arrived: number;
-  readonly limit: number;
+  limit: number;
+  unarm: () => void;
   readonly arm: Arm;
   readonly tried: Set<string>;
   readonly abort: AbortController;
+  // The version of the desired state that its template is of.
+  version: number;
   handle: { h: HandleParams; from: Mark } | undefined;
   assigned: Assignment | undefined;
   sentAt: number;
@@ -163,17 +166,18 @@
 
   async function serveHere(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<void> {
     const k = kindOf(feed.desired()!, r.tenant, r.kind);
+    const version = feed.applied();
     if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
     try {
-      if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone, arrived);
-      else await claimAndRun(r, r.idempotencyKey, reply, k, gone, arrived);
+      if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone, arrived, version);
+      else await claimAndRun(r, r.idempotencyKey, reply, k, gone, arrived, version);
     } finally {
       admission.left();
     }
   }
 
   // A claim that was won but led to no send is given back, so that the requester may come again with its key.
-  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number): Promise<void> {
+  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number, version: number): Promise<void> {
     const whole = `${r.tenant}/${key}`;
     const c = await claims.claim(whole, r.id, Math.max(0, Math.min(3_000_000, (arrived + kind.patienceMs * 1000 - w.now()) / 2)));
     if (c.tag === 'taken') return giveUp(r, reply, failure('claimed', `This key is taken: ${c.known}`));
@@ -181,7 +185,7 @@
       claims.tell('release', whole, r.id, '');
       return giveUp(r, reply, failure('claim_failed', 'The core did not answer the claim in time.', 2));
     }
-    const end = await admitAndRun(r, reply, kind, gone, arrived);
+    const end = await admitAndRun(r, reply, kind, gone, arrived, version);
     if (end === 'not sent') claims.tell('release', whole, r.id, '');
     else claims.tell('ended', whole, r.id, end);
   }
@@ -232,24 +236,31 @@
     });
   }
 
-  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number): Promise<string> {
+  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number, version: number): Promise<string> {
     const facts = promptFacts(r.prompt);
-    const a = await admission.enter({
-      purse: `${r.tenant}/${r.kind}`, share: kind.share, worth: kind.worth, cost: facts.tokens + 4 * r.maxTokens, patience: kind.patienceMs * 1000, waited: w.now() - arrived,
-    });
+    // The terms are those in force, also for a request that waits through a change of the desired state.
+    const cost = facts.tokens + 4 * r.maxTokens;
+    const waited = w.now() - arrived;
+    let terms = kind;
+    function claimant(): Claimant {
+      const k = kindOf(feed.desired()!, r.tenant, r.kind);
+      if (typeof k !== 'string') terms = k;
+      return { purse: `${r.tenant}/${r.kind}`, share: terms.share, worth: terms.worth, cost, patience: terms.patienceMs * 1000, waited };
+    }
+    const a = await admission.enter(claimant(), claimant);
     if (a.tag === 'shed') {
       giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
       return 'not sent';
     }
     const run = feed.record().running;
     const c: Course = {
-      r, reply, kind, ledger: newLedger(), facts, arrived, limit: arrived + kind.patienceMs * 1000,
+      r, reply, kind: terms, ledger: newLedger(), facts, arrived, limit: arrived + terms.patienceMs * 1000, unarm: () => undefined,
       job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens, sampling: r.sampling ?? {} },
-      arm: run === undefined ? 'none' : armOf(run.id, r.id, run.slice), tried: new Set(), abort: new AbortController(),
+      arm: run === undefined ? 'none' : armOf(run.id, r.id, run.slice), tried: new Set(), abort: new AbortController(), version,
       handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0,
     };
     const rehearsal = run?.id;
-    const stopTimer = w.after(micros(c.limit - w.now()), () => c.abort.abort());
+    armLimit(c);
     function left(): void {
       c.abort.abort();
     }
@@ -259,7 +270,7 @@
       end = await run1(c, gone, a.begun);
     } finally {
       a.begun();
-      stopTimer();
+      c.unarm();
       gone.removeEventListener('abort', left);
       if (end === 'whole' || end === 'gone') note(ends, end);
       if (rehearsal !== undefined && c.arm !== 'none' && end !== 'gone') count(rehearsal, c, end);
@@ -270,6 +281,11 @@
   async function run1(c: Course, gone: AbortSignal, begun: () => void): Promise<FailureKind | 'whole' | 'gone'> {
     for (;;) {
       if (gone.aborted) return 'gone';
+      if (!renew(c) && c.ledger.sends.length === 0) {
+        const f = failure('unknown_kind', `Tenant ${c.r.tenant} has no kind ${c.r.kind} any more.`);
+        giveUp(c.r, c.reply, f);
+        return f.kind;
+      }
       if (c.ledger.sends.length === 0 && !feed.tenured()) {
         const f = failure('no_tenure', 'This router has lost touch with the control state.');
         giveUp(c.r, c.reply, f);
@@ -286,6 +302,12 @@
         giveUp(c.r, c.reply, step.failure);
         return step.failure.kind;
       }
+      // To carry on with a prompt that was read needs no tenure; to begin anew does.
+      if (!feed.tenured() && (step.do === 'prefill' || c.ledger.sends.at(-1)?.phase === 'decode')) {
+        const f = failure(c.kind.repeatable ? 'workers_failed' : 'outcome_unknown', 'A worker failed it, and this router has lost touch with the control state.');
+        giveUp(c.r, c.reply, f);
+        return f.kind;
+      }
       if (step.do === 'prefill') {
         const done = prefill(c, ps);
         begun();
@@ -295,10 +317,26 @@
     }
   }
 
+  function armLimit(c: Course): void {
+    c.unarm();
+    c.unarm = w.after(micros(Math.max(0, c.limit - w.now())), () => c.abort.abort());
+  }
+
+  // Brings a request under the template in force; false when its kind is there no more, and then nothing begins anew.
+  function renew(c: Course): boolean {
+    if (c.version === feed.applied()) return true;
+    const k = kindOf(feed.desired()!, c.r.tenant, c.r.kind);
+    c.version = feed.applied();
+    c.kind = typeof k === 'string' ? { ...c.kind, repeatable: false } : k;
+    c.limit = c.arrived + c.kind.patienceMs * 1000;
+    armLimit(c);
+    return typeof k !== 'string';
+  }
+
   function enterSend(c: Course, phase: 'prefill' | 'decode', worker: WorkerId): Send {
     if (c.ledger.sends.length === 0) budget.first();
     else if (c.ledger.sends.some((s) => s.phase === phase)) budget.extra();
-    p.sending?.(c.r.id, worker, phase, c.ledger.sends.some((x) => x.phase === phase), feed.applied());
+    p.sending?.(c.r.id, worker, phase, c.ledger.sends.some((x) => x.phase === phase), c.version);
     const s: Send = { phase, worker, outcome: 'pending' };
     c.ledger.sends.push(s);
     return s;
