Save extra sends only in small measure, and bound them by the promised fifth

Cause: the budget looked back over ten seconds only. The check allowed a quarter and four more, and let the rest pass. Ruled out: probes alone (8 beside 91 at the worst); several routers' savings are what adds up. Change: besides the sliding window no more than two sends and a fiftieth are saved; a new prefill after a decode asks for two. The check: a fifth, and the granularity above per router and for the fleet, at each extra send. Before: the new test of the budget spends 20 beside 10.

--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -112,20 +112,46 @@
   return out;
 }
 
+// A fifth of the first sends in any ten seconds. Beyond it each router may have saved two sends and a fiftieth of the first
+// sends of the ten seconds before an extra one, which lie in the twenty seconds looked at (its ledger's granularity); so may the fleet for each router that sent, and two probes that
+// each home agent was granted and has not used yet. The ten seconds end at each extra send, and every quarter second.
+const tenSeconds = 10_000_000;
+function within(sorted: readonly number[], from: number, to: number): number {
+  function below(t: number): number {
+    let [lo, hi] = [0, sorted.length];
+    while (lo < hi) {
+      const mid = (lo + hi) >> 1;
+      if (sorted[mid]! <= t) lo = mid + 1;
+      else hi = mid;
+    }
+    return lo;
+  }
+  return below(to) - below(from);
+}
 function extrasBounded(h: History): Breach[] {
-  const first = new Map<string, number>();
-  for (const s of h.sends) if (!first.has(s.request)) first.set(s.request, s.at);
-  const fs = [...first.values()].sort((a, b) => a - b);
-  const xs = [...h.sends.filter((s) => s.extra).map((s) => s.at), ...h.probes].sort((a, b) => a - b);
-  let [i, j, k, l] = [0, 0, 0, 0];
-  for (let t = 10_000_000; t <= h.end; t += 250_000) {
-    while (i < fs.length && fs[i]! <= t) i += 1;
-    while (j < fs.length && fs[j]! <= t - 10_000_000) j += 1;
-    while (k < xs.length && xs[k]! <= t) k += 1;
-    while (l < xs.length && xs[l]! <= t - 10_000_000) l += 1;
-    if (k - l > 0.25 * (i - j) + 4) return [breach('too many extra sends', `${k - l} beside ${i - j} in the ten seconds to ${t / 1e6}`)];
+  const seen = new Set<string>();
+  const by = new Map<string, { first: number[]; extra: number[] }>();
+  for (const s of h.sends) {
+    const x = by.get(s.router) ?? { first: [], extra: [] };
+    by.set(s.router, x);
+    if (!seen.has(s.request)) x.first.push(s.at);
+    else if (s.extra) x.extra.push(s.at);
+    seen.add(s.request);
+  }
+  const homes = new Set([...by.keys()].map((r) => h.zoneOf(r))).size;
+  const all = [...by.values()];
+  const fleet = { first: all.flatMap((x) => x.first).sort((a, b) => a - b), extra: [...all.flatMap((x) => x.extra), ...h.probes].sort((a, b) => a - b) };
+  function over(who: string, x: { first: number[]; extra: number[] }, spare: number): Breach[] {
+    const ends = new Set(x.extra);
+    for (let t = 250_000; t <= h.end; t += 250_000) ends.add(t);
+    for (const t of ends) {
+      const [n, f, f0] = [within(x.extra, t - tenSeconds, t), within(x.first, t - tenSeconds, t), within(x.first, t - 2 * tenSeconds, t - tenSeconds)];
+      if (n > 0.2 * f + 0.02 * (f0 + f) + spare + 1e-9) return [breach('too many extra sends', `${who}: ${n} beside ${f} in the ten seconds to ${t / 1e6}`)];
+    }
+    return [];
   }
-  return [];
+  const one = [...by].flatMap(([r, x]) => over(r, x, 2)).slice(0, 1);
+  return one.length > 0 ? one : over('the fleet', fleet, 2 * by.size + 2 * homes);
 }
 
 function oneOrderer(h: History): Breach[] {
@@ -243,6 +269,8 @@
       ['oneWinner', { changes: [change(), change({ tag: 2 })] }],
       ['oneWinner', { changes: [change({ base: 1 }), change({ base: 1, version: 3, tag: 2 })] }],
       ['extrasBounded', { end: 20e6, sends: [send()], probes: [1, 2, 3, 4, 5, 6] }],
+      ['extrasBounded', { end: 20e6, sends: [send(), send({ at: 1, extra: true }), send({ at: 2, extra: true }), send({ at: 3, extra: true })] }],
+      ['extrasBounded', { end: 30e6, sends: [...Array.from({ length: 40 }, (_, i) => send({ at: 1e6 + i, request: `q${i}` })), ...[1, 2, 3, 4].map((i) => send({ at: 12e6, request: `q${i}`, extra: true }))] }],
       ['oneOrderer', { orders: [{ at: 1, worker: 'a', epoch: 9, part: 'prefill', obeyed: true, by: 'x' }, { at: 2, worker: 'b', epoch: 8, part: 'decode', obeyed: true, by: 'y' }] }],
       ['neverOnFaith', { records: [{ at: 1, version: 1, record: { ...emptyRecord, live: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' } } }] }],
       ['neverOnFaith', { records: (['prefill', 'decode'] as const).map((part, i) => ({ at: i, version: i + 1, record: { ...emptyRecord, parts: { w: { part, incarnation: 1 } } } })) }],
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -131,10 +131,12 @@
   readonly disturbed: Disturbance[];
   // Every version of the rehearsal record that any agent held, by version.
   readonly records: RecordSeen[];
+  // The zone of a router, by its name.
+  zoneOf: (router: string) => string;
   calmFrom: number;
   end: number;
 }
 
 export function newHistory(): History {
-  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], reads: [], holders: [], gaveUp: [], disturbed: [], readBack: undefined, calmFrom: 0, end: 0 };
+  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], reads: [], holders: [], gaveUp: [], disturbed: [], readBack: undefined, zoneOf: () => '', calmFrom: 0, end: 0 };
 }
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -94,6 +94,7 @@
   function zoneOf(i: number): string {
     return `z${i % d.zones}`;
   }
+  h.zoneOf = (x) => zoneOf(Number(x.replace(/\D/g, '')));
   const seedsAt: Address[] = [0, 1, 2].map((i) => address(`agent${i}:1`));
   const coreAt: string[] = [0, 1, 2].map((i) => `keeper${i}:1`);
   const wallJump = { by: 0 };
--- a/programs/request-router/src/decision.ts
+++ b/programs/request-router/src/decision.ts
@@ -6,7 +6,8 @@
 export interface Facts {
   readonly repeatable: boolean;
   readonly timeLeft: number;
-  readonly extraAllowed: boolean;
+  // How many extra sends the budget allows now.
+  readonly extras: number;
   readonly prefillWorkers: number;
   readonly decodeWorkers: number;
   readonly retryAfter: number;
@@ -18,6 +19,8 @@
     return { do: 'fail', failure: x };
   }
   const last = l.sends.at(-1);
+  // Once a decode was sent, a new prefill will take an extra decode with it.
+  const again = l.sends.some((s) => s.phase === 'decode') ? 2 : 1;
   const untouched = provablyNeverStarted(l);
   if (l.firstByte) return fail(failure('answer_cut', 'The worker broke off after the answer had begun.', f.retryAfter));
   if (last?.outcome === 'pending') return fail(failure('outcome_unknown', 'A send is still open.'));
@@ -28,14 +31,14 @@
     if (f.decodeWorkers > 0) return { do: 'decode' };
     return fail(failure(f.repeatable ? 'workers_failed' : 'outcome_unknown', 'No worker is ready to decode; the prompt has been read.', f.retryAfter));
   }
-  if (last?.phase === 'decode' && last.outcome === 'notStarted' && f.extraAllowed && f.decodeWorkers > 0) return { do: 'decode' };
+  if (last?.phase === 'decode' && last.outcome === 'notStarted' && f.extras >= 1 && f.decodeWorkers > 0) return { do: 'decode' };
   if (untouched) {
     if (f.prefillWorkers === 0 || f.decodeWorkers === 0) return fail(failure('no_workers', 'No worker is ready for it.', f.retryAfter));
-    if (last === undefined || f.extraAllowed) return { do: 'prefill' };
+    if (last === undefined || f.extras >= again) return { do: 'prefill' };
     return fail(failure('workers_refused', 'Workers would not take it and no more sends are allowed now.', f.retryAfter));
   }
   if (!f.repeatable) return fail(failure('outcome_unknown', 'It may not be repeated and may have run in part.', f.retryAfter));
-  if (f.extraAllowed && f.prefillWorkers > 0 && f.decodeWorkers > 0) return { do: 'prefill' };
+  if (f.extras >= again && f.prefillWorkers > 0 && f.decodeWorkers > 0) return { do: 'prefill' };
   return fail(failure('workers_failed', 'Workers failed it and no more sends are allowed now.', f.retryAfter));
 }
 
@@ -47,7 +50,7 @@
     outcome: fc.constantFrom('done' as const, 'notStarted' as const, 'lapsed' as const, 'unknown' as const),
   });
   const facts = fc.record({
-    repeatable: fc.boolean(), timeLeft: fc.integer({ min: -1, max: 5 }), extraAllowed: fc.boolean(),
+    repeatable: fc.boolean(), timeLeft: fc.integer({ min: -1, max: 5 }), extras: fc.integer({ min: 0, max: 3 }),
     prefillWorkers: fc.integer({ min: 0, max: 2 }), decodeWorkers: fc.integer({ min: 0, max: 2 }), retryAfter: fc.constant(1),
   });
   const { failureKinds } = await import('./failure.js');
@@ -61,7 +64,9 @@
         if (s.do !== 'fail') expect(firstByte).toBe(false);
         if (s.do === 'decode') expect(sends.at(-1)!.outcome === 'done' || sends.at(-1)!.outcome === 'notStarted').toBe(true);
         if (s.do === 'fail' && failureKinds[s.failure.kind].ran === 'no') expect(sends.every((x) => x.outcome === 'notStarted')).toBe(true);
-        if (s.do !== 'fail' && sends.length > 0 && !(sends.at(-1)!.phase === 'prefill' && sends.at(-1)!.outcome === 'done')) expect(f.extraAllowed).toBe(true);
+        if (s.do !== 'fail' && sends.length > 0 && !(sends.at(-1)!.phase === 'prefill' && sends.at(-1)!.outcome === 'done')) {
+          expect(f.extras).toBeGreaterThanOrEqual(s.do === 'prefill' && sends.some((x) => x.phase === 'decode') ? 2 : 1);
+        }
       }),
       { seed: 5, numRuns: 2000 },
     );
--- a/programs/request-router/src/extra-budget.ts
+++ b/programs/request-router/src/extra-budget.ts
@@ -1,21 +1,28 @@
 // The one budget for extra sends and probes: a fifth of the first sends of the last ten seconds. Half of
 // it is granted to the zone's home agent for fetching reports as traffic flows; what is granted
-// counts as spent, whether or not it was used.
+// counts as spent, whether or not it was used. What is not spent is saved only up to two sends (a prompt
+// read again and its decode) and a fiftieth of the
+// first sends of the last ten seconds: else the savings of a crowd would be spent when it has gone, and the
+// ten seconds after it would hold far more than a fifth.
 import type { Micros } from '@tansypost/inner-protocol';
 
 export interface ExtraBudget {
   readonly first: () => void;
-  readonly mayExtra: () => boolean;
+  // How many extra sends are allowed now.
+  readonly room: () => number;
   readonly extra: () => void;
   readonly granted: () => number;
   readonly totals: () => { first: number; extra: number };
 }
 const window = 10_000_000;
 const slot = 100_000;
+export const savedSends = 2;
+export const savedShare = 0.02;
 
 export function createExtraBudget(now: () => Micros, share = 0.2, probeShare = 0.1): ExtraBudget {
   const slots: { at: number; first: number; spent: number }[] = [];
   let [first, extra, probes] = [0, 0, 0];
+  let saved = 0;
   function here(): { at: number; first: number; spent: number } {
     const at = Math.floor(now() / slot);
     while (slots.length > 0 && slots[0]!.at <= at - window / slot) slots.shift();
@@ -26,19 +33,27 @@
     here();
     return slots.reduce((a, s) => ({ first: a.first + s.first, spent: a.spent + s.spent }), { first: 0, spent: 0 });
   }
-  function mayExtra(): boolean {
+  function room(): number {
     const s = sums();
-    return s.spent + 1 <= share * s.first + 1e-9;
+    return Math.max(0, Math.floor(Math.min(saved, share * s.first - s.spent) + 1e-9));
+  }
+  function spend(): void {
+    saved -= 1;
+    here().spent += 1;
   }
   return {
-    first: () => { first += 1; here().first += 1; },
-    mayExtra,
-    extra: () => { extra += 1; here().spent += 1; },
+    first: () => {
+      first += 1;
+      here().first += 1;
+      saved = Math.min(saved + share, savedSends + savedShare * sums().first);
+    },
+    room,
+    extra: () => { extra += 1; spend(); },
     granted: () => {
       const due = Math.floor(first * probeShare);
-      while (probes < due && mayExtra()) {
+      while (probes < due && room() > 0) {
         probes += 1;
-        here().spent += 1;
+        spend();
       }
       return probes;
     },
@@ -60,7 +75,7 @@
       const burst = Math.floor(t / 3_000_000) % 2 === 0;
       let [f, s] = [0, 0];
       if (r() < (burst ? 0.9 : 0.2)) { b.first(); f = 1; }
-      if (b.mayExtra()) { b.extra(); s += 1; }
+      if (b.room() > 0) { b.extra(); s += 1; }
       const g = b.granted();
       s += g - probes;
       probes = g;
@@ -71,4 +86,23 @@
       expect(sum.s).toBeLessThanOrEqual(0.2 * all + 1);
     }
   });
+  it('keeps near a fifth in the ten seconds after a crowd has gone, too', () => {
+    let t = 0;
+    const b = createExtraBudget(() => micros(t));
+    for (let i = 0; i < 400; i += 1) {
+      t += 25_000;
+      b.first();
+    }
+    let [firsts, spent] = [0, 0];
+    for (let i = 0; i < 10; i += 1) {
+      t += 990_000;
+      b.first();
+      firsts += 1;
+      while (b.room() > 0) {
+        b.extra();
+        spent += 1;
+      }
+    }
+    expect(spent).toBeLessThanOrEqual(0.2 * firsts + savedSends + savedShare * 400);
+  });
 }
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -294,7 +294,7 @@
       const ps = candidates('prefill', c.arm, c.tried);
       const ds = candidates('decode', c.arm, c.tried);
       const step: Step = decide(c.ledger, {
-        repeatable: c.kind.repeatable, timeLeft: c.abort.signal.aborted ? 0 : c.limit - w.now(), extraAllowed: budget.mayExtra(),
+        repeatable: c.kind.repeatable, timeLeft: c.abort.signal.aborted ? 0 : c.limit - w.now(), extras: budget.room(),
         prefillWorkers: ps.length, decodeWorkers: ds.length, retryAfter: Math.max(1, Math.ceil(paceUs / 1e6)),
       });
       if (step.do === 'fail') {
--- a/programs/router-agent/src/reports.ts
+++ b/programs/router-agent/src/reports.ts
@@ -60,7 +60,7 @@
   function demand(m: MessageOf<'Demand'>): void {
     const had = totals.get(m.from);
     totals.set(m.from, m.allowance);
-    if (had !== undefined && m.allowance > had) pot = Math.min(pot + m.allowance - had, Math.max(4, o.workers().length));
+    if (had !== undefined && m.allowance > had) pot = Math.min(pot + m.allowance - had, 2);
   }
   function routerGrants(router: string, first: number, extra: number, allowance: number): void {
     own = { kind: 'Demand', from: router, first, extra, allowance };
