Rest a worker that failed longer until a later report shows that it answers

Cause: with a worker dead, every router tried it again after half a second, with a real request each time; the extra sends were then spent, and requests that had never started were refused. Ruled out: the platform's marks (it says nothing of a crash for seconds), the size of the extra budget (it is a limit). Change: without a report of after the failure a worker rests four times as long. Reports are fetched anyway.

--- a/programs/request-router/src/worker-table.ts
+++ b/programs/request-router/src/worker-table.ts
@@ -19,6 +19,7 @@
   decodeTokens: number;
   failures: number;
   restUntil: number;
+  failedAt: number;
   nonsenseAt?: number;
 }
 export interface WorkerTable {
@@ -45,7 +46,7 @@
     for (const m of ms) {
       const r = rows.get(m.worker);
       if (r === undefined || m.incarnation > r.mark.incarnation) {
-        rows.set(m.worker, { mark: m, report: undefined, deeds: [], running: 0, prefillTokens: 0, decodeTokens: 0, failures: 0, restUntil: 0 });
+        rows.set(m.worker, { mark: m, report: undefined, deeds: [], running: 0, prefillTokens: 0, decodeTokens: 0, failures: 0, restUntil: 0, failedAt: -Infinity });
         if (r !== undefined) renewed.push(m.worker);
       } else if (m.incarnation === r.mark.incarnation && m.state > r.mark.state) r.mark = m;
     }
@@ -93,12 +94,20 @@
     const x = rows.get(w);
     if (x === undefined) return;
     x.failures += 1;
+    x.failedAt = now();
     x.restUntil = now() + Math.min(8_000_000, 500_000 * 2 ** Math.min(4, x.failures - 1));
   }
   function went(w: WorkerId): void {
     const x = rows.get(w);
     if (x !== undefined) x.failures = 0;
   }
+  // After a failure a worker rests; until a report of later than that shows that it answers, it rests four times as long,
+  // as every request that tries it in vain costs an extra send.
+  function resting(x: Row, t: number): boolean {
+    if (x.restUntil > t) return true;
+    const heard = x.report !== undefined && x.report.at > x.failedAt;
+    return !heard && t < x.failedAt + Math.min(8_000_000, 4 * (x.restUntil - x.failedAt));
+  }
 
   function candidate(x: Row): Candidate {
     // Reports are paid for by traffic, so in a lull they stop; an old one must not go on speaking.
@@ -116,7 +125,7 @@
     const not = phase === 'prefill' ? 'decode' : 'prefill';
     const fit = [...rows.values()].filter((x) => x.mark.state === 1 && part(x.mark, x.report?.r.part as Part | undefined) !== not);
     const t = now();
-    const well = fit.filter((x) => x.restUntil <= t && !without.has(x.mark.worker));
+    const well = fit.filter((x) => !resting(x, t) && !without.has(x.mark.worker));
     if (well.length > 0) return well.map(candidate);
     const rest = fit.filter((x) => !without.has(x.mark.worker));
     return (rest.length > 0 ? rest : fit).map(candidate);
@@ -126,6 +135,29 @@
     marks, reports, began, failed, went, candidates,
     mark: (w) => rows.get(w)?.mark,
     reportedPart: (w) => rows.get(w)?.report?.r.part as Part | undefined,
-    view: () => [...rows.values()].map((x) => ({ ...x.mark, running: x.running, failures: x.failures, resting: x.restUntil > now(), report: x.report?.r })),
+    view: () => [...rows.values()].map((x) => ({ ...x.mark, running: x.running, failures: x.failures, resting: resting(x, now()), report: x.report?.r })),
   };
 }
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  const { micros } = await import('@tansypost/inner-protocol');
+  it('tries a worker that failed sooner once a report of later shows that it answers', () => {
+    let t = 0;
+    const table = createWorkerTable(() => micros(t), { speedClass: () => 0 } as unknown as Paces);
+    table.marks([1, 2].map((n) => ({ worker: `w${n}`, incarnation: 1, state: 1, address: 'x' })));
+    function names(): string {
+      return table.candidates('prefill', () => 'both', new Set()).map((c) => c.worker).join(' ');
+    }
+    table.failed('w1' as WorkerId);
+    t = 600_000;
+    expect(names()).toBe('w2');
+    t = 2_100_000;
+    expect(names()).toBe('w1 w2');
+    table.failed('w1' as WorkerId);
+    t = 3_000_000;
+    table.reports([{ worker: 'w1', incarnation: 1, queued: 0, active: 0, kvUsed: 0, part: 'both', age: 100_000, fence: 0 }]);
+    t = 3_200_000;
+    expect(names()).toBe('w1 w2');
+  });
+}
