Ask every router in turn when sending on, and look again before refusing for want of a tenure

Cause: a router without a tenure asked three others, drawn from a list that still held the dead, and then refused; one whose agent was just starting refused though it decided again a tenth of a second later. Ruled out: the other routers, which took what reached them. Change: for a second and a half at most it asks all it knows of, a dead one costing a moment and a silent one half a second, then waits what is left of that for its own tenure. What is given up on is still answered at once.

--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -232,7 +232,7 @@
         order = Math.max(e.now() + net.latency(n!.proc.machine, p.machine), order + 1);
         e.at(order, () => into(p, gen, f));
       }
-      if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 1_000_000, () => into(p, gen, () => ok(false)));
+      if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 500_000, () => into(p, gen, () => ok(false)));
       e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
         if (!n.proc.alive || n.closed) return home(() => ok(false));
         // The short question before it: a frozen router does not answer it.
--- a/programs/request-router/src/main.ts
+++ b/programs/request-router/src/main.ts
@@ -17,7 +17,7 @@
   start: async (b, log) => {
     const real = await createRealWorld(b.listen as Address, log);
     const workers = createHttpWorkers();
-    const others = new Agent({ connect: { timeout: 1000 }, connections: 64, pipelining: 1, bodyTimeout: 60_000 });
+    const others = new Agent({ connect: { timeout: 500 }, connections: 64, pipelining: 1, bodyTimeout: 60_000 });
     const core = createRouterCore(real.world, {
       ...routerDefaults, router: `${b.member}#${randomBytes(4).toString('hex')}`, http: b.http, agent: b.agent as Address, service: b.service ?? 'main',
       ...(b.feedTenureMs === undefined ? {} : { tenure: b.feedTenureMs * 1000 }),
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -30,6 +30,8 @@
   readonly queueRoom: number;
   readonly placement: PlacementOptions;
 }
+// How long a router without a tenure looks for one that takes a request, or for its own tenure to come back.
+const sendOnFor = 1_500_000;
 export const routerDefaults = { tenure: 10_000_000, promptLimit: 32_768, queueRoom: 12, placement: placementDefaults };
 
 export interface Incoming {
@@ -190,19 +192,26 @@
     else claims.tell('ended', whole, r.id, end);
   }
 
+  function ready(): boolean {
+    return taking && feed.tenured() && feed.desired() !== undefined;
+  }
+
   async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<Failure | 'sent on' | undefined> {
     const t = promptFacts(r.prompt).tokens;
     if (t > o.promptLimit) return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
-    if (taking && feed.tenured() && feed.desired() !== undefined) return undefined;
+    if (ready()) return undefined;
     if (!r.sentOn) {
       const at = Math.floor(w.random() * 64);
       const all = feed.others();
+      const until = w.now() + sendOnFor;
       const known = feed.desired() === undefined ? 'unknown_kind' : kindOf(feed.desired()!, r.tenant, r.kind);
       const limit = arrived + (typeof known === 'string' ? 30_000_000 : known.patienceMs * 1000);
-      for (const a of [0, 1, 2].filter((i) => i < all.length).map((i) => all[(at + i) % all.length]!)) {
-        if (gone.aborted || w.now() >= limit) break;
-        if (await sendOn(a, r, reply, gone, arrived, limit)) return 'sent on';
+      for (let i = 0; i < all.length && !gone.aborted && w.now() < Math.min(until, limit); i += 1) {
+        if (await sendOn(all[(at + i) % all.length]!, r, reply, gone, arrived, limit)) return 'sent on';
       }
+      // Nobody took it. A router that is just starting, or whose agent is, decides again within a moment.
+      while (taking && !ready() && !gone.aborted && w.now() < Math.min(until, limit)) await new Promise<void>((ok) => { w.after(micros(50_000), ok); });
+      if (ready()) return undefined;
     }
     if (!taking) return failure('stopping', 'This router is stopping.');
     return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
