Judge rehearsals by looks fixed beforehand, on three measures, and widen them in stages

Cause: the verdict was asked twice a second at a nominal 95 %, on TTFT from the send alone; what passed on a tenth went to everybody at once, and nothing watched it afterwards. Ruled out: an always-valid sequence with a normal mixture (about 2.9 times the requests of a fixed test at the counts of our rehearsals, against 1.6 to 2 with five planned looks); the joint law of the looks (answers depend on each other). Change: looks at 200, 400, ... requests spend 5 % between them, each recorded in the rehearsal record; TTFT from arrival with failures at their whole patience, time per token, and the share answered within patience; a tenth, a half, then live beside a control arm held back, and rolled back when harm shows there. Stage time is counted in the record, so changing keepers do not stretch it; a worker back under a new incarnation ends its rehearsal as superseded. Before: a model that herds all prompts to the fast workers passed on its slice and went live.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -40,6 +40,7 @@
   4101: { level: 'info', means: 'rehearsal begun', remedy: 'Approve or reject it if you wish.' },
   4102: { level: 'info', means: 'rehearsal ended', remedy: 'None.' },
   4103: { level: 'info', means: 'part of a worker ordered', remedy: 'None.' },
+  4104: { level: 'info', means: 'rehearsal widened, or live and watched beside a control arm held back', remedy: 'None; a reject rolls it back.' },
   5001: { level: 'info', means: 'feed tenure gained', remedy: 'None.' },
   5002: { level: 'warn', means: 'feed tenure ran out; requests are sent on', remedy: 'Check the link of this machine to the core.' },
   5003: { level: 'info', means: 'desired state applied', remedy: 'None.' },
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -19,6 +19,7 @@
 const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
 const arm = {
   rehearsal: 'string', arm: 'string', stratum: 'string', count: 'long', failures: 'long', sum: 'double', squares: 'double',
+  tokenCount: 'long', tokenSum: 'double', tokenSquares: 'double',
 } as const;
 
 export const shapes = {
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -7,7 +7,7 @@
   assignDecode, assignPrefill, batchSize, createPaces, createRadixTree, encodeSamples, placementDefaults, promptFacts, width,
   type Assignment, type Candidate, type Model, type PlacementOptions, type PromptFacts, type Sample,
 } from '@tansypost/placement';
-import { armOf, type Arm, type Part } from '@tansypost/rehearsal';
+import { armOf, armsOf, type Arm, type Part } from '@tansypost/rehearsal';
 import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
 import { createAdmission, type Claimant } from './admission.js';
 import { createClaims } from './claims.js';
@@ -89,6 +89,7 @@
   assigned: Assignment | undefined;
   sentAt: number;
   firstAt: number;
+  chunks: number;
 }
 
 export function createRouterCore(w: World, o: RouterOptions, p: RouterPorts): RouterCore {
@@ -147,7 +148,8 @@
     const rec = feed.record();
     const s = rec.running?.subject;
     if (arm === 'slice' && s?.type === 'model') return feed.model(s.model);
-    return feed.model(rec.live);
+    // While a model that went live is watched, the control arm stays with the one before.
+    return feed.model(arm === 'control' && rec.running?.state === 'watched' && s?.type === 'model' ? rec.before : rec.live);
   }
 
   // Everything under way counts as active, what was sent on to another router too: a stop waits for all of it.
@@ -265,10 +267,10 @@
     const c: Course = {
       r, reply, kind: terms, ledger: newLedger(), facts, arrived, limit: arrived + terms.patienceMs * 1000, unarm: () => undefined,
       job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens, sampling: r.sampling ?? {} },
-      arm: run === undefined ? 'none' : armOf(run.id, r.id, run.slice), tried: new Set(), abort: new AbortController(), version,
-      handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0,
+      arm: run === undefined ? 'none' : armOf(armsOf(run), r.id, run.slice), tried: new Set(), abort: new AbortController(), version,
+      handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0, chunks: 0,
     };
-    const rehearsal = run?.id;
+    const rehearsal = run === undefined ? undefined : armsOf(run);
     armLimit(c);
     function left(): void {
       c.abort.abort();
@@ -405,6 +407,7 @@
         cancel();
         learn(c);
       }
+      c.chunks += 1;
       return c.reply.chunk(text);
     }
     const x = await p.workers.decode(m, c.job, c.handle!.h, chunk, AbortSignal.any([c.abort.signal, patience.signal]));
@@ -445,13 +448,18 @@
   function count(rehearsal: string, c: Course, end: FailureKind | 'whole'): void {
     const stratum = `${c.r.tenant}/${c.r.kind}`;
     const k = `${rehearsal}/${c.arm}/${stratum}`;
-    const a = arms.get(k) ?? { rehearsal, arm: c.arm, stratum, count: 0, failures: 0, sum: 0, squares: 0 };
+    const a = arms.get(k) ?? { rehearsal, arm: c.arm, stratum, count: 0, failures: 0, sum: 0, squares: 0, tokenCount: 0, tokenSum: 0, tokenSquares: 0 };
     a.count += 1;
     if (end !== 'whole') a.failures += 1;
-    else {
-      const l = Math.log(Math.max(1, c.firstAt - c.sentAt));
-      a.sum += l;
-      a.squares += l * l;
+    // From arrival, with the waiting here; whoever failed has waited its whole patience.
+    const l = Math.log(Math.max(1, end === 'whole' ? c.firstAt - c.arrived : c.kind.patienceMs * 1000));
+    a.sum += l;
+    a.squares += l * l;
+    if (end === 'whole' && c.chunks > 1) {
+      const k = Math.log(Math.max(1, (w.now() - c.firstAt) / (c.chunks - 1)));
+      a.tokenCount += 1;
+      a.tokenSum += k;
+      a.tokenSquares += k * k;
     }
     arms.set(k, a);
     for (const old of arms.keys()) if (arms.size > 64 && !old.startsWith(rehearsal)) arms.delete(old);
--- a/programs/router-agent/src/parts-duty.ts
+++ b/programs/router-agent/src/parts-duty.ts
@@ -3,7 +3,7 @@
 // measurement shows no harm. Every order carries the duty's epoch. The first thing a new holder does is to fence
 // every worker, so that whatever an earlier holder still has in hand is refused.
 import { micros, type Mark, type Report, type World } from '@tansypost/inner-protocol';
-import { begin, readRecord, type Part, type PartEntry, type RehearsalRecord } from '@tansypost/rehearsal';
+import { begin, end, readRecord, type Part, type PartEntry, type RehearsalRecord } from '@tansypost/rehearsal';
 import type { RecordWriter } from './record-writer.js';
 
 export interface PartsDutyOptions {
@@ -52,7 +52,13 @@
       changed = true;
     }
   }
-  return changed ? { ...r, parts } : undefined;
+  if (!changed) return undefined;
+  // A worker that came back anew has left its rehearsal; what it had gone over to live is rolled back with it.
+  const s = r.running?.subject;
+  const left = s?.type === 'part' && parts[s.shift.worker]?.incarnation !== s.shift.incarnation;
+  if (!left) return { ...r, parts };
+  const ended = end({ ...r, parts }, 'superseded');
+  return { ...ended, parts: { ...parts, [s.shift.worker]: { incarnation: parts[s.shift.worker]!.incarnation, part: s.shift.from } } };
 }
 
 export interface Pressure {
