--- a/programs/router-agent/src/reports.ts
+++ b/programs/router-agent/src/reports.ts
@@ -30,7 +30,8 @@
   readonly stop: () => void;
 }
 
-// What stands for a report with impossible figures: routers count it against the worker's vitals.
+// What stands for a report with impossible figures, or for none where one was asked: routers count it against the
+// worker's vitals, and so know of a dark worker without each losing a request to it.
 export const nonsense = { queued: -1, active: -1, kvUsed: 0 };
 
 export function createReports(w: World, o: ReportsOptions): Reports {
@@ -87,13 +88,18 @@
   async function fetchOne(m: Mark): Promise<void> {
     const at = w.now();
     const f = await o.fetch(m);
-    if (f === undefined || f.incarnation !== m.incarnation) return;
+    if (f === undefined) return share({ worker: m.worker, incarnation: m.incarnation, ...nonsense, part: '', age: 0, fence: 0 });
+    if (f.incarnation !== m.incarnation) return;
     const r: Report = { worker: m.worker, incarnation: m.incarnation, queued: f.queued, active: f.active, kvUsed: f.kv_used, part: f.part, age: w.now() - at, fence: f.fence };
     const sound = Number.isInteger(r.queued) && Number.isInteger(r.active) && Number.isFinite(r.kvUsed) && r.queued >= 0 && r.active >= 0 && r.kvUsed >= 0 && r.kvUsed <= 1;
     if (!sound) {
       w.log(5103, { worker: m.worker, why: 'impossible figures in its report', report: f });
       Object.assign(r, nonsense);
     }
+    share(r);
+  }
+
+  function share(r: Report): void {
     if (!keep(r)) return;
     o.changed();
     for (const a of o.subscribers()) w.send(a, { kind: 'Reports', reports: [r], relay: false });
--- a/tests/scenarios.test.ts
+++ b/tests/scenarios.test.ts
@@ -29,6 +29,9 @@
   'core machines frozen, killed and lost whole, one after the other': [[1, 'machine-freeze', 'm0', 4], [6, 'machine-kill', 'm1', 3], [10, 'machine-lost', 'm2', 1], [15, 'submit', '', 0]],
   'the core split in each way, routers and workers on the small side': [[1, 'core-split', 'm0', 4], [2, 'submit', '', 0], [7, 'core-split', 'm1', 4], [8, 'submit', '', 0], [13, 'core-split', 'm2', 4], [14, 'submit', '', 0]],
   'one-way cuts between core machines': [[1, 'link-one-way', 'm0>m1', 4], [2, 'submit', '', 0], [6, 'link-one-way', 'm2>m0', 4], [7, 'submit', '', 0], [11, 'link-one-way', 'm1>m2', 4], [12, 'submit', '', 0]],
+  'a worker dark all along': [[1, 'worker-dark', 'worker1', 18]],
+  'three routers dead all along': [[1, 'kill', 'router1', 18], [1, 'kill', 'router2', 18], [1, 'kill', 'router3', 18]],
+  'a machine cut off all along': [[1, 'isolate', 'm5', 18], [3, 'submit', '', 0]],
   'memory lapsing in bulk, again and again': [1, 3, 5, 7, 9, 11].map((t): Row => [t, 'lapse', '', 0]),
 };
 
