Measure how often the verdict errs, and give a stage ten minutes

Ruled out: a looser level or margin, as harm would pass with it. Change: ten minutes a stage. What is inconclusive is not live, so waiting longer is the safe way to more passes.

--- a/packages/rehearsal/src/verdict.ts
+++ b/packages/rehearsal/src/verdict.ts
@@ -20,7 +20,7 @@
 }
 export const verdictDefaults: VerdictOptions = { minCount: 200, ttftMargin: 0.1, tokenMargin: 0.1, failureMargin: 0.02 };
 export type Verdict = 'open' | 'pass' | 'harmful';
-export type Counts = Pick<ArmCount, 'arm' | 'stratum' | 'count' | 'failures' | 'sum' | 'squares' | 'tokenCount' | 'tokenSum' | 'tokenSquares'>;
+export type VerdictCounts = Pick<ArmCount, 'arm' | 'stratum' | 'count' | 'failures' | 'sum' | 'squares' | 'tokenCount' | 'tokenSum' | 'tokenSquares'>;
 
 const level = 0.05;
 const spending = [0.15, 0.2, 0.25, 0.2, 0.2];
@@ -50,10 +50,10 @@
   const mean = n > 0 ? sum / n : 0;
   return { n, mean, variance: n > 1 ? (Math.max(0, squares / n - mean * mean) * n) / (n - 1) : 0 };
 }
-function total(cs: readonly Counts[], f: (c: Counts) => number): number {
+function total(cs: readonly VerdictCounts[], f: (c: VerdictCounts) => number): number {
   return cs.reduce((a, c) => a + f(c), 0);
 }
-function figures(cs: readonly Counts[]): ArmFigures {
+function figures(cs: readonly VerdictCounts[]): ArmFigures {
   const m = moments(total(cs, (c) => c.count), total(cs, (c) => c.sum), total(cs, (c) => c.squares));
   return { count: m.n, failures: total(cs, (c) => c.failures), meanLog: m.mean, sdLog: Math.sqrt(m.variance) };
 }
@@ -67,7 +67,7 @@
   return { low: mid - half, high: mid + half, p };
 }
 
-function pooled(cs: readonly Counts[], f: (cs: readonly Counts[]) => Moments): { diff: number; se: number; n: number } {
+function pooled(cs: readonly VerdictCounts[], f: (cs: readonly VerdictCounts[]) => Moments): { diff: number; se: number; n: number } {
   let [all, diff, v] = [0, 0, 0];
   for (const s of new Set(cs.map((c) => c.stratum))) {
     const a = f(cs.filter((c) => c.stratum === s && c.arm === 'slice'));
@@ -86,7 +86,7 @@
   return `${((Math.exp(x) - 1) * 100).toFixed(1)} %`;
 }
 
-export function verdict(cs: readonly Counts[], o: VerdictOptions, spend: number): { verdict: Verdict; measured: Measured } {
+export function verdict(cs: readonly VerdictCounts[], o: VerdictOptions, spend: number): { verdict: Verdict; measured: Measured } {
   const slice = figures(cs.filter((c) => c.arm === 'slice'));
   const control = figures(cs.filter((c) => c.arm === 'control'));
   function say(v: Verdict, why: string): { verdict: Verdict; measured: Measured } {
@@ -122,7 +122,7 @@
     readonly fail?: number;
   }
   // Answers come in a queue's spells, which both arms share, and with heavy tails: one in twenty is five times as slow.
-  function draw(r: () => number, slice: number, truth: Truth): { step: (n: number) => void; counts: () => Counts[] } {
+  function draw(r: () => number, slice: number, truth: Truth): { step: (n: number) => void; counts: () => VerdictCounts[] } {
     const cs = ['slice', 'control'].flatMap((a) => ['long', 'short'].map((s) => ({ arm: a, stratum: s, count: 0, failures: 0, sum: 0, squares: 0, tokenCount: 0, tokenSum: 0, tokenSquares: 0 })));
     let spell = 0;
     function normal(): number {
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -8,6 +8,7 @@
 import { shrink, type SimFault } from './faults.js';
 import { loads, measureOne, policies, type Figure, type Load, type Policy } from './measure.js';
 import { runOne, type OneResult } from './one.js';
+import { fleetShows, measureVerdict, type Harm } from './verdicts.js';
 
 interface Job {
   readonly deployment: string;
@@ -147,11 +148,40 @@
   }
 }
 
+const harms: readonly (readonly [string, Harm])[] = [
+  ['better by 5 %', { ttft: 0.95, token: 1, fail: 0 }], ['the same', { ttft: 1, token: 1, fail: 0 }], ['TTFT 5 % above', { ttft: 1.05, token: 1, fail: 0 }],
+  ['TTFT 10 % above', { ttft: 1.1, token: 1, fail: 0 }], ['TTFT 20 % above', { ttft: 1.2, token: 1, fail: 0 }], ['TTFT 50 % above', { ttft: 1.5, token: 1, fail: 0 }],
+  ['time per token 10 % above', { ttft: 1, token: 1.1, fail: 0 }], ['time per token 20 % above', { ttft: 1, token: 1.2, fail: 0 }], ['2 points more fail', { ttft: 1, token: 1, fail: 0.02 }], ['5 points more fail', { ttft: 1, token: 1, fail: 0.05 }],
+];
+
+class Verdicts extends Command {
+  static override paths = [['verdicts']];
+  static override usage = Command.Usage({ description: 'Measure how often the verdict on a rehearsal errs, on what a simulated fleet shows.' });
+  shape = Option.String('--deployment', 'ferry');
+  seed = Option.String('--seed', '1');
+  count = Option.String('--count', '2000');
+  secondsFor = Option.String('--seconds', '330');
+  swing = Option.Boolean('--swing', false, { description: 'take the traffic that swings' });
+  async execute(): Promise<number> {
+    const d = deployments[this.shape];
+    if (d === undefined) return 2;
+    const seen = await fleetShows(d, Number(this.seed), Number(this.secondsFor), this.swing);
+    const out = this.context.stdout;
+    out.write(`${this.shape}, seed ${this.seed}, ${seen.length} requests at ${d.rate} a second, ${this.count} rehearsals a case\n| harm done to the slice | passes the first stage | called harmful | open | goes live | median s |\n|---|---|---|---|---|---|\n`);
+    for (const [name, harm] of harms) {
+      const f = measureVerdict(seen, Number(this.seed), Number(this.count), d.rate, harm);
+      out.write(`| ${name} | ${(100 * f.passed).toFixed(1)} % | ${(100 * f.harmful).toFixed(1)} % | ${(100 * f.open).toFixed(1)} % | ${(100 * f.live).toFixed(1)} % | ${f.medianSeconds} |\n`);
+    }
+    return 0;
+  }
+}
+
 if (isMainThread) {
   const cli = new Cli({ binaryLabel: 'simulator', binaryName: 'simulator', binaryVersion: '0.1.0' });
   cli.register(Builtins.HelpCommand);
   cli.register(Simulate);
   cli.register(Measure);
+  cli.register(Verdicts);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
   parentPort!.on('message', (j: Job | MeasureJob) => {
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -39,7 +39,7 @@
   readonly shiftRest?: number;
 }
 export const agentDefaults = {
-  dutyTenure: 3_000_000, trainEvery: 1000, shiftParts: true, slice: 0.1, rehearsalLimit: 300_000_000,
+  dutyTenure: 3_000_000, trainEvery: 1000, shiftParts: true, slice: 0.1, rehearsalLimit: 600_000_000,
   persisted: { entries: [], marks: [], gen: 0, places: [] },
 };
 export interface AgentPorts {
@@ -48,6 +48,8 @@
   readonly trainer: TrainerPort;
   readonly save: (p: AgentOptions['persisted']) => void;
   readonly wall: () => number;
+  // Told of each change that this agent sees.
+  readonly changed?: (e: TraceEvent) => void;
 }
 export interface TraceEvent {
   readonly at: number;
@@ -169,6 +171,7 @@
   }
   function note(what: string, key: string, version: number): void {
     traces.push({ at: p.wall(), what, key, version });
+    if (!key.startsWith('blob/')) p.changed?.(traces.at(-1)!);
     if (traces.length > 500) traces = traces.slice(-400);
   }
 
