Tell rehearsals in plain words, explain the template's fields, send CloudEvents to a sink

Cause: an operator had to read the whole record as JSON to learn what is rehearsed and what comes next; the template was printed without a word on its fields; CloudEvents could only be fetched; an unforeseen error in an agent came back as bad_request. Seen: the evening of an operator in the smoke run on real processes: check, submit, race (0 and 4), look up, read back.

--- a/packages/boot/src/settings.ts
+++ b/packages/boot/src/settings.ts
@@ -39,6 +39,7 @@
   feedTenureMs: Type.Optional(Type.Integer({ minimum: 1000, maximum: 60000 })),
   dutyTenureMs: Type.Optional(Type.Integer({ minimum: 500, maximum: 10000 })),
   trainEvery: Type.Optional(Type.Integer({ minimum: 100, maximum: 100000 })),
+  eventSink: Type.Optional(Type.String({ pattern: '^http://' })),
   shiftParts: Type.Optional(Type.Boolean()),
 }, { additionalProperties: false });
 export type AgentBoot = Static<typeof AgentBoot>;
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -33,6 +33,7 @@
   3004: { level: 'info', means: 'home agent of the zone changed', remedy: 'None.' },
   3101: { level: 'info', means: 'duty won', remedy: 'None.' },
   3102: { level: 'info', means: 'duty lost or laid down', remedy: 'None.' },
+  3201: { level: 'warn', means: 'event sink refused a batch three times; it is lost', remedy: 'Look at the sink named in eventSink.' },
   4001: { level: 'info', means: 'placement fell back to the heuristic (logged at the 1st, 10th, 100th ... of a reason)', remedy: 'None when cold; look at the reason when it lasts.' },
   4002: { level: 'info', means: 'model swapped', remedy: 'None.' },
   4003: { level: 'info', means: 'model trained', remedy: 'None.' },
--- a/programs/router-agent/src/app.ts
+++ b/programs/router-agent/src/app.ts
@@ -4,9 +4,9 @@
 import { Type, type Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
 import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
-import { CloudEvent, HTTP } from 'cloudevents';
 import { markStates } from '@tansypost/membership';
 import type { AgentCore } from './agent-core.js';
+import { cloudEvent, type EventSink } from './event-sink.js';
 
 const WorkerCall = Type.Object({
   worker: Type.String({ minLength: 1, maxLength: 64 }),
@@ -23,6 +23,7 @@
 export interface AgentAppOptions {
   readonly core: AgentCore;
   readonly service: string;
+  readonly sink?: EventSink['figures'];
 }
 
 export function createAgentApp(o: AgentAppOptions): FastifyInstance {
@@ -31,9 +32,12 @@
   const desiredKey = `desired/${o.service}`;
 
   function bad(a: FastifyReply, message: string, remedy: string): FastifyReply {
-    return a.code(400).send({ error: { kind: 'bad_request', message, remedy } });
+    return (a.statusCode >= 400 ? a : a.code(400)).send({ error: { kind: 'bad_request', message, remedy } });
   }
-  app.setErrorHandler((e: { message: string; statusCode?: number }, _q, a) => a.code(e.statusCode ?? 500).send({ error: { kind: 'bad_request', message: e.message, remedy: 'Correct the call.' } }));
+  app.setErrorHandler((e: { message: string; statusCode?: number }, _q, a) => {
+    if (e.statusCode !== undefined && e.statusCode < 500) return bad(a.code(e.statusCode), e.message, 'Correct the call.');
+    return a.code(500).send({ error: { kind: 'internal_error', message: 'Something unforeseen went wrong inside this agent.', remedy: 'Read the outcome back before trying again.' } });
+  });
 
   app.post('/platform/workers', async (q, a) => {
     const e = [...Value.Errors(WorkerCall, q.body)][0];
@@ -81,14 +85,11 @@
   app.get('/members', async () => core.members());
   app.get<{ Params: { version: string } }>('/trace/:version', async (q) => core.trace(desiredKey, Number(q.params.version)));
   app.get<{ Params: { version: string } }>('/cloudevents/:version', async (q, a) => {
-    const es = core.trace(desiredKey, Number(q.params.version)).map((t) => new CloudEvent({
-      type: `tansypost.desired-state.${t.what}`, source: `/agents/${String(core.figures()['member'])}`, subject: `${t.key}@${t.version}`,
-      time: new Date(t.at / 1000).toISOString(), data: { key: t.key, version: t.version },
-    }));
-    return a.type('application/cloudevents-batch+json').send(JSON.stringify(es.map((e) => JSON.parse(HTTP.structured(e).body as string) as unknown)));
+    const es = core.trace(desiredKey, Number(q.params.version)).map((t) => cloudEvent(String(core.figures()['member']), t));
+    return a.type('application/cloudevents-batch+json').send(JSON.stringify(es));
   });
   app.get('/metrics', async (_q, a) => {
-    const f = core.figures();
+    const f = { ...core.figures(), ...(o.sink === undefined ? {} : { eventsSent: o.sink().sent, eventsLost: o.sink().lost, eventsWaiting: o.sink().waiting }) };
     const lines = Object.entries(f).flatMap(([k, v]) => (typeof v === 'number' ? [`tansypost_agent_${k} ${v}`] : typeof v === 'boolean' ? [`tansypost_agent_${k} ${v ? 1 : 0}`] : []));
     return a.type('text/plain; version=0.0.4').send(`${lines.join('\n')}\n`);
   });
--- /dev/null
+++ b/programs/router-agent/src/event-sink.ts
@@ -0,0 +1,93 @@
+// Sends CloudEvents of changes to a sink, in batches: of what this agent has seen of the desired state and of rehearsals.
+// The queue is bounded; what finds no room, or is refused three times, is counted as lost and never holds anything up.
+import { CloudEvent, HTTP } from 'cloudevents';
+import { every, micros, type World } from '@tansypost/inner-protocol';
+
+export interface SinkEvent {
+  readonly at: number;
+  readonly what: string;
+  readonly key: string;
+  readonly version: number;
+}
+export interface EventSink {
+  readonly add: (e: SinkEvent) => void;
+  readonly figures: () => { readonly sent: number; readonly lost: number; readonly waiting: number };
+  readonly stop: () => void;
+}
+export interface EventSinkOptions {
+  readonly member: string;
+  // Posts one batch; true when the sink took it.
+  readonly post: (body: string) => Promise<boolean>;
+  readonly room?: number;
+}
+const batch = 100;
+const triesEach = 3;
+
+export function cloudEvent(member: string, e: SinkEvent): unknown {
+  const x = new CloudEvent({
+    type: `tansypost.${e.key.split('/')[0]}.${e.what}`, source: `/agents/${member}`, subject: `${e.key}@${e.version}`,
+    time: new Date(e.at / 1000).toISOString(), data: { key: e.key, version: e.version },
+  });
+  return JSON.parse(HTTP.structured(x).body as string) as unknown;
+}
+
+export function createEventSink(w: Pick<World, 'after' | 'log'>, o: EventSinkOptions): EventSink {
+  let queue: SinkEvent[] = [];
+  let [sent, lost, tries] = [0, 0, 0];
+  let busy = false;
+
+  function add(e: SinkEvent): void {
+    if (queue.length >= (o.room ?? 1000)) lost += 1;
+    else queue.push(e);
+  }
+  async function send(): Promise<void> {
+    if (busy || queue.length === 0) return;
+    busy = true;
+    const now = queue.slice(0, batch);
+    const ok = await o.post(JSON.stringify(now.map((e) => cloudEvent(o.member, e)))).catch(() => false);
+    busy = false;
+    tries = ok ? 0 : tries + 1;
+    if (!ok && tries < triesEach) return;
+    if (!ok) w.log(3201, { lost: now.length });
+    queue = queue.slice(now.length);
+    if (ok) sent += now.length;
+    else lost += now.length;
+    tries = 0;
+  }
+  const stop = every(w, () => micros(1_000_000), () => void send());
+  return { add, figures: () => ({ sent, lost, waiting: queue.length }), stop };
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  it('sends in batches, tries a refused one again, and counts what is lost', async () => {
+    const ticks: (() => void)[] = [];
+    const bodies: string[] = [];
+    let well = true;
+    const s = createEventSink({ after: (_d, f) => { ticks.push(f); return () => undefined; }, log: () => undefined }, {
+      member: 'a1', room: 250, post: async (b) => {
+        bodies.push(b);
+        return well;
+      },
+    });
+    async function step(): Promise<void> {
+      ticks.pop()!();
+      for (let i = 0; i < 5; i += 1) await Promise.resolve();
+    }
+    for (let i = 1; i <= 300; i += 1) s.add({ at: 1e15, what: 'applied', key: 'desired/main', version: i });
+    expect(s.figures()).toEqual({ sent: 0, lost: 50, waiting: 250 });
+    await step();
+    expect(s.figures()).toEqual({ sent: 100, lost: 50, waiting: 150 });
+    const first = (JSON.parse(bodies[0]!) as Record<string, unknown>[])[0]!;
+    expect(first).toMatchObject({ specversion: '1.0', type: 'tansypost.desired.applied', source: '/agents/a1', subject: 'desired/main@1' });
+    well = false;
+    await step();
+    await step();
+    expect(s.figures().waiting).toBe(150);
+    await step();
+    expect(s.figures()).toEqual({ sent: 100, lost: 150, waiting: 50 });
+    well = true;
+    await step();
+    expect(s.figures()).toEqual({ sent: 150, lost: 150, waiting: 0 });
+  });
+}
--- a/programs/router-agent/src/main.ts
+++ b/programs/router-agent/src/main.ts
@@ -6,6 +6,7 @@
 import { agentDefaults, createAgentCore } from './agent-core.js';
 import { createAgentApp } from './app.js';
 import type { FetchedReport } from './reports.js';
+import { createEventSink } from './event-sink.js';
 import { createThreadTrainer } from './trainer-port.js';
 import { createViewsFile } from './views-file.js';
 
@@ -38,6 +39,15 @@
         return undefined;
       }
     }
+    const sinkAt = b.eventSink;
+    const sink = sinkAt === undefined ? undefined : createEventSink(real.world, {
+      member: b.member,
+      post: async (body) => {
+        const r = await request(sinkAt, { method: 'POST', dispatcher: http, headers: { 'content-type': 'application/cloudevents-batch+json' }, body });
+        await r.body.dump();
+        return r.statusCode >= 200 && r.statusCode < 300;
+      },
+    });
     const service = b.service ?? 'main';
     const core = createAgentCore(real.world, {
       ...agentDefaults, member: b.member, self, zone: b.zone, router: b.router as Address, routerHttp: b.routerHttp, service,
@@ -45,12 +55,13 @@
       ...(b.dutyTenureMs === undefined ? {} : { dutyTenure: b.dutyTenureMs * 1000 }),
       ...(b.trainEvery === undefined ? {} : { trainEvery: b.trainEvery }),
       ...(b.shiftParts === undefined ? {} : { shiftParts: b.shiftParts }),
-    }, { fetchReport, order, trainer, save: file.save, wall: () => Date.now() * 1000 });
+    }, { fetchReport, order, trainer, save: file.save, wall: () => Date.now() * 1000, ...(sink === undefined ? {} : { changed: sink.add }) });
     real.onMessage(core.receive);
-    const app = createAgentApp({ core, service });
+    const app = createAgentApp({ core, service, ...(sink === undefined ? {} : { sink: sink.figures }) });
     await app.listen(splitAddress(b.http));
     async function stop(): Promise<void> {
       core.stop();
+      sink?.stop();
       await Promise.all([app.close(), http.destroy(), trainer.close(), real.carrier.close()]);
     }
     return { stop };
--- a/programs/tansypost/src/commands.ts
+++ b/programs/tansypost/src/commands.ts
@@ -5,6 +5,8 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { checkDesiredState } from '@tansypost/desired-state';
 import { call, exitCode, type Called } from './call.js';
+import { readRecord } from '@tansypost/rehearsal';
+import { plainRehearsals } from './plain.js';
 
 abstract class AgentCommand extends Command<BaseContext> {
   agent = Option.String('--agent', process.env['TANSYPOST_AGENT'] ?? '127.0.0.1:8000', { description: 'HTTP address of an agent (or TANSYPOST_AGENT)' });
@@ -72,10 +74,22 @@
     return this.say(await call(this.agent, 'GET', `/changes/${encodeURIComponent(this.id)}`));
   }
 }
+const fieldsMeaning = `One template a tenant, under "templates":
+  tenant      a name in small letters, digits, _ and -, as requests name it in x-tansypost-tenant
+  approval    automatic: what passes its rehearsal goes live; operator: it waits for \`tansypost rehearsal approve\`
+  kinds       by the name that requests give in x-tansypost-kind; for each
+    worth       above 0, to 1000: under overload the worthier go first
+    patienceMs  100 to 600000: from arrival to the last byte; what cannot be answered within it is refused at once
+    share       0 to 1000: this kind's share of the credits, against the shares of all others
+    repeatable  whether it may run again after it may have run; false: never twice
+Save it, then: tansypost desired check FILE; tansypost desired submit FILE; tansypost desired read
+`;
+
 class Template extends AgentCommand {
   static override paths = [['template']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'print a template to fill in' });
+  static override usage = Command.Usage({ category: 'Desired state', description: 'print a template to fill in; the meaning of its fields goes to the error stream' });
   async execute(): Promise<number> {
+    this.context.stderr.write(fieldsMeaning);
     const kinds = { fare_quote: { worth: 3, patienceMs: 8000, share: 5, repeatable: true }, seat_hold: { worth: 8, patienceMs: 4000, share: 2, repeatable: false } };
     this.context.stdout.write(`${JSON.stringify({ templates: [{ tenant: 'passengers', approval: 'automatic', kinds }] }, null, 2)}\n`);
     return 0;
@@ -83,9 +97,13 @@
 }
 class Rehearsals extends AgentCommand {
   static override paths = [['rehearsals']];
-  static override usage = Command.Usage({ category: 'Rehearsals', description: 'list what is live, what is being rehearsed, and how earlier rehearsals ended' });
+  static override usage = Command.Usage({ category: 'Rehearsals', description: 'tell what is live, what is being rehearsed, on how many requests, what was measured, and what happens next' });
+  json = Option.Boolean('--json', false, { description: 'print the record itself' });
   async execute(): Promise<number> {
-    return this.say(await call(this.agent, 'GET', '/rehearsals'));
+    const r = await call(this.agent, 'GET', '/rehearsals');
+    if (this.json || r.status !== 200) return this.say(r);
+    this.context.stdout.write(plainRehearsals(readRecord(Buffer.from(JSON.stringify(r.body)))));
+    return 0;
   }
 }
 class Word extends AgentCommand {
--- a/tests/rehearsal.test.ts
+++ b/tests/rehearsal.test.ts
@@ -94,3 +94,11 @@
   expect(ended.some((e) => e.stage === 1 && e.outcome === 'harmful')).toBe(true);
   expect(h.records.every((r) => r.record.live === undefined)).toBe(true);
 });
+
+it('keeps every point while all workers are released under a rehearsal', async () => {
+  const faults = Array.from({ length: 12 }, (_, i): SimFault => ({ at: 8 + 4 * i, do: 'worker-release', who: `worker${i % 6}`, for: 4 }));
+  const h = await createSim({ ...base, shiftParts: false, faults }).run();
+  expect(checkAll(h, { faultless: false, overloaded: false })).toEqual([]);
+  expect(h.records.some((r) => r.record.running !== undefined)).toBe(true);
+  expect(h.requests.filter((q) => !['whole', 'claimed'].includes(q.ended)).map((q) => `${q.id} ${q.ended}`)).toEqual([]);
+});
--- a/tests/smoke.test.ts
+++ b/tests/smoke.test.ts
@@ -1,7 +1,7 @@
 // One multi-process run, the whole path in small: discovery, workers becoming known, a desired state taken and
 // carried to all, traffic judged token by token, bad input refused, a router killed and a keeper emptied
 // under way, and the read-back. It waits on conditions; nothing in it looks at how long anything took.
-import { mkdtempSync, rmSync } from 'node:fs';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { execFile } from 'node:child_process';
@@ -67,6 +67,24 @@
     expect((await cli(['change', 'race-a', '--agent', agentHttp])).out + (await cli(['change', 'race-b', '--agent', agentHttp])).out).toMatch(/not in force/);
     expect((await cli(['rehearsal', 'approve', 'no-such', '--agent', agentHttp])).code).toBe(3);
 
+    // An operator's evening: fill in a template, check it, submit it, race it, read it back, look at the rehearsals.
+    const at = ['--agent', agentHttp];
+    const filled = JSON.parse((await cli(['template'])).out) as { templates: { tenant: string; kinds: Record<string, { worth: number }> }[] };
+    const evening = { templates: [...(now.state.templates as typeof filled.templates), { ...filled.templates[0]!, tenant: 'evening' }] };
+    const file = join(folder, 'evening.json');
+    writeFileSync(file, JSON.stringify({ templates: [{ ...evening.templates[0]!, colour: 'red' }] }));
+    expect(await cli(['desired', 'check', file])).toMatchObject({ code: 3, out: expect.stringContaining('/templates/0/colour') });
+    writeFileSync(file, JSON.stringify(evening));
+    expect(await cli(['desired', 'check', file])).toMatchObject({ code: 0, out: 'sound\n' });
+    const two = await Promise.all([cli(['desired', 'submit', file, '--base', '2', '--change', 'evening-a', ...at]), cli(['desired', 'submit', file, '--base', '2', '--change', 'evening-b', ...at])]);
+    expect(two.map((x) => x.code).sort()).toEqual([0, 4]);
+    expect((await cli(['change', two[0]!.code === 0 ? 'evening-a' : 'evening-b', ...at])).out).toMatch(/acknowledged/);
+    expect(JSON.parse((await cli(['desired', 'read', ...at])).out)).toMatchObject({ version: 3, state: evening });
+    expect(await cli(['rehearsals', ...at])).toMatchObject({ code: 0, out: expect.stringMatching(/No model is live[^]*Parts: /) });
+    expect(JSON.parse((await cli(['rehearsals', '--json', ...at])).out)).toHaveProperty('parts');
+    expect((await cli(['desired', 'submit', join(folder, 'none.json'), ...at])).code).toBe(2);
+    expect((await cli(['desired', 'read', '--agent', '127.0.0.1:1'])).code).toBe(5);
+
     const during = traffic(12, 120);
     f.processes.signal('router3', 'SIGKILL');
     await f.fault({ at: 0, do: 'empty', who: 'keeper1' });
