--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,10 @@
   {
     rules: {
       'func-style': ['error', 'declaration', { allowArrowFunctions: false }],
-      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_', varsIgnorePattern: '^_', caughtErrors: 'none' }],
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        { argsIgnorePattern: '^_', varsIgnorePattern: '^_', caughtErrors: 'none' },
+      ],
       '@typescript-eslint/no-non-null-assertion': 'off',
       '@typescript-eslint/no-explicit-any': 'error',
     },
--- a/packages/boot/src/program.ts
+++ b/packages/boot/src/program.ts
@@ -21,7 +21,13 @@
 export async function runProgram<S extends TSchema>(o: ProgramOptions<S>): Promise<void> {
   class Start extends Command {
     static override paths = [Command.Default];
-    static override usage = Command.Usage({ description: o.about, examples: [['Start from a file', `${o.name} --boot boot.json`], ['Only check the file', `${o.name} --boot boot.json --check`]] });
+    static override usage = Command.Usage({
+      description: o.about,
+      examples: [
+        ['Start from a file', `${o.name} --boot boot.json`],
+        ['Only check the file', `${o.name} --boot boot.json --check`],
+      ],
+    });
     boot = Option.String('--boot', { description: 'the boot file (JSON)' });
     check = Option.Boolean('--check', false, { description: 'check the boot settings and end' });
     set = Option.Array('--set', [], { description: 'field=value, over the file; one of ' + o.flags.join(', ') });
--- a/packages/control-state/src/claims.ts
+++ b/packages/control-state/src/claims.ts
@@ -14,7 +14,13 @@
   epoch: number;
   claims: { [key: string]: ClaimEntry };
 }
-export type ClaimOp = { readonly op: 'claim' | 'release' | 'ended'; readonly key: string; readonly holder: string; readonly request: string; readonly ended: string };
+export type ClaimOp = {
+  readonly op: 'claim' | 'release' | 'ended';
+  readonly key: string;
+  readonly holder: string;
+  readonly request: string;
+  readonly ended: string;
+};
 
 export const claimKeptFor = 900_000_000;
 
@@ -31,7 +37,12 @@
   let result = 'won';
   if (c.op === 'claim') {
     if (had === undefined) claims.set(c.key, { holder: c.holder, request: c.request, ended: '', at: now });
-    else if (had.holder !== c.holder || had.request !== c.request || had.ended !== '') result = JSON.stringify({ request: had.request, router: had.holder.split('#')[0], ended: had.ended === '' ? 'not known' : had.ended });
+    else if (had.holder !== c.holder || had.request !== c.request || had.ended !== '')
+      result = JSON.stringify({
+        request: had.request,
+        router: had.holder.split('#')[0],
+        ended: had.ended === '' ? 'not known' : had.ended,
+      });
   } else if (had !== undefined && had.holder === c.holder && had.request === c.request) {
     if (c.op === 'release') claims.delete(c.key);
     else claims.set(c.key, { ...had, ended: c.ended });
@@ -47,7 +58,11 @@
     const one = applyClaim(Buffer.alloc(0), 8, 0, a);
     expect(one.result).toBe('won');
     expect(applyClaim(one.value, 8, 1, a).result).toBe('won');
-    expect(JSON.parse(applyClaim(one.value, 8, 1, b).result)).toEqual({ request: 'q', router: 'r1', ended: 'not known' });
+    expect(JSON.parse(applyClaim(one.value, 8, 1, b).result)).toEqual({
+      request: 'q',
+      router: 'r1',
+      ended: 'not known',
+    });
     const done = applyClaim(one.value, 8, 2, { ...a, op: 'ended', ended: 'whole' });
     expect(JSON.parse(applyClaim(done.value, 8, 3, b).result)).toMatchObject({ ended: 'whole' });
     expect(applyClaim(done.value, 8, 3, a).result).not.toBe('won');
--- a/packages/control-state/src/journal.ts
+++ b/packages/control-state/src/journal.ts
@@ -9,7 +9,12 @@
 const magic = Buffer.from('TPJ1');
 const headSize = 12;
 const shape = {
-  kind: 'string', key: 'string', promised: 'long', epoch: 'long', version: 'long', value: 'bytes',
+  kind: 'string',
+  key: 'string',
+  promised: 'long',
+  epoch: 'long',
+  version: 'long',
+  value: 'bytes',
   changes: ['string'],
 } as const;
 const type = avsc.Type.forSchema(toSchema('Record', shape));
@@ -46,7 +51,11 @@
     if (r === undefined) {
       for (let n = all.indexOf(magic, at + 1); n >= 0; n = all.indexOf(magic, n + 1)) {
         if (readAt(all, n) !== undefined) {
-          return E.left(new DamagedFile(`The data file is damaged at byte ${at} with whole records behind it. It is not served; the place copies from the other two.`));
+          return E.left(
+            new DamagedFile(
+              `The data file is damaged at byte ${at} with whole records behind it. It is not served; the place copies from the other two.`,
+            ),
+          );
         }
       }
       break;
@@ -61,7 +70,15 @@
   const { it, expect } = import.meta.vitest;
   function some(n: number): Buffer[] {
     return Array.from({ length: n }, (_, i) =>
-      encodeRecord({ kind: 'row', key: `k${i}`, promised: i, epoch: i, version: i, value: Buffer.from(`v${i}`), changes: [`c@${i}`] }),
+      encodeRecord({
+        kind: 'row',
+        key: `k${i}`,
+        promised: i,
+        epoch: i,
+        version: i,
+        value: Buffer.from(`v${i}`),
+        changes: [`c@${i}`],
+      }),
     );
   }
   it('cuts a tail torn at any byte and keeps all before it', () => {
--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -4,7 +4,15 @@
 // beside the desired state's, before the first grant; so a new owner knows whom its predecessor may have
 // granted one, and waits for each of these to apply the change, or for one whole tenure after its takeover.
 import {
-  every, key as toKey, micros, rendezvous, type Address, type Message, type MessageOf, type NewsItem, type World,
+  every,
+  key as toKey,
+  micros,
+  rendezvous,
+  type Address,
+  type Message,
+  type MessageOf,
+  type NewsItem,
+  type World,
 } from '@tansypost/inner-protocol';
 import { applyClaim, type ClaimOp } from './claims.js';
 import { coreKey, encodeCore, replaceIn, type CoreRecord } from './core-record.js';
@@ -42,7 +50,11 @@
 
 export function createKeeper(w: World, o: KeeperOptions): Keeper {
   const place = createPlace(w, o);
-  const rounds = createRounds({ ...w, send: (to, m) => w.send(to, 'from' in m && m.from === '' ? ({ ...m, from: o.self } as Message) : m) }, place, `${o.slot}`);
+  const rounds = createRounds(
+    { ...w, send: (to, m) => w.send(to, 'from' in m && m.from === '' ? ({ ...m, from: o.self } as Message) : m) },
+    place,
+    `${o.slot}`,
+  );
   const owners = new Map<string, Owner>();
   const heardAt = new Map<number, { at: number; voting: boolean }>();
   const subscribers = new Map<Address, number>();
@@ -56,7 +68,15 @@
   function owner(k: string): Owner {
     let x = owners.get(k);
     if (x === undefined) {
-      x = createOwner(w, { key: k, place, rounds, committed: (r) => { o.note?.('committed', k, r.version); push(k, r); } });
+      x = createOwner(w, {
+        key: k,
+        place,
+        rounds,
+        committed: (r) => {
+          o.note?.('committed', k, r.version);
+          push(k, r);
+        },
+      });
       owners.set(k, x);
     }
     return x;
@@ -93,7 +113,15 @@
 
   function onAsk(m: MessageOf<'Ask'>): void {
     function answer(status: string, r?: Pick<Row, 'epoch' | 'version' | 'value'>): void {
-      w.send(m.origin as Address, { kind: 'Answer', id: m.id, key: m.key, status, epoch: r?.epoch ?? 0, version: r?.version ?? 0, value: r?.value ?? Buffer.alloc(0) });
+      w.send(m.origin as Address, {
+        kind: 'Answer',
+        id: m.id,
+        key: m.key,
+        status,
+        epoch: r?.epoch ?? 0,
+        version: r?.version ?? 0,
+        value: r?.value ?? Buffer.alloc(0),
+      });
     }
     if (place.state() !== 'voting') return answer('retry');
     const p = preferred(m.key);
@@ -103,7 +131,12 @@
     }
     const x = owner(m.key);
     if (m.op === 'write') {
-      return x.write({ change: m.change, base: m.base, value: m.value, done: (a) => settle(m, a, (s) => answer(s, { epoch: a.epoch, version: a.version, value: Buffer.alloc(0) })) });
+      return x.write({
+        change: m.change,
+        base: m.base,
+        value: m.value,
+        done: (a) => settle(m, a, (s) => answer(s, { epoch: a.epoch, version: a.version, value: Buffer.alloc(0) })),
+      });
     }
     if (m.op === 'claim') {
       const c = JSON.parse(m.value.toString()) as ClaimOp;
@@ -147,7 +180,9 @@
     function free(version: number): boolean {
       if (!x.owns() || ![...t.values()].every((h) => h.expires <= now || h.applied >= version)) return false;
       if (now >= unknownUntil) return true;
-      return g !== undefined && g.asked >= x.since() && [...g.routers].every((r) => (t.get(r)?.applied ?? -1) >= version);
+      return (
+        g !== undefined && g.asked >= x.since() && [...g.routers].every((r) => (t.get(r)?.applied ?? -1) >= version)
+      );
     }
     const left = list.filter((a) => {
       if (!free(a.version)) return true;
@@ -171,7 +206,8 @@
       if (isTenured(h.key) && x.owns() && m.tenures.length > 0) grant(h.key, x, m);
     }
     const named = new Set(m.have.map((h) => h.key));
-    for (const [k, x] of owners) if (!named.has(k) && x.owns() && x.row().version > 0 && !isPrivate(k)) out.push(item(k, x.row()));
+    for (const [k, x] of owners)
+      if (!named.has(k) && x.owns() && x.row().version > 0 && !isPrivate(k)) out.push(item(k, x.row()));
     if (out.length > 0 || m.have.length === 0) sayNews(from, out);
     else w.send(from, { kind: 'News', news: [], coreGen: place.core().gen, places: [...place.core().places] });
   }
@@ -246,9 +282,17 @@
       if (known?.voting !== true && m.state === 'voting') w.send(m.from as Address, place.hello());
     }
     place.heard(m);
-    if (place.state() === 'voting' && m.state === 'voting' && m.gen > 0 && m.gen < place.core().gen) changeCore(undefined);
+    if (place.state() === 'voting' && m.state === 'voting' && m.gen > 0 && m.gen < place.core().gen)
+      changeCore(undefined);
     const p = place.core().places.find((x) => x.slot === m.slot);
-    if (place.state() === 'voting' && m.state === 'blank' && p !== undefined && m.slot !== o.slot && p.disk !== m.disk && !place.hello().founders.includes(m.disk)) {
+    if (
+      place.state() === 'voting' &&
+      m.state === 'blank' &&
+      p !== undefined &&
+      m.slot !== o.slot &&
+      p.disk !== m.disk &&
+      !place.hello().founders.includes(m.disk)
+    ) {
       changeCore(m);
     } else if (place.state() === 'voting' && m.state === 'blank' && p !== undefined && p.disk === m.disk) {
       w.send(m.from as Address, place.hello());
@@ -264,23 +308,44 @@
     const gen = place.core().gen;
     const epoch = nextEpoch(Math.max(place.row(coreKey).promised, coreSeen), o.slot);
     function over(): void {
-      w.after(micros(200_000 + w.random() * 400_000), () => { changing = false; });
-    }
-    rounds.start({ without: m?.slot, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) }, (p) => {
-      for (const v of p.votes) coreSeen = Math.max(coreSeen, v.promised);
-      if (!p.won) return over();
-      const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
-      if (top.epoch < gen || (m !== undefined && top.epoch !== gen)) return over();
-      const value = m === undefined ? top.value : encodeCore(replaceIn(place.core(), { slot: m.slot, address: m.from, disk: m.disk }));
-      rounds.start({
-        without: m?.slot,
-        make: (id) => ({ kind: 'Accept', id, from: '', key: coreKey, epoch, gen, version: top.version + 1, value, changes: [] }),
-      }, () => {
-        w.log(2006, { slot: m?.slot, disk: m?.disk, gen: place.core().gen });
-        over();
-        greet();
+      w.after(micros(200_000 + w.random() * 400_000), () => {
+        changing = false;
       });
-    });
+    }
+    rounds.start(
+      { without: m?.slot, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) },
+      (p) => {
+        for (const v of p.votes) coreSeen = Math.max(coreSeen, v.promised);
+        if (!p.won) return over();
+        const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
+        if (top.epoch < gen || (m !== undefined && top.epoch !== gen)) return over();
+        const value =
+          m === undefined
+            ? top.value
+            : encodeCore(replaceIn(place.core(), { slot: m.slot, address: m.from, disk: m.disk }));
+        rounds.start(
+          {
+            without: m?.slot,
+            make: (id) => ({
+              kind: 'Accept',
+              id,
+              from: '',
+              key: coreKey,
+              epoch,
+              gen,
+              version: top.version + 1,
+              value,
+              changes: [],
+            }),
+          },
+          () => {
+            w.log(2006, { slot: m?.slot, disk: m?.disk, gen: place.core().gen });
+            over();
+            greet();
+          },
+        );
+      },
+    );
   }
 
   function greet(): void {
@@ -297,7 +362,10 @@
 
   // The sweep: one key after the other that this place should own is read, which mends it.
   function sweep(): void {
-    const ks = place.keys().filter((k) => k !== coreKey && !k.startsWith('~') && preferred(k) === o.slot).sort();
+    const ks = place
+      .keys()
+      .filter((k) => k !== coreKey && !k.startsWith('~') && preferred(k) === o.slot)
+      .sort();
     if (place.state() !== 'voting' || ks.length === 0) return;
     swept += 1;
     owner(ks[swept % ks.length]!).read(() => undefined);
@@ -305,16 +373,24 @@
 
   function receive(m: Message): void {
     switch (m.kind) {
-      case 'Ask': return onAsk(m);
+      case 'Ask':
+        return onAsk(m);
       case 'Prepare':
       case 'Accept':
-      case 'Check': return place.vote(m, (v) => w.send(m.from as Address, v));
-      case 'Vote': return rounds.vote(m);
-      case 'PlaceHello': return onHello(m);
-      case 'CopyAsk': return w.send(m.from as Address, place.copyAsk(m));
-      case 'CopyPage': return place.copyPage(m);
-      case 'Subscribe': return onSubscribe(m);
-      default: return undefined;
+      case 'Check':
+        return place.vote(m, (v) => w.send(m.from as Address, v));
+      case 'Vote':
+        return rounds.vote(m);
+      case 'PlaceHello':
+        return onHello(m);
+      case 'CopyAsk':
+        return w.send(m.from as Address, place.copyAsk(m));
+      case 'CopyPage':
+        return place.copyPage(m);
+      case 'Subscribe':
+        return onSubscribe(m);
+      default:
+        return undefined;
     }
   }
 
@@ -324,11 +400,21 @@
     every(w, () => micros(1_000_000), announce),
     every(w, () => micros(1_000_000), prune),
     every(w, () => micros(o.sweepEvery ?? 500_000), sweep),
-    every(w, () => micros(100_000), () => { for (const k of [...acks.keys()]) tryAcks(k); }),
+    every(
+      w,
+      () => micros(100_000),
+      () => {
+        for (const k of [...acks.keys()]) tryAcks(k);
+      },
+    ),
   ];
   return {
-    receive, place,
-    owned: () => [...owners].filter(([, x]) => x.owns()).map(([k, x]) => ({ key: toKey(k), epoch: x.row().epoch, version: x.row().version })),
+    receive,
+    place,
+    owned: () =>
+      [...owners]
+        .filter(([, x]) => x.owns())
+        .map(([k, x]) => ({ key: toKey(k), epoch: x.row().epoch, version: x.row().version })),
     stop: () => stops.forEach((s) => s()),
   };
 }
--- a/packages/control-state/src/owner.ts
+++ b/packages/control-state/src/owner.ts
@@ -92,7 +92,17 @@
   }
 
   function accept(id: string, x: Row, gen: number): AskVote {
-    return { kind: 'Accept', id, from: '', key: o.key, epoch: x.epoch, gen, version: x.version, value: x.value, changes: [...x.changes] };
+    return {
+      kind: 'Accept',
+      id,
+      from: '',
+      key: o.key,
+      epoch: x.epoch,
+      gen,
+      version: x.version,
+      value: x.value,
+      changes: [...x.changes],
+    };
   }
 
   function missed(): void {
@@ -139,7 +149,10 @@
       });
     }
     const next: Row = {
-      promised: row.epoch, epoch: row.epoch, version: row.version + 1, value: x.value,
+      promised: row.epoch,
+      epoch: row.epoch,
+      version: row.version + 1,
+      value: x.value,
       changes: [`${x.change}@${row.version + 1}`, ...row.changes].slice(0, changesKept),
     };
     busy = true;
@@ -234,7 +247,14 @@
   }
 
   return {
-    owns: () => mode === 'owned', since: () => since, row: () => row, take, write, read, mutate,
-    writing: () => busy, layDown,
+    owns: () => mode === 'owned',
+    since: () => since,
+    row: () => row,
+    take,
+    write,
+    read,
+    mutate,
+    writing: () => busy,
+    layDown,
   };
 }
--- a/packages/control-state/src/place.ts
+++ b/packages/control-state/src/place.ts
@@ -57,14 +57,23 @@
       state = r.key as PlaceState;
       founders = [...r.changes];
     }
-    if (r.kind === 'row') rows.set(r.key, { promised: r.promised, epoch: r.epoch, version: r.version, value: r.value, changes: r.changes });
+    if (r.kind === 'row')
+      rows.set(r.key, { promised: r.promised, epoch: r.epoch, version: r.version, value: r.value, changes: r.changes });
   }
   if (o.found.length === 0) write(record('disk', disk, emptyRow), () => undefined);
   refreshCore();
   if (state === 'voting') since = w.now();
 
   function record(kind: string, k: string, r: Row, changes: readonly string[] = r.changes): JournalRecord {
-    return { kind, key: k, promised: r.promised, epoch: r.epoch, version: r.version, value: r.value, changes: [...changes] };
+    return {
+      kind,
+      key: k,
+      promised: r.promised,
+      epoch: r.epoch,
+      version: r.version,
+      value: r.value,
+      changes: [...changes],
+    };
   }
 
   function write(r: JournalRecord, done: (ok: boolean) => void): void {
@@ -84,7 +93,11 @@
     const live = [...rows.values()].reduce((n, r) => n + r.value.length + 256, 0);
     if (rewriting || state === 'failed' || o.disk.size() < Math.max(o.rewriteOver ?? 8 * 1024 * 1024, 3 * live)) return;
     rewriting = true;
-    const all = [record('disk', disk, emptyRow), record('state', state, emptyRow, founders), ...[...rows].map(([k, r]) => record('row', k, r))];
+    const all = [
+      record('disk', disk, emptyRow),
+      record('state', state, emptyRow, founders),
+      ...[...rows].map(([k, r]) => record('row', k, r)),
+    ];
     o.disk.rewrite(all, (e) => {
       rewriting = false;
       if (e !== undefined) {
@@ -122,8 +135,18 @@
     const at = state;
     function say(ok: boolean, x: Row): void {
       answer({
-        kind: 'Vote', id: m.id, slot: o.slot, disk, gen: core.gen, voting: state === 'voting', ok: ok && state === 'voting',
-        promised: x.promised, epoch: x.epoch, version: x.version, value: x.value, changes: [...x.changes],
+        kind: 'Vote',
+        id: m.id,
+        slot: o.slot,
+        disk,
+        gen: core.gen,
+        voting: state === 'voting',
+        ok: ok && state === 'voting',
+        promised: x.promised,
+        epoch: x.epoch,
+        version: x.version,
+        value: x.value,
+        changes: [...x.changes],
       });
     }
     if (m.gen < core.gen || at === 'fenced' || at === 'failed') return say(false, r);
@@ -151,7 +174,16 @@
   }
 
   function hello(): MessageOf<'PlaceHello'> {
-    return { kind: 'PlaceHello', from: o.self, slot: o.slot, disk, state, founders: [...founders], gen: core.gen, places: [...core.places] };
+    return {
+      kind: 'PlaceHello',
+      from: o.self,
+      slot: o.slot,
+      disk,
+      state,
+      founders: [...founders],
+      gen: core.gen,
+      places: [...core.places],
+    };
   }
 
   function found(ps: { slot: number; address: string; disk: string }[]): void {
@@ -165,7 +197,11 @@
   function adoptCore(c: CoreRecord): void {
     const r = rows.get(coreKey) ?? emptyRow;
     if (c.gen <= r.epoch || c.gen < r.promised) return;
-    keep(coreKey, { promised: c.gen, epoch: c.gen, version: r.version + 1, value: encodeCore(c.places), changes: [] }, () => undefined);
+    keep(
+      coreKey,
+      { promised: c.gen, epoch: c.gen, version: r.version + 1, value: encodeCore(c.places), changes: [] },
+      () => undefined,
+    );
   }
 
   function heard(m: MessageOf<'PlaceHello'>): void {
@@ -179,7 +215,12 @@
       if (m.state === 'voting' && m.founders.includes(disk) && m.gen === 1) return found(m.places);
       const fresh = [...blanks].filter(([, b]) => w.now() - b.at < 2_000_000);
       if (fresh.length === 2) {
-        return found([{ slot: o.slot, address: o.self, disk }, ...fresh.map(([slot, b]) => ({ slot, address: b.address, disk: b.disk }))].sort((a, b) => a.slot - b.slot));
+        return found(
+          [
+            { slot: o.slot, address: o.self, disk },
+            ...fresh.map(([slot, b]) => ({ slot, address: b.address, disk: b.disk })),
+          ].sort((a, b) => a.slot - b.slot),
+        );
       }
     }
     if (m.gen > core.gen) adoptCore(m);
@@ -209,7 +250,16 @@
       records.push(toCopied(k, r));
       if (n > copyPageBytes) break;
     }
-    return { kind: 'CopyPage', id: m.id, slot: o.slot, disk, gen: core.gen, ok, records, last: records.length === ks.length };
+    return {
+      kind: 'CopyPage',
+      id: m.id,
+      slot: o.slot,
+      disk,
+      gen: core.gen,
+      ok,
+      records,
+      last: records.length === ks.length,
+    };
   }
 
   function copyPage(m: MessageOf<'CopyPage'>): void {
@@ -222,7 +272,8 @@
     function settle(): void {
       copies.set(m.slot, { after, done: m.last, gen: c!.gen });
       const others = core.places.filter((p) => p.slot !== o.slot);
-      if (others.every((p) => copies.get(p.slot)?.done === true && copies.get(p.slot)?.gen === core.gen)) enter('voting');
+      if (others.every((p) => copies.get(p.slot)?.done === true && copies.get(p.slot)?.gen === core.gen))
+        enter('voting');
       else copyTick();
     }
     if (left === 0) return settle();
@@ -242,7 +293,14 @@
     core: () => core,
     row: (k) => rows.get(k) ?? emptyRow,
     keys: () => [...rows.keys()],
-    vote, keep, hello, heard, copyAsk, copyPage, copyTick, adoptCore,
+    vote,
+    keep,
+    hello,
+    heard,
+    copyAsk,
+    copyPage,
+    copyTick,
+    adoptCore,
     votingSince: () => since,
   };
 }
@@ -254,16 +312,42 @@
     let file: JournalRecord[] = [];
     let rewrites = 0;
     const disk: Disk = {
-      append: (r, done) => { file.push(r); done(); },
-      rewrite: (rs, done) => { rewrites += 1; file = [...rs]; done(); },
+      append: (r, done) => {
+        file.push(r);
+        done();
+      },
+      rewrite: (rs, done) => {
+        rewrites += 1;
+        file = [...rs];
+        done();
+      },
       size: () => file.length * 400,
     };
-    const w: World = { now: () => micros(0), random: () => 0.5, after: () => () => undefined, send: () => undefined, log: () => undefined };
+    const w: World = {
+      now: () => micros(0),
+      random: () => 0.5,
+      after: () => () => undefined,
+      send: () => undefined,
+      log: () => undefined,
+    };
     function open(): Place {
-      return createPlace(w, { slot: 0, self: 'a' as Address, core: [], disk, found: [...file], newDiskId: 'fresh', rewriteOver: 4000 });
+      return createPlace(w, {
+        slot: 0,
+        self: 'a' as Address,
+        core: [],
+        disk,
+        found: [...file],
+        newDiskId: 'fresh',
+        rewriteOver: 4000,
+      });
     }
     const a = open();
-    for (let n = 1; n <= 60; n += 1) a.keep(`k${n % 3}`, { promised: n, epoch: n, version: n, value: Buffer.from(`v${n}`), changes: [`c@${n}`] }, () => undefined);
+    for (let n = 1; n <= 60; n += 1)
+      a.keep(
+        `k${n % 3}`,
+        { promised: n, epoch: n, version: n, value: Buffer.from(`v${n}`), changes: [`c@${n}`] },
+        () => undefined,
+      );
     expect(rewrites).toBeGreaterThan(2);
     expect(file.length).toBeLessThan(30);
     const b = open();
--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -2,7 +2,15 @@
 // wait, under an epoch above all it has seen. It counts its tenure from before it asked, and
 // renews at a third of it. A holder asks `holds` directly before each order, so that one that was frozen
 // finds its tenure gone by the clock; the worker's fence stops what slips past that.
-import { every, micros, type Address, type DutyMark, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  type Address,
+  type DutyMark,
+  type MessageOf,
+  type Place,
+  type World,
+} from '@tansypost/inner-protocol';
 
 export interface CandidateOptions {
   readonly duty: string;
@@ -53,7 +61,15 @@
     const c = o.places();
     round = { id: `${o.duty}/${o.member}/${n}`, at: w.now(), epoch: e, yes: new Set(), ended: false };
     for (const p of c.places) {
-      w.send(p.address as Address, { kind: 'Ballot', id: round.id, from: o.self, duty: o.duty, candidate: o.member, epoch: e, gen: c.gen });
+      w.send(p.address as Address, {
+        kind: 'Ballot',
+        id: round.id,
+        from: o.self,
+        duty: o.duty,
+        candidate: o.member,
+        epoch: e,
+        gen: c.gen,
+      });
     }
   }
 
--- a/packages/duty/src/voter.ts
+++ b/packages/duty/src/voter.ts
@@ -35,8 +35,15 @@
     const live = l !== undefined && l.until > now ? l : undefined;
     function say(granted: boolean, epoch: number): void {
       answer({
-        kind: 'BallotVote', id: m.id, slot: o.slot, disk: o.disk(), duty: m.duty, granted, epoch,
-        holder: live?.holder ?? '', address: live?.address ?? '',
+        kind: 'BallotVote',
+        id: m.id,
+        slot: o.slot,
+        disk: o.disk(),
+        duty: m.duty,
+        granted,
+        epoch,
+        holder: live?.holder ?? '',
+        address: live?.address ?? '',
       });
     }
     if (!o.voting() || m.gen !== o.gen()) return say(false, o.store.epoch(m.duty));
--- a/packages/inner-protocol/src/codec.ts
+++ b/packages/inner-protocol/src/codec.ts
@@ -38,7 +38,9 @@
     () => {
       const h = JSON.parse(b.toString()) as Hello;
       if (h.tansypost !== protocolVersion) {
-        throw new BadFrame(`The other side speaks protocol ${h.tansypost}, this one ${protocolVersion}; bring both to releases that share one.`);
+        throw new BadFrame(
+          `The other side speaks protocol ${h.tansypost}, this one ${protocolVersion}; bring both to releases that share one.`,
+        );
       }
       if (typeof h.from !== 'string' || !Array.isArray(h.schemas)) {
         throw new BadFrame('The hello lacks from or schemas; point the link at a tansypost process.');
@@ -66,7 +68,8 @@
     () => {
       if (b.length < 2) throw new BadFrame('A frame is shorter than its kind; the link is closed and opened anew.');
       const i = b.readUInt16BE(0);
-      if (i >= rs.length) throw new BadFrame(`Kind ${i} is not in the sender's hello; the link is closed and opened anew.`);
+      if (i >= rs.length)
+        throw new BadFrame(`Kind ${i} is not in the sender's hello; the link is closed and opened anew.`);
       const r = rs[i];
       if (r === undefined) return { known: false } as const;
       const body = r.read(b.subarray(2)) as object;
@@ -85,7 +88,9 @@
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
   it('reads from a writer that lacks a field, has one more, and knows one kind more', () => {
-    const h = JSON.parse(hello('old').toString()) as { schemas: { name: string; fields: { name: string; type: unknown; default?: unknown }[] }[] } & Hello;
+    const h = JSON.parse(hello('old').toString()) as {
+      schemas: { name: string; fields: { name: string; type: unknown; default?: unknown }[] }[];
+    } & Hello;
     const marks = h.schemas.find((s) => s.name === 'MarksDigest')!;
     marks.fields = marks.fields.filter((f) => f.name !== 'digest');
     marks.fields.push({ name: 'newer', type: 'long' });
@@ -95,7 +100,9 @@
     if (E.isLeft(r)) throw r.left;
     const i = h.schemas.indexOf(marks);
     const b = Buffer.concat([Buffer.from([0, i]), old.toBuffer({ from: 'x', newer: 5 })]);
-    expect(r.right.decode(b)).toEqual(E.right({ known: true, message: { kind: 'MarksDigest', from: 'x', digest: '', answer: false, warm: false } }));
+    expect(r.right.decode(b)).toEqual(
+      E.right({ known: true, message: { kind: 'MarksDigest', from: 'x', digest: '', answer: false, warm: false } }),
+    );
     expect(r.right.decode(Buffer.from([0, 0]))).toEqual(E.right({ known: false }));
   });
   it('calls cut or altered bytes bad instead of throwing', () => {
--- a/packages/inner-protocol/src/frame.ts
+++ b/packages/inner-protocol/src/frame.ts
@@ -26,7 +26,12 @@
       let all = held.length === 1 ? held[0]! : Buffer.concat(held);
       held = [all];
       const n = all.readUInt32BE(0);
-      if (n > limit) return E.left(new BadFrame(`A frame of ${n} bytes is over the limit of ${limit}; the link is closed. Check that the other side is a tansypost process.`));
+      if (n > limit)
+        return E.left(
+          new BadFrame(
+            `A frame of ${n} bytes is over the limit of ${limit}; the link is closed. Check that the other side is a tansypost process.`,
+          ),
+        );
       if (size < 4 + n) break;
       out.push(all.subarray(4, 4 + n));
       all = all.subarray(4 + n);
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -110,8 +110,21 @@
     const got: Message[] = [];
     let more: (() => void) | undefined;
     const at = `127.0.0.1:${port}` as Address;
-    const c = await createCarrier({ listen: at, log: (n, f) => { logged.push(`${n} ${String(f['why'])}`); }, receive: (m) => { got.push(m); more?.(); } });
-    const other = await createCarrier({ listen: `127.0.0.1:${port + 1}` as Address, log: () => undefined, receive: () => undefined });
+    const c = await createCarrier({
+      listen: at,
+      log: (n, f) => {
+        logged.push(`${n} ${String(f['why'])}`);
+      },
+      receive: (m) => {
+        got.push(m);
+        more?.();
+      },
+    });
+    const other = await createCarrier({
+      listen: `127.0.0.1:${port + 1}` as Address,
+      log: () => undefined,
+      receive: () => undefined,
+    });
     function closed(...bs: Buffer[]): Promise<void> {
       return new Promise((ok) => {
         const s = net.connect(splitAddress(at));
@@ -129,7 +142,9 @@
     await closed(hi, frame(Buffer.from([255, 255, 1])));
     expect(logged.length).toBe(5);
     expect(logged.every((l) => l.startsWith('1101 '))).toBe(true);
-    const told = new Promise<void>((ok) => { more = ok; });
+    const told = new Promise<void>((ok) => {
+      more = ok;
+    });
     other.send(at, { kind: 'MarksDigest', from: 'a', digest: 'b', answer: false, warm: false });
     await told;
     expect(got).toEqual([{ kind: 'MarksDigest', from: 'a', digest: 'b', answer: false, warm: false }]);
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -3,23 +3,47 @@
 import type { Of, Shape } from './shape.js';
 
 const entry = {
-  member: 'string', address: 'string', zone: 'string', born: 'long', beat: 'long',
-  http: 'string', tenured: 'boolean',
+  member: 'string',
+  address: 'string',
+  zone: 'string',
+  born: 'long',
+  beat: 'long',
+  http: 'string',
+  tenured: 'boolean',
 } as const;
 const place = { slot: 'long', address: 'string', disk: 'string' } as const;
 const mark = { worker: 'string', incarnation: 'long', state: 'long', address: 'string' } as const;
 const duty = { duty: 'string', holder: 'string', address: 'string', epoch: 'long' } as const;
 const report = {
-  worker: 'string', incarnation: 'long', queued: 'long', active: 'long', kvUsed: 'double',
-  part: 'string', age: 'long', fence: 'long',
+  worker: 'string',
+  incarnation: 'long',
+  queued: 'long',
+  active: 'long',
+  kvUsed: 'double',
+  part: 'string',
+  age: 'long',
+  fence: 'long',
 } as const;
 const copied = {
-  key: 'string', promised: 'long', epoch: 'long', version: 'long', value: 'bytes', changes: ['string'],
+  key: 'string',
+  promised: 'long',
+  epoch: 'long',
+  version: 'long',
+  value: 'bytes',
+  changes: ['string'],
 } as const;
 const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
 const arm = {
-  rehearsal: 'string', arm: 'string', stratum: 'string', count: 'long', failures: 'long', sum: 'double', squares: 'double',
-  tokenCount: 'long', tokenSum: 'double', tokenSquares: 'double',
+  rehearsal: 'string',
+  arm: 'string',
+  stratum: 'string',
+  count: 'long',
+  failures: 'long',
+  sum: 'double',
+  squares: 'double',
+  tokenCount: 'long',
+  tokenSum: 'double',
+  tokenSquares: 'double',
 } as const;
 
 export const shapes = {
@@ -28,8 +52,14 @@
   MarksDigest: { from: 'string', digest: 'string', answer: 'boolean', warm: 'boolean' },
 
   Ask: {
-    id: 'string', origin: 'string', key: 'string', op: 'string', change: 'string', base: 'long',
-    value: 'bytes', hops: 'long',
+    id: 'string',
+    origin: 'string',
+    key: 'string',
+    op: 'string',
+    change: 'string',
+    base: 'long',
+    value: 'bytes',
+    hops: 'long',
   },
   Answer: { id: 'string', key: 'string', status: 'string', epoch: 'long', version: 'long', value: 'bytes' },
 
@@ -38,20 +68,48 @@
 
   Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
   Accept: {
-    id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long', version: 'long',
-    value: 'bytes', changes: ['string'],
+    id: 'string',
+    from: 'string',
+    key: 'string',
+    epoch: 'long',
+    gen: 'long',
+    version: 'long',
+    value: 'bytes',
+    changes: ['string'],
   },
   Check: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
   Vote: {
-    id: 'string', slot: 'long', disk: 'string', gen: 'long', voting: 'boolean', ok: 'boolean',
-    promised: 'long', epoch: 'long', version: 'long', value: 'bytes', changes: ['string'],
+    id: 'string',
+    slot: 'long',
+    disk: 'string',
+    gen: 'long',
+    voting: 'boolean',
+    ok: 'boolean',
+    promised: 'long',
+    epoch: 'long',
+    version: 'long',
+    value: 'bytes',
+    changes: ['string'],
   },
   PlaceHello: {
-    from: 'string', slot: 'long', disk: 'string', state: 'string', founders: ['string'], gen: 'long',
+    from: 'string',
+    slot: 'long',
+    disk: 'string',
+    state: 'string',
+    founders: ['string'],
+    gen: 'long',
     places: [place],
   },
   CopyAsk: { id: 'string', from: 'string', after: 'string', disk: 'string' },
-  CopyPage: { id: 'string', slot: 'long', disk: 'string', gen: 'long', ok: 'boolean', records: [copied], last: 'boolean' },
+  CopyPage: {
+    id: 'string',
+    slot: 'long',
+    disk: 'string',
+    gen: 'long',
+    ok: 'boolean',
+    records: [copied],
+    last: 'boolean',
+  },
 
   Subscribe: {
     from: 'string',
@@ -64,8 +122,14 @@
 
   Ballot: { id: 'string', from: 'string', duty: 'string', candidate: 'string', epoch: 'long', gen: 'long' },
   BallotVote: {
-    id: 'string', slot: 'long', disk: 'string', duty: 'string', granted: 'boolean', epoch: 'long',
-    holder: 'string', address: 'string',
+    id: 'string',
+    slot: 'long',
+    disk: 'string',
+    duty: 'string',
+    granted: 'boolean',
+    epoch: 'long',
+    holder: 'string',
+    address: 'string',
   },
 
   Reports: { reports: [report], relay: 'boolean' },
@@ -74,13 +138,23 @@
   Arms: { from: 'string', arms: [arm] },
 
   RouterState: {
-    router: 'string', http: 'string', asked: 'long', applied: 'long', first: 'long', extra: 'long',
-    allowance: 'double', arms: [arm],
+    router: 'string',
+    http: 'string',
+    asked: 'long',
+    applied: 'long',
+    first: 'long',
+    extra: 'long',
+    allowance: 'double',
+    arms: [arm],
     have: [{ key: 'string', epoch: 'long', version: 'long' }],
   },
   Feed: {
-    workers: [mark], reports: [report], news: [news], grants: [{ asked: 'long', version: 'long' }],
-    others: ['string'], contact: 'boolean',
+    workers: [mark],
+    reports: [report],
+    news: [news],
+    grants: [{ asked: 'long', version: 'long' }],
+    others: ['string'],
+    contact: 'boolean',
   },
 } as const satisfies { [k: string]: Shape };
 
--- a/packages/inner-protocol/src/real-world.ts
+++ b/packages/inner-protocol/src/real-world.ts
@@ -26,9 +26,19 @@
   readonly onMessage: (f: (m: Message, from: Address) => void) => void;
 }
 
-export async function createRealWorld(listen: Address, log: World['log'], advertise: Address = listen): Promise<RealWorld> {
+export async function createRealWorld(
+  listen: Address,
+  log: World['log'],
+  advertise: Address = listen,
+): Promise<RealWorld> {
   const to: { f: (m: Message, from: Address) => void } = { f: () => undefined };
   const carrier = await createCarrier({ listen, advertise, log, receive: (m, from) => to.f(m, from) });
   const world: World = { now: monotonic, random: randomReal, after: afterReal, send: carrier.send, log };
-  return { world, carrier, onMessage: (f) => { to.f = f; } };
+  return {
+    world,
+    carrier,
+    onMessage: (f) => {
+      to.f = f;
+    },
+  };
 }
--- a/packages/membership/src/marks.ts
+++ b/packages/membership/src/marks.ts
@@ -43,7 +43,9 @@
   const { it, expect } = import.meta.vitest;
   const fc = (await import('fast-check')).default;
   const mark = fc.record({
-    worker: fc.constantFrom('a', 'b'), incarnation: fc.integer({ min: 1, max: 3 }), state: fc.integer({ min: 0, max: 3 }),
+    worker: fc.constantFrom('a', 'b'),
+    incarnation: fc.integer({ min: 1, max: 3 }),
+    state: fc.integer({ min: 0, max: 3 }),
     address: fc.constant('x'),
   });
   it('gives the same table whatever the order and however often marks come', () => {
--- a/packages/membership/src/views.ts
+++ b/packages/membership/src/views.ts
@@ -2,7 +2,16 @@
 // its own zone that takes in every member of it heard of. Each entry carries its member's own
 // beat; an entry whose beat stops rising is forgotten by all. Views are kept on disk where there
 // is one, so a restart needs no seed; the three seeds serve only the first meeting and a lonely member.
-import { every, micros, type Address, type DutyMark, type Entry, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  type Address,
+  type DutyMark,
+  type Entry,
+  type MessageOf,
+  type Place,
+  type World,
+} from '@tansypost/inner-protocol';
 
 export interface ViewsOptions {
   readonly member: string;
@@ -102,8 +111,13 @@
   function shuffle(answer: boolean): MessageOf<'Shuffle'> {
     const c = o.core();
     return {
-      kind: 'Shuffle', answer, from: o.self, entries: [me(), ...draw(live(), o.size)], coreGen: c.gen,
-      places: [...c.places], duties: o.duties(),
+      kind: 'Shuffle',
+      answer,
+      from: o.self,
+      entries: [me(), ...draw(live(), o.size)],
+      coreGen: c.gen,
+      places: [...c.places],
+      duties: o.duties(),
     };
   }
 
@@ -112,7 +126,10 @@
     forget();
     const to = new Set<Address>(draw(live(), 2).map((e) => e.address as Address));
     if (known.size < 3 || w.random() < 0.1) {
-      const far = draw([...o.seeds, ...old].filter((a) => a !== o.self), known.size === 0 ? 3 : 1);
+      const far = draw(
+        [...o.seeds, ...old].filter((a) => a !== o.self),
+        known.size === 0 ? 3 : 1,
+      );
       for (const a of far) to.add(a as Address);
     }
     for (const a of to) w.send(a, shuffle(true));
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -20,7 +20,14 @@
 }
 
 export const placementDefaults: PlacementOptions = {
-  imbalance: 8, overload: 1, explore: 0.02, minSamples: 1000, delta: 0.1, saturation: 0.8, benefit: 512, k: 2,
+  imbalance: 8,
+  overload: 1,
+  explore: 0.02,
+  minSamples: 1000,
+  delta: 0.1,
+  saturation: 0.8,
+  benefit: 512,
+  k: 2,
   timeout: 5000,
 };
 
@@ -94,7 +101,17 @@
   const { width } = await import('./features.js');
   const { seeded } = await import('@tansypost/inner-protocol');
   function cand(worker: string, x: Partial<Candidate> = {}): Candidate {
-    return { worker: worker as never, incarnation: 1, running: 0, queued: 0, prefillTokens: 0, decodeTokens: 0, kvUsed: 0, speedClass: 0, ...x };
+    return {
+      worker: worker as never,
+      incarnation: 1,
+      running: 0,
+      queued: 0,
+      prefillTokens: 0,
+      decodeTokens: 0,
+      kvUsed: 0,
+      speedClass: 0,
+      ...x,
+    };
   }
   // A model of known behaviour: TTFT falls with the hit and rises with the running requests.
   function linear(samples = 5000): Model {
@@ -104,7 +121,14 @@
     p.weights[0]![3 * 2] = 1;
     p.weights[0]![1 * 2] = -0.5;
     p.biases[0]!.fill(1);
-    const s = { mean: new Float32Array(width), sd: new Float32Array(width).fill(1), low: new Float32Array(width), high: new Float32Array(width).fill(1e6), yMean: 0, ySd: 1 };
+    const s = {
+      mean: new Float32Array(width),
+      sd: new Float32Array(width).fill(1),
+      low: new Float32Array(width),
+      high: new Float32Array(width).fill(1e6),
+      yMean: 0,
+      ySd: 1,
+    };
     return { version: { epoch: 1, n: 1 }, samples, predictor: p, scaling: s };
   }
   const prompt = { tokens: 1600, blocks: [...Array(100).keys()], group: 'g' };
@@ -112,11 +136,18 @@
   const o = { ...placementDefaults, explore: 0 };
   it('says why it fell back, for each reason', () => {
     const cs = [cand('a'), cand('b', { running: 3 })];
-    expect(assignPrefill({ ...base, candidates: cs, model: undefined }, o)).toMatchObject({ reason: 'cold', worker: { worker: 'a' } });
+    expect(assignPrefill({ ...base, candidates: cs, model: undefined }, o)).toMatchObject({
+      reason: 'cold',
+      worker: { worker: 'a' },
+    });
     expect(assignPrefill({ ...base, candidates: cs, model: linear(10) }, o)?.reason).toBe('cold');
-    expect(assignPrefill({ ...base, candidates: [cand('a', { running: 9e6 }), cand('b')], model: linear() }, o)?.reason).toBe('range');
+    expect(
+      assignPrefill({ ...base, candidates: [cand('a', { running: 9e6 }), cand('b')], model: linear() }, o)?.reason,
+    ).toBe('range');
     let t = 0;
-    expect(assignPrefill({ ...base, candidates: cs, model: linear(), now: () => (t += 9000) }, o)?.reason).toBe('timeout');
+    expect(assignPrefill({ ...base, candidates: cs, model: linear(), now: () => (t += 9000) }, o)?.reason).toBe(
+      'timeout',
+    );
     const nan = linear();
     nan.predictor.weights[1]!.fill(NaN);
     expect(assignPrefill({ ...base, candidates: cs, model: nan }, o)?.reason).toBe('error');
--- a/packages/placement/src/blocks.ts
+++ b/packages/placement/src/blocks.ts
@@ -9,6 +9,7 @@
 export function promptFacts(p: string, groupBlocks = 4): PromptFacts {
   const ts = p.match(/\S+\s*/g) ?? [];
   const blocks: number[] = [];
-  for (let i = 0; i + blockTokens <= ts.length; i += blockTokens) blocks.push(hash32(ts.slice(i, i + blockTokens).join('')));
+  for (let i = 0; i + blockTokens <= ts.length; i += blockTokens)
+    blocks.push(hash32(ts.slice(i, i + blockTokens).join('')));
   return { tokens: ts.length, blocks, group: blocks.slice(0, groupBlocks).join('.') };
 }
--- a/packages/placement/src/features.ts
+++ b/packages/placement/src/features.ts
@@ -5,8 +5,18 @@
 
 export const speedClasses = 4;
 export const featureNames = [
-  'tokens', 'hit', 'missTokens', 'running', 'queued', 'prefillTokens', 'decodeTokens', 'kvUsed',
-  'classUnknown', 'classSlow', 'classMiddle', 'classFast',
+  'tokens',
+  'hit',
+  'missTokens',
+  'running',
+  'queued',
+  'prefillTokens',
+  'decodeTokens',
+  'kvUsed',
+  'classUnknown',
+  'classSlow',
+  'classMiddle',
+  'classFast',
 ] as const;
 export const width = featureNames.length;
 
--- a/packages/placement/src/heuristic.ts
+++ b/packages/placement/src/heuristic.ts
@@ -17,12 +17,19 @@
   return ties[Math.floor(random() * ties.length)]!;
 }
 
-export function heuristic(cs: readonly Candidate[], hit: (c: Candidate) => number, o: HeuristicOptions, random: () => number): Candidate {
+export function heuristic(
+  cs: readonly Candidate[],
+  hit: (c: Candidate) => number,
+  o: HeuristicOptions,
+  random: () => number,
+): Candidate {
   const ls = cs.map(load);
   if (Math.max(...ls) - Math.min(...ls) > o.imbalance) return least(cs, random);
   const mean = ls.reduce((a, b) => a + b, 0) / ls.length;
   const sd = Math.sqrt(ls.reduce((a, b) => a + (b - mean) ** 2, 0) / ls.length);
-  const best = [...cs].sort((a, b) => hit(b) - hit(a) || load(a) - load(b)).find((c) => load(c) <= mean + o.overload * sd);
+  const best = [...cs]
+    .sort((a, b) => hit(b) - hit(a) || load(a) - load(b))
+    .find((c) => load(c) <= mean + o.overload * sd);
   if (best === undefined) return least(cs, random);
   const alike = cs.filter((c) => hit(c) === hit(best) && load(c) === load(best));
   return alike[Math.floor(random() * alike.length)]!;
--- a/packages/placement/src/model.ts
+++ b/packages/placement/src/model.ts
@@ -26,11 +26,24 @@
 }
 
 export function encodeModel(m: Model): Buffer {
-  const head = { version: m.version, samples: m.samples, sizes: m.predictor.sizes, yMean: m.scaling.yMean, ySd: m.scaling.ySd };
+  const head = {
+    version: m.version,
+    samples: m.samples,
+    sizes: m.predictor.sizes,
+    yMean: m.scaling.yMean,
+    ySd: m.scaling.ySd,
+  };
   const h = Buffer.from(JSON.stringify(head));
   const n = Buffer.alloc(4);
   n.writeUInt32BE(h.length, 0);
-  const arrays = [m.scaling.mean, m.scaling.sd, m.scaling.low, m.scaling.high, ...m.predictor.weights, ...m.predictor.biases];
+  const arrays = [
+    m.scaling.mean,
+    m.scaling.sd,
+    m.scaling.low,
+    m.scaling.high,
+    ...m.predictor.weights,
+    ...m.predictor.biases,
+  ];
   return Buffer.concat([n, h, ...arrays.map((a) => Buffer.from(a.buffer, a.byteOffset, a.byteLength))]);
 }
 
@@ -39,11 +52,18 @@
 }
 
 export function decodeModel(b: Buffer, hash: string): E.Either<Error, Model> {
-  if (modelHash(b) !== hash) return E.left(new TansypostError('The model does not match its hash; it is fetched again with the next news.'));
+  if (modelHash(b) !== hash)
+    return E.left(new TansypostError('The model does not match its hash; it is fetched again with the next news.'));
   return E.tryCatch(
     () => {
       const n = b.readUInt32BE(0);
-      const head = JSON.parse(b.subarray(4, 4 + n).toString()) as { version: ModelVersion; samples: number; sizes: number[]; yMean: number; ySd: number };
+      const head = JSON.parse(b.subarray(4, 4 + n).toString()) as {
+        version: ModelVersion;
+        samples: number;
+        sizes: number[];
+        yMean: number;
+        ySd: number;
+      };
       let at = 4 + n;
       function take(len: number): Float32Array {
         const a = new Float32Array(len);
@@ -56,7 +76,9 @@
       const weights = head.sizes.slice(1).map((m, i) => take(m * head.sizes[i]!));
       const biases = head.sizes.slice(1).map((m) => take(m));
       return {
-        version: head.version, samples: head.samples, predictor: { sizes: head.sizes, weights, biases },
+        version: head.version,
+        samples: head.samples,
+        predictor: { sizes: head.sizes, weights, biases },
         scaling: { mean, sd, low, high, yMean: head.yMean, ySd: head.ySd },
       };
     },
--- a/packages/placement/src/pace.ts
+++ b/packages/placement/src/pace.ts
@@ -19,7 +19,10 @@
   function speedClass(worker: string): number {
     const t = table.get(worker);
     if (t === undefined || t.n < 5) return 0;
-    const ps = [...table.values()].filter((x) => x.n >= 5).map((x) => x.pace).sort((a, b) => a - b);
+    const ps = [...table.values()]
+      .filter((x) => x.n >= 5)
+      .map((x) => x.pace)
+      .sort((a, b) => a - b);
     const mid = ps[Math.floor(ps.length / 2)]!;
     if (t.pace < 0.75 * mid) return 1;
     return t.pace > 1.33 * mid ? 3 : 2;
--- a/packages/placement/src/predictor.ts
+++ b/packages/placement/src/predictor.ts
@@ -18,7 +18,12 @@
     const n = sizes[l]!;
     const m = sizes[l + 1]!;
     const s = Math.sqrt(2 / n);
-    weights.push(Float32Array.from({ length: n * m }, () => s * Math.sqrt(-2 * Math.log(r() + 1e-12)) * Math.cos(2 * Math.PI * r())));
+    weights.push(
+      Float32Array.from(
+        { length: n * m },
+        () => s * Math.sqrt(-2 * Math.log(r() + 1e-12)) * Math.cos(2 * Math.PI * r()),
+      ),
+    );
     biases.push(new Float32Array(m));
   }
   return { sizes, weights, biases };
@@ -29,7 +34,13 @@
   readonly masks: (Float32Array | undefined)[];
 }
 
-export function forward(p: Predictor, x: Float32Array, n: number, drop?: { rate: number; random: () => number }, expired?: () => boolean): Pass | undefined {
+export function forward(
+  p: Predictor,
+  x: Float32Array,
+  n: number,
+  drop?: { rate: number; random: () => number },
+  expired?: () => boolean,
+): Pass | undefined {
   const outs: Float32Array[] = [x];
   const masks: (Float32Array | undefined)[] = [];
   for (let l = 0; l < p.weights.length; l += 1) {
@@ -117,7 +128,12 @@
         return o.reduce((s, v, i) => s + 0.5 * (v - y[i]!) ** 2, 0);
       }
       const pass = forward(p, x, n, { rate, random: seeded(5) })!;
-      const g = backward(p, pass, n, pass.outs.at(-1)!.map((v, i) => v - y[i]!));
+      const g = backward(
+        p,
+        pass,
+        n,
+        pass.outs.at(-1)!.map((v, i) => v - y[i]!),
+      );
       let checked = 0;
       for (let l = 0; l < 4; l += 1) {
         for (let k = 0; k < p.weights[l]!.length; k += 3) {
--- a/packages/placement/src/training.ts
+++ b/packages/placement/src/training.ts
@@ -17,7 +17,15 @@
   readonly rate: number;
   readonly dropout: number;
 }
-export const trainingDefaults: TrainingOptions = { fifo: 5000, replay: 5000, every: 1000, passes: 4, batch: 64, rate: 1e-3, dropout: 0.1 };
+export const trainingDefaults: TrainingOptions = {
+  fifo: 5000,
+  replay: 5000,
+  every: 1000,
+  passes: 4,
+  batch: 64,
+  rate: 1e-3,
+  dropout: 0.1,
+};
 
 export interface Trainer {
   readonly add: (ss: readonly Sample[]) => void;
@@ -130,7 +138,11 @@
 
 // Carries the last weights over to new statistics, so that the model says the same as before it trains on.
 function rescale(m: Model, s: Scaling): Predictor {
-  const p = { sizes: m.predictor.sizes, weights: m.predictor.weights.map((w) => w.slice()), biases: m.predictor.biases.map((b) => b.slice()) };
+  const p = {
+    sizes: m.predictor.sizes,
+    weights: m.predictor.weights.map((w) => w.slice()),
+    biases: m.predictor.biases.map((b) => b.slice()),
+  };
   const b = p.sizes[1]!;
   for (let j = 0; j < width; j += 1) {
     const f = s.sd[j]! / m.scaling.sd[j]!;
@@ -211,7 +223,10 @@
     const b = encodeModel(m);
     const d = decodeModel(b, modelHash(b));
     if (d._tag === 'Left') throw d.left;
-    const ys = scoreAll(d.right, test.map((s) => s.x))!;
+    const ys = scoreAll(
+      d.right,
+      test.map((s) => s.x),
+    )!;
     const err = test.reduce((a, s, i) => a + Math.abs(-s.y - ys[i]!), 0) / test.length;
     const mean = test.reduce((a, s) => a - s.y, 0) / test.length;
     const flat = test.reduce((a, s) => a + Math.abs(-s.y - mean), 0) / test.length;
--- a/packages/rehearsal/src/rehearsal.ts
+++ b/packages/rehearsal/src/rehearsal.ts
@@ -15,7 +15,8 @@
   readonly from: Part;
   readonly to: Part;
 }
-export type Subject = { readonly type: 'model'; readonly model: ModelRef } | { readonly type: 'part'; readonly shift: PartShift };
+export type Subject =
+  { readonly type: 'model'; readonly model: ModelRef } | { readonly type: 'part'; readonly shift: PartShift };
 export type Outcome = 'live' | 'harmful' | 'inconclusive' | 'rejected' | 'rolled back' | 'superseded';
 
 export interface ArmFigures {
@@ -60,21 +61,46 @@
 export const watchStage = 2;
 const widths = [undefined, 0.5, 0.9] as const;
 
-export const emptyRecord: RehearsalRecord = { live: undefined, before: undefined, parts: {}, running: undefined, ended: [] };
+export const emptyRecord: RehearsalRecord = {
+  live: undefined,
+  before: undefined,
+  parts: {},
+  running: undefined,
+  ended: [],
+};
 const endedKept = 30;
 
 export function readRecord(b: Buffer): RehearsalRecord {
   if (b.length === 0) return emptyRecord;
   const r = { ...emptyRecord, ...(JSON.parse(b.toString()) as RehearsalRecord) };
   // A release without stages wrote neither of the two.
-  return r.running === undefined ? r : { ...r, running: { ...r.running, stage: r.running.stage ?? 0, looks: r.running.looks ?? 0, spent: r.running.spent ?? 0 } };
+  return r.running === undefined
+    ? r
+    : {
+        ...r,
+        running: {
+          ...r.running,
+          stage: r.running.stage ?? 0,
+          looks: r.running.looks ?? 0,
+          spent: r.running.spent ?? 0,
+        },
+      };
 }
 export function writeRecord(r: RehearsalRecord): Buffer {
   return Buffer.from(JSON.stringify(r));
 }
 
-export function begin(r: RehearsalRecord, id: string, subject: Subject, slice: number, approval: Rehearsal['approval']): RehearsalRecord {
-  return { ...r, running: { id, subject, stage: 0, looks: 0, spent: 0, slice, state: 'running', approval, asked: 'none' } };
+export function begin(
+  r: RehearsalRecord,
+  id: string,
+  subject: Subject,
+  slice: number,
+  approval: Rehearsal['approval'],
+): RehearsalRecord {
+  return {
+    ...r,
+    running: { id, subject, stage: 0, looks: 0, spent: 0, slice, state: 'running', approval, asked: 'none' },
+  };
 }
 
 // The name under which the arms of a stage are drawn and counted, so that those of two stages are never mixed.
@@ -93,13 +119,24 @@
 // A stage that passed leads to the next; the one before going live leads to `passed`.
 export function passed(r: RehearsalRecord, m: Measured): RehearsalRecord {
   const x = r.running!;
-  if (x.stage + 1 < watchStage) return { ...r, running: { ...x, stage: x.stage + 1, looks: 0, spent: 0, slice: widths[x.stage + 1]!, measured: m } };
+  if (x.stage + 1 < watchStage)
+    return {
+      ...r,
+      running: { ...x, stage: x.stage + 1, looks: 0, spent: 0, slice: widths[x.stage + 1]!, measured: m },
+    };
   return { ...r, running: { ...x, state: 'passed', measured: m } };
 }
 
 // Goes live, with a control arm held back and watched for a while.
 export function goLive(r: RehearsalRecord): RehearsalRecord {
-  const x: Rehearsal = { ...r.running!, state: 'watched', stage: watchStage, looks: 0, spent: 0, slice: widths[watchStage] };
+  const x: Rehearsal = {
+    ...r.running!,
+    state: 'watched',
+    stage: watchStage,
+    looks: 0,
+    spent: 0,
+    slice: widths[watchStage],
+  };
   if (x.subject.type === 'model') return { ...r, running: x, before: r.live, live: x.subject.model };
   const s = x.subject.shift;
   return { ...r, running: x, parts: { ...r.parts, [s.worker]: { part: s.to, incarnation: s.incarnation } } };
@@ -116,7 +153,12 @@
   const x = r.running!;
   const watched = x.state === 'watched';
   // What was live already and does not stay so is rolled back, whatever showed it.
-  const done: Rehearsal = { ...x, state: 'ended', outcome: watched && outcome !== 'live' ? 'rolled back' : outcome, measured: m ?? x.measured };
+  const done: Rehearsal = {
+    ...x,
+    state: 'ended',
+    outcome: watched && outcome !== 'live' ? 'rolled back' : outcome,
+    measured: m ?? x.measured,
+  };
   const next = { ...r, running: undefined, ended: [done, ...r.ended].slice(0, endedKept) };
   return watched && outcome !== 'live' ? undone(next, x.subject) : next;
 }
@@ -125,12 +167,17 @@
 
 // An operator's word. A reject of what went live last rolls it back; everything else that has ended is
 // answered with its kind and changes nothing.
-export function answerOperator(r: RehearsalRecord, id: string, word: 'approve' | 'reject'): { kind: AnswerKind; record: RehearsalRecord } {
+export function answerOperator(
+  r: RehearsalRecord,
+  id: string,
+  word: 'approve' | 'reject',
+): { kind: AnswerKind; record: RehearsalRecord } {
   const x = r.running;
   if (x?.id === id) return { kind: 'taken', record: { ...r, running: { ...x, asked: word } } };
   const old = r.ended.find((e) => e.id === id);
   if (old === undefined) return { kind: 'unknown_rehearsal', record: r };
-  if (word === 'approve' || old.outcome !== 'live') return { kind: old.outcome === 'superseded' ? 'superseded_rehearsal' : 'ended_rehearsal', record: r };
+  if (word === 'approve' || old.outcome !== 'live')
+    return { kind: old.outcome === 'superseded' ? 'superseded_rehearsal' : 'ended_rehearsal', record: r };
   const ended = r.ended.map((e) => (e.id === id ? { ...e, outcome: 'rolled back' as const } : e));
   if (old.subject.type === 'model') {
     if (r.live?.hash !== old.subject.model.hash) return { kind: 'superseded_rehearsal', record: r };
@@ -138,7 +185,8 @@
   }
   const s = old.subject.shift;
   const now = r.parts[s.worker];
-  if (now === undefined || now.incarnation !== s.incarnation || now.part !== s.to) return { kind: 'superseded_rehearsal', record: r };
+  if (now === undefined || now.incarnation !== s.incarnation || now.part !== s.to)
+    return { kind: 'superseded_rehearsal', record: r };
   return { kind: 'taken', record: { ...undone(r, old.subject), ended } };
 }
 
@@ -147,12 +195,19 @@
   function model(n: number): Subject {
     return { type: 'model', model: { version: { epoch: 64, n }, hash: `h${n}`, blob: 'blob/0' } };
   }
-  const m: Measured = { slice: { count: 200, failures: 0, meanLog: 0, sdLog: 1 }, control: { count: 200, failures: 0, meanLog: 0, sdLog: 1 }, why: '' };
+  const m: Measured = {
+    slice: { count: 200, failures: 0, meanLog: 0, sdLog: 1 },
+    control: { count: 200, failures: 0, meanLog: 0, sdLog: 1 },
+    why: '',
+  };
   function through(r: RehearsalRecord): RehearsalRecord {
     return end(goLive(passed(passed(r, m), m)), 'live');
   }
   it('widens in stages with arms of their own, and what is watched and turns out harmful is rolled back', () => {
-    let r = passed(begin(through(begin(emptyRecord, 'a', model(1), 0.1, 'automatic')), 'b', model(2), 0.1, 'automatic'), m);
+    let r = passed(
+      begin(through(begin(emptyRecord, 'a', model(1), 0.1, 'automatic')), 'b', model(2), 0.1, 'automatic'),
+      m,
+    );
     expect([r.running!.state, r.running!.slice, armsOf(r.running!)]).toEqual(['running', 0.5, 'b#1']);
     expect(looked(r).running!.looks).toBe(1);
     r = passed(r, m);
--- a/packages/rehearsal/src/verdict.ts
+++ b/packages/rehearsal/src/verdict.ts
@@ -18,9 +18,17 @@
   readonly tokenMargin: number;
   readonly failureMargin: number;
 }
-export const verdictDefaults: VerdictOptions = { minCount: 200, ttftMargin: 0.1, tokenMargin: 0.1, failureMargin: 0.02 };
+export const verdictDefaults: VerdictOptions = {
+  minCount: 200,
+  ttftMargin: 0.1,
+  tokenMargin: 0.1,
+  failureMargin: 0.02,
+};
 export type Verdict = 'open' | 'pass' | 'harmful';
-export type VerdictCounts = Pick<ArmCount, 'arm' | 'stratum' | 'count' | 'failures' | 'sum' | 'squares' | 'tokenCount' | 'tokenSum' | 'tokenSquares'>;
+export type VerdictCounts = Pick<
+  ArmCount,
+  'arm' | 'stratum' | 'count' | 'failures' | 'sum' | 'squares' | 'tokenCount' | 'tokenSum' | 'tokenSquares'
+>;
 
 const level = 0.05;
 const spending = [0.15, 0.2, 0.25, 0.2, 0.2];
@@ -54,7 +62,11 @@
   return cs.reduce((a, c) => a + f(c), 0);
 }
 function figures(cs: readonly VerdictCounts[]): ArmFigures {
-  const m = moments(total(cs, (c) => c.count), total(cs, (c) => c.sum), total(cs, (c) => c.squares));
+  const m = moments(
+    total(cs, (c) => c.count),
+    total(cs, (c) => c.sum),
+    total(cs, (c) => c.squares),
+  );
   return { count: m.n, failures: total(cs, (c) => c.failures), meanLog: m.mean, sdLog: Math.sqrt(m.variance) };
 }
 
@@ -67,7 +79,10 @@
   return { low: mid - half, high: mid + half, p };
 }
 
-function pooled(cs: readonly VerdictCounts[], f: (cs: readonly VerdictCounts[]) => Moments): { diff: number; se: number; n: number } {
+function pooled(
+  cs: readonly VerdictCounts[],
+  f: (cs: readonly VerdictCounts[]) => Moments,
+): { diff: number; se: number; n: number } {
   let [all, diff, v] = [0, 0, 0];
   for (const s of new Set(cs.map((c) => c.stratum))) {
     const a = f(cs.filter((c) => c.stratum === s && c.arm === 'slice'));
@@ -86,7 +101,11 @@
   return `${((Math.exp(x) - 1) * 100).toFixed(1)} %`;
 }
 
-export function verdict(cs: readonly VerdictCounts[], o: VerdictOptions, spend: number): { verdict: Verdict; measured: Measured } {
+export function verdict(
+  cs: readonly VerdictCounts[],
+  o: VerdictOptions,
+  spend: number,
+): { verdict: Verdict; measured: Measured } {
   const slice = figures(cs.filter((c) => c.arm === 'slice'));
   const control = figures(cs.filter((c) => c.arm === 'control'));
   function say(v: Verdict, why: string): { verdict: Verdict; measured: Measured } {
@@ -98,19 +117,40 @@
   function shares(q: number): { least: number; worst: number; diff: number } {
     const [f, g] = [wilson(slice.failures, slice.count, q), wilson(control.failures, control.count, q)];
     return {
-      diff: f.p - g.p, worst: f.p - g.p + Math.sqrt((f.high - f.p) ** 2 + (g.p - g.low) ** 2), least: f.p - g.p - Math.sqrt((f.p - f.low) ** 2 + (g.high - g.p) ** 2),
+      diff: f.p - g.p,
+      worst: f.p - g.p + Math.sqrt((f.high - f.p) ** 2 + (g.p - g.low) ** 2),
+      least: f.p - g.p - Math.sqrt((f.p - f.low) ** 2 + (g.high - g.p) ** 2),
     };
   }
   const fails = shares(z);
-  if (shares(zHarm).least > o.failureMargin) return say('harmful', `the share not answered in patience is ${(fails.diff * 100).toFixed(1)} points above the control's`);
-  const t = pooled(cs, (x) => moments(total(x, (c) => c.count), total(x, (c) => c.sum), total(x, (c) => c.squares)));
-  const k = pooled(cs, (x) => moments(total(x, (c) => c.tokenCount), total(x, (c) => c.tokenSum), total(x, (c) => c.tokenSquares)));
+  if (shares(zHarm).least > o.failureMargin)
+    return say(
+      'harmful',
+      `the share not answered in patience is ${(fails.diff * 100).toFixed(1)} points above the control's`,
+    );
+  const t = pooled(cs, (x) =>
+    moments(
+      total(x, (c) => c.count),
+      total(x, (c) => c.sum),
+      total(x, (c) => c.squares),
+    ),
+  );
+  const k = pooled(cs, (x) =>
+    moments(
+      total(x, (c) => c.tokenCount),
+      total(x, (c) => c.tokenSum),
+      total(x, (c) => c.tokenSquares),
+    ),
+  );
   const [ttft, token] = [Math.log(1 + o.ttftMargin), Math.log(1 + o.tokenMargin)];
   if (t.diff - zHarm * t.se > ttft) return say('harmful', `TTFT is ${percent(t.diff)} above the control's`);
   if (k.diff - zHarm * k.se > token) return say('harmful', `time per token is ${percent(k.diff)} above the control's`);
   const found = `TTFT ${percent(t.diff)}, time per token ${percent(k.diff)}, not answered in patience ${(fails.diff * 100).toFixed(1)} points, against the control`;
-  const fine = t.n > 0 && t.diff + z * t.se < ttft && k.n > 0 && k.diff + z * k.se < token && fails.worst < o.failureMargin;
-  return slice.count >= o.minCount && control.count >= o.minCount && fine ? say('pass', found) : say('open', `${found}: neither harm nor its absence is shown yet`);
+  const fine =
+    t.n > 0 && t.diff + z * t.se < ttft && k.n > 0 && k.diff + z * k.se < token && fails.worst < o.failureMargin;
+  return slice.count >= o.minCount && control.count >= o.minCount && fine
+    ? say('pass', found)
+    : say('open', `${found}: neither harm nor its absence is shown yet`);
 }
 
 if (import.meta.vitest) {
@@ -122,8 +162,24 @@
     readonly fail?: number;
   }
   // Answers come in a queue's spells, which both arms share, and with heavy tails: one in twenty is five times as slow.
-  function draw(r: () => number, slice: number, truth: Truth): { step: (n: number) => void; counts: () => VerdictCounts[] } {
-    const cs = ['slice', 'control'].flatMap((a) => ['long', 'short'].map((s) => ({ arm: a, stratum: s, count: 0, failures: 0, sum: 0, squares: 0, tokenCount: 0, tokenSum: 0, tokenSquares: 0 })));
+  function draw(
+    r: () => number,
+    slice: number,
+    truth: Truth,
+  ): { step: (n: number) => void; counts: () => VerdictCounts[] } {
+    const cs = ['slice', 'control'].flatMap((a) =>
+      ['long', 'short'].map((s) => ({
+        arm: a,
+        stratum: s,
+        count: 0,
+        failures: 0,
+        sum: 0,
+        squares: 0,
+        tokenCount: 0,
+        tokenSum: 0,
+        tokenSquares: 0,
+      })),
+    );
     let spell = 0;
     function normal(): number {
       return Math.sqrt(-2 * Math.log(r() + 1e-12)) * Math.cos(2 * Math.PI * r());
@@ -136,7 +192,13 @@
         const harmed = u < slice;
         const c = cs[(harmed ? 0 : 2) + (r() < 0.3 ? 0 : 1)]!;
         const failed = r() < 0.002 + (harmed ? (truth.fail ?? 0) : 0);
-        const l = failed ? Math.log(8) : Math.log(c.stratum === 'long' ? 0.4 : 0.06) + spell + 0.55 * normal() + (r() < 0.05 ? Math.log(5) : 0) + (harmed ? Math.log(truth.slower ?? 1) : 0);
+        const l = failed
+          ? Math.log(8)
+          : Math.log(c.stratum === 'long' ? 0.4 : 0.06) +
+            spell +
+            0.55 * normal() +
+            (r() < 0.05 ? Math.log(5) : 0) +
+            (harmed ? Math.log(truth.slower ?? 1) : 0);
         c.count += 1;
         c.failures += failed ? 1 : 0;
         c.sum += l;
@@ -155,7 +217,10 @@
     let n = 0;
     for (let s = 1; s <= 300; s += 1) {
       d.step(rate);
-      const count = d.counts().filter((c) => c.arm === 'slice').reduce((a, c) => a + c.count, 0);
+      const count = d
+        .counts()
+        .filter((c) => c.arm === 'slice')
+        .reduce((a, c) => a + c.count, 0);
       const last = s === 300;
       if (count < lookAt(n, verdictDefaults) && !last) continue;
       const v = verdict(d.counts(), verdictDefaults, spendOf(n, last)).verdict;
@@ -176,7 +241,9 @@
       if (rehearse(r, { thicker: 1.1 }, 70).verdict === 'pass') n.thick += 1;
       if (rehearse(r, { fail: 0.02 }, 70).verdict === 'pass') n.failing += 1;
     }
-    console.log(`of ${runs} rehearsals, seed 77: harmless ${n.none} passed, ${n.called} called harmful; at the margin passed: TTFT ${n.slow}, time per token ${n.thick}, failures ${n.failing}`);
+    console.log(
+      `of ${runs} rehearsals, seed 77: harmless ${n.none} passed, ${n.called} called harmful; at the margin passed: TTFT ${n.slow}, time per token ${n.thick}, failures ${n.failing}`,
+    );
     expect(n.none).toBeGreaterThan(0.6 * runs);
     // The level is 5 %; three standard errors of so many draws are 4.6 points.
     for (const k of ['slow', 'thick', 'failing', 'called'] as const) expect(n[k]).toBeLessThan(0.096 * runs);
@@ -187,7 +254,12 @@
       for (let n = 0; n < last; n += 1) all += spendOf(n, false);
       expect(all).toBeCloseTo(0.05, 9);
     }
-    for (const [a, z] of [[0.05, 1.645], [0.01, 2.326], [0.0025, 2.807]] as const) expect(quantile(a)).toBeCloseTo(z, 2);
+    for (const [a, z] of [
+      [0.05, 1.645],
+      [0.01, 2.326],
+      [0.0025, 2.807],
+    ] as const)
+      expect(quantile(a)).toBeCloseTo(z, 2);
   });
   it('counts a failure with its patience, so that failing fast does not look quick', () => {
     const r = seeded(5);
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -20,37 +20,53 @@
 function noSecondRun(h: History): Breach[] {
   const once = new Map(h.requests.filter((r) => !r.repeatable).map((r) => [r.id, r]));
   const n = new Map<string, number>();
-  for (const r of h.runs) if (once.has(r.request)) n.set(`${r.request} ${r.what}`, (n.get(`${r.request} ${r.what}`) ?? 0) + 1);
+  for (const r of h.runs)
+    if (once.has(r.request)) n.set(`${r.request} ${r.what}`, (n.get(`${r.request} ${r.what}`) ?? 0) + 1);
   return [...n].filter(([, c]) => c > 1).map(([k, c]) => breach('ran twice', `${k} ${c} times`));
 }
 
 function noRunAfterRefusal(h: History): Breach[] {
   const refused = new Map(h.requests.filter((r) => r.ran === 'no').map((r) => [r.id, r]));
-  return h.runs.filter((r) => refused.has(r.request)).map((r) => breach('ran though refused', `${r.request} ${refused.get(r.request)!.ended} ${r.what} at ${r.at}`));
+  return h.runs
+    .filter((r) => refused.has(r.request))
+    .map((r) => breach('ran though refused', `${r.request} ${refused.get(r.request)!.ended} ${r.what} at ${r.at}`));
 }
 
 // Of the requests that came with one Idempotency-Key, at any routers, at most one ran.
 function oneRunPerKey(h: History): Breach[] {
   const ran = new Set(h.runs.map((r) => r.request));
-  return h.claims.filter((c) => c.ids.filter((id) => ran.has(id)).length > 1).map((c) => breach('ran twice under one key', `${c.key}: ${c.ids.join(', ')}`));
+  return h.claims
+    .filter((c) => c.ids.filter((id) => ran.has(id)).length > 1)
+    .map((c) => breach('ran twice under one key', `${c.key}: ${c.ids.join(', ')}`));
 }
 
 function rightAnswers(h: History): Breach[] {
   return h.requests.flatMap((r) => {
-    if (r.verdict === 'foreign' || r.verdict === 'overlong') return [breach('foreign or stitched answer', `${r.id} ${r.verdict}`)];
+    if (r.verdict === 'foreign' || r.verdict === 'overlong')
+      return [breach('foreign or stitched answer', `${r.id} ${r.verdict}`)];
     return r.ended === 'whole' && r.verdict !== 'whole' ? [breach('cut answer as whole', r.id)] : [];
   });
 }
 
 function ownMemory(h: History): Breach[] {
-  return h.runs.filter((r) => r.what === 'decode' && r.memoryOf !== r.request).map((r) => breach('memory of another request', `${r.request} from that of ${r.memoryOf}`));
+  return h.runs
+    .filter((r) => r.what === 'decode' && r.memoryOf !== r.request)
+    .map((r) => breach('memory of another request', `${r.request} from that of ${r.memoryOf}`));
 }
 
 const leavingLimit = 3_000_000;
 function leavingLeftAlone(h: History): Breach[] {
   return h.leaving.flatMap((l) =>
-    h.sends.filter((s) => s.worker === `${l.worker}/${l.incarnation}` && s.at > l.at + leavingLimit).slice(0, 1)
-      .map((s) => breach('sent to a leaving worker', `${s.request} by ${s.router} to ${l.worker} ${((s.at - l.at) / 1e6).toFixed(2)} s after its mark`)));
+    h.sends
+      .filter((s) => s.worker === `${l.worker}/${l.incarnation}` && s.at > l.at + leavingLimit)
+      .slice(0, 1)
+      .map((s) =>
+        breach(
+          'sent to a leaving worker',
+          `${s.request} by ${s.router} to ${l.worker} ${((s.at - l.at) / 1e6).toFixed(2)} s after its mark`,
+        ),
+      ),
+  );
 }
 
 const governLimit = 2_000_000;
@@ -58,10 +74,15 @@
 // decision of its own: it is left to the version that let the request go, lest a change cut what is under way.
 function acknowledgedGoverns(h: History): Breach[] {
   const acks = h.changes.filter((c) => c.answer === 'acknowledged').map((c) => ({ end: c.end!, version: c.version! }));
-  return h.sends.filter((s) => s.decided).flatMap((s) => {
-    const due = acks.filter((a) => a.end + governLimit < s.at).reduce((m, a) => Math.max(m, a.version), 0);
-    return s.version < due ? [breach('older desired state governs', `${s.request} by ${s.router} under ${s.version}, acknowledged ${due}`)] : [];
-  }).slice(0, 3);
+  return h.sends
+    .filter((s) => s.decided)
+    .flatMap((s) => {
+      const due = acks.filter((a) => a.end + governLimit < s.at).reduce((m, a) => Math.max(m, a.version), 0);
+      return s.version < due
+        ? [breach('older desired state governs', `${s.request} by ${s.router} under ${s.version}, acknowledged ${due}`)]
+        : [];
+    })
+    .slice(0, 3);
 }
 
 function noSlipBack(h: History): Breach[] {
@@ -77,23 +98,43 @@
 
 function ackSurvives(h: History): Breach[] {
   const acks = h.changes.filter((c) => c.answer === 'acknowledged');
-  const last = acks.reduce((m, c) => (c.version! > (m?.version ?? 0) ? c : m), undefined as (typeof acks)[number] | undefined);
+  const last = acks.reduce(
+    (m, c) => (c.version! > (m?.version ?? 0) ? c : m),
+    undefined as (typeof acks)[number] | undefined,
+  );
   if (last === undefined) return [];
   if (h.readBack === undefined) return [breach('read back', 'the end-of-day read-back was not answered')];
-  return [...h.reads, { from: Infinity, end: Infinity, ...h.readBack }].flatMap((r) => {
-    const due = acks.filter((a) => a.end! <= r.from).reduce((m, a) => Math.max(m, a.version!), 0);
-    if (r.version < due) return [breach('acknowledged state lost', `read ${r.version} at ${r.from / 1e6}, acknowledged ${due}`)];
-    const same = acks.find((c) => c.version === r.version);
-    return same !== undefined && same.whole !== r.whole ? [breach('acknowledged state altered', `version ${r.version} read at ${r.from / 1e6} is not what ${same.id} submitted`)] : [];
-  }).slice(0, 3);
+  return [...h.reads, { from: Infinity, end: Infinity, ...h.readBack }]
+    .flatMap((r) => {
+      const due = acks.filter((a) => a.end! <= r.from).reduce((m, a) => Math.max(m, a.version!), 0);
+      if (r.version < due)
+        return [breach('acknowledged state lost', `read ${r.version} at ${r.from / 1e6}, acknowledged ${due}`)];
+      const same = acks.find((c) => c.version === r.version);
+      return same !== undefined && same.whole !== r.whole
+        ? [
+            breach(
+              'acknowledged state altered',
+              `version ${r.version} read at ${r.from / 1e6} is not what ${same.id} submitted`,
+            ),
+          ]
+        : [];
+    })
+    .slice(0, 3);
 }
 
 function losersNeverTakeEffect(h: History): Breach[] {
-  const bad = new Map(h.changes.filter((c) => c.answer === 'lost the race' || c.answer === 'refused').map((c) => [c.tag, c]));
-  const out = h.applied.filter((a) => bad.has(a.tag)).map((a) => breach('a losing change took effect', `${bad.get(a.tag)!.id} at ${a.router}`));
+  const bad = new Map(
+    h.changes.filter((c) => c.answer === 'lost the race' || c.answer === 'refused').map((c) => [c.tag, c]),
+  );
+  const out = h.applied
+    .filter((a) => bad.has(a.tag))
+    .map((a) => breach('a losing change took effect', `${bad.get(a.tag)!.id} at ${a.router}`));
   const lost = new Map([...bad.values()].filter((c) => c.whole !== '').map((c) => [c.whole, c]));
   for (const r of [...h.reads, ...(h.readBack === undefined ? [] : [{ ...h.readBack, from: Infinity }])]) {
-    if (lost.has(r.whole)) out.push(breach('a losing change took effect', `${lost.get(r.whole)!.id} read as ${r.version} at ${r.from / 1e6}`));
+    if (lost.has(r.whole))
+      out.push(
+        breach('a losing change took effect', `${lost.get(r.whole)!.id} read as ${r.version} at ${r.from / 1e6}`),
+      );
   }
   return out.slice(0, 3);
 }
@@ -106,7 +147,8 @@
     const had = by.get(c.version!);
     if (had !== undefined && had !== c.tag) out.push(breach('two winners', `version ${c.version}`));
     by.set(c.version!, c.tag);
-    if (c.base !== undefined && from.has(c.base)) out.push(breach('two winners', `${c.id} and ${from.get(c.base)} from version ${c.base}`));
+    if (c.base !== undefined && from.has(c.base))
+      out.push(breach('two winners', `${c.id} and ${from.get(c.base)} from version ${c.base}`));
     if (c.base !== undefined) from.set(c.base, c.id);
   }
   return out;
@@ -140,13 +182,21 @@
   }
   const homes = new Set([...by.keys()].map((r) => h.zoneOf(r))).size;
   const all = [...by.values()];
-  const fleet = { first: all.flatMap((x) => x.first).sort((a, b) => a - b), extra: [...all.flatMap((x) => x.extra), ...h.probes].sort((a, b) => a - b) };
+  const fleet = {
+    first: all.flatMap((x) => x.first).sort((a, b) => a - b),
+    extra: [...all.flatMap((x) => x.extra), ...h.probes].sort((a, b) => a - b),
+  };
   function over(who: string, x: { first: number[]; extra: number[] }, spare: number): Breach[] {
     const ends = new Set(x.extra);
     for (let t = 250_000; t <= h.end; t += 250_000) ends.add(t);
     for (const t of ends) {
-      const [n, f, f0] = [within(x.extra, t - tenSeconds, t), within(x.first, t - tenSeconds, t), within(x.first, t - 2 * tenSeconds, t - tenSeconds)];
-      if (n > 0.2 * f + 0.02 * (f0 + f) + spare + 1e-9) return [breach('too many extra sends', `${who}: ${n} beside ${f} in the ten seconds to ${t / 1e6}`)];
+      const [n, f, f0] = [
+        within(x.extra, t - tenSeconds, t),
+        within(x.first, t - tenSeconds, t),
+        within(x.first, t - 2 * tenSeconds, t - tenSeconds),
+      ];
+      if (n > 0.2 * f + 0.02 * (f0 + f) + spare + 1e-9)
+        return [breach('too many extra sends', `${who}: ${n} beside ${f} in the ten seconds to ${t / 1e6}`)];
     }
     return [];
   }
@@ -156,12 +206,15 @@
 
 function oneOrderer(h: History): Breach[] {
   let top = 0;
-  const out: Breach[] = h.holders.slice(0, 1).map((x) => breach('two members hold one duty', `${x.members.join(' and ')} hold ${x.duty} at ${x.at / 1e6}`));
+  const out: Breach[] = h.holders
+    .slice(0, 1)
+    .map((x) => breach('two members hold one duty', `${x.members.join(' and ')} hold ${x.duty} at ${x.at / 1e6}`));
   const at = new Map<string, number>();
   for (const o of h.orders.filter((x) => x.obeyed)) {
     if (o.epoch < (at.get(o.worker) ?? 0)) out.push(breach('older epoch obeyed', `${o.worker} ${o.epoch}`));
     at.set(o.worker, o.epoch);
-    if (o.part !== '' && o.epoch < top) out.push(breach('two holders ordered', `${o.by} under ${o.epoch} after ${top}`));
+    if (o.part !== '' && o.epoch < top)
+      out.push(breach('two holders ordered', `${o.by} under ${o.epoch} after ${top}`));
     if (o.part !== '') top = Math.max(top, o.epoch);
   }
   return out.slice(0, 3);
@@ -174,10 +227,17 @@
   return Object.entries(b.parts).flatMap(([w, e]) => {
     const had = a.parts[w];
     if (had === undefined || had.part === e.part || e.part === 'both') return [];
-    const behind = [...b.ended, ...(b.running === undefined ? [] : [b.running])].find((x) => x.subject.type === 'part' && x.subject.shift.worker === w
-      && (((x.outcome === 'live' || x.state === 'watched') && x.subject.shift.to === e.part && x.subject.shift.from === had.part)
-        || (x.outcome === 'rolled back' && x.subject.shift.from === e.part && x.subject.shift.to === had.part)));
-    const enough = behind?.measured !== undefined && behind.measured.slice.count >= 40 && behind.measured.control.count >= 40;
+    const behind = [...b.ended, ...(b.running === undefined ? [] : [b.running])].find(
+      (x) =>
+        x.subject.type === 'part' &&
+        x.subject.shift.worker === w &&
+        (((x.outcome === 'live' || x.state === 'watched') &&
+          x.subject.shift.to === e.part &&
+          x.subject.shift.from === had.part) ||
+          (x.outcome === 'rolled back' && x.subject.shift.from === e.part && x.subject.shift.to === had.part)),
+    );
+    const enough =
+      behind?.measured !== undefined && behind.measured.slice.count >= 40 && behind.measured.control.count >= 40;
     return enough ? [] : [breach('shifted on faith', `${w} from ${had.part} to ${e.part} in version ${version}`)];
   });
 }
@@ -190,9 +250,16 @@
     const r = x.record;
     if (before?.version === x.version - 1) out.push(...partsOnFaith(before.record, r, x.version));
     before = x;
-    const passed = [...r.ended, ...(r.running === undefined ? [] : [r.running])].filter((e) => (e.state === 'watched' || e.outcome === 'live' || e.outcome === 'rolled back') && e.measured !== undefined && e.measured.slice.count >= 40 && e.measured.control.count >= 40);
+    const passed = [...r.ended, ...(r.running === undefined ? [] : [r.running])].filter(
+      (e) =>
+        (e.state === 'watched' || e.outcome === 'live' || e.outcome === 'rolled back') &&
+        e.measured !== undefined &&
+        e.measured.slice.count >= 40 &&
+        e.measured.control.count >= 40,
+    );
     for (const m of [r.live, r.before]) {
-      if (m !== undefined && !passed.some((e) => e.subject.type === 'model' && e.subject.model.hash === m.hash)) out.push(breach('live on faith', `model ${m.version.epoch}/${m.version.n}`));
+      if (m !== undefined && !passed.some((e) => e.subject.type === 'model' && e.subject.model.hash === m.hash))
+        out.push(breach('live on faith', `model ${m.version.epoch}/${m.version.n}`));
     }
   }
   return out.slice(0, 2);
@@ -215,30 +282,48 @@
 const backWithin = 12_000_000;
 function backInService(h: History, o: CheckOptions): Breach[] {
   if (o.overloaded) return [];
-  const healed = h.disturbed.filter((d) => d.at < h.calmFrom).map((d) => ({ ...d, until: Math.min(d.until, h.calmFrom) }));
+  const healed = h.disturbed
+    .filter((d) => d.at < h.calmFrom)
+    .map((d) => ({ ...d, until: Math.min(d.until, h.calmFrom) }));
   const events = [...new Set([...healed.flatMap((d) => [d.at, d.until]), h.calmFrom])].sort((x, y) => x - y);
-  return events.flatMap((t, i) => {
-    const to = events[i + 1] ?? Infinity;
-    if (to <= t + backWithin) return [];
-    const standing = healed.filter((d) => d.at <= t && d.until > t);
-    const out = standing.map(harmed);
-    function lost(p: string): boolean {
-      return out.some((f) => f(p));
-    }
-    const keepers = ['keeper0', 'keeper1', 'keeper2'].filter(lost).length;
-    const workers = standing.filter((d) => d.who.startsWith('w')).length;
-    if (standing.some((d) => splits.has(d.what)) || keepers > 1 || workers > 1) return [];
-    const rs = h.requests.filter((r) => r.at >= t + backWithin && r.at < to && r.ended !== 'claimed' && r.ended !== '' && !lost(r.router) && !lost(r.router.replace('router', 'agent')));
-    const bad = rs.filter((r) => r.ended !== 'whole');
-    const why = [...new Set(bad.map((r) => `${r.ended}@${r.router}`))].slice(0, 4).join(', ');
-    if (rs.length > 20 && bad.length > 0.03 * rs.length) return [breach('not back in service', `${bad.length} of ${rs.length} not whole, 12 s after ${t / 1e6}: ${why}`)];
-    const groups = new Map<string, RequestSeen[]>();
-    for (const r of rs) groups.set(`zone ${r.zone} ${r.kind}`, [...(groups.get(`zone ${r.zone} ${r.kind}`) ?? []), r]);
-    return [...groups].flatMap(([k, x]) => {
-      const n = x.filter((r) => r.ended !== 'whole').length;
-      return n > 1 + 0.05 * x.length ? [breach('not back in service', `${k}: ${n} of ${x.length} not whole, 12 s after ${t / 1e6}`)] : [];
-    });
-  }).slice(0, 2);
+  return events
+    .flatMap((t, i) => {
+      const to = events[i + 1] ?? Infinity;
+      if (to <= t + backWithin) return [];
+      const standing = healed.filter((d) => d.at <= t && d.until > t);
+      const out = standing.map(harmed);
+      function lost(p: string): boolean {
+        return out.some((f) => f(p));
+      }
+      const keepers = ['keeper0', 'keeper1', 'keeper2'].filter(lost).length;
+      const workers = standing.filter((d) => d.who.startsWith('w')).length;
+      if (standing.some((d) => splits.has(d.what)) || keepers > 1 || workers > 1) return [];
+      const rs = h.requests.filter(
+        (r) =>
+          r.at >= t + backWithin &&
+          r.at < to &&
+          r.ended !== 'claimed' &&
+          r.ended !== '' &&
+          !lost(r.router) &&
+          !lost(r.router.replace('router', 'agent')),
+      );
+      const bad = rs.filter((r) => r.ended !== 'whole');
+      const why = [...new Set(bad.map((r) => `${r.ended}@${r.router}`))].slice(0, 4).join(', ');
+      if (rs.length > 20 && bad.length > 0.03 * rs.length)
+        return [
+          breach('not back in service', `${bad.length} of ${rs.length} not whole, 12 s after ${t / 1e6}: ${why}`),
+        ];
+      const groups = new Map<string, RequestSeen[]>();
+      for (const r of rs)
+        groups.set(`zone ${r.zone} ${r.kind}`, [...(groups.get(`zone ${r.zone} ${r.kind}`) ?? []), r]);
+      return [...groups].flatMap(([k, x]) => {
+        const n = x.filter((r) => r.ended !== 'whole').length;
+        return n > 1 + 0.05 * x.length
+          ? [breach('not back in service', `${k}: ${n} of ${x.length} not whole, 12 s after ${t / 1e6}`)]
+          : [];
+      });
+    })
+    .slice(0, 2);
 }
 
 // Proper requests that the router itself refuses. Without faults none. Under faults those count that could have been
@@ -246,23 +331,39 @@
 // took a majority of the core. Of these no more than one in a hundred, and three, may be refused in a run: the three
 // are a worker's death met by a budget for extra sends that is as yet empty.
 const refusals = new Set(['no_tenure', 'overloaded', 'no_workers', 'workers_refused', 'claim_failed', 'stopping']);
-const fleetWide = new Set(['split', 'core-split', 'mass-kill', 'core-kill', 'link-one-way', 'crash-on-ack', 'lose-on-ack']);
+const fleetWide = new Set([
+  'split',
+  'core-split',
+  'mass-kill',
+  'core-kill',
+  'link-one-way',
+  'crash-on-ack',
+  'lose-on-ack',
+]);
 function turnedAwayUnderFaults(h: History): Breach[] {
   const fair = h.requests.filter((q) => {
     const near = h.disturbed.filter((d) => d.at <= q.at && d.until + 5_000_000 >= q.at);
     const core = ['keeper0', 'keeper1', 'keeper2'].filter((k) => near.some((d) => harmed(d)(k))).length;
-    return core < 2 && !near.some((d) => fleetWide.has(d.what) || harmed(d)(q.router) || harmed(d)(q.router.replace('router', 'agent')));
+    return (
+      core < 2 &&
+      !near.some((d) => fleetWide.has(d.what) || harmed(d)(q.router) || harmed(d)(q.router.replace('router', 'agent')))
+    );
   });
   const bad = fair.filter((q) => refusals.has(q.ended));
   if (bad.length <= 3 + 0.01 * fair.length) return [];
-  const by = [...new Set(bad.map((q) => q.ended))].map((k) => `${bad.filter((q) => q.ended === k).length} ${k}`).join(', ');
+  const by = [...new Set(bad.map((q) => q.ended))]
+    .map((k) => `${bad.filter((q) => q.ended === k).length} ${k}`)
+    .join(', ');
   return [breach('turned away under faults', `${bad.length} of ${fair.length} that could have been served: ${by}`)];
 }
 
 function nothingTurnedAway(h: History, o: CheckOptions): Breach[] {
   if (o.overloaded) return [];
   if (!o.faultless) return turnedAwayUnderFaults(h);
-  return h.requests.filter((r) => r.ended !== 'whole' && r.ended !== 'claimed').slice(0, 3).map((r) => breach('turned away in calm', `${r.id} ${r.ended} at ${r.at}`));
+  return h.requests
+    .filter((r) => r.ended !== 'whole' && r.ended !== 'claimed')
+    .slice(0, 3)
+    .map((r) => breach('turned away in calm', `${r.id} ${r.ended} at ${r.at}`));
 }
 
 // Two hops between machines and a tick of the queue; nothing else may lie between giving up and the answer.
@@ -275,25 +376,48 @@
   if (r.ended === 'overloaded') return 0.5 * r.patience;
   const elsewhere = r.via.size > 1 || claimed.has(r.id);
   if ((r.ended === 'no_tenure' || r.ended === 'stopping') && !elsewhere) return 2_000_000;
-  return ['claim_failed', 'no_tenure', 'stopping'].includes(r.ended) ? Math.min(3_000_000, 0.5 * r.patience) + 2_000_000 : Infinity;
+  return ['claim_failed', 'no_tenure', 'stopping'].includes(r.ended)
+    ? Math.min(3_000_000, 0.5 * r.patience) + 2_000_000
+    : Infinity;
 }
 function answeredAtOnce(h: History): Breach[] {
   const claimed = new Set(h.claims.flatMap((c) => c.ids));
   const word = new Map(h.gaveUp.map((g) => [g.request, g]));
-  return h.requests.flatMap((r) => {
-    if (r.end === undefined) return r.at < h.end - r.patience - 16_000_000 ? [breach('never answered', r.id)] : [];
-    if (r.excused || r.ended === 'unreachable' || r.ended === 'broken') return [];
-    const g = word.get(r.id);
-    if (g?.kind === r.ended && r.end - g.at > moment) return [breach('held after giving up', `${r.id} ${r.ended} ${(r.end - g.at) / 1e6} s`)];
-    if (r.end - r.at > refusedWithin(r, claimed) + moment) return [breach('held before giving up', `${r.id} ${r.ended} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)];
-    if (r.ran === 'no' && !r.retryAfter) return [breach('refused without Retry-After', `${r.id} ${r.ended}`)];
-    return r.end - r.at > r.patience + moment ? [breach('answered after its budget', `${r.id} ${r.ended} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)] : [];
-  }).slice(0, 3);
+  return h.requests
+    .flatMap((r) => {
+      if (r.end === undefined) return r.at < h.end - r.patience - 16_000_000 ? [breach('never answered', r.id)] : [];
+      if (r.excused || r.ended === 'unreachable' || r.ended === 'broken') return [];
+      const g = word.get(r.id);
+      if (g?.kind === r.ended && r.end - g.at > moment)
+        return [breach('held after giving up', `${r.id} ${r.ended} ${(r.end - g.at) / 1e6} s`)];
+      if (r.end - r.at > refusedWithin(r, claimed) + moment)
+        return [breach('held before giving up', `${r.id} ${r.ended} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)];
+      if (r.ran === 'no' && !r.retryAfter) return [breach('refused without Retry-After', `${r.id} ${r.ended}`)];
+      return r.end - r.at > r.patience + moment
+        ? [breach('answered after its budget', `${r.id} ${r.ended} ${(r.end - r.at) / 1e6} s of ${r.patience / 1e6}`)]
+        : [];
+    })
+    .slice(0, 3);
 }
 
 export const checks: { readonly [name: string]: Check } = {
-  noSecondRun, oneRunPerKey, noRunAfterRefusal, rightAnswers, ownMemory, leavingLeftAlone, acknowledgedGoverns, noSlipBack, ackSurvives, losersNeverTakeEffect,
-  oneWinner, extrasBounded, oneOrderer, neverOnFaith, backInService, nothingTurnedAway, answeredAtOnce,
+  noSecondRun,
+  oneRunPerKey,
+  noRunAfterRefusal,
+  rightAnswers,
+  ownMemory,
+  leavingLeftAlone,
+  acknowledgedGoverns,
+  noSlipBack,
+  ackSurvives,
+  losersNeverTakeEffect,
+  oneWinner,
+  extrasBounded,
+  oneOrderer,
+  neverOnFaith,
+  backInService,
+  nothingTurnedAway,
+  answeredAtOnce,
 };
 
 export function checkAll(h: History, o: CheckOptions): Breach[] {
@@ -306,14 +430,40 @@
   const { emptyRecord } = await import('@tansypost/rehearsal');
   function req(x: Partial<History['requests'][number]> = {}): History['requests'][number] {
     return {
-    id: 'q', kind: 'k', tenant: 't', repeatable: false, patience: 5e6, at: 0, router: 'r', end: 1e6, ended: 'whole', ran: undefined, verdict: 'whole', ttft: 1, retryAfter: false, excused: false, zone: 0, via: new Set(), ...x,
+      id: 'q',
+      kind: 'k',
+      tenant: 't',
+      repeatable: false,
+      patience: 5e6,
+      at: 0,
+      router: 'r',
+      end: 1e6,
+      ended: 'whole',
+      ran: undefined,
+      verdict: 'whole',
+      ttft: 1,
+      retryAfter: false,
+      excused: false,
+      zone: 0,
+      via: new Set(),
+      ...x,
     };
   }
   function run(x: Partial<History['runs'][number]> = {}): History['runs'][number] {
     return { at: 1, request: 'q', worker: 'w', incarnation: 1, what: 'decode', memoryOf: 'q', ...x };
   }
   function send(x: Partial<History['sends'][number]> = {}): History['sends'][number] {
-    return { at: 0, request: 'q', router: 'r', worker: 'w/1', extra: false, phase: 'prefill', decided: true, version: 1, ...x };
+    return {
+      at: 0,
+      request: 'q',
+      router: 'r',
+      worker: 'w/1',
+      extra: false,
+      phase: 'prefill',
+      decided: true,
+      version: 1,
+      ...x,
+    };
   }
   function change(x: Partial<History['changes'][number]> = {}): History['changes'][number] {
     return { id: 'c', tag: 1, whole: 'one', at: 0, base: undefined, end: 1, answer: 'acknowledged', version: 2, ...x };
@@ -332,30 +482,122 @@
       ['noSlipBack', { sends: [send({ version: 2 }), send({ version: 1 })] }],
       ['ackSurvives', { changes: [change()], readBack: { version: 1, whole: '' } }],
       ['ackSurvives', { changes: [change()], readBack: { version: 2, whole: 'another' } }],
-      ['ackSurvives', { changes: [change()], reads: [{ from: 5, end: 6, version: 1, whole: '' }], readBack: { version: 2, whole: 'one' } }],
-      ['losersNeverTakeEffect', { changes: [change({ answer: 'refused' })], reads: [{ from: 5, end: 6, version: 3, whole: 'one' }] }],
-      ['losersNeverTakeEffect', { changes: [change({ answer: 'lost the race' })], applied: [{ at: 1, router: 'r', version: 2, tag: 1 }] }],
+      [
+        'ackSurvives',
+        {
+          changes: [change()],
+          reads: [{ from: 5, end: 6, version: 1, whole: '' }],
+          readBack: { version: 2, whole: 'one' },
+        },
+      ],
+      [
+        'losersNeverTakeEffect',
+        { changes: [change({ answer: 'refused' })], reads: [{ from: 5, end: 6, version: 3, whole: 'one' }] },
+      ],
+      [
+        'losersNeverTakeEffect',
+        { changes: [change({ answer: 'lost the race' })], applied: [{ at: 1, router: 'r', version: 2, tag: 1 }] },
+      ],
       ['oneWinner', { changes: [change(), change({ tag: 2 })] }],
       ['oneWinner', { changes: [change({ base: 1 }), change({ base: 1, version: 3, tag: 2 })] }],
       ['extrasBounded', { end: 20e6, sends: [send()], probes: [1, 2, 3, 4, 5, 6] }],
-      ['extrasBounded', { end: 20e6, sends: [send(), send({ at: 1, extra: true }), send({ at: 2, extra: true }), send({ at: 3, extra: true })] }],
-      ['extrasBounded', { end: 30e6, sends: [...Array.from({ length: 40 }, (_, i) => send({ at: 1e6 + i, request: `q${i}` })), ...[1, 2, 3, 4].map((i) => send({ at: 12e6, request: `q${i}`, extra: true }))] }],
-      ['oneOrderer', { orders: [{ at: 1, worker: 'a', epoch: 9, part: 'prefill', obeyed: true, by: 'x' }, { at: 2, worker: 'b', epoch: 8, part: 'decode', obeyed: true, by: 'y' }] }],
-      ['neverOnFaith', { records: [{ at: 1, version: 1, record: { ...emptyRecord, live: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' } } }] }],
-      ['neverOnFaith', { records: (['prefill', 'decode'] as const).map((part, i) => ({ at: i, version: i + 1, record: { ...emptyRecord, parts: { w: { part, incarnation: 1 } } } })) }],
+      [
+        'extrasBounded',
+        {
+          end: 20e6,
+          sends: [send(), send({ at: 1, extra: true }), send({ at: 2, extra: true }), send({ at: 3, extra: true })],
+        },
+      ],
+      [
+        'extrasBounded',
+        {
+          end: 30e6,
+          sends: [
+            ...Array.from({ length: 40 }, (_, i) => send({ at: 1e6 + i, request: `q${i}` })),
+            ...[1, 2, 3, 4].map((i) => send({ at: 12e6, request: `q${i}`, extra: true })),
+          ],
+        },
+      ],
+      [
+        'oneOrderer',
+        {
+          orders: [
+            { at: 1, worker: 'a', epoch: 9, part: 'prefill', obeyed: true, by: 'x' },
+            { at: 2, worker: 'b', epoch: 8, part: 'decode', obeyed: true, by: 'y' },
+          ],
+        },
+      ],
+      [
+        'neverOnFaith',
+        {
+          records: [
+            {
+              at: 1,
+              version: 1,
+              record: { ...emptyRecord, live: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' } },
+            },
+          ],
+        },
+      ],
+      [
+        'neverOnFaith',
+        {
+          records: (['prefill', 'decode'] as const).map((part, i) => ({
+            at: i,
+            version: i + 1,
+            record: { ...emptyRecord, parts: { w: { part, incarnation: 1 } } },
+          })),
+        },
+      ],
       ['oneOrderer', { holders: [{ at: 1, duty: 'parts', members: ['a', 'b'] }] }],
       ['backInService', { requests: Array.from({ length: 30 }, () => req({ at: 13e6, ended: 'no_tenure' })) }],
-      ['backInService', { disturbed: [{ at: 0, until: 90e6, what: 'worker-dark', who: 'worker1' }], calmFrom: 90e6, requests: Array.from({ length: 30 }, () => req({ at: 13e6, ended: 'workers_failed' })) }],
-      ['backInService', { calmFrom: 0, requests: [...Array.from({ length: 200 }, () => req({ at: 13e6 })), ...[1, 2, 3].map(() => req({ at: 13e6, ended: 'no_tenure', zone: 1 }))] }],
-      ['nothingTurnedAway', { requests: Array.from({ length: 30 }, (_, i) => req({ ended: i < 4 ? 'workers_refused' : 'whole', ran: i < 4 ? 'no' : undefined })) }],
-      ['answeredAtOnce', { requests: [req({ ended: 'budget_spent', end: 1e6 })], gaveUp: [{ at: 0.5e6, request: 'q', router: 'r', kind: 'budget_spent' }] }],
+      [
+        'backInService',
+        {
+          disturbed: [{ at: 0, until: 90e6, what: 'worker-dark', who: 'worker1' }],
+          calmFrom: 90e6,
+          requests: Array.from({ length: 30 }, () => req({ at: 13e6, ended: 'workers_failed' })),
+        },
+      ],
+      [
+        'backInService',
+        {
+          calmFrom: 0,
+          requests: [
+            ...Array.from({ length: 200 }, () => req({ at: 13e6 })),
+            ...[1, 2, 3].map(() => req({ at: 13e6, ended: 'no_tenure', zone: 1 })),
+          ],
+        },
+      ],
+      [
+        'nothingTurnedAway',
+        {
+          requests: Array.from({ length: 30 }, (_, i) =>
+            req({ ended: i < 4 ? 'workers_refused' : 'whole', ran: i < 4 ? 'no' : undefined }),
+          ),
+        },
+      ],
+      [
+        'answeredAtOnce',
+        {
+          requests: [req({ ended: 'budget_spent', end: 1e6 })],
+          gaveUp: [{ at: 0.5e6, request: 'q', router: 'r', kind: 'budget_spent' }],
+        },
+      ],
       ['answeredAtOnce', { requests: [req({ end: 5.2e6 })] }],
       ['answeredAtOnce', { requests: [req({ ended: 'no_tenure', ran: 'no', end: 2.2e6, retryAfter: true })] }],
       ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no', end: 4e6, retryAfter: true })] }],
       ['answeredAtOnce', { requests: [req({ ended: 'overloaded', ran: 'no' })] }],
     ];
-    for (const [name, h] of cases) expect([name, checks[name]!({ ...newHistory(), ...h }, o).length]).toEqual([name, 1]);
-    const fine: Partial<History> = { requests: [req()], runs: [run()], sends: [send({ version: 2 })], changes: [change()], readBack: { version: 2, whole: 'one' } };
+    for (const [name, h] of cases)
+      expect([name, checks[name]!({ ...newHistory(), ...h }, o).length]).toEqual([name, 1]);
+    const fine: Partial<History> = {
+      requests: [req()],
+      runs: [run()],
+      sends: [send({ version: 2 })],
+      changes: [change()],
+      readBack: { version: 2, whole: 'one' },
+    };
     expect(checkAll({ ...newHistory(), ...fine }, o)).toEqual([]);
   });
 }
--- a/packages/simulator/src/engine.ts
+++ b/packages/simulator/src/engine.ts
@@ -59,7 +59,9 @@
       const e = pop();
       t = e.t;
       e.f();
-      await new Promise<void>((ok) => { setImmediate(ok); });
+      await new Promise<void>((ok) => {
+        setImmediate(ok);
+      });
     }
     t = Math.max(t, until);
   }
@@ -74,7 +76,9 @@
     e.at(20, () => seen.push('c'));
     e.at(10, () => {
       seen.push('a');
-      void Promise.resolve().then(() => Promise.resolve()).then(() => seen.push('a2'));
+      void Promise.resolve()
+        .then(() => Promise.resolve())
+        .then(() => seen.push('a2'));
     });
     e.at(10, () => seen.push('b'));
     for (let i = 0; i < 50; i += 1) e.at(100 + ((i * 37) % 50), () => seen.push(`${(i * 37) % 50}`));
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -4,20 +4,90 @@
 import type { Deployment } from '@tansypost/requester-stand-in';
 
 export type SimFault =
-  | { readonly at: number; readonly do: 'kill' | 'freeze' | 'drain' | 'empty'; readonly who: string; readonly for: number }
+  | {
+      readonly at: number;
+      readonly do: 'kill' | 'freeze' | 'drain' | 'empty';
+      readonly who: string;
+      readonly for: number;
+    }
   | { readonly at: number; readonly do: 'isolate' | 'one-way' | 'split'; readonly who: string; readonly for: number }
-  | { readonly at: number; readonly do: 'disk-stall' | 'disk-slow' | 'disk-full'; readonly who: string; readonly for: number }
-  | { readonly at: number; readonly do: 'worker-kill' | 'worker-dark' | 'worker-freeze' | 'worker-release' | 'worker-slow-link' | 'lapse'; readonly who: string; readonly for: number }
-  | { readonly at: number; readonly do: 'replace-core' | 'mass-kill' | 'core-kill' | 'seeds-swapped' | 'clock-jump'; readonly who: string; readonly for: number }
-  | { readonly at: number; readonly do: 'machine-kill' | 'machine-lost' | 'machine-freeze' | 'seed-replaced' | 'link-one-way' | 'core-split' | 'disk-damage' | 'lose-on-ack'; readonly who: string; readonly for: number }
-  | { readonly at: number; readonly do: 'crash-on-ack' | 'submit' | 'race' | 'storm' | 'refused' | 'crowd' | 'swing'; readonly who: string; readonly for: number };
+  | {
+      readonly at: number;
+      readonly do: 'disk-stall' | 'disk-slow' | 'disk-full';
+      readonly who: string;
+      readonly for: number;
+    }
+  | {
+      readonly at: number;
+      readonly do: 'worker-kill' | 'worker-dark' | 'worker-freeze' | 'worker-release' | 'worker-slow-link' | 'lapse';
+      readonly who: string;
+      readonly for: number;
+    }
+  | {
+      readonly at: number;
+      readonly do: 'replace-core' | 'mass-kill' | 'core-kill' | 'seeds-swapped' | 'clock-jump';
+      readonly who: string;
+      readonly for: number;
+    }
+  | {
+      readonly at: number;
+      readonly do:
+        | 'machine-kill'
+        | 'machine-lost'
+        | 'machine-freeze'
+        | 'seed-replaced'
+        | 'link-one-way'
+        | 'core-split'
+        | 'disk-damage'
+        | 'lose-on-ack';
+      readonly who: string;
+      readonly for: number;
+    }
+  | {
+      readonly at: number;
+      readonly do: 'crash-on-ack' | 'submit' | 'race' | 'storm' | 'refused' | 'crowd' | 'swing';
+      readonly who: string;
+      readonly for: number;
+    };
 export type SimFaultKind = SimFault['do'];
 
 const weights: readonly (readonly [SimFaultKind, number])[] = [
-  ['kill', 4], ['freeze', 4], ['drain', 2], ['empty', 2], ['isolate', 3], ['one-way', 2], ['split', 2], ['disk-stall', 2], ['disk-slow', 1], ['disk-full', 1],
-  ['worker-kill', 3], ['worker-dark', 2], ['worker-freeze', 2], ['worker-release', 4], ['worker-slow-link', 2], ['lapse', 3], ['replace-core', 1], ['mass-kill', 1],
-  ['core-kill', 1], ['seeds-swapped', 1], ['clock-jump', 1], ['submit', 4], ['crash-on-ack', 2], ['race', 4], ['storm', 2], ['refused', 1], ['crowd', 2], ['swing', 1],
-  ['machine-kill', 2], ['machine-lost', 1], ['machine-freeze', 2], ['seed-replaced', 2], ['link-one-way', 1], ['core-split', 2], ['disk-damage', 1], ['lose-on-ack', 1],
+  ['kill', 4],
+  ['freeze', 4],
+  ['drain', 2],
+  ['empty', 2],
+  ['isolate', 3],
+  ['one-way', 2],
+  ['split', 2],
+  ['disk-stall', 2],
+  ['disk-slow', 1],
+  ['disk-full', 1],
+  ['worker-kill', 3],
+  ['worker-dark', 2],
+  ['worker-freeze', 2],
+  ['worker-release', 4],
+  ['worker-slow-link', 2],
+  ['lapse', 3],
+  ['replace-core', 1],
+  ['mass-kill', 1],
+  ['core-kill', 1],
+  ['seeds-swapped', 1],
+  ['clock-jump', 1],
+  ['submit', 4],
+  ['crash-on-ack', 2],
+  ['race', 4],
+  ['storm', 2],
+  ['refused', 1],
+  ['crowd', 2],
+  ['swing', 1],
+  ['machine-kill', 2],
+  ['machine-lost', 1],
+  ['machine-freeze', 2],
+  ['seed-replaced', 2],
+  ['link-one-way', 1],
+  ['core-split', 2],
+  ['disk-damage', 1],
+  ['lose-on-ack', 1],
 ];
 
 // With `only`, draws a dozen faults of these kinds instead of a few of all.
@@ -51,10 +121,16 @@
     else if (kind === 'link-one-way') {
       const a = Math.floor(r() * 3);
       who = `m${a}>m${(a + 1 + Math.floor(r() * 2)) % 3}`;
-    } else if (['isolate', 'one-way'].includes(kind)) who = r() < 0.3 ? `w${Math.floor(r() * d.workers)}` : `m${Math.floor(r() * d.machines)}`;
+    } else if (['isolate', 'one-way'].includes(kind))
+      who = r() < 0.3 ? `w${Math.floor(r() * d.workers)}` : `m${Math.floor(r() * d.machines)}`;
     else if (['kill', 'freeze', 'drain'].includes(kind)) {
       const k = r();
-      who = k < 0.25 ? `keeper${Math.floor(r() * 3)}` : k < 0.6 ? `agent${Math.floor(r() * d.machines)}` : `router${Math.floor(r() * d.machines)}`;
+      who =
+        k < 0.25
+          ? `keeper${Math.floor(r() * 3)}`
+          : k < 0.6
+            ? `agent${Math.floor(r() * d.machines)}`
+            : `router${Math.floor(r() * d.machines)}`;
     }
     out.push({ at, do: kind, who, for: long } as SimFault);
   }
@@ -62,7 +138,10 @@
 }
 
 // Leaves out one fault after the other for as long as the breach stays.
-export async function shrink(fs: readonly SimFault[], still: (fs: readonly SimFault[]) => Promise<boolean>): Promise<readonly SimFault[]> {
+export async function shrink(
+  fs: readonly SimFault[],
+  still: (fs: readonly SimFault[]) => Promise<boolean>,
+): Promise<readonly SimFault[]> {
   let now = fs;
   for (let i = now.length - 1; i >= 0; i -= 1) {
     const less = now.filter((_, k) => k !== i);
--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -138,5 +138,25 @@
 }
 
 export function newHistory(): History {
-  return { claims: [], requests: [], runs: [], sends: [], probes: [], orders: [], leaving: [], changes: [], applied: [], logs: [], records: [], reads: [], holders: [], gaveUp: [], disturbed: [], readBack: undefined, zoneOf: () => '', calmFrom: 0, end: 0 };
+  return {
+    claims: [],
+    requests: [],
+    runs: [],
+    sends: [],
+    probes: [],
+    orders: [],
+    leaving: [],
+    changes: [],
+    applied: [],
+    logs: [],
+    records: [],
+    reads: [],
+    holders: [],
+    gaveUp: [],
+    disturbed: [],
+    readBack: undefined,
+    zoneOf: () => '',
+    calmFrom: 0,
+    end: 0,
+  };
 }
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -18,12 +18,16 @@
 
 class Simulate extends Command {
   static override paths = [Command.Default];
-  static override usage = Command.Usage({ description: 'Run seeds of a simulated fleet and check what must never happen. Ends with 1 on any breach.' });
+  static override usage = Command.Usage({
+    description: 'Run seeds of a simulated fleet and check what must never happen. Ends with 1 on any breach.',
+  });
   shape = Option.String('--deployment', 'ferry');
   from = Option.String('--from', '1');
   count = Option.String('--count', '20');
   threads = Option.String('--threads', `${Math.max(1, availableParallelism() - 1)}`);
-  kinds = Option.String('--kinds', { description: 'draw a dozen faults a run of these kinds only, with commas between' });
+  kinds = Option.String('--kinds', {
+    description: 'draw a dozen faults a run of these kinds only, with commas between',
+  });
   less = Option.Boolean('--shrink', false, { description: 'for each breach, find the faults that it needs' });
   logs = Option.Boolean('--logs', false, { description: 'print the events of the (one) seed' });
   only = Option.String('--faults', { description: 'a JSON list of faults instead of the drawn ones' });
@@ -74,7 +78,9 @@
       await w.terminate();
     }
     await Promise.all(Array.from({ length: Math.min(count, Number(this.threads)) }, worker));
-    this.context.stdout.write(`${this.shape}: ${done} seeds from ${from}, ${bad} with a breach; ${requests} requests, ${whole} answered whole\n`);
+    this.context.stdout.write(
+      `${this.shape}: ${done} seeds from ${from}, ${bad} with a breach; ${requests} requests, ${whole} answered whole\n`,
+    );
     return bad > 0 ? 1 : 0;
   }
 
@@ -83,15 +89,20 @@
     const given = this.only === undefined ? undefined : (JSON.parse(this.only) as SimFault[]);
     const x = await runOne(d, seed, given, { keepLogs: this.logs }, this.kinds?.split(','));
     const out = this.context.stdout;
-    for (const l of x.history.logs) out.write(`${(l.at / 1e6).toFixed(3)} E${l.event} ${l.who} ${JSON.stringify(l.fields)}\n`);
+    for (const l of x.history.logs)
+      out.write(`${(l.at / 1e6).toFixed(3)} E${l.event} ${l.who} ${JSON.stringify(l.fields)}\n`);
     for (const f of x.faults) out.write(`fault ${JSON.stringify(f)}\n`);
     for (const b of x.breaches) out.write(`breach ${b.point}: ${b.what}\n`);
     const ends: Record<string, number> = {};
     for (const q of x.history.requests) ends[q.ended] = (ends[q.ended] ?? 0) + 1;
-    out.write(`${JSON.stringify(ends)} ${JSON.stringify(x.history.changes.map((c) => `${c.answer} ${c.version ?? ''} ${((c.end ?? 0) - c.at) / 1e6}`))} read back ${JSON.stringify(x.history.readBack)}\n`);
+    out.write(
+      `${JSON.stringify(ends)} ${JSON.stringify(x.history.changes.map((c) => `${c.answer} ${c.version ?? ''} ${((c.end ?? 0) - c.at) / 1e6}`))} read back ${JSON.stringify(x.history.readBack)}\n`,
+    );
     if (this.less && x.breaches.length > 0) {
       const points = new Set(x.breaches.map((b) => b.point));
-      const s = await shrink(x.faults, async (fs) => (await runOne(d, seed, fs)).breaches.some((b) => points.has(b.point)));
+      const s = await shrink(x.faults, async (fs) =>
+        (await runOne(d, seed, fs)).breaches.some((b) => points.has(b.point)),
+      );
       out.write(`needs ${JSON.stringify(s)}\n`);
     }
     return x.breaches.length > 0 ? 1 : 0;
@@ -108,7 +119,9 @@
 
 class Measure extends Command {
   static override paths = [['measure']];
-  static override usage = Command.Usage({ description: 'Compare the placement policies on the same arrivals, paired by seed.' });
+  static override usage = Command.Usage({
+    description: 'Compare the placement policies on the same arrivals, paired by seed.',
+  });
   shape = Option.String('--deployment', 'ferry');
   seeds = Option.String('--seeds', '3');
   secondsFor = Option.String('--seconds', '240');
@@ -118,18 +131,22 @@
     const chosen = loads.filter((l) => this.which.split(',').includes(l));
     const jobs: MeasureJob[] = [];
     for (let seed = 1; seed <= Number(this.seeds); seed += 1) {
-      for (const load of chosen) for (const policy of policies) jobs.push({ deployment: this.shape, policy, load, seed, seconds: Number(this.secondsFor) });
+      for (const load of chosen)
+        for (const policy of policies)
+          jobs.push({ deployment: this.shape, policy, load, seed, seconds: Number(this.secondsFor) });
     }
     const out: Figure[] = [];
     async function work(): Promise<void> {
       for (let j = jobs.shift(); j !== undefined; j = jobs.shift()) {
         const job = j;
         const w = new Worker(new URL(import.meta.url));
-        out.push(await new Promise<Figure>((ok, no) => {
-          w.once('message', ok);
-          w.once('error', no);
-          w.postMessage(job);
-        }));
+        out.push(
+          await new Promise<Figure>((ok, no) => {
+            w.once('message', ok);
+            w.once('error', no);
+            w.postMessage(job);
+          }),
+        );
         await w.terminate();
       }
     }
@@ -140,23 +157,35 @@
         const fs = out.filter((f) => f.load === load && f.policy === policy).sort((a, b) => a.seed - b.seed);
         const base = fs.map((f) => out.find((x) => x.load === load && x.policy === 'heuristic' && x.seed === f.seed)!);
         const ratios = fs.map((f, i) => f.mean / base[i]!.mean);
-        print.write(`| ${load} | ${policy} | ${fs.map((f) => f.mean.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p50.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p99.toFixed(0)).join(' / ')} | ${ratios.map((x) => x.toFixed(2)).join(' / ')} | ${fs.map((f) => f.failed).join(' / ')} |\n`);
+        print.write(
+          `| ${load} | ${policy} | ${fs.map((f) => f.mean.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p50.toFixed(0)).join(' / ')} | ${fs.map((f) => f.p99.toFixed(0)).join(' / ')} | ${ratios.map((x) => x.toFixed(2)).join(' / ')} | ${fs.map((f) => f.failed).join(' / ')} |\n`,
+        );
       }
     }
-    for (const f of out.filter((x) => x.policy === 'lodestar')) print.write(`${f.load} seed ${f.seed}: live ${f.live}; ${f.shares}; ${f.rehearsals}\n`);
+    for (const f of out.filter((x) => x.policy === 'lodestar'))
+      print.write(`${f.load} seed ${f.seed}: live ${f.live}; ${f.shares}; ${f.rehearsals}\n`);
     return 0;
   }
 }
 
 const harms: readonly (readonly [string, Harm])[] = [
-  ['better by 5 %', { ttft: 0.95, token: 1, fail: 0 }], ['the same', { ttft: 1, token: 1, fail: 0 }], ['TTFT 5 % above', { ttft: 1.05, token: 1, fail: 0 }],
-  ['TTFT 10 % above', { ttft: 1.1, token: 1, fail: 0 }], ['TTFT 20 % above', { ttft: 1.2, token: 1, fail: 0 }], ['TTFT 50 % above', { ttft: 1.5, token: 1, fail: 0 }],
-  ['time per token 10 % above', { ttft: 1, token: 1.1, fail: 0 }], ['time per token 20 % above', { ttft: 1, token: 1.2, fail: 0 }], ['2 points more fail', { ttft: 1, token: 1, fail: 0.02 }], ['5 points more fail', { ttft: 1, token: 1, fail: 0.05 }],
+  ['better by 5 %', { ttft: 0.95, token: 1, fail: 0 }],
+  ['the same', { ttft: 1, token: 1, fail: 0 }],
+  ['TTFT 5 % above', { ttft: 1.05, token: 1, fail: 0 }],
+  ['TTFT 10 % above', { ttft: 1.1, token: 1, fail: 0 }],
+  ['TTFT 20 % above', { ttft: 1.2, token: 1, fail: 0 }],
+  ['TTFT 50 % above', { ttft: 1.5, token: 1, fail: 0 }],
+  ['time per token 10 % above', { ttft: 1, token: 1.1, fail: 0 }],
+  ['time per token 20 % above', { ttft: 1, token: 1.2, fail: 0 }],
+  ['2 points more fail', { ttft: 1, token: 1, fail: 0.02 }],
+  ['5 points more fail', { ttft: 1, token: 1, fail: 0.05 }],
 ];
 
 class Verdicts extends Command {
   static override paths = [['verdicts']];
-  static override usage = Command.Usage({ description: 'Measure how often the verdict on a rehearsal errs, on what a simulated fleet shows.' });
+  static override usage = Command.Usage({
+    description: 'Measure how often the verdict on a rehearsal errs, on what a simulated fleet shows.',
+  });
   shape = Option.String('--deployment', 'ferry');
   seed = Option.String('--seed', '1');
   count = Option.String('--count', '2000');
@@ -167,10 +196,14 @@
     if (d === undefined) return 2;
     const seen = await fleetShows(d, Number(this.seed), Number(this.secondsFor), this.swing);
     const out = this.context.stdout;
-    out.write(`${this.shape}, seed ${this.seed}, ${seen.length} requests at ${d.rate} a second, ${this.count} rehearsals a case\n| harm done to the slice | passes the first stage | called harmful | open | goes live | median s |\n|---|---|---|---|---|---|\n`);
+    out.write(
+      `${this.shape}, seed ${this.seed}, ${seen.length} requests at ${d.rate} a second, ${this.count} rehearsals a case\n| harm done to the slice | passes the first stage | called harmful | open | goes live | median s |\n|---|---|---|---|---|---|\n`,
+    );
     for (const [name, harm] of harms) {
       const f = measureVerdict(seen, Number(this.seed), Number(this.count), d.rate, harm);
-      out.write(`| ${name} | ${(100 * f.passed).toFixed(1)} % | ${(100 * f.harmful).toFixed(1)} % | ${(100 * f.open).toFixed(1)} % | ${(100 * f.live).toFixed(1)} % | ${f.medianSeconds} |\n`);
+      out.write(
+        `| ${name} | ${(100 * f.passed).toFixed(1)} % | ${(100 * f.harmful).toFixed(1)} % | ${(100 * f.open).toFixed(1)} % | ${(100 * f.live).toFixed(1)} % | ${f.medianSeconds} |\n`,
+      );
     }
     return 0;
   }
--- a/packages/simulator/src/measure.ts
+++ b/packages/simulator/src/measure.ts
@@ -22,24 +22,56 @@
   readonly shares: string;
 }
 
-export async function measureOne(d: Deployment, policy: Policy, load: Load, seed: number, seconds: number): Promise<Figure> {
+export async function measureOne(
+  d: Deployment,
+  policy: Policy,
+  load: Load,
+  seed: number,
+  seconds: number,
+): Promise<Figure> {
   const sim = createSim({
-    deployment: d, seed, span: seconds, calm: 12, rate: load === 'heavy' ? d.rate * 1.8 : d.rate, faults: [], policy, plain: true,
-    trainEvery: policy === 'lodestar' ? 1000 : 1e9, trainer: { fifo: 3000, replay: 2000, passes: 2 }, verdict: verdictDefaults, rehearsalLimit: 120_000_000,
-    slice: 0.1, shiftParts: false, ...(load === 'swing' ? { swing: 60 } : {}),
+    deployment: d,
+    seed,
+    span: seconds,
+    calm: 12,
+    rate: load === 'heavy' ? d.rate * 1.8 : d.rate,
+    faults: [],
+    policy,
+    plain: true,
+    trainEvery: policy === 'lodestar' ? 1000 : 1e9,
+    trainer: { fifo: 3000, replay: 2000, passes: 2 },
+    verdict: verdictDefaults,
+    rehearsalLimit: 120_000_000,
+    slice: 0.1,
+    shiftParts: false,
+    ...(load === 'swing' ? { swing: 60 } : {}),
   });
   const h = await sim.run();
   const from = (seconds / 2) * 1e6;
   const rs = h.requests.filter((q) => q.at >= from && q.at < seconds * 1e6);
-  const ts = rs.filter((q) => q.ended === 'whole').map((q) => q.ttft! / 1000).sort((a, b) => a - b);
+  const ts = rs
+    .filter((q) => q.ended === 'whole')
+    .map((q) => q.ttft! / 1000)
+    .sort((a, b) => a - b);
   const rec = sim.agents[0]!.core!.rehearsals();
   const reasons = new Map<string, number>();
-  for (const r of sim.routers) for (const [k, v] of Object.entries((r.core!.figures() as { placement: Record<string, number> }).placement)) reasons.set(k, (reasons.get(k) ?? 0) + v);
+  for (const r of sim.routers)
+    for (const [k, v] of Object.entries((r.core!.figures() as { placement: Record<string, number> }).placement))
+      reasons.set(k, (reasons.get(k) ?? 0) + v);
   return {
-    policy, load, seed, n: ts.length, failed: rs.length - ts.length,
-    mean: ts.reduce((a, b) => a + b, 0) / ts.length, p50: ts[Math.floor(ts.length / 2)]!, p99: ts[Math.floor(ts.length * 0.99)]!,
+    policy,
+    load,
+    seed,
+    n: ts.length,
+    failed: rs.length - ts.length,
+    mean: ts.reduce((a, b) => a + b, 0) / ts.length,
+    p50: ts[Math.floor(ts.length / 2)]!,
+    p99: ts[Math.floor(ts.length * 0.99)]!,
     live: rec.live === undefined ? 'none' : `${rec.live.version.n}`,
-    rehearsals: rec.ended.map((e) => `${e.outcome}: ${e.measured?.why ?? ''}`).reverse().join(' | '),
+    rehearsals: rec.ended
+      .map((e) => `${e.outcome}: ${e.measured?.why ?? ''}`)
+      .reverse()
+      .join(' | '),
     shares: [...reasons].map(([k, v]) => `${k} ${v}`).join(', '),
   };
 }
--- a/packages/simulator/src/network.ts
+++ b/packages/simulator/src/network.ts
@@ -52,7 +52,8 @@
       const wait = (x as Tampered).after ?? 0;
       const link = `${fromAddress}>${to}`;
       function go(): void {
-        const t = wait > 0 ? e.now() + wait : Math.max(e.now() + latency(from.machine, p.machine), (last.get(link) ?? 0) + 1);
+        const t =
+          wait > 0 ? e.now() + wait : Math.max(e.now() + latency(from.machine, p.machine), (last.get(link) ?? 0) + 1);
         if (wait === 0) last.set(link, t);
         e.at(t, () => {
           if (blocked(from.machine, p.machine)) return;
@@ -85,10 +86,18 @@
     add: (a, p) => procs.set(a, p),
     remove: (a) => procs.delete(a),
     proc: (a) => procs.get(a),
-    send, blocked, latency, heal,
+    send,
+    blocked,
+    latency,
+    heal,
     cut: (name, f) => cuts.set(name, f),
-    slow: (m, us) => { if (us > 0) slowed.set(m, us); else slowed.delete(m); },
+    slow: (m, us) => {
+      if (us > 0) slowed.set(m, us);
+      else slowed.delete(m);
+    },
     onHeal: (f) => waiting.push(f),
-    tamper: (f) => { change = f; },
+    tamper: (f) => {
+      change = f;
+    },
   };
 }
--- a/packages/simulator/src/one.ts
+++ b/packages/simulator/src/one.ts
@@ -16,10 +16,32 @@
 export const spanDefault = 20;
 export const calmDefault = 20;
 
-export async function runOne(d: Deployment, seed: number, faults?: readonly SimFault[], over: Partial<SimOptions> = {}, only?: readonly string[]): Promise<OneResult & { history: History }> {
+export async function runOne(
+  d: Deployment,
+  seed: number,
+  faults?: readonly SimFault[],
+  over: Partial<SimOptions> = {},
+  only?: readonly string[],
+): Promise<OneResult & { history: History }> {
   const fs = faults ?? drawFaults(d, seeded(seed * 40503 + 1), spanDefault, only);
-  const sim = createSim({ deployment: d, seed, span: spanDefault, calm: calmDefault, rate: d.rate / 4, faults: fs, ...(seed % 4 === 3 ? {} : { closing: seed % 4 }), ...over });
+  const sim = createSim({
+    deployment: d,
+    seed,
+    span: spanDefault,
+    calm: calmDefault,
+    rate: d.rate / 4,
+    faults: fs,
+    ...(seed % 4 === 3 ? {} : { closing: seed % 4 }),
+    ...over,
+  });
   const history = await sim.run();
   const breaches = checkAll(history, { faultless: fs.length === 0, overloaded: false });
-  return { seed, faults: fs, breaches, requests: history.requests.length, whole: history.requests.filter((q) => q.ended === 'whole' || q.ended === 'claimed').length, history };
+  return {
+    seed,
+    faults: fs,
+    breaches,
+    requests: history.requests.length,
+    whole: history.requests.filter((q) => q.ended === 'whole' || q.ended === 'claimed').length,
+    history,
+  };
 }
--- a/packages/simulator/src/process.ts
+++ b/packages/simulator/src/process.ts
@@ -15,7 +15,16 @@
 }
 
 export function createProc(name: string, machine: string): Proc {
-  return { name, machine, alive: false, frozen: false, gen: 0, backlog: [], receive: () => undefined, deaths: new Set() };
+  return {
+    name,
+    machine,
+    alive: false,
+    frozen: false,
+    gen: 0,
+    backlog: [],
+    receive: () => undefined,
+    deaths: new Set(),
+  };
 }
 
 export function into(p: Proc, gen: number, f: () => void): void {
@@ -48,10 +57,22 @@
   const gen = p.gen;
   function after(d: number, f: () => void): Cancel {
     let off = false;
-    e.at(e.now() + Math.max(0, d), () => into(p, gen, () => {
-      if (!off) f();
-    }));
-    return () => { off = true; };
+    e.at(e.now() + Math.max(0, d), () =>
+      into(p, gen, () => {
+        if (!off) f();
+      }),
+    );
+    return () => {
+      off = true;
+    };
   }
-  return { now: () => micros(e.now()), random, after, send: (to, m) => { if (p.alive && p.gen === gen) send(to, m); }, log };
+  return {
+    now: () => micros(e.now()),
+    random,
+    after,
+    send: (to, m) => {
+      if (p.alive && p.gen === gen) send(to, m);
+    },
+    log,
+  };
 }
--- a/packages/simulator/src/sim-disk.ts
+++ b/packages/simulator/src/sim-disk.ts
@@ -68,9 +68,14 @@
   }
 
   const disk: SimDisk = {
-    open, slowUs: 0, stalled: false, full: false,
+    open,
+    slowUs: 0,
+    stalled: false,
+    full: false,
     bytes: () => synced,
-    cut: (good) => { synced = synced.subarray(0, good); },
+    cut: (good) => {
+      synced = synced.subarray(0, good);
+    },
     crash: () => {
       era += 1;
       waiting = [];
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -3,11 +3,33 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { address, digest, seeded, type Address } from '@tansypost/inner-protocol';
 import { readJournal } from '@tansypost/control-state';
-import { createTrainer, encodeModel, featureNames, placementDefaults, trainingDefaults, type Model } from '@tansypost/placement';
+import {
+  createTrainer,
+  encodeModel,
+  featureNames,
+  placementDefaults,
+  trainingDefaults,
+  type Model,
+} from '@tansypost/placement';
 import { createKeeperHost, type OpenDisk } from '@tansypost/state-keeper';
 import { agentDefaults, createAgentCore, dutyNames, type AgentCore, type AgentOptions } from '@tansypost/router-agent';
-import { createRouterCore, failureKinds, routerDefaults, type FailureKind, type Incoming, type Reply, type RouterCore } from '@tansypost/request-router';
-import { createTraffic, steadyMix, swingMix, templates, type Ask, type Deployment } from '@tansypost/requester-stand-in';
+import {
+  createRouterCore,
+  failureKinds,
+  routerDefaults,
+  type FailureKind,
+  type Incoming,
+  type Reply,
+  type RouterCore,
+} from '@tansypost/request-router';
+import {
+  createTraffic,
+  steadyMix,
+  swingMix,
+  templates,
+  type Ask,
+  type Deployment,
+} from '@tansypost/requester-stand-in';
 import { readRecord, type VerdictOptions } from '@tansypost/rehearsal';
 import { judge } from '@tansypost/worker-stand-in';
 import { createEngine, type Engine } from './engine.js';
@@ -85,15 +107,24 @@
   const { weights, biases } = m.predictor;
   const last = weights.length - 1;
   if (how === 'turned') {
-    return { ...m, predictor: { ...m.predictor, weights: weights.map((x, k) => (k === last ? x.map((y) => -y) : x)), biases: biases.map((x, k) => (k === last ? x.map((y) => -y) : x)) } };
+    return {
+      ...m,
+      predictor: {
+        ...m.predictor,
+        weights: weights.map((x, k) => (k === last ? x.map((y) => -y) : x)),
+        biases: biases.map((x, k) => (k === last ? x.map((y) => -y) : x)),
+      },
+    };
   }
   const fast = featureNames.indexOf('classFast');
   const low = new Float32Array(m.scaling.low.length).fill(-1e9);
   const high = new Float32Array(m.scaling.high.length).fill(1e9);
   return {
-    ...m, scaling: { ...m.scaling, low, high },
+    ...m,
+    scaling: { ...m.scaling, low, high },
     predictor: {
-      ...m.predictor, biases: biases.map((x) => new Float32Array(x.length)),
+      ...m.predictor,
+      biases: biases.map((x) => new Float32Array(x.length)),
       weights: weights.map((x, k) => {
         const w = new Float32Array(x.length);
         w[k === 0 ? fast * m.predictor.sizes[1]! : 0] = k === last ? -1 : 1;
@@ -104,8 +135,43 @@
 }
 
 // What operators do is no fault, and these faults stand until they heal; the others are over in a moment or mend themselves.
-const operators = new Set<SimFault['do']>(['submit', 'race', 'storm', 'refused', 'crowd', 'swing', 'worker-release', 'drain', 'clock-jump']);
-const lasting = new Set<SimFault['do']>(['kill', 'freeze', 'isolate', 'one-way', 'split', 'disk-stall', 'disk-slow', 'disk-full', 'worker-kill', 'worker-dark', 'worker-freeze', 'worker-slow-link', 'seeds-swapped', 'empty', 'replace-core', 'mass-kill', 'core-kill', 'machine-kill', 'machine-lost', 'machine-freeze', 'seed-replaced', 'link-one-way', 'core-split', 'disk-damage']);
+const operators = new Set<SimFault['do']>([
+  'submit',
+  'race',
+  'storm',
+  'refused',
+  'crowd',
+  'swing',
+  'worker-release',
+  'drain',
+  'clock-jump',
+]);
+const lasting = new Set<SimFault['do']>([
+  'kill',
+  'freeze',
+  'isolate',
+  'one-way',
+  'split',
+  'disk-stall',
+  'disk-slow',
+  'disk-full',
+  'worker-kill',
+  'worker-dark',
+  'worker-freeze',
+  'worker-slow-link',
+  'seeds-swapped',
+  'empty',
+  'replace-core',
+  'mass-kill',
+  'core-kill',
+  'machine-kill',
+  'machine-lost',
+  'machine-freeze',
+  'seed-replaced',
+  'link-one-way',
+  'core-split',
+  'disk-damage',
+]);
 
 function s(x: number): number {
   return Math.round(x * 1e6);
@@ -117,7 +183,14 @@
   const e = createEngine();
   const net = createNetwork(e, seeded(o.seed ^ 0x9e3779b9));
   const h = newHistory();
-  const workers = createSimWorkers(e, net, h, seeded(o.seed ^ 0x51ed270b), d.workers, o.paces ?? [14_000, 9000, 6000, 12_000]);
+  const workers = createSimWorkers(
+    e,
+    net,
+    h,
+    seeded(o.seed ^ 0x51ed270b),
+    d.workers,
+    o.paces ?? [14_000, 9000, 6000, 12_000],
+  );
   function zoneOf(i: number): string {
     return `z${i % d.zones}`;
   }
@@ -138,7 +211,8 @@
 
   function log(who: string): (event: number, fields: Record<string, unknown>) => void {
     return function note(event, fields) {
-      if (event === 5102) h.gaveUp.push({ at: e.now(), request: String(fields['request']), router: who, kind: String(fields['kind']) });
+      if (event === 5102)
+        h.gaveUp.push({ at: e.now(), request: String(fields['request']), router: who, kind: String(fields['kind']) });
       if (o.keepLogs === true) h.logs.push({ at: e.now(), who, event, fields });
     };
   }
@@ -155,8 +229,16 @@
     function start(): void {
       proc.alive = true;
       const host = createKeeperHost(world(proc, a), {
-        slot, self: address(a), core: coreAt.map((x, i) => address(i === slot ? a : x)), seeds: seedsAt, tenure, dutyTenure: 3_000_000, rewriteOver: 100_000, sweepEvery: 2_000_000,
-        newDiskId: () => Math.floor(r() * 2 ** 48).toString(36), open,
+        slot,
+        self: address(a),
+        core: coreAt.map((x, i) => address(i === slot ? a : x)),
+        seeds: seedsAt,
+        tenure,
+        dutyTenure: 3_000_000,
+        rewriteOver: 100_000,
+        sweepEvery: 2_000_000,
+        newDiskId: () => Math.floor(r() * 2 ** 48).toString(36),
+        open,
       });
       proc.receive = host.receive;
       n.stop = () => void host.stop();
@@ -172,7 +254,9 @@
       const found = E.isLeft(f) ? [] : f.right.records;
       const disk = n.disk.open(proc);
       const err = afresh ? await new Promise<Error | undefined>((ok) => disk.rewrite(found, ok)) : undefined;
-      return err === undefined ? E.right({ disk, found, cut: 0, ...(E.isLeft(f) ? { aside: f.left.message } : {}) }) : E.left(err);
+      return err === undefined
+        ? E.right({ disk, found, cut: 0, ...(E.isLeft(f) ? { aside: f.left.message } : {}) })
+        : E.left(err);
     }
     return n;
   }
@@ -180,28 +264,59 @@
   const agents: AgentNode[] = Array.from({ length: d.machines }, (_, i) => {
     const proc = createProc(`agent${i}`, `m${i}`);
     net.add(`agent${i}:1`, proc);
-    const n: AgentNode = { proc, address: `agent${i}:1`, seeds: seedsAt, core: undefined, persisted: agentDefaults.persisted, running: false, start, stop: () => n.core?.stop() };
+    const n: AgentNode = {
+      proc,
+      address: `agent${i}:1`,
+      seeds: seedsAt,
+      core: undefined,
+      persisted: agentDefaults.persisted,
+      running: false,
+      start,
+      stop: () => n.core?.stop(),
+    };
     function start(): void {
       proc.alive = true;
       const gen = proc.gen;
       const t = createTrainer({ ...trainingDefaults, fifo: 400, replay: 100, passes: 1, ...o.trainer });
-      n.core = createAgentCore(world(proc, n.address), {
-        ...agentDefaults, member: `agent${i}`, self: address(n.address), zone: zoneOf(i), router: address(`router${i}:1`), routerHttp: `router${i}`, service: 'main',
-        seeds: n.seeds, slot: i, born: Math.max(1, e.now() + wallJump.by), persisted: n.persisted, trainEvery: o.trainEvery ?? 150, verdict: o.verdict ?? { minCount: 40, ttftMargin: 0.25, tokenMargin: 0.25, failureMargin: 0.05 },
-        rehearsalLimit: o.rehearsalLimit ?? 20_000_000, slice: o.slice ?? 0.2, shiftHold: 3_000_000, shiftRest: 10_000_000, shiftParts: o.shiftParts ?? true,
-      }, {
-        fetchReport: workers.fetchFor(proc, gen), order: workers.orderFor(proc, gen),
-        trainer: {
-          add: (ss) => t.add(ss),
-          train: (v) => {
-            const m = t.train(v, v.n);
-            const b = encodeModel(o.sabotage === undefined ? m : spoiled(m, o.sabotage));
-            return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, gen, () => ok(b))));
+      n.core = createAgentCore(
+        world(proc, n.address),
+        {
+          ...agentDefaults,
+          member: `agent${i}`,
+          self: address(n.address),
+          zone: zoneOf(i),
+          router: address(`router${i}:1`),
+          routerHttp: `router${i}`,
+          service: 'main',
+          seeds: n.seeds,
+          slot: i,
+          born: Math.max(1, e.now() + wallJump.by),
+          persisted: n.persisted,
+          trainEvery: o.trainEvery ?? 150,
+          verdict: o.verdict ?? { minCount: 40, ttftMargin: 0.25, tokenMargin: 0.25, failureMargin: 0.05 },
+          rehearsalLimit: o.rehearsalLimit ?? 20_000_000,
+          slice: o.slice ?? 0.2,
+          shiftHold: 3_000_000,
+          shiftRest: 10_000_000,
+          shiftParts: o.shiftParts ?? true,
+        },
+        {
+          fetchReport: workers.fetchFor(proc, gen),
+          order: workers.orderFor(proc, gen),
+          trainer: {
+            add: (ss) => t.add(ss),
+            train: (v) => {
+              const m = t.train(v, v.n);
+              const b = encodeModel(o.sabotage === undefined ? m : spoiled(m, o.sabotage));
+              return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, gen, () => ok(b))));
+            },
           },
+          save: (x) => {
+            if (i % 3 !== 2) n.persisted = x;
+          },
+          wall: () => e.now() + wallJump.by,
         },
-        save: (x) => { if (i % 3 !== 2) n.persisted = x; },
-        wall: () => e.now() + wallJump.by,
-      });
+      );
       const core = n.core;
       proc.receive = (m, from) => {
         core.receive(m, from);
@@ -225,18 +340,43 @@
       const gen = proc.gen;
       const w = world(proc, a);
       let seen = 0;
-      const core = createRouterCore(w, {
-        ...routerDefaults, router: `router${i}#${gen}`, http: `router${i}`, agent: address(agents[i]!.address), service: 'main', tenure,
-        placement: { ...placementDefaults, minSamples: 100, timeout: 1e9, ...(o.policy === 'heuristic' ? { minSamples: Infinity, explore: 0 } : {}), ...(o.policy === 'least' ? { minSamples: Infinity, explore: 0, imbalance: 0 } : {}) },
-      }, {
-        workers: workers.portFor(proc, gen), digest: (p) => digest(p).slice(0, 32),
-        sendOn: (to, q, reply, gone) => sendOn(proc, gen, to, q, reply, gone),
-        sending: (request, worker, phase, extra, version) => {
-          const decided = phase === 'prefill' || extra;
-          const inc = core.table.mark(worker as never)?.incarnation ?? 0;
-          h.sends.push({ at: e.now(), request, router: `router${i}`, worker: `${worker}/${inc}`, extra, phase, decided, version });
+      const core = createRouterCore(
+        w,
+        {
+          ...routerDefaults,
+          router: `router${i}#${gen}`,
+          http: `router${i}`,
+          agent: address(agents[i]!.address),
+          service: 'main',
+          tenure,
+          placement: {
+            ...placementDefaults,
+            minSamples: 100,
+            timeout: 1e9,
+            ...(o.policy === 'heuristic' ? { minSamples: Infinity, explore: 0 } : {}),
+            ...(o.policy === 'least' ? { minSamples: Infinity, explore: 0, imbalance: 0 } : {}),
+          },
         },
-      });
+        {
+          workers: workers.portFor(proc, gen),
+          digest: (p) => digest(p).slice(0, 32),
+          sendOn: (to, q, reply, gone) => sendOn(proc, gen, to, q, reply, gone),
+          sending: (request, worker, phase, extra, version) => {
+            const decided = phase === 'prefill' || extra;
+            const inc = core.table.mark(worker as never)?.incarnation ?? 0;
+            h.sends.push({
+              at: e.now(),
+              request,
+              router: `router${i}`,
+              worker: `${worker}/${inc}`,
+              extra,
+              phase,
+              decided,
+              version,
+            });
+          },
+        },
+      );
       n.core = core;
       n.closed = false;
       proc.receive = (m) => {
@@ -267,7 +407,8 @@
         order = Math.max(e.now() + net.latency(n!.proc.machine, p.machine), order + 1);
         e.at(order, () => into(p, gen, f));
       }
-      if (n === undefined || net.blocked(p.machine, n.proc.machine)) return e.at(e.now() + 500_000, () => into(p, gen, () => ok(false)));
+      if (n === undefined || net.blocked(p.machine, n.proc.machine))
+        return e.at(e.now() + 500_000, () => into(p, gen, () => ok(false)));
       e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
         if (!n.proc.alive || n.closed) return home(() => ok(false));
         // The short question before it: a frozen router does not answer it.
@@ -280,18 +421,37 @@
         }
         n.proc.deaths.add(died);
         h.requests.find((x) => x.id === q.id)!.via.add(to);
-        into(n.proc, n.proc.gen, () => void n.core!.serve({ ...q, sentOn: true }, {
-          chunk: (t) => home(() => { begun = true; void reply.chunk(t); }),
-          end: (finish) => { n.proc.deaths.delete(died); home(() => { reply.end(finish); ok(true); }); },
-          fail: (f) => {
-            n.proc.deaths.delete(died);
-            home(() => {
-              if (f.kind === 'no_tenure' || f.kind === 'stopping') return ok(false);
-              reply.fail(f);
-              ok(true);
-            });
-          },
-        }, gone));
+        into(
+          n.proc,
+          n.proc.gen,
+          () =>
+            void n.core!.serve(
+              { ...q, sentOn: true },
+              {
+                chunk: (t) =>
+                  home(() => {
+                    begun = true;
+                    void reply.chunk(t);
+                  }),
+                end: (finish) => {
+                  n.proc.deaths.delete(died);
+                  home(() => {
+                    reply.end(finish);
+                    ok(true);
+                  });
+                },
+                fail: (f) => {
+                  n.proc.deaths.delete(died);
+                  home(() => {
+                    if (f.kind === 'no_tenure' || f.kind === 'stopping') return ok(false);
+                    reply.fail(f);
+                    ok(true);
+                  });
+                },
+              },
+              gone,
+            ),
+        );
       });
     });
   }
@@ -315,9 +475,22 @@
     const from = near.length > 0 ? near : far;
     const pick = from[Math.floor(r() * from.length)];
     const q: RequestSeen = {
-      id: a.id, kind: a.kind, tenant: a.tenant, repeatable: a.repeatable, patience: a.patienceMs * 1000, at: e.now(), router: pick === undefined ? 'none' : `router${pick.i}`,
-      end: undefined, ended: '', ran: undefined, verdict: undefined, ttft: undefined, retryAfter: false, excused: pick !== undefined && pick.x.proc.frozen,
-      zone, via: new Set(pick === undefined ? [] : [`router${pick.i}`]),
+      id: a.id,
+      kind: a.kind,
+      tenant: a.tenant,
+      repeatable: a.repeatable,
+      patience: a.patienceMs * 1000,
+      at: e.now(),
+      router: pick === undefined ? 'none' : `router${pick.i}`,
+      end: undefined,
+      ended: '',
+      ran: undefined,
+      verdict: undefined,
+      ttft: undefined,
+      retryAfter: false,
+      excused: pick !== undefined && pick.x.proc.frozen,
+      zone,
+      via: new Set(pick === undefined ? [] : [`router${pick.i}`]),
     };
     h.requests.push(q);
     if (pick === undefined) {
@@ -346,17 +519,37 @@
         end('broken');
         gone.abort();
       });
-      into(p, p.gen, () => void pick.x.core!.serve(
-        { id: a.id, tenant: a.tenant, kind: a.kind, model: 'm', prompt: a.prompt, maxTokens: a.maxTokens, sentOn: false, idempotencyKey: key },
-        {
-          chunk: (t) => {
-            if (q.ttft === undefined) q.ttft = e.now() - q.at;
-            text += t;
-          },
-          end: () => end('whole'),
-          fail: (f) => end(f.kind, failureKinds[f.kind as FailureKind].ran, f.retryAfter !== undefined || f.kind === 'stopping'),
-        }, gone.signal,
-      ));
+      into(
+        p,
+        p.gen,
+        () =>
+          void pick.x.core!.serve(
+            {
+              id: a.id,
+              tenant: a.tenant,
+              kind: a.kind,
+              model: 'm',
+              prompt: a.prompt,
+              maxTokens: a.maxTokens,
+              sentOn: false,
+              idempotencyKey: key,
+            },
+            {
+              chunk: (t) => {
+                if (q.ttft === undefined) q.ttft = e.now() - q.at;
+                text += t;
+              },
+              end: () => end('whole'),
+              fail: (f) =>
+                end(
+                  f.kind,
+                  failureKinds[f.kind as FailureKind].ran,
+                  f.retryAfter !== undefined || f.kind === 'stopping',
+                ),
+            },
+            gone.signal,
+          ),
+      );
     });
   }
   function keepAsking(): void {
@@ -376,14 +569,25 @@
     if (at === undefined) return;
     changes += 1;
     const tag = changes;
-    const c = { id: `change-${tag}`, tag: sound ? tag : -1, whole: '', at: e.now() as number, base: undefined as number | undefined, end: undefined as number | undefined, answer: undefined as string | undefined, version: undefined as number | undefined };
+    const c = {
+      id: `change-${tag}`,
+      tag: sound ? tag : -1,
+      whole: '',
+      at: e.now() as number,
+      base: undefined as number | undefined,
+      end: undefined as number | undefined,
+      answer: undefined as string | undefined,
+      version: undefined as number | undefined,
+    };
     h.changes.push(c);
     const gen = at.proc.gen;
     async function go(): Promise<void> {
       const b = base ?? (await at!.core!.readDesired()).version;
       const t = templates(d, (k) => k.worth + tag / 1000).templates;
       c.base = b;
-      const state = sound ? { templates: o.approval === undefined ? t : t.map((x) => ({ ...x, approval: o.approval })) } : { templates: [] };
+      const state = sound
+        ? { templates: o.approval === undefined ? t : t.map((x) => ({ ...x, approval: o.approval })) }
+        : { templates: [] };
       c.whole = JSON.stringify(state);
       const x = await at!.core!.submit(b, c.id, state);
       c.end = e.now();
@@ -473,52 +677,193 @@
 
   function bring(f: SimFault): void {
     const end = Math.min(e.now() + s(f.for), span);
-    if (!operators.has(f.do)) h.disturbed.push({ at: e.now(), until: lasting.has(f.do) ? end : e.now() + s(3), what: f.do, who: f.who });
+    if (!operators.has(f.do))
+      h.disturbed.push({ at: e.now(), until: lasting.has(f.do) ? end : e.now() + s(3), what: f.do, who: f.who });
     const w = workers.all.find((x) => x.name === f.who);
     const name = `${f.do}/${f.who}/${f.at}`;
     switch (f.do) {
-      case 'kill': { const n = node(f.who)!; killNode(n); e.at(end, () => startNode(n)); return; }
-      case 'freeze': { const n = node(f.who)!; n.proc.frozen = n.proc.alive; for (const q of h.requests) q.excused ||= q.end === undefined && q.via.has(f.who); e.at(end, () => wake(e, n.proc)); return; }
-      case 'drain': return drain(node(f.who)!, end);
-      case 'empty': { const n = node(f.who) as KeeperNode; killNode(n); n.disk.lose(); e.at(end, () => startNode(n)); return; }
-      case 'replace-core': return replaceCore(Number(f.who.slice(6)), end);
-      case 'isolate': net.cut(name, (a, b) => a === f.who || b === f.who); e.at(end, () => net.heal(name)); return;
-      case 'one-way': net.cut(name, (a) => a === f.who); e.at(end, () => net.heal(name)); return;
-      case 'split': { const k = 1 + Math.floor(r() * 3); function side(m: string): boolean { return Number(m.slice(1)) % (k + 1) === 0; } net.cut(name, (a, b) => a.startsWith('m') && b.startsWith('m') && side(a) !== side(b)); e.at(end, () => net.heal(name)); return; }
-      case 'disk-stall': { const x = keepers[Number(f.who.slice(6))]!.disk; x.stalled = true; e.at(end, () => x.resume()); return; }
-      case 'disk-slow': { const x = keepers[Number(f.who.slice(6))]!.disk; x.slowUs = 300_000; e.at(end, () => { x.slowUs = 0; }); return; }
-      case 'disk-full': { const n = keepers[Number(f.who.slice(6))]!; n.disk.full = true; e.at(end, () => { n.disk.full = false; }); return; }
-      case 'disk-damage': { const n = node(f.who) as KeeperNode; killNode(n); n.disk.damage(); e.at(end, () => startNode(n)); return; }
-      case 'worker-kill': if (w!.proc.alive) { workers.kill(w!); e.at(end, () => { if (!w!.proc.alive) { workers.start(w!); platform(w!, 1); } }); } return;
-      case 'worker-dark': w!.dark = true; e.at(end, () => { w!.dark = false; }); return;
-      case 'worker-freeze': w!.proc.frozen = w!.proc.alive; e.at(end, () => wake(e, w!.proc)); return;
-      case 'worker-release': return release(w!, end);
-      case 'worker-slow-link': net.slow(w!.proc.machine, 200_000); e.at(end, () => net.slow(w!.proc.machine, 0)); return;
-      case 'lapse': for (const x of workers.all) if (x.proc.alive) x.core.lapse(); return;
-      case 'mass-kill': { const ns = [...routers, ...agents].filter(() => r() < 0.5); ns.forEach(killNode); e.at(Math.min(end, e.now() + s(3)), () => ns.forEach(startNode)); return; }
-      case 'core-kill': keepers.forEach(killNode); e.at(Math.min(end, e.now() + s(3)), () => keepers.forEach(startNode)); return;
-      case 'seeds-swapped': { const ns = agents.slice(0, 2); ns.forEach(killNode); for (const n of ns) n.persisted = agentDefaults.persisted; e.at(end, () => ns.forEach(startNode)); return; }
+      case 'kill': {
+        const n = node(f.who)!;
+        killNode(n);
+        e.at(end, () => startNode(n));
+        return;
+      }
+      case 'freeze': {
+        const n = node(f.who)!;
+        n.proc.frozen = n.proc.alive;
+        for (const q of h.requests) q.excused ||= q.end === undefined && q.via.has(f.who);
+        e.at(end, () => wake(e, n.proc));
+        return;
+      }
+      case 'drain':
+        return drain(node(f.who)!, end);
+      case 'empty': {
+        const n = node(f.who) as KeeperNode;
+        killNode(n);
+        n.disk.lose();
+        e.at(end, () => startNode(n));
+        return;
+      }
+      case 'replace-core':
+        return replaceCore(Number(f.who.slice(6)), end);
+      case 'isolate':
+        net.cut(name, (a, b) => a === f.who || b === f.who);
+        e.at(end, () => net.heal(name));
+        return;
+      case 'one-way':
+        net.cut(name, (a) => a === f.who);
+        e.at(end, () => net.heal(name));
+        return;
+      case 'split': {
+        const k = 1 + Math.floor(r() * 3);
+        function side(m: string): boolean {
+          return Number(m.slice(1)) % (k + 1) === 0;
+        }
+        net.cut(name, (a, b) => a.startsWith('m') && b.startsWith('m') && side(a) !== side(b));
+        e.at(end, () => net.heal(name));
+        return;
+      }
+      case 'disk-stall': {
+        const x = keepers[Number(f.who.slice(6))]!.disk;
+        x.stalled = true;
+        e.at(end, () => x.resume());
+        return;
+      }
+      case 'disk-slow': {
+        const x = keepers[Number(f.who.slice(6))]!.disk;
+        x.slowUs = 300_000;
+        e.at(end, () => {
+          x.slowUs = 0;
+        });
+        return;
+      }
+      case 'disk-full': {
+        const n = keepers[Number(f.who.slice(6))]!;
+        n.disk.full = true;
+        e.at(end, () => {
+          n.disk.full = false;
+        });
+        return;
+      }
+      case 'disk-damage': {
+        const n = node(f.who) as KeeperNode;
+        killNode(n);
+        n.disk.damage();
+        e.at(end, () => startNode(n));
+        return;
+      }
+      case 'worker-kill':
+        if (w!.proc.alive) {
+          workers.kill(w!);
+          e.at(end, () => {
+            if (!w!.proc.alive) {
+              workers.start(w!);
+              platform(w!, 1);
+            }
+          });
+        }
+        return;
+      case 'worker-dark':
+        w!.dark = true;
+        e.at(end, () => {
+          w!.dark = false;
+        });
+        return;
+      case 'worker-freeze':
+        w!.proc.frozen = w!.proc.alive;
+        e.at(end, () => wake(e, w!.proc));
+        return;
+      case 'worker-release':
+        return release(w!, end);
+      case 'worker-slow-link':
+        net.slow(w!.proc.machine, 200_000);
+        e.at(end, () => net.slow(w!.proc.machine, 0));
+        return;
+      case 'lapse':
+        for (const x of workers.all) if (x.proc.alive) x.core.lapse();
+        return;
+      case 'mass-kill': {
+        const ns = [...routers, ...agents].filter(() => r() < 0.5);
+        ns.forEach(killNode);
+        e.at(Math.min(end, e.now() + s(3)), () => ns.forEach(startNode));
+        return;
+      }
+      case 'core-kill':
+        keepers.forEach(killNode);
+        e.at(Math.min(end, e.now() + s(3)), () => keepers.forEach(startNode));
+        return;
+      case 'seeds-swapped': {
+        const ns = agents.slice(0, 2);
+        ns.forEach(killNode);
+        for (const n of ns) n.persisted = agentDefaults.persisted;
+        e.at(end, () => ns.forEach(startNode));
+        return;
+      }
       case 'machine-kill':
-      case 'machine-lost': { const ns = machine(f.who); ns.forEach(killNode); if (f.do === 'machine-lost') for (const n of ns) wipe(n); e.at(end, () => ns.forEach(startNode)); return; }
+      case 'machine-lost': {
+        const ns = machine(f.who);
+        ns.forEach(killNode);
+        if (f.do === 'machine-lost') for (const n of ns) wipe(n);
+        e.at(end, () => ns.forEach(startNode));
+        return;
+      }
       case 'machine-freeze': {
         const ns = machine(f.who);
         for (const n of ns) n.proc.frozen = n.proc.alive;
         for (const q of h.requests) q.excused ||= q.end === undefined && ns.some((n) => q.via.has(n.proc.name));
-        e.at(end, () => { for (const n of ns) wake(e, n.proc); });
+        e.at(end, () => {
+          for (const n of ns) wake(e, n.proc);
+        });
+        return;
+      }
+      case 'seed-replaced':
+        return replaceSeed(Number(f.who.slice(5)), end);
+      case 'link-one-way': {
+        const [a, b] = f.who.split('>');
+        net.cut(name, (x, y) => x === a && y === b);
+        e.at(end, () => net.heal(name));
         return;
       }
-      case 'seed-replaced': return replaceSeed(Number(f.who.slice(5)), end);
-      case 'link-one-way': { const [a, b] = f.who.split('>'); net.cut(name, (x, y) => x === a && y === b); e.at(end, () => net.heal(name)); return; }
-      case 'core-split': { const alone = f.who; net.cut(name, (x, y) => apart(alone, x, y)); e.at(end, () => net.heal(name)); return; }
-      case 'clock-jump': wallJump.by += (r() < 0.5 ? -1 : 1) * s(3600); return;
-      case 'crash-on-ack': crashOnAck += 1; return submit();
-      case 'lose-on-ack': loseOnAck.push(node(f.who) as KeeperNode); return submit();
-      case 'submit': return submit();
-      case 'race': { const b = h.applied.reduce((m, x) => Math.max(m, x.version), 0); submit(b); submit(b); if (r() < 0.5) submit(b); return; }
-      case 'storm': for (let i = 0; i < 6; i += 1) e.at(e.now() + s(i * 0.15 * r()), () => submit()); return;
-      case 'refused': return submit(undefined, false);
-      case 'crowd': rate = o.rate * 3; e.at(end, () => { rate = o.rate; }); return;
-      case 'swing': swing = 8; swings += 1; traffic = createTraffic(d, o.seed + 1_000_000 * swings, swingMix(8)); return;
+      case 'core-split': {
+        const alone = f.who;
+        net.cut(name, (x, y) => apart(alone, x, y));
+        e.at(end, () => net.heal(name));
+        return;
+      }
+      case 'clock-jump':
+        wallJump.by += (r() < 0.5 ? -1 : 1) * s(3600);
+        return;
+      case 'crash-on-ack':
+        crashOnAck += 1;
+        return submit();
+      case 'lose-on-ack':
+        loseOnAck.push(node(f.who) as KeeperNode);
+        return submit();
+      case 'submit':
+        return submit();
+      case 'race': {
+        const b = h.applied.reduce((m, x) => Math.max(m, x.version), 0);
+        submit(b);
+        submit(b);
+        if (r() < 0.5) submit(b);
+        return;
+      }
+      case 'storm':
+        for (let i = 0; i < 6; i += 1) e.at(e.now() + s(i * 0.15 * r()), () => submit());
+        return;
+      case 'refused':
+        return submit(undefined, false);
+      case 'crowd':
+        rate = o.rate * 3;
+        e.at(end, () => {
+          rate = o.rate;
+        });
+        return;
+      case 'swing':
+        swing = 8;
+        swings += 1;
+        traffic = createTraffic(d, o.seed + 1_000_000 * swings, swingMix(8));
+        return;
     }
   }
 
@@ -609,14 +954,18 @@
     function read(): void {
       if (e.now() >= total) return;
       const from = e.now();
-      void liveAgent()?.core?.readDesired().then((x) => {
-        if (x.status === 'value') h.reads.push({ from, end: e.now(), version: x.version, whole: x.value.toString() });
-      });
+      void liveAgent()
+        ?.core?.readDesired()
+        .then((x) => {
+          if (x.status === 'value') h.reads.push({ from, end: e.now(), version: x.version, whole: x.value.toString() });
+        });
       e.at(e.now() + s(0.7), read);
     }
     function look(): void {
       for (const duty of dutyNames) {
-        const members = agents.filter((x) => x.proc.alive && !x.proc.frozen && x.core?.holds(duty) !== undefined).map((x) => x.proc.name);
+        const members = agents
+          .filter((x) => x.proc.alive && !x.proc.frozen && x.core?.holds(duty) !== undefined)
+          .map((x) => x.proc.name);
         if (members.length > 1) h.holders.push({ at: e.now(), duty, members });
       }
       if (e.now() < total) e.at(e.now() + s(0.05), look);
--- a/packages/simulator/src/sim-workers.ts
+++ b/packages/simulator/src/sim-workers.ts
@@ -22,26 +22,59 @@
   readonly all: SimWorker[];
   readonly portFor: (p: Proc, gen: number) => WorkerPort;
   readonly fetchFor: (p: Proc, gen: number) => (m: Mark) => Promise<FetchedReport | undefined>;
-  readonly orderFor: (p: Proc, gen: number) => (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined>;
+  readonly orderFor: (
+    p: Proc,
+    gen: number,
+  ) => (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined>;
   readonly start: (w: SimWorker) => void;
   readonly kill: (w: SimWorker) => void;
 }
 
-export function createSimWorkers(e: Engine, net: Network, h: History, random: () => number, count: number, paces: readonly number[]): SimWorkers {
+export function createSimWorkers(
+  e: Engine,
+  net: Network,
+  h: History,
+  random: () => number,
+  count: number,
+  paces: readonly number[],
+): SimWorkers {
   const memoryOf = new Map<string, string>();
   const all: SimWorker[] = Array.from({ length: count }, (_, i) => ({
-    name: `worker${i}`, proc: createProc(`worker${i}`, `w${i}`), pace: paces[i % paces.length]!, core: undefined as unknown as WorkerCore, incarnation: 0, dark: false,
+    name: `worker${i}`,
+    proc: createProc(`worker${i}`, `w${i}`),
+    pace: paces[i % paces.length]!,
+    core: undefined as unknown as WorkerCore,
+    incarnation: 0,
+    dark: false,
   }));
 
   function start(w: SimWorker): void {
     w.proc.alive = true;
     w.incarnation += 1;
     w.dark = false;
-    const world = procWorld(e, w.proc, random, () => undefined, () => undefined);
+    const world = procWorld(
+      e,
+      w.proc,
+      random,
+      () => undefined,
+      () => undefined,
+    );
     const incarnation = w.incarnation;
     w.core = createWorkerCore(world, {
-      ...workerDefaults, worker: w.name, incarnation, prefillPace: w.pace, stepUs: 8000,
-      onRun: (request, what) => h.runs.push({ at: e.now(), request, worker: w.name, incarnation, what, memoryOf: what === 'prefill' ? undefined : memoryOf.get(`${w.name}/${request}`) }),
+      ...workerDefaults,
+      worker: w.name,
+      incarnation,
+      prefillPace: w.pace,
+      stepUs: 8000,
+      onRun: (request, what) =>
+        h.runs.push({
+          at: e.now(),
+          request,
+          worker: w.name,
+          incarnation,
+          what,
+          memoryOf: what === 'prefill' ? undefined : memoryOf.get(`${w.name}/${request}`),
+        }),
     });
   }
   function kill(w: SimWorker): void {
@@ -90,24 +123,51 @@
           e.at(e.now() + 1000, () => off?.());
         });
         if (signal.aborted) return done({ tag: 'unknown', why: 'aborted' });
-        reach(p, m, (w) => {
-          if (m.incarnation !== w.incarnation) return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
-          if (signal.aborted && random() < 0.5) return;
-          function broke(): void {
-            back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
-          }
-          w.proc.deaths.add(broke);
-          dead = () => { w.proc.deaths.delete(broke); };
-          off = w.core.prefill({ request: j.request, prompt: j.prompt, maxTokens: j.maxTokens }, (a) => {
-            if (a.tag === 'refused') return back(p, gen, w, () => done({ tag: 'notStarted', why: a.why }));
-            const x = a.handle;
-            back(p, gen, w, () => done({ tag: 'done', handle: { remote_engine_id: x.worker, remote_block_ids: [x.id], remote_host: w.name, remote_port: 1, request_id: x.request, prompt_digest: x.digest, incarnation: x.incarnation } }));
-          });
-        }, (why) => into(p, gen, () => done({ tag: 'notStarted', why })));
+        reach(
+          p,
+          m,
+          (w) => {
+            if (m.incarnation !== w.incarnation)
+              return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+            if (signal.aborted && random() < 0.5) return;
+            function broke(): void {
+              back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
+            }
+            w.proc.deaths.add(broke);
+            dead = () => {
+              w.proc.deaths.delete(broke);
+            };
+            off = w.core.prefill({ request: j.request, prompt: j.prompt, maxTokens: j.maxTokens }, (a) => {
+              if (a.tag === 'refused') return back(p, gen, w, () => done({ tag: 'notStarted', why: a.why }));
+              const x = a.handle;
+              back(p, gen, w, () =>
+                done({
+                  tag: 'done',
+                  handle: {
+                    remote_engine_id: x.worker,
+                    remote_block_ids: [x.id],
+                    remote_host: w.name,
+                    remote_port: 1,
+                    request_id: x.request,
+                    prompt_digest: x.digest,
+                    incarnation: x.incarnation,
+                  },
+                }),
+              );
+            });
+          },
+          (why) => into(p, gen, () => done({ tag: 'notStarted', why })),
+        );
       });
     }
 
-    function decode(m: Mark, j: WorkerJob, hp: HandleParams, chunk: (t: string) => void, signal: AbortSignal): Promise<DecodeResult> {
+    function decode(
+      m: Mark,
+      j: WorkerJob,
+      hp: HandleParams,
+      chunk: (t: string) => void,
+      signal: AbortSignal,
+    ): Promise<DecodeResult> {
       return new Promise((ok) => {
         let off: (() => void) | undefined;
         let dead: (() => void) | undefined;
@@ -124,33 +184,63 @@
           e.at(e.now() + 1000, () => off?.());
         });
         if (signal.aborted) return done({ tag: 'unknown', why: 'aborted' });
-        const hd: Handle = { id: hp.remote_block_ids[0] ?? '', worker: hp.remote_engine_id, incarnation: hp.incarnation, request: hp.request_id, digest: hp.prompt_digest };
+        const hd: Handle = {
+          id: hp.remote_block_ids[0] ?? '',
+          worker: hp.remote_engine_id,
+          incarnation: hp.incarnation,
+          request: hp.request_id,
+          digest: hp.prompt_digest,
+        };
         const job = { request: j.request, prompt: j.prompt, maxTokens: j.maxTokens };
-        reach(p, m, (w) => {
-          if (m.incarnation !== w.incarnation) return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
-          const no = w.core.admit(job, hd);
-          if (no !== undefined) return back(p, gen, w, () => done(no.startsWith('memory') ? { tag: 'lapsed', why: no } : { tag: 'notStarted', why: no }));
-          const wgen = w.proc.gen;
-          function broke(): void {
-            back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
-          }
-          w.proc.deaths.add(broke);
-          dead = () => { w.proc.deaths.delete(broke); };
-          takeFrom(w, hd, (why, of) => into(w.proc, wgen, () => {
-            if (why !== undefined) return back(p, gen, w, () => done({ tag: 'lapsed', why }));
-            if (signal.aborted && random() < 0.8) return;
-            memoryOf.set(`${w.name}/${j.request}`, of!);
-            // A stream keeps its order: each piece arrives after the one before.
-            function piece(f: () => void): void {
-              order = Math.max(e.now() + net.latency(w.proc.machine, p.machine), order + 1);
-              e.at(order, () => {
-                if (net.blocked(w.proc.machine, p.machine)) return net.onHeal(() => into(p, gen, () => { if (!over) done({ tag: 'unknown', why: 'cut' }); }));
-                into(p, gen, () => { if (!over) f(); });
-              });
+        reach(
+          p,
+          m,
+          (w) => {
+            if (m.incarnation !== w.incarnation)
+              return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+            const no = w.core.admit(job, hd);
+            if (no !== undefined)
+              return back(p, gen, w, () =>
+                done(no.startsWith('memory') ? { tag: 'lapsed', why: no } : { tag: 'notStarted', why: no }),
+              );
+            const wgen = w.proc.gen;
+            function broke(): void {
+              back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
             }
-            off = w.core.decode(job, hd, { chunk: (t) => piece(() => void chunk(t)), end: (finish) => piece(() => done({ tag: 'done', finish })), broke: () => piece(() => done({ tag: 'unknown', why: 'broke off' })) });
-          }));
-        }, (why) => into(p, gen, () => done({ tag: 'notStarted', why })));
+            w.proc.deaths.add(broke);
+            dead = () => {
+              w.proc.deaths.delete(broke);
+            };
+            takeFrom(w, hd, (why, of) =>
+              into(w.proc, wgen, () => {
+                if (why !== undefined) return back(p, gen, w, () => done({ tag: 'lapsed', why }));
+                if (signal.aborted && random() < 0.8) return;
+                memoryOf.set(`${w.name}/${j.request}`, of!);
+                // A stream keeps its order: each piece arrives after the one before.
+                function piece(f: () => void): void {
+                  order = Math.max(e.now() + net.latency(w.proc.machine, p.machine), order + 1);
+                  e.at(order, () => {
+                    if (net.blocked(w.proc.machine, p.machine))
+                      return net.onHeal(() =>
+                        into(p, gen, () => {
+                          if (!over) done({ tag: 'unknown', why: 'cut' });
+                        }),
+                      );
+                    into(p, gen, () => {
+                      if (!over) f();
+                    });
+                  });
+                }
+                off = w.core.decode(job, hd, {
+                  chunk: (t) => piece(() => void chunk(t)),
+                  end: (finish) => piece(() => done({ tag: 'done', finish })),
+                  broke: () => piece(() => done({ tag: 'unknown', why: 'broke off' })),
+                });
+              }),
+            );
+          },
+          (why) => into(p, gen, () => done({ tag: 'notStarted', why })),
+        );
       });
     }
     return { prefill, decode };
@@ -159,7 +249,8 @@
   function takeFrom(w: SimWorker, hd: Handle, done: (why: string | undefined, of?: string) => void): void {
     const from = all.find((x) => x.name === hd.worker)!;
     const l = from === w ? 0 : net.latency(w.proc.machine, from.proc.machine);
-    if (net.blocked(w.proc.machine, from.proc.machine) || !from.proc.alive || from.dark || from.proc.frozen) return e.at(e.now() + 2_000_000, () => done('memory_lapsed'));
+    if (net.blocked(w.proc.machine, from.proc.machine) || !from.proc.alive || from.dark || from.proc.frozen)
+      return e.at(e.now() + 2_000_000, () => done('memory_lapsed'));
     e.at(e.now() + l, () => {
       if (!from.proc.alive) return done('memory_lapsed');
       const why = from.core.take(hd);
@@ -172,10 +263,15 @@
       h.probes.push(e.now());
       return new Promise((ok) => {
         e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
-        reach(p, m, (w) => {
-          const r = w.core.report();
-          back(p, gen, w, () => ok(r));
-        }, () => into(p, gen, () => ok(undefined)));
+        reach(
+          p,
+          m,
+          (w) => {
+            const r = w.core.report();
+            back(p, gen, w, () => ok(r));
+          },
+          () => into(p, gen, () => ok(undefined)),
+        );
       });
     };
   }
@@ -184,11 +280,16 @@
     return function order(m, epoch, part) {
       return new Promise((ok) => {
         e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
-        reach(p, m, (w) => {
-          const obeyed = w.core.order(epoch, part);
-          h.orders.push({ at: e.now(), worker: `${w.name}/${w.incarnation}`, epoch, part, obeyed, by: p.name });
-          back(p, gen, w, () => ok(obeyed));
-        }, () => into(p, gen, () => ok(undefined)));
+        reach(
+          p,
+          m,
+          (w) => {
+            const obeyed = w.core.order(epoch, part);
+            h.orders.push({ at: e.now(), worker: `${w.name}/${w.incarnation}`, epoch, part, obeyed, by: p.name });
+            back(p, gen, w, () => ok(obeyed));
+          },
+          () => into(p, gen, () => ok(undefined)),
+        );
       });
     };
   }
--- a/packages/simulator/src/verdicts.ts
+++ b/packages/simulator/src/verdicts.ts
@@ -27,21 +27,58 @@
 }
 
 export async function fleetShows(d: Deployment, seed: number, seconds: number, swing: boolean): Promise<Seen[]> {
-  const h = await createSim({ deployment: d, seed, span: seconds, calm: 12, rate: d.rate, faults: [], policy: 'heuristic', plain: true, trainEvery: 1e9, shiftParts: false, ...(swing ? { swing: 60 } : {}) }).run();
+  const h = await createSim({
+    deployment: d,
+    seed,
+    span: seconds,
+    calm: 12,
+    rate: d.rate,
+    faults: [],
+    policy: 'heuristic',
+    plain: true,
+    trainEvery: 1e9,
+    shiftParts: false,
+    ...(swing ? { swing: 60 } : {}),
+  }).run();
   const strata = [...new Set(h.requests.map((q) => `${q.tenant}/${q.kind}`))];
   const answer = new Map(d.kinds.map((k) => [k.kind, k.answer]));
-  return h.requests.filter((q) => q.at > 20e6 && q.end !== undefined).map((q) => {
-    const failed = q.ended !== 'whole';
-    const ttft = failed ? q.patience : q.ttft!;
-    return { stratum: strata.indexOf(`${q.tenant}/${q.kind}`), failed, ttft: Math.log(ttft), token: Math.log(Math.max(1, (q.end! - q.at - ttft) / answer.get(q.kind)!)), patience: Math.log(q.patience) };
-  });
+  return h.requests
+    .filter((q) => q.at > 20e6 && q.end !== undefined)
+    .map((q) => {
+      const failed = q.ended !== 'whole';
+      const ttft = failed ? q.patience : q.ttft!;
+      return {
+        stratum: strata.indexOf(`${q.tenant}/${q.kind}`),
+        failed,
+        ttft: Math.log(ttft),
+        token: Math.log(Math.max(1, (q.end! - q.at - ttft) / answer.get(q.kind)!)),
+        patience: Math.log(q.patience),
+      };
+    });
 }
 
 const limitSeconds = agentDefaults.rehearsalLimit / 1e6;
 
-function stage(seen: readonly Seen[], r: () => number, slice: number, control: number, perSecond: number, harm: Harm): { verdict: string; seconds: number } {
+function stage(
+  seen: readonly Seen[],
+  r: () => number,
+  slice: number,
+  control: number,
+  perSecond: number,
+  harm: Harm,
+): { verdict: string; seconds: number } {
   const strata = 1 + Math.max(...seen.map((x) => x.stratum));
-  const cs: VerdictCounts[] = Array.from({ length: 2 * strata }, (_, i) => ({ arm: i < strata ? 'slice' : 'control', stratum: `${i % strata}`, count: 0, failures: 0, sum: 0, squares: 0, tokenCount: 0, tokenSum: 0, tokenSquares: 0 }));
+  const cs: VerdictCounts[] = Array.from({ length: 2 * strata }, (_, i) => ({
+    arm: i < strata ? 'slice' : 'control',
+    stratum: `${i % strata}`,
+    count: 0,
+    failures: 0,
+    sum: 0,
+    squares: 0,
+    tokenCount: 0,
+    tokenSum: 0,
+    tokenSquares: 0,
+  }));
   const n = { slice: 0, control: 0 };
   const logs = [Math.log(harm.ttft), Math.log(harm.token)] as const;
   let at = Math.floor(r() * seen.length);
@@ -57,8 +94,18 @@
       const failed = x.failed || (harmed && harm.fail > 0 && r() < harm.fail);
       const l = failed ? x.patience : x.ttft + (harmed ? logs[0] : 0);
       const k = x.token + (harmed ? logs[1] : 0);
-      Object.assign(c, { count: c.count + 1, failures: c.failures + (failed ? 1 : 0), sum: c.sum + l, squares: c.squares + l * l });
-      if (!failed) Object.assign(c, { tokenCount: c.tokenCount + 1, tokenSum: c.tokenSum + k, tokenSquares: c.tokenSquares + k * k });
+      Object.assign(c, {
+        count: c.count + 1,
+        failures: c.failures + (failed ? 1 : 0),
+        sum: c.sum + l,
+        squares: c.squares + l * l,
+      });
+      if (!failed)
+        Object.assign(c, {
+          tokenCount: c.tokenCount + 1,
+          tokenSum: c.tokenSum + k,
+          tokenSquares: c.tokenSquares + k * k,
+        });
     }
     const last = s === limitSeconds;
     if (!last && Math.min(n.slice, n.control) < lookAt(looks, verdictDefaults)) continue;
@@ -69,7 +116,13 @@
   return { verdict: 'open', seconds: limitSeconds };
 }
 
-export function measureVerdict(seen: readonly Seen[], seed: number, count: number, perSecond: number, harm: Harm): VerdictFigure {
+export function measureVerdict(
+  seen: readonly Seen[],
+  seed: number,
+  count: number,
+  perSecond: number,
+  harm: Harm,
+): VerdictFigure {
   const r = seeded(seed);
   const out: { verdict: string; seconds: number; live: boolean }[] = [];
   for (let i = 0; i < count; i += 1) {
@@ -81,5 +134,11 @@
   function of(v: string): number {
     return out.filter((x) => x.verdict === v).length / count;
   }
-  return { passed: of('pass'), harmful: of('harmful'), open: of('open'), live: out.filter((x) => x.live).length / count, medianSeconds: times[Math.floor(count / 2)]! };
+  return {
+    passed: of('pass'),
+    harmful: of('harmful'),
+    open: of('open'),
+    live: out.filter((x) => x.live).length / count,
+    medianSeconds: times[Math.floor(count / 2)]!,
+  };
 }
--- a/programs/change-tracer/src/main.ts
+++ b/programs/change-tracer/src/main.ts
@@ -8,7 +8,8 @@
   static override paths = [Command.Default];
   static override usage = Command.Usage({
     description: 'Follow one version of the desired state through every daemon, with times.',
-    details: 'Name every agent with --agent and every keeper with --keeper. Without --version the version in force is followed. Ends with 0 when all have applied it, 1 when some have not by the time given.',
+    details:
+      'Name every agent with --agent and every keeper with --keeper. Without --version the version in force is followed. Ends with 0 when all have applied it, 1 when some have not by the time given.',
   });
   agents = Option.Array('--agent', { required: true, description: 'HTTP address of an agent; give it once for each' });
   keepers = Option.Array('--keeper', [], { description: 'HTTP address of a keeper; give it once for each' });
@@ -28,7 +29,10 @@
     }
     const first = t.seen[0]?.at ?? 0;
     this.context.stdout.write(`version ${v}\n`);
-    for (const s of t.seen) this.context.stdout.write(`+${((s.at - first) / 1000).toFixed(1).padStart(9)} ms  ${s.who.padEnd(22)} ${s.what}\n`);
+    for (const s of t.seen)
+      this.context.stdout.write(
+        `+${((s.at - first) / 1000).toFixed(1).padStart(9)} ms  ${s.who.padEnd(22)} ${s.what}\n`,
+      );
     for (const m of t.missing) this.context.stdout.write(`not applied   ${m}\n`);
     return t.missing.length === 0 ? 0 : 1;
   }
--- a/programs/change-tracer/src/trace.ts
+++ b/programs/change-tracer/src/trace.ts
@@ -22,16 +22,25 @@
   }
 }
 
-export async function traceOnce(agents: readonly string[], keepers: readonly string[], version: number): Promise<Trace> {
+export async function traceOnce(
+  agents: readonly string[],
+  keepers: readonly string[],
+  version: number,
+): Promise<Trace> {
   const seen: Seen[] = [];
   const missing: string[] = [];
-  await Promise.all(agents.map(async (a) => {
-    const es = await get<{ at: number; what: string }[]>(a, `/trace/${version}`);
-    for (const e of es ?? []) seen.push({ at: e.at, who: a, what: e.what });
-    if (!es?.some((e) => e.what === 'applied')) missing.push(a);
-  }));
-  await Promise.all(keepers.map(async (k) => {
-    for (const e of (await get<{ at: number; what: string }[]>(k, `/trace/${version}`)) ?? []) seen.push({ at: e.at, who: k, what: e.what });
-  }));
+  await Promise.all(
+    agents.map(async (a) => {
+      const es = await get<{ at: number; what: string }[]>(a, `/trace/${version}`);
+      for (const e of es ?? []) seen.push({ at: e.at, who: a, what: e.what });
+      if (!es?.some((e) => e.what === 'applied')) missing.push(a);
+    }),
+  );
+  await Promise.all(
+    keepers.map(async (k) => {
+      for (const e of (await get<{ at: number; what: string }[]>(k, `/trace/${version}`)) ?? [])
+        seen.push({ at: e.at, who: k, what: e.what });
+    }),
+  );
   return { version, seen: seen.sort((x, y) => x.at - y.at), missing };
 }
--- a/programs/fleet-runner/src/fleet.ts
+++ b/programs/fleet-runner/src/fleet.ts
@@ -44,7 +44,12 @@
   }
   async function post(at: string, path: string, body: unknown): Promise<{ status: number; body: unknown } | undefined> {
     try {
-      const r = await request(`http://${at}${path}`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(body), headersTimeout: 40_000 });
+      const r = await request(`http://${at}${path}`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+        headersTimeout: 40_000,
+      });
       return { status: r.statusCode, body: await r.body.json() };
     } catch {
       return undefined;
@@ -54,7 +59,8 @@
     const from = performance.now();
     for (;;) {
       if (await f()) return performance.now() - from;
-      if (performance.now() - from > seconds * 1000) throw new Error(`waited ${seconds} s in vain until ${what}; see the logs in ${o.folder}`);
+      if (performance.now() - from > seconds * 1000)
+        throw new Error(`waited ${seconds} s in vain until ${what}; see the logs in ${o.folder}`);
       await new Promise((ok) => setTimeout(ok, 100));
     }
   }
@@ -68,25 +74,45 @@
     const m = member(name);
     const agents = of('router-agent').filter((x) => ps.alive(x.name) && !down.has(x.name));
     for (let n = 0; n < 20; n += 1) {
-      const r = await post(agents[n % agents.length]!.http, '/platform/workers', { worker: name, incarnation: incarnations.get(name) ?? 1, state, address: m.relay!.shown });
+      const r = await post(agents[n % agents.length]!.http, '/platform/workers', {
+        worker: name,
+        incarnation: incarnations.get(name) ?? 1,
+        state,
+        address: m.relay!.shown,
+      });
       if (r?.status === 200) return;
     }
   }
 
   async function serve(): Promise<void> {
-    for (const m of plan.members) if (m.relay !== undefined) await relays.add(m.relay.shown, m.relay.real, m.relay.inner);
+    for (const m of plan.members)
+      if (m.relay !== undefined) await relays.add(m.relay.shown, m.relay.real, m.relay.inner);
     for (const m of plan.members) ps.start(m);
-    await until('the core votes', async () => (await Promise.all(of('state-keeper').map((k) => get(k.http, '/vitals')))).every((v) => v !== undefined));
-    await until('agents know each other', async () => (await Promise.all(of('router-agent').map((a) => get<unknown[]>(a.http, '/members')))).every((v) => (v?.length ?? 0) >= d.machines - 1));
-    await until('workers answer', async () => (await Promise.all(of('worker-stand-in').map((w) => get(w.http, '/report')))).every((v) => v !== undefined));
+    await until('the core votes', async () =>
+      (await Promise.all(of('state-keeper').map((k) => get(k.http, '/vitals')))).every((v) => v !== undefined),
+    );
+    await until('agents know each other', async () =>
+      (await Promise.all(of('router-agent').map((a) => get<unknown[]>(a.http, '/members')))).every(
+        (v) => (v?.length ?? 0) >= d.machines - 1,
+      ),
+    );
+    await until('workers answer', async () =>
+      (await Promise.all(of('worker-stand-in').map((w) => get(w.http, '/report')))).every((v) => v !== undefined),
+    );
     await Promise.all(of('worker-stand-in').map((w) => platform(w.name, 'ready')));
     const s = await submit(0);
     if (s.answer !== 'acknowledged') throw new Error(`the first desired state was answered with ${s.answer}`);
-    await until('every router serves and knows the workers', async () => (await Promise.all(of('request-router').map(async (r) => {
-      const v = await get<{ desiredVersion: number }>(r.http, '/vitals');
-      const f = await get<{ workers: unknown[] }>(r.http, '/figures');
-      return v !== undefined && v.desiredVersion >= 1 && f?.workers.length === d.workers;
-    }))).every((x) => x));
+    await until('every router serves and knows the workers', async () =>
+      (
+        await Promise.all(
+          of('request-router').map(async (r) => {
+            const v = await get<{ desiredVersion: number }>(r.http, '/vitals');
+            const f = await get<{ workers: unknown[] }>(r.http, '/figures');
+            return v !== undefined && v.desiredVersion >= 1 && f?.workers.length === d.workers;
+          }),
+        )
+      ).every((x) => x),
+    );
   }
 
   async function submit(worth: number): Promise<{ answer: string; version?: number; change?: string; ms: number }> {
@@ -102,9 +128,18 @@
     const m = f.who === undefined ? undefined : member(f.who);
     if (m === undefined) return;
     switch (f.do) {
-      case 'kill': down.add(m.name); ps.signal(m.name, 'SIGKILL'); return;
-      case 'freeze': down.add(m.name); ps.signal(m.name, 'SIGSTOP'); return;
-      case 'wake': ps.signal(m.name, 'SIGCONT'); down.delete(m.name); return;
+      case 'kill':
+        down.add(m.name);
+        ps.signal(m.name, 'SIGKILL');
+        return;
+      case 'freeze':
+        down.add(m.name);
+        ps.signal(m.name, 'SIGSTOP');
+        return;
+      case 'wake':
+        ps.signal(m.name, 'SIGCONT');
+        down.delete(m.name);
+        return;
       case 'drain':
         ps.signal(m.name, 'SIGTERM');
         await ps.ended(m.name);
@@ -118,10 +153,16 @@
         restart(m);
         if (m.program === 'worker-stand-in') await platform(m.name, 'ready');
         return;
-      case 'leave': await platform(m.name, 'leaving'); return;
+      case 'leave':
+        await platform(m.name, 'leaving');
+        return;
       case 'release':
         await platform(m.name, 'leaving');
-        await until(`${m.name} is idle`, async () => (await get<{ active: number; queued: number }>(m.http, '/idle'))?.active === 0, 40);
+        await until(
+          `${m.name} is idle`,
+          async () => (await get<{ active: number; queued: number }>(m.http, '/idle'))?.active === 0,
+          40,
+        );
         ps.signal(m.name, 'SIGTERM');
         await ps.ended(m.name);
         restart(m);
@@ -133,14 +174,29 @@
         relays.cut(ip, (from, to) => (from !== undefined && from.startsWith(`${ip}:`)) !== to.startsWith(`${ip}:`));
         return;
       }
-      case 'one-way': relays.cut(m.ip, (from, to) => from !== undefined && from.startsWith(`${m.ip}:`) && !to.startsWith(`${m.ip}:`)); return;
-      case 'rejoin': relays.heal(m.ip); return;
-      case 'slow': relays.slow(m.relay!.shown, 150); return;
-      case 'fast': relays.slow(m.relay!.shown, 0); return;
-      case 'dark': await post(m.http, '/fault', { dark: true }); return;
-      case 'light': await post(m.http, '/fault', { dark: false }); return;
-      case 'lapse': await post(m.http, '/fault', { lapse: true }); return;
-      default: return;
+      case 'one-way':
+        relays.cut(m.ip, (from, to) => from !== undefined && from.startsWith(`${m.ip}:`) && !to.startsWith(`${m.ip}:`));
+        return;
+      case 'rejoin':
+        relays.heal(m.ip);
+        return;
+      case 'slow':
+        relays.slow(m.relay!.shown, 150);
+        return;
+      case 'fast':
+        relays.slow(m.relay!.shown, 0);
+        return;
+      case 'dark':
+        await post(m.http, '/fault', { dark: true });
+        return;
+      case 'light':
+        await post(m.http, '/fault', { dark: false });
+        return;
+      case 'lapse':
+        await post(m.http, '/fault', { lapse: true });
+        return;
+      default:
+        return;
     }
   }
 
@@ -170,11 +226,23 @@
   }
 
   return {
-    plan, processes: ps, member, get, post, until, serve, submit, fault, runs,
+    plan,
+    processes: ps,
+    member,
+    get,
+    post,
+    until,
+    serve,
+    submit,
+    fault,
+    runs,
     stop: async () => {
       await ps.stopAll();
       await relays.close();
     },
-    routers: () => of('request-router').filter((m) => !down.has(m.name)).map((m) => m.http),
+    routers: () =>
+      of('request-router')
+        .filter((m) => !down.has(m.name))
+        .map((m) => m.http),
   };
 }
--- a/programs/fleet-runner/src/main.ts
+++ b/programs/fleet-runner/src/main.ts
@@ -13,11 +13,14 @@
   static override paths = [Command.Default];
   static override usage = Command.Usage({
     description: 'Start a whole fleet on loopback, send its traffic, and print what was served.',
-    examples: [['The ferry company for half a minute', 'npm run fleet -- --deployment ferry --seconds 30'], ['With faults', 'npm run fleet -- --deployment cold-storage --seconds 90 --faults docs/faults/night.jsonl']],
+    examples: [
+      ['The ferry company for half a minute', 'npm run fleet -- --deployment ferry --seconds 30'],
+      ['With faults', 'npm run fleet -- --deployment cold-storage --seconds 90 --faults docs/faults/night.jsonl'],
+    ],
   });
   shape = Option.String('--deployment', 'ferry', { description: Object.keys(deployments).join(' or ') });
   secondsFor = Option.String('--seconds', '30', { description: 'how long traffic runs, 600 at most' });
-  rate = Option.String('--rate', { description: 'requests a second; the deployment\'s own without it' });
+  rate = Option.String('--rate', { description: "requests a second; the deployment's own without it" });
   seed = Option.String('--seed', '1');
   swing = Option.String('--swing', { description: 'swing the mix with this period in seconds' });
   faults = Option.String('--faults', { description: 'a file with a fault a line' });
@@ -27,14 +30,25 @@
   async execute(): Promise<number> {
     const d = deployments[this.shape];
     if (d === undefined) {
-      this.context.stderr.write(`fleet-runner: unknown deployment ${this.shape}; use ${Object.keys(deployments).join(' or ')}\n`);
+      this.context.stderr.write(
+        `fleet-runner: unknown deployment ${this.shape}; use ${Object.keys(deployments).join(' or ')}\n`,
+      );
       return 2;
     }
     const folder = resolve(this.folder ?? join('runs', `${d.name}-${this.seed}-${process.pid}`));
     const octet = Number(this.octet ?? 2 + (process.pid % 248));
-    const plan = { octet, folder, logLevel: 3, ...(this.trainEvery === undefined ? {} : { trainEvery: Number(this.trainEvery) }) };
+    const plan = {
+      octet,
+      folder,
+      logLevel: 3,
+      ...(this.trainEvery === undefined ? {} : { trainEvery: Number(this.trainEvery) }),
+    };
     let faults: ReturnType<typeof readSchedule> = E.right([]);
-    if (this.faults !== undefined) faults = readSchedule(readFileSync(this.faults, 'utf8'), planFleet(d, plan).members.map((m) => m.name));
+    if (this.faults !== undefined)
+      faults = readSchedule(
+        readFileSync(this.faults, 'utf8'),
+        planFleet(d, plan).members.map((m) => m.name),
+      );
     if (E.isLeft(faults)) {
       this.context.stderr.write(`fleet-runner: ${faults.left.message}\n`);
       return 2;
@@ -44,12 +58,20 @@
       stderr.write(`${s}\n`);
     }
     const r = await runFleet({
-      ...plan, deployment: d, seconds: Math.min(600, Number(this.secondsFor)), rate: Math.min(200, Number(this.rate ?? d.rate)), seed: Number(this.seed),
-      swing: this.swing === undefined ? undefined : Number(this.swing), faults: faults.right, say,
+      ...plan,
+      deployment: d,
+      seconds: Math.min(600, Number(this.secondsFor)),
+      rate: Math.min(200, Number(this.rate ?? d.rate)),
+      seed: Number(this.seed),
+      swing: this.swing === undefined ? undefined : Number(this.swing),
+      faults: faults.right,
+      say,
     });
     writeFileSync(join(folder, 'report.json'), JSON.stringify(r, null, 2));
     this.context.stdout.write(`${JSON.stringify(r, null, 2)}\n`);
-    return r.served.wrong === 0 && r.ranTwice.length === 0 && r.ranAfterRefusal.length === 0 && r.readBack.whole ? 0 : 1;
+    return r.served.wrong === 0 && r.ranTwice.length === 0 && r.ranAfterRefusal.length === 0 && r.readBack.whole
+      ? 0
+      : 1;
   }
 }
 const cli = new Cli({ binaryLabel: 'fleet-runner', binaryName: 'fleet-runner', binaryVersion: '0.1.0' });
--- a/programs/fleet-runner/src/processes.ts
+++ b/programs/fleet-runner/src/processes.ts
@@ -34,7 +34,9 @@
     const file = join(folder, `${m.name}.boot.json`);
     writeFileSync(file, JSON.stringify(b, null, 2));
     const log = openSync(join(folder, `${m.name}.log`), 'a');
-    const child = spawn(process.execPath, ['--max-old-space-size=512', programFile(m.program), '--boot', file], { stdio: ['ignore', log, log] });
+    const child = spawn(process.execPath, ['--max-old-space-size=512', programFile(m.program), '--boot', file], {
+      stdio: ['ignore', log, log],
+    });
     closeSync(log);
     const end = new Promise<number | null>((ok) => {
       child.once('exit', (code) => {
@@ -52,14 +54,21 @@
       signal(n, 'SIGCONT');
       signal(n, 'SIGTERM');
     }
-    const late = setTimeout(() => { for (const [n] of running) signal(n, 'SIGKILL'); }, 8000);
+    const late = setTimeout(() => {
+      for (const [n] of running) signal(n, 'SIGKILL');
+    }, 8000);
     await Promise.all([...running.values()].map((r) => r.end));
     clearTimeout(late);
   }
   return {
-    start, signal, stopAll, boot,
+    start,
+    signal,
+    stopAll,
+    boot,
     ended: (n) => running.get(n)?.end ?? Promise.resolve(0),
     alive: (n) => running.has(n),
-    empty: (m) => { if (m.data !== undefined) rmSync(m.data, { recursive: true, force: true }); },
+    empty: (m) => {
+      if (m.data !== undefined) rmSync(m.data, { recursive: true, force: true });
+    },
   };
 }
--- a/programs/fleet-runner/src/relay.ts
+++ b/programs/fleet-runner/src/relay.ts
@@ -38,7 +38,10 @@
     }
     const ms = delays.get(p.to) ?? 0;
     if (ms === 0) out.write(c);
-    else setTimeout(() => { if (!out.destroyed) out.write(c); }, ms);
+    else
+      setTimeout(() => {
+        if (!out.destroyed) out.write(c);
+      }, ms);
   }
 
   async function add(shown: string, real: string, inner: boolean): Promise<void> {
@@ -86,10 +89,20 @@
       cuts.delete(n);
       for (const p of [...pipes]) if (p.stuck) end(p);
     },
-    slow: (shown, ms) => { if (ms > 0) delays.set(shown, ms); else delays.delete(shown); },
+    slow: (shown, ms) => {
+      if (ms > 0) delays.set(shown, ms);
+      else delays.delete(shown);
+    },
     close: async () => {
       for (const p of [...pipes]) end(p);
-      await Promise.all(servers.map((s) => new Promise<void>((ok) => { s.close(() => ok()); })));
+      await Promise.all(
+        servers.map(
+          (s) =>
+            new Promise<void>((ok) => {
+              s.close(() => ok());
+            }),
+        ),
+      );
     },
   };
 }
--- a/programs/fleet-runner/src/run.ts
+++ b/programs/fleet-runner/src/run.ts
@@ -1,6 +1,15 @@
 // One whole run: fleet, traffic, faults, checks, and the report of what was served.
 import { Agent } from 'undici';
-import { createTraffic, drive, steadyMix, summarise, swingMix, type Deployment, type Outcome, type Summary } from '@tansypost/requester-stand-in';
+import {
+  createTraffic,
+  drive,
+  steadyMix,
+  summarise,
+  swingMix,
+  type Deployment,
+  type Outcome,
+  type Summary,
+} from '@tansypost/requester-stand-in';
 import { createFleet, type Fleet } from './fleet.js';
 import type { PlanOptions } from './plan.js';
 import type { Fault } from './schedule.js';
@@ -47,18 +56,20 @@
     sum[to] += v >= had ? v - had : v;
     last.set(k, v);
   }
-  await Promise.all(f.plan.members.map(async (m) => {
-    if (m.program === 'request-router') {
-      const x = await f.get<{ first: number; extra: number }>(m.http, '/figures');
-      if (x !== undefined) {
-        add(`${m.name}f`, x.first, 'first');
-        add(`${m.name}e`, x.extra, 'extra');
+  await Promise.all(
+    f.plan.members.map(async (m) => {
+      if (m.program === 'request-router') {
+        const x = await f.get<{ first: number; extra: number }>(m.http, '/figures');
+        if (x !== undefined) {
+          add(`${m.name}f`, x.first, 'first');
+          add(`${m.name}e`, x.extra, 'extra');
+        }
+      } else if (m.program === 'router-agent') {
+        const x = await f.get<{ probes: number }>(m.http, '/vitals');
+        if (x !== undefined) add(m.name, x.probes, 'extra');
       }
-    } else if (m.program === 'router-agent') {
-      const x = await f.get<{ probes: number }>(m.http, '/vitals');
-      if (x !== undefined) add(m.name, x.probes, 'extra');
-    }
-  }));
+    }),
+  );
   return { at: performance.now(), ...sum };
 }
 
@@ -93,14 +104,25 @@
         const at = performance.now();
         if (x.do === 'crowd') rate = o.rate * 2;
         else if (x.do === 'calm') rate = o.rate;
-        else if (x.do === 'submit') void f.submit(1 + submissions.length).then((s) => { submissions.push(s); });
+        else if (x.do === 'submit')
+          void f.submit(1 + submissions.length).then((s) => {
+            submissions.push(s);
+          });
         else void f.fault(x).catch((e: unknown) => o.say(String(e)));
         seen.push({ at: at - from, fault: `${x.do} ${x.who ?? ''}`.trim(), backAfterMs: undefined });
       }
     })();
     const traffic = createTraffic(o.deployment, o.seed, o.swing === undefined ? steadyMix : swingMix(o.swing));
     await Promise.all([
-      drive({ traffic, rate: () => rate, seconds: o.seconds, seed: o.seed, routers: f.routers, agent, ended: (x) => outcomes.push(x) }),
+      drive({
+        traffic,
+        rate: () => rate,
+        seconds: o.seconds,
+        seed: o.seed,
+        routers: f.routers,
+        agent,
+        ended: (x) => outcomes.push(x),
+      }),
       o.during?.(f),
     ]);
     over = true;
@@ -108,19 +130,45 @@
     const back = await readBack(f);
     const runs = f.runs();
     const bad = outcomes.filter((x) => !x.ask.repeatable);
-    const ranTwice = bad.filter((x) => { const r = runs.get(x.ask.id); return r !== undefined && (r.prefill > 1 || r.decode > 1); }).map((x) => x.ask.id);
-    const ranAfterRefusal = outcomes.filter((x) => x.ended === 'refused' && runs.has(x.ask.id)).map((x) => `${x.ask.id} ${x.kind}`);
+    const ranTwice = bad
+      .filter((x) => {
+        const r = runs.get(x.ask.id);
+        return r !== undefined && (r.prefill > 1 || r.decode > 1);
+      })
+      .map((x) => x.ask.id);
+    const ranAfterRefusal = outcomes
+      .filter((x) => x.ended === 'refused' && runs.has(x.ask.id))
+      .map((x) => `${x.ask.id} ${x.kind}`);
     const placement: Record<string, number> = {};
     for (const r of f.plan.members.filter((m) => m.program === 'request-router')) {
       const x = await f.get<{ placement: Record<string, number> }>(r.http, '/figures');
       for (const [k, n] of Object.entries(x?.placement ?? {})) placement[k] = (placement[k] ?? 0) + n;
     }
     const a = f.plan.members.find((m) => m.program === 'router-agent' && f.processes.alive(m.name))!;
-    const rec = await f.get<{ live?: { version: unknown }; running?: { id: string }; ended: { id: string; outcome?: string; measured?: { why: string } }[] }>(a.http, '/rehearsals');
+    const rec = await f.get<{
+      live?: { version: unknown };
+      running?: { id: string };
+      ended: { id: string; outcome?: string; measured?: { why: string } }[];
+    }>(a.http, '/rehearsals');
     return {
-      deployment: o.deployment.name, seed: o.seed, served: summarise(outcomes), ranTwice, ranAfterRefusal, extraOverTen: worstRatio(series),
-      faults: seen.map((x, i) => ({ ...x, at: Math.round(x.at), backAfterMs: backAfter(outcomes, from + x.at, from + (seen[i + 1]?.at ?? Infinity)) })), submissions, readBack: back, placement,
-      rehearsals: [...(rec?.running === undefined ? [] : [{ id: rec.running.id, outcome: 'running' }]), ...(rec?.ended ?? []).map((e) => ({ id: e.id, outcome: e.outcome, why: e.measured?.why }))],
+      deployment: o.deployment.name,
+      seed: o.seed,
+      served: summarise(outcomes),
+      ranTwice,
+      ranAfterRefusal,
+      extraOverTen: worstRatio(series),
+      faults: seen.map((x, i) => ({
+        ...x,
+        at: Math.round(x.at),
+        backAfterMs: backAfter(outcomes, from + x.at, from + (seen[i + 1]?.at ?? Infinity)),
+      })),
+      submissions,
+      readBack: back,
+      placement,
+      rehearsals: [
+        ...(rec?.running === undefined ? [] : [{ id: rec.running.id, outcome: 'running' }]),
+        ...(rec?.ended ?? []).map((e) => ({ id: e.id, outcome: e.outcome, why: e.measured?.why })),
+      ],
       live: rec?.live?.version ?? null,
     };
   } finally {
@@ -150,7 +198,8 @@
 async function readBack(f: Fleet): Promise<{ version: number; whole: boolean }> {
   for (const a of f.plan.members.filter((m) => m.program === 'router-agent' && f.processes.alive(m.name))) {
     const r = await f.get<{ version: number; state: { templates: unknown[] } | null }>(a.http, '/desired-state');
-    if (r !== undefined) return { version: r.version, whole: r.state?.templates.length === f.plan.deployment.tenants.length };
+    if (r !== undefined)
+      return { version: r.version, whole: r.state?.templates.length === f.plan.deployment.tenants.length };
   }
   return { version: 0, whole: false };
 }
--- a/programs/fleet-runner/src/schedule.ts
+++ b/programs/fleet-runner/src/schedule.ts
@@ -3,7 +3,27 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { BadSchedule } from '@tansypost/inner-protocol';
 
-export const faultKinds = ['kill', 'freeze', 'wake', 'restart', 'empty', 'drain', 'release', 'dark', 'light', 'lapse', 'submit', 'crowd', 'calm', 'leave', 'isolate', 'one-way', 'rejoin', 'slow', 'fast'] as const;
+export const faultKinds = [
+  'kill',
+  'freeze',
+  'wake',
+  'restart',
+  'empty',
+  'drain',
+  'release',
+  'dark',
+  'light',
+  'lapse',
+  'submit',
+  'crowd',
+  'calm',
+  'leave',
+  'isolate',
+  'one-way',
+  'rejoin',
+  'slow',
+  'fast',
+] as const;
 export type FaultKind = (typeof faultKinds)[number];
 export interface Fault {
   readonly at: number;
@@ -24,9 +44,14 @@
     } catch {
       return E.left(new BadSchedule(`line ${i + 1}: not JSON; write {"at":5,"do":"kill","who":"router1"}`));
     }
-    if (typeof f.at !== 'number' || f.at < 0) return E.left(new BadSchedule(`line ${i + 1}: at must be a second from 0`));
-    if (!faultKinds.includes(f.do as FaultKind)) return E.left(new BadSchedule(`line ${i + 1}: unknown kind ${String(f.do)}; use one of ${faultKinds.join(', ')}`));
-    if (!lone.has(f.do as FaultKind) && !members.includes(f.who ?? '')) return E.left(new BadSchedule(`line ${i + 1}: unknown member ${String(f.who)}`));
+    if (typeof f.at !== 'number' || f.at < 0)
+      return E.left(new BadSchedule(`line ${i + 1}: at must be a second from 0`));
+    if (!faultKinds.includes(f.do as FaultKind))
+      return E.left(
+        new BadSchedule(`line ${i + 1}: unknown kind ${String(f.do)}; use one of ${faultKinds.join(', ')}`),
+      );
+    if (!lone.has(f.do as FaultKind) && !members.includes(f.who ?? ''))
+      return E.left(new BadSchedule(`line ${i + 1}: unknown member ${String(f.who)}`));
     out.push(f as Fault);
   }
   return E.right(out.sort((a, b) => a.at - b.at));
@@ -38,7 +63,12 @@
     const ok = '# a night\n{"at":2,"do":"kill","who":"router0"}\n{"at":1,"do":"submit"}';
     const r = readSchedule(ok, ['router0']);
     expect(E.isRight(r) && r.right.map((f) => f.do)).toEqual(['submit', 'kill']);
-    for (const [bad, line] of [['{"at":1,"do":"burn","who":"router0"}', 'line 1: unknown kind'], ['\n{"at":1,"do":"kill","who":"router9"}', 'line 2: unknown member'], ['{', 'line 1: not JSON'], ['{"do":"submit"}', 'line 1: at']] as const) {
+    for (const [bad, line] of [
+      ['{"at":1,"do":"burn","who":"router0"}', 'line 1: unknown kind'],
+      ['\n{"at":1,"do":"kill","who":"router9"}', 'line 2: unknown member'],
+      ['{', 'line 1: not JSON'],
+      ['{"do":"submit"}', 'line 1: at'],
+    ] as const) {
       const x = readSchedule(bad, ['router0']);
       expect(E.isLeft(x) && x.left.message).toContain(line);
     }
