--- a/programs/request-router/src/admission.ts
+++ b/programs/request-router/src/admission.ts
@@ -13,7 +13,8 @@
   // What of the patience went by before it came here.
   readonly waited: number;
 }
-export type Admitted = { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
+export type Admitted =
+  { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
 export interface Admission {
   // `renew` gives the terms in force, as these may change while it waits.
   readonly enter: (c: Claimant, renew?: () => Claimant) => Promise<Admitted>;
@@ -118,14 +119,19 @@
   function bench(): { a: Admission; step: (us: number) => void; free: (n: number) => void } {
     let [t, slots] = [0, 0];
     let timers: { at: number; f: () => void }[] = [];
-    const a = createAdmission({
-      now: () => micros(t),
-      after: (d, f) => {
-        const x = { at: t + d, f };
-        timers.push(x);
-        return () => { timers = timers.filter((y) => y !== x); };
+    const a = createAdmission(
+      {
+        now: () => micros(t),
+        after: (d, f) => {
+          const x = { at: t + d, f };
+          timers.push(x);
+          return () => {
+            timers = timers.filter((y) => y !== x);
+          };
+        },
       },
-    }, () => slots > 0 && (slots -= 1, true));
+      () => slots > 0 && ((slots -= 1), true),
+    );
     function step(us: number): void {
       const end = t + us;
       for (;;) {
@@ -137,7 +143,13 @@
       }
       t = end;
     }
-    return { a, step, free: (n) => { slots += n; } };
+    return {
+      a,
+      step,
+      free: (n) => {
+        slots += n;
+      },
+    };
   }
   function kind(purse: string, x: Partial<Claimant> = {}): Claimant {
     return { purse, share: 1, worth: 1, cost: 1, patience: 4_000_000, waited: 0, ...x };
@@ -152,7 +164,10 @@
     const b = bench();
     let worth = 1;
     const went: string[] = [];
-    const all = [b.a.enter(kind('p', { worth: 2 })).then(() => went.push('same')), b.a.enter(kind('p', { worth }), () => kind('p', { worth })).then(() => went.push('raised'))];
+    const all = [
+      b.a.enter(kind('p', { worth: 2 })).then(() => went.push('same')),
+      b.a.enter(kind('p', { worth }), () => kind('p', { worth })).then(() => went.push('raised')),
+    ];
     worth = 3;
     b.free(1);
     b.step(20_000);
@@ -170,10 +185,12 @@
       if (x.tag === 'go') x.begun();
     }
     const went: string[] = [];
-    const all = [kind('greedy', { worth: 9 }), kind('modest', { worth: 1 }), kind('modest', { worth: 5 })].map(async (c, i) => {
-      const x = await b.a.enter(c);
-      if (x.tag === 'go') went.push(`${c.purse}${i}`);
-    });
+    const all = [kind('greedy', { worth: 9 }), kind('modest', { worth: 1 }), kind('modest', { worth: 5 })].map(
+      async (c, i) => {
+        const x = await b.a.enter(c);
+        if (x.tag === 'go') went.push(`${c.purse}${i}`);
+      },
+    );
     for (let i = 0; i < 3; i += 1) {
       b.free(1);
       b.step(20_000);
--- a/programs/request-router/src/app.ts
+++ b/programs/request-router/src/app.ts
@@ -10,16 +10,19 @@
 import type { Incoming, Reply, RouterCore } from './router-core.js';
 import type { Sampling } from './worker-port.js';
 
-const Body = Type.Object({
-  model: Type.String({ minLength: 1, maxLength: 200 }),
-  prompt: Type.String({ minLength: 1 }),
-  max_tokens: Type.Optional(Type.Integer({ minimum: 1, maximum: 4096 })),
-  stream: Type.Optional(Type.Boolean()),
-  temperature: Type.Optional(Type.Number({ minimum: 0, maximum: 2 })),
-  top_p: Type.Optional(Type.Number({ minimum: 0, maximum: 1 })),
-  seed: Type.Optional(Type.Integer()),
-  user: Type.Optional(Type.String()),
-}, { additionalProperties: false });
+const Body = Type.Object(
+  {
+    model: Type.String({ minLength: 1, maxLength: 200 }),
+    prompt: Type.String({ minLength: 1 }),
+    max_tokens: Type.Optional(Type.Integer({ minimum: 1, maximum: 4096 })),
+    stream: Type.Optional(Type.Boolean()),
+    temperature: Type.Optional(Type.Number({ minimum: 0, maximum: 2 })),
+    top_p: Type.Optional(Type.Number({ minimum: 0, maximum: 1 })),
+    seed: Type.Optional(Type.Integer()),
+    user: Type.Optional(Type.String()),
+  },
+  { additionalProperties: false },
+);
 
 export interface AppOptions {
   readonly core: RouterCore;
@@ -34,8 +37,10 @@
 
 function samplingOf(b: Static<typeof Body>): Sampling {
   return {
-    ...(b.temperature === undefined ? {} : { temperature: b.temperature }), ...(b.top_p === undefined ? {} : { top_p: b.top_p }),
-    ...(b.seed === undefined ? {} : { seed: b.seed }), ...(b.user === undefined ? {} : { user: b.user }),
+    ...(b.temperature === undefined ? {} : { temperature: b.temperature }),
+    ...(b.top_p === undefined ? {} : { top_p: b.top_p }),
+    ...(b.seed === undefined ? {} : { seed: b.seed }),
+    ...(b.user === undefined ? {} : { user: b.user }),
   };
 }
 
@@ -53,26 +58,41 @@
     if (e.statusCode !== undefined && e.statusCode < 500) return refuse(a, failure('bad_request', e.message), '');
     return refuse(a, failure('internal_error', 'Something unforeseen went wrong inside this router.'), '');
   });
-  app.setNotFoundHandler((q, a) => a.code(404).send({ error: { kind: 'bad_request', message: `There is no ${q.method} ${q.url}.`, remedy: 'POST /v1/completions.' } }));
+  app.setNotFoundHandler((q, a) =>
+    a.code(404).send({
+      error: { kind: 'bad_request', message: `There is no ${q.method} ${q.url}.`, remedy: 'POST /v1/completions.' },
+    }),
+  );
 
   app.post('/v1/completions', async (q, a) => {
     const id = header(q.headers, 'x-request-id') ?? randomUUID();
-    if (!ids.test(id)) return refuse(a, failure('bad_request', 'x-request-id may hold letters, digits and ._:- up to 128.'), '');
+    if (!ids.test(id))
+      return refuse(a, failure('bad_request', 'x-request-id may hold letters, digits and ._:- up to 128.'), '');
     const e = [...Value.Errors(Body, q.body)][0];
     if (e !== undefined) return refuse(a, failure('bad_request', `${e.path === '' ? '/' : e.path}: ${e.message}`), id);
     const b = q.body as Static<typeof Body>;
     const tenant = header(q.headers, 'x-tansypost-tenant');
     const kind = header(q.headers, 'x-tansypost-kind');
-    if (tenant === undefined || kind === undefined) return refuse(a, failure('bad_request', 'x-tansypost-tenant and x-tansypost-kind must be given.'), id);
+    if (tenant === undefined || kind === undefined)
+      return refuse(a, failure('bad_request', 'x-tansypost-tenant and x-tansypost-kind must be given.'), id);
     const r: Incoming = {
-      id, tenant, kind, model: b.model, prompt: b.prompt, maxTokens: b.max_tokens ?? 16, sentOn: header(q.headers, 'x-tansypost-sent-on') !== undefined,
-      idempotencyKey: header(q.headers, 'idempotency-key'), spent: Math.max(0, Number(header(q.headers, 'x-tansypost-spent-us') ?? 0) || 0),
+      id,
+      tenant,
+      kind,
+      model: b.model,
+      prompt: b.prompt,
+      maxTokens: b.max_tokens ?? 16,
+      sentOn: header(q.headers, 'x-tansypost-sent-on') !== undefined,
+      idempotencyKey: header(q.headers, 'idempotency-key'),
+      spent: Math.max(0, Number(header(q.headers, 'x-tansypost-spent-us') ?? 0) || 0),
       sampling: samplingOf(b),
     };
     const gone = new AbortController();
     a.hijack();
     a.raw.on('error', () => undefined);
-    a.raw.on('close', () => { if (!a.raw.writableEnded) gone.abort(); });
+    a.raw.on('close', () => {
+      if (!a.raw.writableEnded) gone.abort();
+    });
     const reply = b.stream === true ? streamed(a, id, b.model) : gathered(a, id, b.model);
     try {
       await o.core.serve(r, reply, gone.signal);
@@ -84,7 +104,10 @@
 
   function head(a: FastifyReply, status: number, f: Failure, id: string): void {
     const body = JSON.stringify(failureBody(f, id));
-    const h: Record<string, string> = { 'content-type': 'application/json', 'content-length': `${Buffer.byteLength(body)}` };
+    const h: Record<string, string> = {
+      'content-type': 'application/json',
+      'content-length': `${Buffer.byteLength(body)}`,
+    };
     if (f.retryAfter !== undefined) h['retry-after'] = `${f.retryAfter}`;
     a.raw.writeHead(status, h);
     a.raw.end(body);
@@ -111,7 +134,10 @@
           a.raw.on('drain', on).on('close', on);
         });
       },
-      end: (finish) => { begin(); a.raw.end(`${event('', finish)}data: [DONE]\n\n`); },
+      end: (finish) => {
+        begin();
+        a.raw.end(`${event('', finish)}data: [DONE]\n\n`);
+      },
       // Whoever does not read is cut off; there is no telling it more.
       fail: (f) => {
         if (a.raw.writableNeedDrain) a.raw.destroy();
@@ -124,17 +150,32 @@
   function gathered(a: FastifyReply, id: string, model: string): Reply {
     let text = '';
     return {
-      chunk: (t) => { text += t; },
+      chunk: (t) => {
+        text += t;
+      },
       end: (finish) => {
         a.raw.writeHead(200, { 'content-type': 'application/json' });
-        a.raw.end(JSON.stringify({ id, object: 'text_completion', model, choices: [{ index: 0, text, finish_reason: finish }] }));
+        a.raw.end(
+          JSON.stringify({
+            id,
+            object: 'text_completion',
+            model,
+            choices: [{ index: 0, text, finish_reason: finish }],
+          }),
+        );
       },
       fail: (f) => head(a, failureKinds[f.kind].status, f, id),
     };
   }
 
-  app.get('/vitals', async (_q, a) => a.code(o.core.feed.tenured() ? 200 : 503).send({ ok: o.core.feed.tenured(), ...o.core.figures() }));
-  app.get('/figures', async () => ({ ...o.core.figures(), workers: o.core.table.view(), parts: o.core.feed.record().parts }));
+  app.get('/vitals', async (_q, a) =>
+    a.code(o.core.feed.tenured() ? 200 : 503).send({ ok: o.core.feed.tenured(), ...o.core.figures() }),
+  );
+  app.get('/figures', async () => ({
+    ...o.core.figures(),
+    workers: o.core.table.view(),
+    parts: o.core.feed.record().parts,
+  }));
   app.get('/desired-state', async () => ({ version: o.core.feed.applied(), state: o.core.feed.desired() }));
   app.get('/metrics', async (_q, a) => a.type('text/plain; version=0.0.4').send(o.metrics()));
   return app;
@@ -143,7 +184,13 @@
 // Sends a request on to another router, once, if that router answers a short question first. Its refusal before any
 // send lets the next one be asked; whatever else it says is the final answer, and a broken link leaves the
 // outcome unknown.
-export async function sendOnHttp(to: string, r: Incoming, reply: Reply, gone: AbortSignal, dispatcher: Agent): Promise<boolean> {
+export async function sendOnHttp(
+  to: string,
+  r: Incoming,
+  reply: Reply,
+  gone: AbortSignal,
+  dispatcher: Agent,
+): Promise<boolean> {
   let begun = false;
   let finish = 'stop';
   try {
@@ -155,9 +202,15 @@
   }
   try {
     const x = await request(`http://${to}/v1/completions`, {
-      method: 'POST', dispatcher, signal: gone,
+      method: 'POST',
+      dispatcher,
+      signal: gone,
       headers: {
-        'content-type': 'application/json', 'x-request-id': r.id, 'x-tansypost-tenant': r.tenant, 'x-tansypost-kind': r.kind, 'x-tansypost-sent-on': '1',
+        'content-type': 'application/json',
+        'x-request-id': r.id,
+        'x-tansypost-tenant': r.tenant,
+        'x-tansypost-kind': r.kind,
+        'x-tansypost-sent-on': '1',
         'x-tansypost-spent-us': `${Math.round(r.spent ?? 0)}`,
         ...(r.idempotencyKey === undefined ? {} : { 'idempotency-key': r.idempotencyKey }),
       },
@@ -186,7 +239,8 @@
           reply.fail(failureKinds[f.kind].ran === 'no' ? failure('answer_cut', f.message) : f);
           return true;
         }
-        const c = (JSON.parse(line.slice(6)) as { choices: { text: string; finish_reason: string | null }[] }).choices[0]!;
+        const c = (JSON.parse(line.slice(6)) as { choices: { text: string; finish_reason: string | null }[] })
+          .choices[0]!;
         if (c.text !== '') await reply.chunk(c.text);
         finish = c.finish_reason ?? finish;
       }
--- a/programs/request-router/src/claims.ts
+++ b/programs/request-router/src/claims.ts
@@ -2,7 +2,8 @@
 // and what became of the request is told afterwards, without waiting.
 import { every, micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 
-export type ClaimResult = { readonly tag: 'won' } | { readonly tag: 'taken'; readonly known: string } | { readonly tag: 'failed' };
+export type ClaimResult =
+  { readonly tag: 'won' } | { readonly tag: 'taken'; readonly known: string } | { readonly tag: 'failed' };
 export interface Claims {
   readonly claim: (key: string, request: string, patience: number) => Promise<ClaimResult>;
   readonly tell: (op: 'release' | 'ended', key: string, request: string, ended: string) => void;
@@ -35,6 +36,13 @@
   return {
     claim,
     tell: (op, key, request, ended) => w.send(agent, { kind: 'Claim', id: '', op, key, holder, request, ended }),
-    answer: (m) => open.get(m.id)?.(m.status === 'won' ? { tag: 'won' } : m.status === 'taken' ? { tag: 'taken', known: m.known } : { tag: 'failed' }),
+    answer: (m) =>
+      open.get(m.id)?.(
+        m.status === 'won'
+          ? { tag: 'won' }
+          : m.status === 'taken'
+            ? { tag: 'taken', known: m.known }
+            : { tag: 'failed' },
+      ),
   };
 }
--- a/programs/request-router/src/decision.ts
+++ b/programs/request-router/src/decision.ts
@@ -12,7 +12,8 @@
   readonly decodeWorkers: number;
   readonly retryAfter: number;
 }
-export type Step = { readonly do: 'prefill' } | { readonly do: 'decode' } | { readonly do: 'fail'; readonly failure: Failure };
+export type Step =
+  { readonly do: 'prefill' } | { readonly do: 'decode' } | { readonly do: 'fail'; readonly failure: Failure };
 
 export function decide(l: SendLedger, f: Facts): Step {
   function fail(x: Failure): Step {
@@ -25,19 +26,34 @@
   if (l.firstByte) return fail(failure('answer_cut', 'The worker broke off after the answer had begun.', f.retryAfter));
   if (last?.outcome === 'pending') return fail(failure('outcome_unknown', 'A send is still open.'));
   if (f.timeLeft <= 0) {
-    return fail(untouched ? failure('overloaded', 'Its patience ran out before a worker took it.', f.retryAfter) : failure('budget_spent', 'Its patience ran out.', f.retryAfter));
+    return fail(
+      untouched
+        ? failure('overloaded', 'Its patience ran out before a worker took it.', f.retryAfter)
+        : failure('budget_spent', 'Its patience ran out.', f.retryAfter),
+    );
   }
   if (last?.phase === 'prefill' && last.outcome === 'done') {
     if (f.decodeWorkers > 0) return { do: 'decode' };
-    return fail(failure(f.repeatable ? 'workers_failed' : 'outcome_unknown', 'No worker is ready to decode; the prompt has been read.', f.retryAfter));
+    return fail(
+      failure(
+        f.repeatable ? 'workers_failed' : 'outcome_unknown',
+        'No worker is ready to decode; the prompt has been read.',
+        f.retryAfter,
+      ),
+    );
   }
-  if (last?.phase === 'decode' && last.outcome === 'notStarted' && f.extras >= 1 && f.decodeWorkers > 0) return { do: 'decode' };
+  if (last?.phase === 'decode' && last.outcome === 'notStarted' && f.extras >= 1 && f.decodeWorkers > 0)
+    return { do: 'decode' };
   if (untouched) {
-    if (f.prefillWorkers === 0 || f.decodeWorkers === 0) return fail(failure('no_workers', 'No worker is ready for it.', f.retryAfter));
+    if (f.prefillWorkers === 0 || f.decodeWorkers === 0)
+      return fail(failure('no_workers', 'No worker is ready for it.', f.retryAfter));
     if (last === undefined || f.extras >= again) return { do: 'prefill' };
-    return fail(failure('workers_refused', 'Workers would not take it and no more sends are allowed now.', f.retryAfter));
+    return fail(
+      failure('workers_refused', 'Workers would not take it and no more sends are allowed now.', f.retryAfter),
+    );
   }
-  if (!f.repeatable) return fail(failure('outcome_unknown', 'It may not be repeated and may have run in part.', f.retryAfter));
+  if (!f.repeatable)
+    return fail(failure('outcome_unknown', 'It may not be repeated and may have run in part.', f.retryAfter));
   if (f.extras >= again && f.prefillWorkers > 0 && f.decodeWorkers > 0) return { do: 'prefill' };
   return fail(failure('workers_failed', 'Workers failed it and no more sends are allowed now.', f.retryAfter));
 }
@@ -46,12 +62,17 @@
   const { it, expect } = import.meta.vitest;
   const fc = (await import('fast-check')).default;
   const send = fc.record({
-    phase: fc.constantFrom('prefill' as const, 'decode' as const), worker: fc.constant('w' as never),
+    phase: fc.constantFrom('prefill' as const, 'decode' as const),
+    worker: fc.constant('w' as never),
     outcome: fc.constantFrom('done' as const, 'notStarted' as const, 'lapsed' as const, 'unknown' as const),
   });
   const facts = fc.record({
-    repeatable: fc.boolean(), timeLeft: fc.integer({ min: -1, max: 5 }), extras: fc.integer({ min: 0, max: 3 }),
-    prefillWorkers: fc.integer({ min: 0, max: 2 }), decodeWorkers: fc.integer({ min: 0, max: 2 }), retryAfter: fc.constant(1),
+    repeatable: fc.boolean(),
+    timeLeft: fc.integer({ min: -1, max: 5 }),
+    extras: fc.integer({ min: 0, max: 3 }),
+    prefillWorkers: fc.integer({ min: 0, max: 2 }),
+    decodeWorkers: fc.integer({ min: 0, max: 2 }),
+    retryAfter: fc.constant(1),
   });
   const { failureKinds } = await import('./failure.js');
   it('never sends again what may have started and may not be repeated, nor refuses what may have run', () => {
@@ -62,10 +83,18 @@
         const started = sends.some((x) => x.phase === 'prefill' && x.outcome !== 'notStarted');
         if (s.do === 'prefill') expect(f.repeatable || !started).toBe(true);
         if (s.do !== 'fail') expect(firstByte).toBe(false);
-        if (s.do === 'decode') expect(sends.at(-1)!.outcome === 'done' || sends.at(-1)!.outcome === 'notStarted').toBe(true);
-        if (s.do === 'fail' && failureKinds[s.failure.kind].ran === 'no') expect(sends.every((x) => x.outcome === 'notStarted')).toBe(true);
-        if (s.do !== 'fail' && sends.length > 0 && !(sends.at(-1)!.phase === 'prefill' && sends.at(-1)!.outcome === 'done')) {
-          expect(f.extras).toBeGreaterThanOrEqual(s.do === 'prefill' && sends.some((x) => x.phase === 'decode') ? 2 : 1);
+        if (s.do === 'decode')
+          expect(sends.at(-1)!.outcome === 'done' || sends.at(-1)!.outcome === 'notStarted').toBe(true);
+        if (s.do === 'fail' && failureKinds[s.failure.kind].ran === 'no')
+          expect(sends.every((x) => x.outcome === 'notStarted')).toBe(true);
+        if (
+          s.do !== 'fail' &&
+          sends.length > 0 &&
+          !(sends.at(-1)!.phase === 'prefill' && sends.at(-1)!.outcome === 'done')
+        ) {
+          expect(f.extras).toBeGreaterThanOrEqual(
+            s.do === 'prefill' && sends.some((x) => x.phase === 'decode') ? 2 : 1,
+          );
         }
       }),
       { seed: 5, numRuns: 2000 },
--- a/programs/request-router/src/extra-budget.ts
+++ b/programs/request-router/src/extra-budget.ts
@@ -50,7 +50,10 @@
       saved = Math.min(saved + share, savedSends + savedShare * sums().first);
     },
     room,
-    extra: () => { extra += 1; spend(); },
+    extra: () => {
+      extra += 1;
+      spend();
+    },
     granted: () => {
       const due = Math.floor(first * probeShare);
       while (probes < due && room() > 0) {
@@ -76,8 +79,14 @@
       t += Math.floor(r() * 30_000);
       const burst = Math.floor(t / 3_000_000) % 2 === 0;
       let [f, s] = [0, 0];
-      if (r() < (burst ? 0.9 : 0.2)) { b.first(); f = 1; }
-      if (b.room() > 0) { b.extra(); s += 1; }
+      if (r() < (burst ? 0.9 : 0.2)) {
+        b.first();
+        f = 1;
+      }
+      if (b.room() > 0) {
+        b.extra();
+        s += 1;
+      }
       const g = b.granted();
       s += g - probes;
       probes = g;
--- a/programs/request-router/src/failure.ts
+++ b/programs/request-router/src/failure.ts
@@ -17,7 +17,11 @@
   claim_failed: { status: 503, ran: 'no', remedy: 'Come back after the time given with the same key.' },
   internal_error: { status: 500, ran: 'maybe', remedy: 'It may have run in part; tell the operators the request id.' },
   outcome_unknown: { status: 502, ran: 'maybe', remedy: 'It may have run in part; look before you send it again.' },
-  budget_spent: { status: 504, ran: 'maybe', remedy: 'It may have run in part; allow it more patience in the template.' },
+  budget_spent: {
+    status: 504,
+    ran: 'maybe',
+    remedy: 'It may have run in part; allow it more patience in the template.',
+  },
   workers_failed: { status: 502, ran: 'maybe', remedy: 'Come back after the time given; it may be repeated.' },
   answer_cut: { status: 502, ran: 'maybe', remedy: 'The answer so far is not whole; ask again if it may be repeated.' },
 } as const;
@@ -31,7 +35,11 @@
 
 export function failure(kind: FailureKind, message: string, retryAfter?: number): Failure {
   const status: number = failureKinds[kind].status;
-  return { kind, message, retryAfter: retryAfter ?? (status === 503 || status === 502 || status === 504 ? 1 : undefined) };
+  return {
+    kind,
+    message,
+    retryAfter: retryAfter ?? (status === 503 || status === 502 || status === 504 ? 1 : undefined),
+  };
 }
 
 // Reads the error that another router gave, and makes a typed one of whatever is not ours.
@@ -39,17 +47,33 @@
   try {
     const e = (JSON.parse(text) as { error?: { kind?: unknown; message?: unknown; retry_after?: unknown } }).error;
     if (typeof e?.kind === 'string' && Object.hasOwn(failureKinds, e.kind)) {
-      return failure(e.kind as FailureKind, String(e.message ?? ''), typeof e.retry_after === 'number' ? e.retry_after : undefined);
+      return failure(
+        e.kind as FailureKind,
+        String(e.message ?? ''),
+        typeof e.retry_after === 'number' ? e.retry_after : undefined,
+      );
     }
   } catch {
     // Falls through to the typed answer below.
   }
-  return failure('outcome_unknown', `The router it was sent on to gave no typed error${status === undefined ? '' : ` but status ${status}`}.`);
+  return failure(
+    'outcome_unknown',
+    `The router it was sent on to gave no typed error${status === undefined ? '' : ` but status ${status}`}.`,
+  );
 }
 
 export function failureBody(f: Failure, request: string): object {
   const k = failureKinds[f.kind];
-  return { error: { kind: f.kind, message: f.message, remedy: k.remedy, ran: k.ran, request_id: request, retry_after: f.retryAfter } };
+  return {
+    error: {
+      kind: f.kind,
+      message: f.message,
+      remedy: k.remedy,
+      ran: k.ran,
+      request_id: request,
+      retry_after: f.retryAfter,
+    },
+  };
 }
 
 if (import.meta.vitest) {
@@ -63,8 +87,19 @@
     }
   });
   it('makes a typed failure of whatever another router says', () => {
-    expect(failureFrom(JSON.stringify(failureBody(failure('overloaded', 'm', 4), 'q')))).toEqual(failure('overloaded', 'm', 4));
-    for (const x of ['', '<html>', 'null', '[]', '{"error":"no"}', '{"error":{"kind":"toString"}}', '{"error":{"kind":7}}', '{"error":{}}']) {
+    expect(failureFrom(JSON.stringify(failureBody(failure('overloaded', 'm', 4), 'q')))).toEqual(
+      failure('overloaded', 'm', 4),
+    );
+    for (const x of [
+      '',
+      '<html>',
+      'null',
+      '[]',
+      '{"error":"no"}',
+      '{"error":{"kind":"toString"}}',
+      '{"error":{"kind":7}}',
+      '{"error":{}}',
+    ]) {
       expect(failureFrom(x, 502)).toMatchObject({ kind: 'outcome_unknown', retryAfter: 1 });
     }
   });
--- a/programs/request-router/src/feed.ts
+++ b/programs/request-router/src/feed.ts
@@ -43,7 +43,8 @@
     for (const n of m.news) {
       if (n.version <= 0) continue;
       const old = held.get(n.key);
-      if (old !== undefined && (n.version < old.version || (n.version === old.version && n.epoch <= old.epoch))) continue;
+      if (old !== undefined && (n.version < old.version || (n.version === old.version && n.epoch <= old.epoch)))
+        continue;
       const same = old !== undefined && old.version === n.version;
       held.set(n.key, n);
       if (!same) apply(n);
@@ -84,7 +85,8 @@
     }
     for (const h of models.keys()) {
       const s = record.running?.subject;
-      if (h !== record.live?.hash && h !== record.before?.hash && !(s?.type === 'model' && s.model.hash === h)) models.delete(h);
+      if (h !== record.live?.hash && h !== record.before?.hash && !(s?.type === 'model' && s.model.hash === h))
+        models.delete(h);
     }
   }
 
@@ -118,7 +120,9 @@
   }
 
   return {
-    take, tenured, model,
+    take,
+    tenured,
+    model,
     applied: () => version,
     desired: () => desired,
     record: () => record,
--- a/programs/request-router/src/http-workers.ts
+++ b/programs/request-router/src/http-workers.ts
@@ -7,12 +7,24 @@
 const neverConnected = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
 
 export function createHttpWorkers(): WorkerPort & { readonly close: () => Promise<void> } {
-  const agent = new Agent({ connect: { timeout: 1500 }, connections: 128, pipelining: 1, headersTimeout: 0, bodyTimeout: 15_000 });
+  const agent = new Agent({
+    connect: { timeout: 1500 },
+    connections: 128,
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 15_000,
+  });
 
   function post(m: Mark, j: WorkerJob, body: object, signal: AbortSignal): ReturnType<typeof request> {
     return request(`http://${m.address}/v1/completions`, {
-      method: 'POST', dispatcher: agent, signal,
-      headers: { 'content-type': 'application/json', 'x-request-id': j.request, 'x-worker-incarnation': `${m.incarnation}` },
+      method: 'POST',
+      dispatcher: agent,
+      signal,
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': j.request,
+        'x-worker-incarnation': `${m.incarnation}`,
+      },
       body: JSON.stringify({ ...j.sampling, model: j.model, prompt: j.prompt, ...body }),
     });
   }
@@ -20,7 +32,10 @@
     const code = (e as { code?: string }).code ?? '';
     return { tag: neverConnected.has(code) ? 'notStarted' : 'unknown', why: code === '' ? String(e) : code };
   }
-  async function refusal(text: string, status: number): Promise<{ tag: 'notStarted' | 'unknown' | 'lapsed'; why: string }> {
+  async function refusal(
+    text: string,
+    status: number,
+  ): Promise<{ tag: 'notStarted' | 'unknown' | 'lapsed'; why: string }> {
     try {
       const x = JSON.parse(text) as { error?: { kind?: string; started?: boolean } };
       const why = x.error?.kind ?? `status ${status}`;
@@ -33,23 +48,44 @@
 
   async function prefill(m: Mark, j: WorkerJob, signal: AbortSignal): Promise<PrefillResult> {
     try {
-      const r = await post(m, j, { max_tokens: 1, stream: false, kv_transfer_params: { do_remote_decode: true, do_remote_prefill: false } }, signal);
+      const r = await post(
+        m,
+        j,
+        { max_tokens: 1, stream: false, kv_transfer_params: { do_remote_decode: true, do_remote_prefill: false } },
+        signal,
+      );
       const text = await r.body.text();
       if (r.statusCode !== 200) {
         const x = await refusal(text, r.statusCode);
         return x.tag === 'lapsed' ? { tag: 'unknown', why: x.why } : { tag: x.tag, why: x.why };
       }
       const h = (JSON.parse(text) as { kv_transfer_params?: HandleParams }).kv_transfer_params;
-      if (h === undefined || !Array.isArray(h.remote_block_ids) || typeof h.remote_host !== 'string') return { tag: 'unknown', why: 'no handle in the answer' };
+      if (h === undefined || !Array.isArray(h.remote_block_ids) || typeof h.remote_host !== 'string')
+        return { tag: 'unknown', why: 'no handle in the answer' };
       return { tag: 'done', handle: h };
     } catch (e) {
       return broke(e);
     }
   }
 
-  async function decode(m: Mark, j: WorkerJob, h: HandleParams, chunk: (t: string) => void | Promise<void>, signal: AbortSignal): Promise<DecodeResult> {
+  async function decode(
+    m: Mark,
+    j: WorkerJob,
+    h: HandleParams,
+    chunk: (t: string) => void | Promise<void>,
+    signal: AbortSignal,
+  ): Promise<DecodeResult> {
     try {
-      const r = await post(m, j, { max_tokens: j.maxTokens, stream: true, kv_transfer_params: { ...h, do_remote_prefill: true, do_remote_decode: false } }, signal);
+      const r = await post(
+        m,
+        j,
+        {
+          max_tokens: j.maxTokens,
+          stream: true,
+          kv_transfer_params: { ...h, do_remote_prefill: true, do_remote_decode: false },
+        },
+        signal,
+      );
       if (r.statusCode !== 200) return await refusal(await r.body.text(), r.statusCode);
       return await readStream(r.body, chunk, signal);
     } catch (e) {
@@ -62,7 +98,11 @@
 // Reads a worker's event stream. It is whole only if every event was sound, a finish reason came, and [DONE]
 // after it. While a requester reads slowly nothing is read from the worker, so the stream is held back by TCP; the
 // wait ends with the signal at the latest.
-export async function readStream(body: AsyncIterable<Buffer | string>, chunk: (t: string) => void | Promise<void>, signal?: AbortSignal): Promise<DecodeResult> {
+export async function readStream(
+  body: AsyncIterable<Buffer | string>,
+  chunk: (t: string) => void | Promise<void>,
+  signal?: AbortSignal,
+): Promise<DecodeResult> {
   let held = '';
   let finished: string | undefined;
   const off = new Promise<void>((ok) => {
@@ -77,7 +117,10 @@
       held = held.slice(i + 2);
       if (!line.startsWith('data: ')) return { tag: 'unknown', why: 'nonsense instead of an event' };
       const data = line.slice(6);
-      if (data === '[DONE]') return finished !== undefined ? { tag: 'done', finish: finished } : { tag: 'unknown', why: '[DONE] without a finish reason' };
+      if (data === '[DONE]')
+        return finished !== undefined
+          ? { tag: 'done', finish: finished }
+          : { tag: 'unknown', why: '[DONE] without a finish reason' };
       let e: { choices?: { text?: unknown; finish_reason?: unknown }[] };
       try {
         e = JSON.parse(data) as typeof e;
@@ -85,7 +128,8 @@
         return { tag: 'unknown', why: 'an event that is not JSON' };
       }
       const x = e.choices?.[0];
-      if (x === undefined || typeof x.text !== 'string' || finished !== undefined) return { tag: 'unknown', why: 'an event without its choice' };
+      if (x === undefined || typeof x.text !== 'string' || finished !== undefined)
+        return { tag: 'unknown', why: 'an event without its choice' };
       const slow = x.text === '' ? undefined : chunk(x.text);
       if (slow !== undefined) await Promise.race([slow, off]);
       if (signal?.aborted === true) return { tag: 'unknown', why: 'aborted' };
@@ -107,12 +151,24 @@
   const whole = [ev('a'), ev('b'), ev('', 'stop'), 'data: [DONE]\n\n'];
   it('calls a stream whole only if it is, with one event dropped, altered or moved at a time', async () => {
     let got = '';
-    expect((await readStream(feedOf(whole.join(''), 3), (t) => { got += t; })).tag).toBe('done');
+    expect(
+      (
+        await readStream(feedOf(whole.join(''), 3), (t) => {
+          got += t;
+        })
+      ).tag,
+    ).toBe('done');
     expect(got).toBe('ab');
     for (let cut = 0; cut < whole.join('').length; cut += 1) {
       expect((await readStream(feedOf(whole.join('').slice(0, cut), 7), () => undefined)).tag).toBe('unknown');
     }
-    const bad = [[whole[0], whole[3]], [whole[0], whole[2], whole[1], whole[3]], ['%%\n\n', ...whole], ['data: {"x"\n\n', ...whole], [ev(5 as never), ...whole]];
+    const bad = [
+      [whole[0], whole[3]],
+      [whole[0], whole[2], whole[1], whole[3]],
+      ['%%\n\n', ...whole],
+      ['data: {"x"\n\n', ...whole],
+      [ev(5 as never), ...whole],
+    ];
     for (const b of bad) expect((await readStream(feedOf(b.join(''), 9), () => undefined)).tag).toBe('unknown');
   });
 }
--- a/programs/request-router/src/main.ts
+++ b/programs/request-router/src/main.ts
@@ -18,12 +18,24 @@
     const real = await createRealWorld(b.listen as Address, log);
     const workers = createHttpWorkers();
     const others = new Agent({ connect: { timeout: 500 }, connections: 64, pipelining: 1, bodyTimeout: 60_000 });
-    const core = createRouterCore(real.world, {
-      ...routerDefaults, router: `${b.member}#${randomBytes(4).toString('hex')}`, http: b.http, agent: b.agent as Address, service: b.service ?? 'main',
-      ...(b.feedTenureMs === undefined ? {} : { tenure: b.feedTenureMs * 1000 }),
-      ...(b.promptLimit === undefined ? {} : { promptLimit: b.promptLimit }),
-      placement: { ...routerDefaults.placement, ...(b.explore === undefined ? {} : { explore: b.explore }) },
-    }, { workers, digest: (p) => digest(p).slice(0, 32), sendOn: (to, r, reply, gone) => sendOnHttp(to, r, reply, gone, others) });
+    const core = createRouterCore(
+      real.world,
+      {
+        ...routerDefaults,
+        router: `${b.member}#${randomBytes(4).toString('hex')}`,
+        http: b.http,
+        agent: b.agent as Address,
+        service: b.service ?? 'main',
+        ...(b.feedTenureMs === undefined ? {} : { tenure: b.feedTenureMs * 1000 }),
+        ...(b.promptLimit === undefined ? {} : { promptLimit: b.promptLimit }),
+        placement: { ...routerDefaults.placement, ...(b.explore === undefined ? {} : { explore: b.explore }) },
+      },
+      {
+        workers,
+        digest: (p) => digest(p).slice(0, 32),
+        sendOn: (to, r, reply, gone) => sendOnHttp(to, r, reply, gone, others),
+      },
+    );
     real.onMessage((m) => core.receive(m));
     const app = createApp({ core, bodyLimit: b.bodyLimit ?? 1024 * 1024, metrics: () => metrics(core.figures()) });
     await app.listen(splitAddress(b.http));
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -4,8 +4,21 @@
 import { appliedAll, every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import { kindOf, type KindTemplate } from '@tansypost/desired-state';
 import {
-  assignDecode, assignPrefill, batchSize, createPaces, createRadixTree, encodeSamples, placementDefaults, promptFacts, width,
-  type Assignment, type Candidate, type Model, type PlacementOptions, type PromptFacts, type Sample,
+  assignDecode,
+  assignPrefill,
+  batchSize,
+  createPaces,
+  createRadixTree,
+  encodeSamples,
+  placementDefaults,
+  promptFacts,
+  width,
+  type Assignment,
+  type Candidate,
+  type Model,
+  type PlacementOptions,
+  type PromptFacts,
+  type Sample,
 } from '@tansypost/placement';
 import { armOf, armsOf, type Arm, type Part } from '@tansypost/rehearsal';
 import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
@@ -56,7 +69,13 @@
 export interface RouterPorts {
   readonly workers: WorkerPort;
   readonly digest: (prompt: string) => string;
-  readonly sending?: (request: string, worker: string, phase: 'prefill' | 'decode', extra: boolean, version: number) => void;
+  readonly sending?: (
+    request: string,
+    worker: string,
+    phase: 'prefill' | 'decode',
+    extra: boolean,
+    version: number,
+  ) => void;
   readonly sendOn: (to: string, r: Incoming, reply: Reply, gone: AbortSignal) => Promise<boolean>;
 }
 export interface RouterCore {
@@ -149,7 +168,9 @@
     const s = rec.running?.subject;
     if (arm === 'slice' && s?.type === 'model') return feed.model(s.model);
     // While a model that went live is watched, the control arm stays with the one before.
-    return feed.model(arm === 'control' && rec.running?.state === 'watched' && s?.type === 'model' ? rec.before : rec.live);
+    return feed.model(
+      arm === 'control' && rec.running?.state === 'watched' && s?.type === 'model' ? rec.before : rec.live,
+    );
   }
 
   // Everything under way counts as active, what was sent on to another router too: a stop waits for all of it.
@@ -171,7 +192,15 @@
   async function serveHere(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<void> {
     const k = kindOf(feed.desired()!, r.tenant, r.kind);
     const version = feed.applied();
-    if (typeof k === 'string') return giveUp(r, reply, failure(k, k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`));
+    if (typeof k === 'string')
+      return giveUp(
+        r,
+        reply,
+        failure(
+          k,
+          k === 'unknown_tenant' ? `There is no tenant ${r.tenant}.` : `Tenant ${r.tenant} has no kind ${r.kind}.`,
+        ),
+      );
     try {
       if (r.idempotencyKey === undefined) await admitAndRun(r, reply, k, gone, arrived, version);
       else await claimAndRun(r, r.idempotencyKey, reply, k, gone, arrived, version);
@@ -181,9 +210,21 @@
   }
 
   // A claim that was won but led to no send is given back, so that the requester may come again with its key.
-  async function claimAndRun(r: Incoming, key: string, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number, version: number): Promise<void> {
+  async function claimAndRun(
+    r: Incoming,
+    key: string,
+    reply: Reply,
+    kind: KindTemplate,
+    gone: AbortSignal,
+    arrived: number,
+    version: number,
+  ): Promise<void> {
     const whole = `${r.tenant}/${key}`;
-    const c = await claims.claim(whole, r.id, Math.max(0, Math.min(3_000_000, (arrived + kind.patienceMs * 1000 - w.now()) / 2)));
+    const c = await claims.claim(
+      whole,
+      r.id,
+      Math.max(0, Math.min(3_000_000, (arrived + kind.patienceMs * 1000 - w.now()) / 2)),
+    );
     if (c.tag === 'taken') return giveUp(r, reply, failure('claimed', `This key is taken: ${c.known}`));
     if (c.tag === 'failed') {
       claims.tell('release', whole, r.id, '');
@@ -198,9 +239,15 @@
     return taking && feed.tenured() && feed.desired() !== undefined;
   }
 
-  async function refusalBefore(r: Incoming, reply: Reply, gone: AbortSignal, arrived: number): Promise<Failure | 'sent on' | undefined> {
+  async function refusalBefore(
+    r: Incoming,
+    reply: Reply,
+    gone: AbortSignal,
+    arrived: number,
+  ): Promise<Failure | 'sent on' | undefined> {
     const t = promptFacts(r.prompt).tokens;
-    if (t > o.promptLimit) return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
+    if (t > o.promptLimit)
+      return failure('prompt_too_long', `The prompt has ${t} tokens; the limit is ${o.promptLimit}.`);
     if (ready()) return undefined;
     if (!r.sentOn) {
       const at = Math.floor(w.random() * 64);
@@ -212,15 +259,30 @@
         if (await sendOn(all[(at + i) % all.length]!, r, reply, gone, arrived, limit)) return 'sent on';
       }
       // Nobody took it. A router that is just starting, or whose agent is, decides again within a moment.
-      while (taking && !ready() && !gone.aborted && w.now() < Math.min(until, limit)) await new Promise<void>((ok) => { w.after(micros(50_000), ok); });
+      while (taking && !ready() && !gone.aborted && w.now() < Math.min(until, limit))
+        await new Promise<void>((ok) => {
+          w.after(micros(50_000), ok);
+        });
       if (ready()) return undefined;
     }
     if (!taking) return failure('stopping', 'This router is stopping.');
-    return failure('no_tenure', feed.tenured() ? 'No desired state has been submitted yet.' : 'This router has lost touch with the control state.');
+    return failure(
+      'no_tenure',
+      feed.tenured()
+        ? 'No desired state has been submitted yet.'
+        : 'This router has lost touch with the control state.',
+    );
   }
 
   // The next router gets what is left of the patience, and no answer of its comes after that.
-  function sendOn(to: string, r: Incoming, reply: Reply, gone: AbortSignal, arrived: number, limit: number): Promise<boolean> {
+  function sendOn(
+    to: string,
+    r: Incoming,
+    reply: Reply,
+    gone: AbortSignal,
+    arrived: number,
+    limit: number,
+  ): Promise<boolean> {
     return new Promise((ok, no) => {
       let [over, begun] = [false, false];
       const late = new AbortController();
@@ -231,23 +293,45 @@
         f();
         ok(taken);
       }
-      const cancel = w.after(micros(limit - w.now()), () => end(true, () => {
-        giveUp(r, reply, failure(begun ? 'answer_cut' : 'budget_spent', 'Its patience ran out at the router it was sent on to.', Math.max(1, Math.ceil(paceUs / 1e6))));
-        late.abort();
-      }));
-      p.sendOn(to, { ...r, spent: w.now() - arrived }, {
-        chunk: (t) => {
-          if (over) return undefined;
-          begun = true;
-          return reply.chunk(t);
+      const cancel = w.after(micros(limit - w.now()), () =>
+        end(true, () => {
+          giveUp(
+            r,
+            reply,
+            failure(
+              begun ? 'answer_cut' : 'budget_spent',
+              'Its patience ran out at the router it was sent on to.',
+              Math.max(1, Math.ceil(paceUs / 1e6)),
+            ),
+          );
+          late.abort();
+        }),
+      );
+      p.sendOn(
+        to,
+        { ...r, spent: w.now() - arrived },
+        {
+          chunk: (t) => {
+            if (over) return undefined;
+            begun = true;
+            return reply.chunk(t);
+          },
+          end: (finish) => end(true, () => reply.end(finish)),
+          fail: (f) => end(true, () => reply.fail(f)),
         },
-        end: (finish) => end(true, () => reply.end(finish)),
-        fail: (f) => end(true, () => reply.fail(f)),
-      }, AbortSignal.any([gone, late.signal])).then((taken) => end(taken, () => undefined), no);
+        AbortSignal.any([gone, late.signal]),
+      ).then((taken) => end(taken, () => undefined), no);
     });
   }
 
-  async function admitAndRun(r: Incoming, reply: Reply, kind: KindTemplate, gone: AbortSignal, arrived: number, version: number): Promise<string> {
+  async function admitAndRun(
+    r: Incoming,
+    reply: Reply,
+    kind: KindTemplate,
+    gone: AbortSignal,
+    arrived: number,
+    version: number,
+  ): Promise<string> {
     const facts = promptFacts(r.prompt);
     // The terms are those in force, also for a request that waits through a change of the desired state.
     const cost = facts.tokens + 4 * r.maxTokens;
@@ -256,7 +340,14 @@
     function claimant(): Claimant {
       const k = kindOf(feed.desired()!, r.tenant, r.kind);
       if (typeof k !== 'string') terms = k;
-      return { purse: `${r.tenant}/${r.kind}`, share: terms.share, worth: terms.worth, cost, patience: terms.patienceMs * 1000, waited };
+      return {
+        purse: `${r.tenant}/${r.kind}`,
+        share: terms.share,
+        worth: terms.worth,
+        cost,
+        patience: terms.patienceMs * 1000,
+        waited,
+      };
     }
     const a = await admission.enter(claimant(), claimant);
     if (a.tag === 'shed') {
@@ -265,10 +356,31 @@
     }
     const run = feed.record().running;
     const c: Course = {
-      r, reply, kind: terms, ledger: newLedger(), facts, arrived, limit: arrived + terms.patienceMs * 1000, unarm: () => undefined,
-      job: { request: r.id, model: r.model, prompt: r.prompt, digest: p.digest(r.prompt), maxTokens: r.maxTokens, sampling: r.sampling ?? {} },
-      arm: run === undefined ? 'none' : armOf(armsOf(run), r.id, run.slice), tried: new Set(), abort: new AbortController(), version,
-      handle: undefined, assigned: undefined, sentAt: 0, firstAt: 0, chunks: 0,
+      r,
+      reply,
+      kind: terms,
+      ledger: newLedger(),
+      facts,
+      arrived,
+      limit: arrived + terms.patienceMs * 1000,
+      unarm: () => undefined,
+      job: {
+        request: r.id,
+        model: r.model,
+        prompt: r.prompt,
+        digest: p.digest(r.prompt),
+        maxTokens: r.maxTokens,
+        sampling: r.sampling ?? {},
+      },
+      arm: run === undefined ? 'none' : armOf(armsOf(run), r.id, run.slice),
+      tried: new Set(),
+      abort: new AbortController(),
+      version,
+      handle: undefined,
+      assigned: undefined,
+      sentAt: 0,
+      firstAt: 0,
+      chunks: 0,
     };
     const rehearsal = run === undefined ? undefined : armsOf(run);
     armLimit(c);
@@ -305,8 +417,12 @@
       const ps = candidates('prefill', c.arm, c.tried);
       const ds = candidates('decode', c.arm, c.tried);
       const step: Step = decide(c.ledger, {
-        repeatable: c.kind.repeatable, timeLeft: c.abort.signal.aborted ? 0 : c.limit - w.now(), extras: budget.room(),
-        prefillWorkers: ps.length, decodeWorkers: ds.length, retryAfter: Math.max(1, Math.ceil(paceUs / 1e6)),
+        repeatable: c.kind.repeatable,
+        timeLeft: c.abort.signal.aborted ? 0 : c.limit - w.now(),
+        extras: budget.room(),
+        prefillWorkers: ps.length,
+        decodeWorkers: ds.length,
+        retryAfter: Math.max(1, Math.ceil(paceUs / 1e6)),
       });
       if (step.do === 'fail') {
         if (step.failure.kind === 'answer_cut') w.log(5104, { request: c.r.id, worker: c.ledger.sends.at(-1)?.worker });
@@ -315,7 +431,10 @@
       }
       // To carry on with a prompt that was read needs no tenure; to begin anew does.
       if (!feed.tenured() && (step.do === 'prefill' || c.ledger.sends.at(-1)?.phase === 'decode')) {
-        const f = failure(c.kind.repeatable ? 'workers_failed' : 'outcome_unknown', 'A worker failed it, and this router has lost touch with the control state.');
+        const f = failure(
+          c.kind.repeatable ? 'workers_failed' : 'outcome_unknown',
+          'A worker failed it, and this router has lost touch with the control state.',
+        );
         giveUp(c.r, c.reply, f);
         return f.kind;
       }
@@ -323,8 +442,7 @@
         const done = prefill(c, ps);
         begun();
         await done;
-      }
-      else if (await decode(c, ds)) return 'whole';
+      } else if (await decode(c, ds)) return 'whole';
     }
   }
 
@@ -347,7 +465,13 @@
   function enterSend(c: Course, phase: 'prefill' | 'decode', worker: WorkerId): Send {
     if (c.ledger.sends.length === 0) budget.first();
     else if (c.ledger.sends.some((s) => s.phase === phase)) budget.extra();
-    p.sending?.(c.r.id, worker, phase, c.ledger.sends.some((x) => x.phase === phase), c.version);
+    p.sending?.(
+      c.r.id,
+      worker,
+      phase,
+      c.ledger.sends.some((x) => x.phase === phase),
+      c.version,
+    );
     const s: Send = { phase, worker, outcome: 'pending' };
     c.ledger.sends.push(s);
     return s;
@@ -355,10 +479,14 @@
 
   async function prefill(c: Course, ps: Candidate[]): Promise<void> {
     const hits = tree.hits(c.facts.blocks);
-    const a = assignPrefill({ prompt: c.facts, candidates: ps, hits, model: modelFor(c.arm), now: w.now, random: w.random }, o.placement)!;
+    const a = assignPrefill(
+      { prompt: c.facts, candidates: ps, hits, model: modelFor(c.arm), now: w.now, random: w.random },
+      o.placement,
+    )!;
     note(reasons, a.reason);
     const n = reasons.get(a.reason)!;
-    if (!['scored', 'explored', 'only'].includes(a.reason) && Number.isInteger(Math.log10(n))) w.log(4001, { reason: a.reason, times: n });
+    if (!['scored', 'explored', 'only'].includes(a.reason) && Number.isInteger(Math.log10(n)))
+      w.log(4001, { reason: a.reason, times: n });
     const m = table.mark(a.worker.worker)!;
     c.assigned = a;
     c.sentAt = w.now();
@@ -377,7 +505,12 @@
       s.outcome = 'done';
       c.handle = { h: x.handle, from: m };
       table.went(a.worker.worker);
-      paces.saw(a.worker.worker, c.facts.tokens - ((hits.get(a.worker.worker) ?? 0) * c.facts.tokens) / Math.max(1, c.facts.blocks.length), w.now() - c.sentAt, a.worker.running + a.worker.queued);
+      paces.saw(
+        a.worker.worker,
+        c.facts.tokens - ((hits.get(a.worker.worker) ?? 0) * c.facts.tokens) / Math.max(1, c.facts.blocks.length),
+        w.now() - c.sentAt,
+        a.worker.running + a.worker.queued,
+      );
       return;
     }
     s.outcome = x.tag === 'notStarted' ? 'notStarted' : 'unknown';
@@ -441,14 +574,31 @@
   function flush(): void {
     flushedAt = w.now();
     if (samples.length === 0) return;
-    w.send(o.agent, { kind: 'Samples', from: o.router, count: samples.length, width, rows: encodeSamples(samples, width) });
+    w.send(o.agent, {
+      kind: 'Samples',
+      from: o.router,
+      count: samples.length,
+      width,
+      rows: encodeSamples(samples, width),
+    });
     samples = [];
   }
 
   function count(rehearsal: string, c: Course, end: FailureKind | 'whole'): void {
     const stratum = `${c.r.tenant}/${c.r.kind}`;
     const k = `${rehearsal}/${c.arm}/${stratum}`;
-    const a = arms.get(k) ?? { rehearsal, arm: c.arm, stratum, count: 0, failures: 0, sum: 0, squares: 0, tokenCount: 0, tokenSum: 0, tokenSquares: 0 };
+    const a = arms.get(k) ?? {
+      rehearsal,
+      arm: c.arm,
+      stratum,
+      count: 0,
+      failures: 0,
+      sum: 0,
+      squares: 0,
+      tokenCount: 0,
+      tokenSum: 0,
+      tokenSquares: 0,
+    };
     a.count += 1;
     if (end !== 'whole') a.failures += 1;
     // From arrival, with the waiting here; whoever failed has waited its whole patience.
@@ -489,21 +639,48 @@
     if (w.now() - flushedAt > 5_000_000) flush();
     const t = budget.totals();
     w.send(o.agent, {
-      kind: 'RouterState', router: o.router, http: o.http, asked: w.now(), applied, first: t.first, extra: t.extra,
-      allowance: budget.granted(), arms: [...arms.values()], have: feed.have(),
+      kind: 'RouterState',
+      router: o.router,
+      http: o.http,
+      asked: w.now(),
+      applied,
+      first: t.first,
+      extra: t.extra,
+      allowance: budget.granted(),
+      arms: [...arms.values()],
+      have: feed.have(),
     });
   }
 
   tell();
-  const stopTelling = every(w, () => micros(100_000), () => tell());
+  const stopTelling = every(
+    w,
+    () => micros(100_000),
+    () => tell(),
+  );
   return {
-    serve, receive, feed, table,
+    serve,
+    receive,
+    feed,
+    table,
     figures: () => ({
-      router: o.router, tenured: feed.tenured(), desiredVersion: feed.applied(), live: feed.record().live?.version, running: feed.record().running?.id,
-      active, waiting: admission.waiting(), window: Math.round(window.size()), ends: Object.fromEntries(ends), placement: Object.fromEntries(reasons), ...budget.totals(), probes: budget.granted(),
+      router: o.router,
+      tenured: feed.tenured(),
+      desiredVersion: feed.applied(),
+      live: feed.record().live?.version,
+      running: feed.record().running?.id,
+      active,
+      waiting: admission.waiting(),
+      window: Math.round(window.size()),
+      ends: Object.fromEntries(ends),
+      placement: Object.fromEntries(reasons),
+      ...budget.totals(),
+      probes: budget.granted(),
       treeBlocks: tree.size(),
     }),
-    stopTaking: () => { taking = false; },
+    stopTaking: () => {
+      taking = false;
+    },
     active: () => active,
     stop: () => {
       stopTelling();
--- a/programs/request-router/src/window.ts
+++ b/programs/request-router/src/window.ts
@@ -36,7 +36,10 @@
   const { micros } = await import('@tansypost/inner-protocol');
   it('shrinks to what is read within the target, and grows again when there is room', () => {
     let t = 0;
-    const w = createWindow(() => micros(t), () => 1_000_000);
+    const w = createWindow(
+      () => micros(t),
+      () => 1_000_000,
+    );
     // A worker that reads four prompts a second: each takes a quarter second for every one in front of it.
     const ends: { at: number; end: (took: boolean) => void }[] = [];
     let busy = 0;
--- a/programs/request-router/src/worker-port.ts
+++ b/programs/request-router/src/worker-port.ts
@@ -38,11 +38,22 @@
 
 export interface WorkerPort {
   readonly prefill: (m: Mark, j: WorkerJob, signal: AbortSignal) => Promise<PrefillResult>;
-  readonly decode: (m: Mark, j: WorkerJob, h: HandleParams, chunk: (text: string) => void | Promise<void>, signal: AbortSignal) => Promise<DecodeResult>;
+  readonly decode: (
+    m: Mark,
+    j: WorkerJob,
+    h: HandleParams,
+    chunk: (text: string) => void | Promise<void>,
+    signal: AbortSignal,
+  ) => Promise<DecodeResult>;
 }
 
 // The router's end of the hand-over check: the handle must name the request, the prompt and the very
 // worker and incarnation that was asked to read it.
 export function handleFits(h: HandleParams, j: WorkerJob, m: Mark): boolean {
-  return h.request_id === j.request && h.prompt_digest === j.digest && h.remote_engine_id === m.worker && h.incarnation === m.incarnation;
+  return (
+    h.request_id === j.request &&
+    h.prompt_digest === j.digest &&
+    h.remote_engine_id === m.worker &&
+    h.incarnation === m.incarnation
+  );
 }
--- a/programs/request-router/src/worker-table.ts
+++ b/programs/request-router/src/worker-table.ts
@@ -30,7 +30,11 @@
   readonly went: (w: WorkerId) => void;
   readonly mark: (w: WorkerId) => Mark | undefined;
   readonly reportedPart: (w: WorkerId) => Part | undefined;
-  readonly candidates: (phase: 'prefill' | 'decode', part: (m: Mark, reported: Part | undefined) => Part, without: ReadonlySet<string>) => Candidate[];
+  readonly candidates: (
+    phase: 'prefill' | 'decode',
+    part: (m: Mark, reported: Part | undefined) => Part,
+    without: ReadonlySet<string>,
+  ) => Candidate[];
   readonly view: () => object[];
 }
 
@@ -46,7 +50,17 @@
     for (const m of ms) {
       const r = rows.get(m.worker);
       if (r === undefined || m.incarnation > r.mark.incarnation) {
-        rows.set(m.worker, { mark: m, report: undefined, deeds: [], running: 0, prefillTokens: 0, decodeTokens: 0, failures: 0, restUntil: 0, failedAt: -Infinity });
+        rows.set(m.worker, {
+          mark: m,
+          report: undefined,
+          deeds: [],
+          running: 0,
+          prefillTokens: 0,
+          decodeTokens: 0,
+          failures: 0,
+          restUntil: 0,
+          failedAt: -Infinity,
+        });
         if (r !== undefined) renewed.push(m.worker);
       } else if (m.incarnation === r.mark.incarnation && m.state > r.mark.state) r.mark = m;
     }
@@ -57,7 +71,8 @@
     for (const r of rs) {
       const x = rows.get(r.worker);
       const at = now() - r.age;
-      if (x === undefined || r.incarnation !== x.mark.incarnation || (x.report !== undefined && at <= x.report.at)) continue;
+      if (x === undefined || r.incarnation !== x.mark.incarnation || (x.report !== undefined && at <= x.report.at))
+        continue;
       if (!sane(r)) {
         if (at > (x.nonsenseAt ?? -Infinity)) failed(r.worker as WorkerId);
         x.nonsenseAt = at;
@@ -113,17 +128,29 @@
     // Reports are paid for by traffic, so in a lull they stop; an old one must not go on speaking.
     const r = x.report !== undefined && now() - x.report.at < 5_000_000 ? x.report.r : undefined;
     const since = x.deeds.reduce((a, d) => a + d.by, 0);
-    const all = Math.max(x.running, (r === undefined ? x.running : r.queued + r.active + since));
+    const all = Math.max(x.running, r === undefined ? x.running : r.queued + r.active + since);
     const queued = r === undefined ? 0 : Math.min(r.queued, all);
     return {
-      worker: x.mark.worker as WorkerId, incarnation: x.mark.incarnation, running: Math.max(0, all - queued), queued,
-      prefillTokens: x.prefillTokens, decodeTokens: x.decodeTokens, kvUsed: r?.kvUsed ?? 0, speedClass: paces.speedClass(x.mark.worker),
+      worker: x.mark.worker as WorkerId,
+      incarnation: x.mark.incarnation,
+      running: Math.max(0, all - queued),
+      queued,
+      prefillTokens: x.prefillTokens,
+      decodeTokens: x.decodeTokens,
+      kvUsed: r?.kvUsed ?? 0,
+      speedClass: paces.speedClass(x.mark.worker),
     };
   }
 
-  function candidates(phase: 'prefill' | 'decode', part: (m: Mark, reported: Part | undefined) => Part, without: ReadonlySet<string>): Candidate[] {
+  function candidates(
+    phase: 'prefill' | 'decode',
+    part: (m: Mark, reported: Part | undefined) => Part,
+    without: ReadonlySet<string>,
+  ): Candidate[] {
     const not = phase === 'prefill' ? 'decode' : 'prefill';
-    const fit = [...rows.values()].filter((x) => x.mark.state === 1 && part(x.mark, x.report?.r.part as Part | undefined) !== not);
+    const fit = [...rows.values()].filter(
+      (x) => x.mark.state === 1 && part(x.mark, x.report?.r.part as Part | undefined) !== not,
+    );
     const t = now();
     const well = fit.filter((x) => !resting(x, t) && !without.has(x.mark.worker));
     if (well.length > 0) return well.map(candidate);
@@ -132,10 +159,22 @@
   }
 
   return {
-    marks, reports, began, failed, went, candidates,
+    marks,
+    reports,
+    began,
+    failed,
+    went,
+    candidates,
     mark: (w) => rows.get(w)?.mark,
     reportedPart: (w) => rows.get(w)?.report?.r.part as Part | undefined,
-    view: () => [...rows.values()].map((x) => ({ ...x.mark, running: x.running, failures: x.failures, resting: resting(x, now()), report: x.report?.r })),
+    view: () =>
+      [...rows.values()].map((x) => ({
+        ...x.mark,
+        running: x.running,
+        failures: x.failures,
+        resting: resting(x, now()),
+        report: x.report?.r,
+      })),
   };
 }
 
@@ -147,7 +186,10 @@
     const table = createWorkerTable(() => micros(t), { speedClass: () => 0 } as unknown as Paces);
     table.marks([1, 2].map((n) => ({ worker: `w${n}`, incarnation: 1, state: 1, address: 'x' })));
     function names(): string {
-      return table.candidates('prefill', () => 'both', new Set()).map((c) => c.worker).join(' ');
+      return table
+        .candidates('prefill', () => 'both', new Set())
+        .map((c) => c.worker)
+        .join(' ');
     }
     table.failed('w1' as WorkerId);
     t = 600_000;
@@ -156,7 +198,9 @@
     expect(names()).toBe('w1 w2');
     table.failed('w1' as WorkerId);
     t = 3_000_000;
-    table.reports([{ worker: 'w1', incarnation: 1, queued: 0, active: 0, kvUsed: 0, part: 'both', age: 100_000, fence: 0 }]);
+    table.reports([
+      { worker: 'w1', incarnation: 1, queued: 0, active: 0, kvUsed: 0, part: 'both', age: 100_000, fence: 0 },
+    ]);
     t = 3_200_000;
     expect(names()).toBe('w1 w2');
   });
--- a/programs/requester-stand-in/src/main.ts
+++ b/programs/requester-stand-in/src/main.ts
@@ -9,11 +9,16 @@
 
 class Run extends Command {
   static override paths = [Command.Default];
-  static override usage = Command.Usage({ description: 'Send a deployment\'s traffic to routers and judge every answer. Ends with 1 if any answer was wrong.' });
-  routers = Option.Array('--router', { required: true, description: 'HTTP address of a router on loopback; give it once for each' });
+  static override usage = Command.Usage({
+    description: "Send a deployment's traffic to routers and judge every answer. Ends with 1 if any answer was wrong.",
+  });
+  routers = Option.Array('--router', {
+    required: true,
+    description: 'HTTP address of a router on loopback; give it once for each',
+  });
   shape = Option.String('--deployment', 'ferry', { description: Object.keys(deployments).join(' or ') });
   secondsFor = Option.String('--seconds', '10');
-  rate = Option.String('--rate', { description: 'requests a second; the deployment\'s own without it' });
+  rate = Option.String('--rate', { description: "requests a second; the deployment's own without it" });
   seed = Option.String('--seed', '1');
   async execute(): Promise<number> {
     const d = deployments[this.shape];
@@ -23,8 +28,12 @@
     }
     const agent = new Agent({ connections: 256, pipelining: 1 });
     const os = await drive({
-      traffic: createTraffic(d, Number(this.seed)), rate: Math.min(200, Number(this.rate ?? d.rate)), seconds: Math.min(600, Number(this.secondsFor)),
-      seed: Number(this.seed), routers: () => this.routers, agent,
+      traffic: createTraffic(d, Number(this.seed)),
+      rate: Math.min(200, Number(this.rate ?? d.rate)),
+      seconds: Math.min(600, Number(this.secondsFor)),
+      seed: Number(this.seed),
+      routers: () => this.routers,
+      agent,
     });
     await agent.destroy();
     const s = summarise(os);
--- a/programs/requester-stand-in/src/report.ts
+++ b/programs/requester-stand-in/src/report.ts
@@ -13,7 +13,9 @@
   readonly availability: number;
   readonly wrong: number;
   readonly ends: { readonly [k: string]: number };
-  readonly ttft: { readonly [kind: string]: { readonly n: number; readonly p50: number; readonly p99: number; readonly mean: number } };
+  readonly ttft: {
+    readonly [kind: string]: { readonly n: number; readonly p50: number; readonly p99: number; readonly mean: number };
+  };
 }
 
 export function summarise(os: readonly Outcome[]): Summary {
@@ -25,12 +27,25 @@
   const whole = os.filter((o) => o.ended === 'whole');
   const kinds = [...new Set(os.map((o) => o.ask.kind))].sort();
   return {
-    requests: os.length, whole: whole.length, availability: os.length === 0 ? 0 : whole.length / os.length,
-    wrong: os.filter((o) => o.ended === 'WRONG').length, ends,
-    ttft: Object.fromEntries(kinds.map((k) => {
-      const ts = whole.filter((o) => o.ask.kind === k).map((o) => o.ttftMs);
-      const mean = ts.reduce((a, b) => a + b, 0) / Math.max(1, ts.length);
-      return [k, { n: ts.length, p50: Math.round(quantile(ts, 0.5)), p99: Math.round(quantile(ts, 0.99)), mean: Math.round(mean) }];
-    })),
+    requests: os.length,
+    whole: whole.length,
+    availability: os.length === 0 ? 0 : whole.length / os.length,
+    wrong: os.filter((o) => o.ended === 'WRONG').length,
+    ends,
+    ttft: Object.fromEntries(
+      kinds.map((k) => {
+        const ts = whole.filter((o) => o.ask.kind === k).map((o) => o.ttftMs);
+        const mean = ts.reduce((a, b) => a + b, 0) / Math.max(1, ts.length);
+        return [
+          k,
+          {
+            n: ts.length,
+            p50: Math.round(quantile(ts, 0.5)),
+            p99: Math.round(quantile(ts, 0.99)),
+            mean: Math.round(mean),
+          },
+        ];
+      }),
+    ),
   };
 }
--- a/programs/requester-stand-in/src/requester.ts
+++ b/programs/requester-stand-in/src/requester.ts
@@ -24,14 +24,30 @@
   let first = 0;
   let text = '';
   function over(ended: Ended, kind: string, retryAfter = false): Outcome {
-    return { ask: a, router, at: from, ended, kind, ttftMs: first === 0 ? 0 : first - from, totalMs: now() - from, retryAfter };
+    return {
+      ask: a,
+      router,
+      at: from,
+      ended,
+      kind,
+      ttftMs: first === 0 ? 0 : first - from,
+      totalMs: now() - from,
+      retryAfter,
+    };
   }
   try {
     const r = await request(`http://${router}/v1/completions`, {
-      method: 'POST', dispatcher: agent,
-      headers: { 'content-type': 'application/json', 'x-request-id': a.id, 'x-tansypost-tenant': a.tenant, 'x-tansypost-kind': a.kind },
+      method: 'POST',
+      dispatcher: agent,
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': a.id,
+        'x-tansypost-tenant': a.tenant,
+        'x-tansypost-kind': a.kind,
+      },
       body: JSON.stringify({ model: 'stand-in', prompt: a.prompt, max_tokens: a.maxTokens, stream: true }),
-      headersTimeout: a.patienceMs + 15_000, bodyTimeout: a.patienceMs + 15_000,
+      headersTimeout: a.patienceMs + 15_000,
+      bodyTimeout: a.patienceMs + 15_000,
     });
     if (r.statusCode !== 200) {
       const b = (await r.body.json()) as { error?: { kind?: string; ran?: string } };
@@ -59,7 +75,10 @@
         text += t;
       }
     }
-    return over(judge(a.prompt, a.maxTokens, text) === 'foreign' ? 'WRONG' : 'unreachable', 'stream ended without a word');
+    return over(
+      judge(a.prompt, a.maxTokens, text) === 'foreign' ? 'WRONG' : 'unreachable',
+      'stream ended without a word',
+    );
   } catch (e) {
     const v = text === '' ? 'cut' : judge(a.prompt, a.maxTokens, text);
     return over(v === 'foreign' ? 'WRONG' : 'unreachable', (e as { code?: string }).code ?? String(e));
--- a/programs/requester-stand-in/src/traffic.ts
+++ b/programs/requester-stand-in/src/traffic.ts
@@ -23,17 +23,43 @@
 }
 
 export const ferry: Deployment = {
-  name: 'ferry', zones: 4, machines: 12, workers: 12, rate: 70, tenants: ['passengers', 'truckers', 'agencies'],
+  name: 'ferry',
+  zones: 4,
+  machines: 12,
+  workers: 12,
+  rate: 70,
+  tenants: ['passengers', 'truckers', 'agencies'],
   kinds: [
-    { kind: 'manifest_review', often: 0.15, prompt: [1000, 2400], answer: 120, worth: 5, patienceMs: 20_000, repeatable: true },
+    {
+      kind: 'manifest_review',
+      often: 0.15,
+      prompt: [1000, 2400],
+      answer: 120,
+      worth: 5,
+      patienceMs: 20_000,
+      repeatable: true,
+    },
     { kind: 'fare_quote', often: 0.6, prompt: [200, 450], answer: 32, worth: 3, patienceMs: 8000, repeatable: true },
     { kind: 'seat_hold', often: 0.25, prompt: [100, 200], answer: 4, worth: 8, patienceMs: 5000, repeatable: false },
   ],
 };
 export const coldStorage: Deployment = {
-  name: 'cold-storage', zones: 3, machines: 10, workers: 6, rate: 35, tenants: ['clerks', 'hauliers', 'customs'],
+  name: 'cold-storage',
+  zones: 3,
+  machines: 10,
+  workers: 6,
+  rate: 35,
+  tenants: ['clerks', 'hauliers', 'customs'],
   kinds: [
-    { kind: 'spoilage_claim', often: 0.15, prompt: [1200, 2600], answer: 160, worth: 5, patienceMs: 25_000, repeatable: false },
+    {
+      kind: 'spoilage_claim',
+      often: 0.15,
+      prompt: [1200, 2600],
+      answer: 160,
+      worth: 5,
+      patienceMs: 25_000,
+      repeatable: false,
+    },
     { kind: 'bay_answer', often: 0.6, prompt: [200, 450], answer: 36, worth: 3, patienceMs: 8000, repeatable: true },
     { kind: 'alarm_mark', often: 0.25, prompt: [80, 180], answer: 2, worth: 9, patienceMs: 4000, repeatable: true },
   ],
@@ -55,14 +81,22 @@
   return {
     templates: d.tenants.map((tenant) => ({
       tenant,
-      kinds: Object.fromEntries(d.kinds.map((k) => [k.kind, { worth: worthOf(k), patienceMs: k.patienceMs, share: Math.round(k.often * 10), repeatable: k.repeatable }])),
+      kinds: Object.fromEntries(
+        d.kinds.map((k) => [
+          k.kind,
+          { worth: worthOf(k), patienceMs: k.patienceMs, share: Math.round(k.often * 10), repeatable: k.repeatable },
+        ]),
+      ),
     })),
   };
 }
 
 function words(r: () => number, n: number): string {
   let s = '';
-  for (let i = 0; i < n; i += 1) s += `${Math.floor(r() * 60466176).toString(36).padStart(5, '0')} `;
+  for (let i = 0; i < n; i += 1)
+    s += `${Math.floor(r() * 60466176)
+      .toString(36)
+      .padStart(5, '0')} `;
   return s;
 }
 
@@ -111,8 +145,14 @@
     const file = part(`${d.name}/${k.kind}/${group}`, Math.round(k.prompt[0] * 0.4));
     const own = words(r, Math.max(8, size - Math.round(k.prompt[0] * 0.75)));
     return {
-      id: `${d.name}-${seed}-${n}`, tenant, kind: k.kind, prompt: `${opening}${file}${own}${n}`, maxTokens: k.answer, repeatable: k.repeatable,
-      patienceMs: k.patienceMs, worth: k.worth,
+      id: `${d.name}-${seed}-${n}`,
+      tenant,
+      kind: k.kind,
+      prompt: `${opening}${file}${own}${n}`,
+      maxTokens: k.answer,
+      repeatable: k.repeatable,
+      patienceMs: k.patienceMs,
+      worth: k.worth,
     };
   }
   return { next };
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -1,13 +1,32 @@
 // The router-agent without its sockets: membership, worker marks, news, reports and duties, put together.
 // It feeds the router on its machine and speaks for it to the core.
 import {
-  appliedAll, every, micros, rendezvous, type Address, type DutyMark, type Entry, type Mark, type Message, type MessageOf, type Place, type World,
+  appliedAll,
+  every,
+  micros,
+  rendezvous,
+  type Address,
+  type DutyMark,
+  type Entry,
+  type Mark,
+  type Message,
+  type MessageOf,
+  type Place,
+  type World,
 } from '@tansypost/inner-protocol';
 import { checkDesiredState, needsApproval, type DesiredState, type Fault } from '@tansypost/desired-state';
 import { claimKey } from '@tansypost/control-state';
 import { createCandidate, type Candidate } from '@tansypost/duty';
 import { createMarks, createViews, markStates } from '@tansypost/membership';
-import { answerOperator, readRecord, emptyRecord, type AnswerKind, type Part, type RehearsalRecord, type VerdictOptions } from '@tansypost/rehearsal';
+import {
+  answerOperator,
+  readRecord,
+  emptyRecord,
+  type AnswerKind,
+  type Part,
+  type RehearsalRecord,
+  type VerdictOptions,
+} from '@tansypost/rehearsal';
 import * as E from 'fp-ts/lib/Either.js';
 import { createAsker, type AskResult } from './ask.js';
 import { createNews, type News } from './news.js';
@@ -32,14 +51,23 @@
   readonly shiftParts: boolean;
   readonly slice: number;
   readonly rehearsalLimit: number;
-  readonly persisted: { readonly entries: readonly Entry[]; readonly marks: readonly Mark[]; readonly gen: number; readonly places: readonly Place[] };
+  readonly persisted: {
+    readonly entries: readonly Entry[];
+    readonly marks: readonly Mark[];
+    readonly gen: number;
+    readonly places: readonly Place[];
+  };
   readonly verdict?: VerdictOptions;
   readonly ackPatience?: number;
   readonly shiftHold?: number;
   readonly shiftRest?: number;
 }
 export const agentDefaults = {
-  dutyTenure: 3_000_000, trainEvery: 1000, shiftParts: true, slice: 0.1, rehearsalLimit: 600_000_000,
+  dutyTenure: 3_000_000,
+  trainEvery: 1000,
+  shiftParts: true,
+  slice: 0.1,
+  rehearsalLimit: 600_000_000,
   persisted: { entries: [], marks: [], gen: 0, places: [] },
 };
 export interface AgentPorts {
@@ -103,10 +131,24 @@
     return w.now() - grantedAt < 5_000_000 && w.now() - routerAt < 2_000_000;
   }
 
-  const candidates = new Map<string, Candidate>(dutyNames.map((d) => [d, createCandidate(w, {
-    duty: d, member: o.member, self: o.self, slot: o.slot, tenure: o.dutyTenure, places: () => core,
-    willing: () => w.now() - started > 1_000_000, won: () => { if (d === 'parts') parts.won(); }, lost: () => undefined,
-  })]));
+  const candidates = new Map<string, Candidate>(
+    dutyNames.map((d) => [
+      d,
+      createCandidate(w, {
+        duty: d,
+        member: o.member,
+        self: o.self,
+        slot: o.slot,
+        tenure: o.dutyTenure,
+        places: () => core,
+        willing: () => w.now() - started > 1_000_000,
+        won: () => {
+          if (d === 'parts') parts.won();
+        },
+        lost: () => undefined,
+      }),
+    ]),
+  );
   const started = w.now();
 
   function duties(): DutyMark[] {
@@ -117,8 +159,20 @@
   }
 
   const views = createViews(w, {
-    member: o.member, self: o.self, zone: o.zone, http: o.routerHttp, born: o.born, seeds: o.seeds, persisted: o.persisted.entries, size: 8,
-    period: 300_000, forgetAfter: 2_500_000, tenured, core: () => core, duties, heardCore,
+    member: o.member,
+    self: o.self,
+    zone: o.zone,
+    http: o.routerHttp,
+    born: o.born,
+    seeds: o.seeds,
+    persisted: o.persisted.entries,
+    size: 8,
+    period: 300_000,
+    forgetAfter: 2_500_000,
+    tenured,
+    core: () => core,
+    duties,
+    heardCore,
     heardDuty: (d) => candidates.get(d.duty)?.heard(d),
     save,
   });
@@ -127,7 +181,12 @@
   }
   const asker = createAsker(w, o.self, () => core.places);
   const news = createNews(w, {
-    self: o.self, member: o.member, service: o.service, zone: views.zone, places: () => core.places, heardCore,
+    self: o.self,
+    member: o.member,
+    service: o.service,
+    zone: views.zone,
+    places: () => core.places,
+    heardCore,
     changed: (n) => {
       note('news', n.key, n.version);
       feed();
@@ -139,27 +198,61 @@
     },
   });
   const reports = createReports(w, {
-    self: o.self, isHome: news.isHome, home: news.home, homes, subscribers: news.subscribers, workers: ready, fetch: p.fetchReport, changed: () => undefined,
+    self: o.self,
+    isHome: news.isHome,
+    home: news.home,
+    homes,
+    subscribers: news.subscribers,
+    workers: ready,
+    fetch: p.fetchReport,
+    changed: () => undefined,
   });
   function record(): Buffer | undefined {
     return news.get(`rehearsal/${o.service}`)?.value;
   }
-  const writer = createRecordWriter(w, o.service, asker, (version, epoch, value) => news.learn({ key: `rehearsal/${o.service}`, epoch, version, value }));
+  const writer = createRecordWriter(w, o.service, asker, (version, epoch, value) =>
+    news.learn({ key: `rehearsal/${o.service}`, epoch, version, value }),
+  );
   const parts = createPartsDuty(w, {
-    holds: () => holds('parts'), record: () => record() ?? Buffer.alloc(0), workers: ready, reports: () => reports.all().filter((r) => r.active >= 0), writer, order: p.order,
-    shift: o.shiftParts, slice: o.slice, approval, hold: o.shiftHold, rest: o.shiftRest,
+    holds: () => holds('parts'),
+    record: () => record() ?? Buffer.alloc(0),
+    workers: ready,
+    reports: () => reports.all().filter((r) => r.active >= 0),
+    writer,
+    order: p.order,
+    shift: o.shiftParts,
+    slice: o.slice,
+    approval,
+    hold: o.shiftHold,
+    rest: o.shiftRest,
   });
   const training = createTrainingDuty(w, {
-    service: o.service, holds: () => holds('training'), record, asker, writer, trainer: p.trainer, every: o.trainEvery, slice: o.slice, approval,
+    service: o.service,
+    holds: () => holds('training'),
+    record,
+    asker,
+    writer,
+    trainer: p.trainer,
+    every: o.trainEvery,
+    slice: o.slice,
+    approval,
+  });
+  const keeping = createRehearsalDuty(w, {
+    holds: () => holds('rehearsals'),
+    record,
+    writer,
+    timeLimit: o.rehearsalLimit,
+    verdict: o.verdict,
   });
-  const keeping = createRehearsalDuty(w, { holds: () => holds('rehearsals'), record, writer, timeLimit: o.rehearsalLimit, verdict: o.verdict });
 
   function holds(d: string): number | undefined {
     return candidates.get(d)?.holds();
   }
   function approval(): 'automatic' | 'operator' {
     const n = news.get(`desired/${o.service}`);
-    return needsApproval(n === undefined ? undefined : (JSON.parse(n.value.toString()) as DesiredState)) ? 'operator' : 'automatic';
+    return needsApproval(n === undefined ? undefined : (JSON.parse(n.value.toString()) as DesiredState))
+      ? 'operator'
+      : 'automatic';
   }
   function ready(): Mark[] {
     return marks.all().filter((m) => m.state === 1);
@@ -183,9 +276,16 @@
       return h === undefined || n.version > h.version || (n.version === h.version && n.epoch > h.epoch);
     });
     w.send(o.router, {
-      kind: 'Feed', workers: marks.all(), reports: reports.all(), news: out, grants: warm ? grants : [],
+      kind: 'Feed',
+      workers: marks.all(),
+      reports: reports.all(),
+      news: out,
+      grants: warm ? grants : [],
       contact: views.contact(),
-      others: views.live().filter((e) => e.tenured && e.http !== o.routerHttp).map((e) => e.http),
+      others: views
+        .live()
+        .filter((e) => e.tenured && e.http !== o.routerHttp)
+        .map((e) => e.http),
     });
   }
 
@@ -202,7 +302,8 @@
   function spread(ms: Mark[], but?: Address): void {
     if (ms.length === 0) return;
     for (const m of ms) w.log(3003, { worker: m.worker, incarnation: m.incarnation, state: markStates[m.state] });
-    for (const a of views.neighbours()) if (a !== but) w.send(a, { kind: 'Marks', marks: ms, whole: false, warm: false });
+    for (const a of views.neighbours())
+      if (a !== but) w.send(a, { kind: 'Marks', marks: ms, whole: false, warm: false });
     save(views.live());
     feed();
   }
@@ -217,14 +318,21 @@
     if (warm) return;
     met.add(from);
     const live = views.live();
-    if (theirs || (w.now() - started > 1_500_000 && 2 * live.filter((e) => met.has(e.address)).length >= live.length)) warm = true;
+    if (theirs || (w.now() - started > 1_500_000 && 2 * live.filter((e) => met.has(e.address)).length >= live.length))
+      warm = true;
     if (warm) feed();
   }
   // While cold it asks all its neighbours. A fleet of one agent has nobody to compare with.
   function warmUp(): void {
     if (warm) return;
     for (const a of views.neighbours()) w.send(a, digest(true));
-    if (w.now() - started > 3_000_000 && views.live().length === 0 && o.persisted.entries.length === 0 && marks.all().length > 0) warm = true;
+    if (
+      w.now() - started > 3_000_000 &&
+      views.live().length === 0 &&
+      o.persisted.entries.length === 0 &&
+      marks.all().length > 0
+    )
+      warm = true;
   }
 
   function toHolder(d: string, m: Message, self: () => void): void {
@@ -242,29 +350,42 @@
 
   function receive(m: Message, from: Address): void {
     switch (m.kind) {
-      case 'Shuffle': return views.receive(m);
+      case 'Shuffle':
+        return views.receive(m);
       case 'Marks': {
         spread(marks.take(m.marks), from);
         if (m.whole) compared(from, m.warm);
         return w.send(from, digest(false));
       }
-      case 'MarksDigest': return onDigest(m);
-      case 'Answer': return asker.answer(m);
-      case 'News': return news.onNews(m);
-      case 'Subscribe': return news.onSubscribe(m);
-      case 'Tenures': return news.onTenures(m);
-      case 'BallotVote': return candidates.get(m.duty)?.vote(m);
-      case 'Reports': return reports.take(m);
-      case 'Demand': return reports.demand(m);
-      case 'RouterState': return onRouterState(m);
+      case 'MarksDigest':
+        return onDigest(m);
+      case 'Answer':
+        return asker.answer(m);
+      case 'News':
+        return news.onNews(m);
+      case 'Subscribe':
+        return news.onSubscribe(m);
+      case 'Tenures':
+        return news.onTenures(m);
+      case 'BallotVote':
+        return candidates.get(m.duty)?.vote(m);
+      case 'Reports':
+        return reports.take(m);
+      case 'Demand':
+        return reports.demand(m);
+      case 'RouterState':
+        return onRouterState(m);
       case 'Samples': {
         if (from === o.router) return toHolder('training', m, () => training.samples(m));
         if (holds('training') !== undefined) training.samples(m);
         return undefined;
       }
-      case 'Claim': return onClaim(m);
-      case 'Arms': return keeping.arms(m);
-      default: return undefined;
+      case 'Claim':
+        return onClaim(m);
+      case 'Arms':
+        return keeping.arms(m);
+      default:
+        return undefined;
     }
   }
 
@@ -281,7 +402,9 @@
 
   // A claim is repeated until it is answered or its patience ends; the bucket forgives a holder's own repeat.
   function onClaim(m: MessageOf<'Claim'>): void {
-    const value = Buffer.from(JSON.stringify({ op: m.op, key: m.key, holder: m.holder, request: m.request, ended: m.ended }));
+    const value = Buffer.from(
+      JSON.stringify({ op: m.op, key: m.key, holder: m.holder, request: m.request, ended: m.ended }),
+    );
     void asker.ask({ op: 'claim', key: claimKey(m.key), value, patience: 2_500_000 }).then((r) => {
       const known = r.value.toString();
       const status = r.status !== 'done' ? 'failed' : known === 'won' ? 'won' : 'taken';
@@ -311,7 +434,12 @@
     const d = checkDesiredState(state);
     if (E.isLeft(d)) return { answer: 'refused', faults: d.left, change };
     const r = await asker.ask({
-      op: 'write', key: `desired/${o.service}`, change, base, value: Buffer.from(JSON.stringify(d.right)), patience: o.ackPatience ?? 25_000_000,
+      op: 'write',
+      key: `desired/${o.service}`,
+      change,
+      base,
+      value: Buffer.from(JSON.stringify(d.right)),
+      patience: o.ackPatience ?? 25_000_000,
     });
     if (r.status === 'done') return { answer: 'acknowledged', version: r.version, change };
     if (r.status === 'lost') return { answer: 'lost the race', version: r.version, change };
@@ -320,61 +448,129 @@
 
   async function decide(id: string, word: 'approve' | 'reject'): Promise<AnswerKind | 'outcome_unknown'> {
     let kind = 'outcome_unknown' as AnswerKind | 'outcome_unknown';
-    const done = await writer.change((r) => {
-      const a = answerOperator(r, id, word);
-      kind = a.kind;
-      return a.kind === 'taken' ? a.record : undefined;
-    }, () => true);
+    const done = await writer.change(
+      (r) => {
+        const a = answerOperator(r, id, word);
+        kind = a.kind;
+        return a.kind === 'taken' ? a.record : undefined;
+      },
+      () => true,
+    );
     return done === undefined && kind === 'taken' ? 'outcome_unknown' : kind;
   }
 
   const stops = [
-    every(w, () => micros(500_000), () => {
-      const to = views.neighbours()[0];
-      if (to !== undefined) w.send(to, digest(true));
-    }),
+    every(
+      w,
+      () => micros(500_000),
+      () => {
+        const to = views.neighbours()[0];
+        if (to !== undefined) w.send(to, digest(true));
+      },
+    ),
     every(w, () => micros(100_000), warmUp),
-    every(w, () => micros(500_000), () => {
-      tellArms();
-      parts.tick();
-      training.tick();
-      keeping.tick();
-    }),
+    every(
+      w,
+      () => micros(500_000),
+      () => {
+        tellArms();
+        parts.tick();
+        training.tick();
+        keeping.tick();
+      },
+    ),
   ];
   return {
-    receive, platform, submit, decide, news, holds,
+    receive,
+    platform,
+    submit,
+    decide,
+    news,
+    holds,
     readDesired: () => asker.ask({ op: 'read', key: `desired/${o.service}`, patience: 8_000_000 }),
     lookup: (change) => asker.ask({ op: 'lookup', key: `desired/${o.service}`, change, patience: 8_000_000 }),
-    rehearsals: () => { const b = record(); return b === undefined ? emptyRecord : readRecord(b); },
+    rehearsals: () => {
+      const b = record();
+      return b === undefined ? emptyRecord : readRecord(b);
+    },
     members: () => [...views.live()],
     marks: () => marks.all(),
     trace: (k, v) => traces.filter((t) => t.key === k && t.version === v),
     figures: () => ({
-      member: o.member, zone: o.zone, home: news.home(), isHome: news.isHome(), core, members: views.live().length, duties: duties(),
-      training: training.figures(), orders: parts.orders(), probes: reports.probes(), routerHeard: w.now() - routerAt < 2_000_000,
+      member: o.member,
+      zone: o.zone,
+      home: news.home(),
+      isHome: news.isHome(),
+      core,
+      members: views.live().length,
+      duties: duties(),
+      training: training.figures(),
+      orders: parts.orders(),
+      probes: reports.probes(),
+      routerHeard: w.now() - routerAt < 2_000_000,
     }),
-    stop: () => { stops.forEach((s) => s()); views.stop(); news.stop(); reports.stop(); for (const c of candidates.values()) c.stop(); },
+    stop: () => {
+      stops.forEach((s) => s());
+      views.stop();
+      news.stop();
+      reports.stop();
+      for (const c of candidates.values()) c.stop();
+    },
   };
 }
 
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
-  function bench(marks: readonly Mark[], entries: readonly Entry[]): { agent: AgentCore; step: (us: number) => void; granted: () => boolean; tell: (m: Message, from: string) => void } {
+  function bench(
+    marks: readonly Mark[],
+    entries: readonly Entry[],
+  ): {
+    agent: AgentCore;
+    step: (us: number) => void;
+    granted: () => boolean;
+    tell: (m: Message, from: string) => void;
+  } {
     let t = 0;
     let timers: { at: number; f: () => void }[] = [];
     let feeds: MessageOf<'Feed'>[] = [];
     const places = [0, 1, 2].map((slot) => ({ slot, address: `keeper${slot}:1`, disk: `d${slot}` }));
-    const agent = createAgentCore({
-      now: () => micros(t), random: () => 0.3, log: () => undefined, send: (_to, m) => { if (m.kind === 'Feed') feeds.push(m); },
-      after: (d, f) => {
-        const x = { at: t + d, f };
-        timers.push(x);
-        return () => { timers = timers.filter((y) => y !== x); };
+    const agent = createAgentCore(
+      {
+        now: () => micros(t),
+        random: () => 0.3,
+        log: () => undefined,
+        send: (_to, m) => {
+          if (m.kind === 'Feed') feeds.push(m);
+        },
+        after: (d, f) => {
+          const x = { at: t + d, f };
+          timers.push(x);
+          return () => {
+            timers = timers.filter((y) => y !== x);
+          };
+        },
+      },
+      {
+        ...agentDefaults,
+        member: 'a1',
+        self: 'a1:1' as Address,
+        zone: 'z',
+        router: 'r1:1' as Address,
+        routerHttp: 'r1',
+        service: 'main',
+        seeds: [],
+        slot: 1,
+        born: 9,
+        persisted: { entries, marks, gen: 1, places },
+      },
+      {
+        fetchReport: async () => undefined,
+        order: async () => undefined,
+        trainer: { add: () => undefined, train: async () => Buffer.alloc(0) },
+        save: () => undefined,
+        wall: () => t,
       },
-    }, {
-      ...agentDefaults, member: 'a1', self: 'a1:1' as Address, zone: 'z', router: 'r1:1' as Address, routerHttp: 'r1', service: 'main', seeds: [], slot: 1, born: 9,
-      persisted: { entries, marks, gen: 1, places },
-    }, { fetchReport: async () => undefined, order: async () => undefined, trainer: { add: () => undefined, train: async () => Buffer.alloc(0) }, save: () => undefined, wall: () => t });
+    );
     function step(us: number): void {
       const end = t + us;
       for (;;) {
@@ -391,7 +587,21 @@
     }
     // Asks for a tenure, is granted it by the core, and looks whether the router is let have it.
     function granted(): boolean {
-      tell({ kind: 'RouterState', router: 'r1#1', http: 'r1', asked: t, applied: 1, first: 0, extra: 0, allowance: 0, arms: [], have: [] }, 'r1:1');
+      tell(
+        {
+          kind: 'RouterState',
+          router: 'r1#1',
+          http: 'r1',
+          asked: t,
+          applied: 1,
+          first: 0,
+          extra: 0,
+          allowance: 0,
+          arms: [],
+          have: [],
+        },
+        'r1:1',
+      );
       tell({ kind: 'Tenures', grants: [{ router: 'r1#1', asked: t, version: 1 }] }, 'keeper0:1');
       const is = feeds.at(-1)!.grants.length > 0;
       feeds = [];
@@ -404,7 +614,15 @@
     return { member, address: `${member}:1`, zone: 'z', born: 1, beat, http: member, tenured: true };
   }
   function shuffle(beat: number): Message {
-    return { kind: 'Shuffle', answer: false, from: 'a2:1', entries: [entry('a2', beat), entry('a3', beat)], coreGen: 1, places: [], duties: [] };
+    return {
+      kind: 'Shuffle',
+      answer: false,
+      from: 'a2:1',
+      entries: [entry('a2', beat), entry('a3', beat)],
+      coreGen: 1,
+      places: [],
+      duties: [],
+    };
   }
   it('lets its router decide on marks from its disk only once a member that is current has been compared with', () => {
     const b = bench([kept], [entry('a2', 0), entry('a3', 0)]);
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -59,7 +59,15 @@
           done({ status: m.status as AskStatus, epoch: m.epoch, version: m.version, value: m.value });
         });
         w.send(ps[turn % ps.length]!.address as Address, {
-          kind: 'Ask', id, origin: self, key: r.key, op: r.op, change: r.change ?? '', base: r.base ?? 0, value: r.value ?? none, hops: 0,
+          kind: 'Ask',
+          id,
+          origin: self,
+          key: r.key,
+          op: r.op,
+          change: r.change ?? '',
+          base: r.base ?? 0,
+          value: r.value ?? none,
+          hops: 0,
         });
       }
       once();
--- a/programs/router-agent/src/event-sink.ts
+++ b/programs/router-agent/src/event-sink.ts
@@ -25,8 +25,11 @@
 
 export function cloudEvent(member: string, e: SinkEvent): unknown {
   const x = new CloudEvent({
-    type: `tansypost.${e.key.split('/')[0]}.${e.what}`, source: `/agents/${member}`, subject: `${e.key}@${e.version}`,
-    time: new Date(e.at / 1000).toISOString(), data: { key: e.key, version: e.version },
+    type: `tansypost.${e.key.split('/')[0]}.${e.what}`,
+    source: `/agents/${member}`,
+    subject: `${e.key}@${e.version}`,
+    time: new Date(e.at / 1000).toISOString(),
+    data: { key: e.key, version: e.version },
   });
   return JSON.parse(HTTP.structured(x).body as string) as unknown;
 }
@@ -54,7 +57,11 @@
     else lost += now.length;
     tries = 0;
   }
-  const stop = every(w, () => micros(1_000_000), () => void send());
+  const stop = every(
+    w,
+    () => micros(1_000_000),
+    () => void send(),
+  );
   return { add, figures: () => ({ sent, lost, waiting: queue.length }), stop };
 }
 
@@ -64,12 +71,23 @@
     const ticks: (() => void)[] = [];
     const bodies: string[] = [];
     let well = true;
-    const s = createEventSink({ after: (_d, f) => { ticks.push(f); return () => undefined; }, log: () => undefined }, {
-      member: 'a1', room: 250, post: async (b) => {
-        bodies.push(b);
-        return well;
+    const s = createEventSink(
+      {
+        after: (_d, f) => {
+          ticks.push(f);
+          return () => undefined;
+        },
+        log: () => undefined,
       },
-    });
+      {
+        member: 'a1',
+        room: 250,
+        post: async (b) => {
+          bodies.push(b);
+          return well;
+        },
+      },
+    );
     async function step(): Promise<void> {
       ticks.pop()!();
       for (let i = 0; i < 5; i += 1) await Promise.resolve();
@@ -79,7 +97,12 @@
     await step();
     expect(s.figures()).toEqual({ sent: 100, lost: 50, waiting: 150 });
     const first = (JSON.parse(bodies[0]!) as Record<string, unknown>[])[0]!;
-    expect(first).toMatchObject({ specversion: '1.0', type: 'tansypost.desired.applied', source: '/agents/a1', subject: 'desired/main@1' });
+    expect(first).toMatchObject({
+      specversion: '1.0',
+      type: 'tansypost.desired.applied',
+      source: '/agents/a1',
+      subject: 'desired/main@1',
+    });
     well = false;
     await step();
     await step();
--- a/programs/router-agent/src/main.ts
+++ b/programs/router-agent/src/main.ts
@@ -25,14 +25,24 @@
       try {
         const r = await request(`http://${m.address}/report`, { dispatcher: http });
         const x = (await r.body.json()) as FetchedReport;
-        return r.statusCode === 200 && typeof x.queued === 'number' && typeof x.active === 'number' && typeof x.kv_used === 'number' ? x : undefined;
+        return r.statusCode === 200 &&
+          typeof x.queued === 'number' &&
+          typeof x.active === 'number' &&
+          typeof x.kv_used === 'number'
+          ? x
+          : undefined;
       } catch {
         return undefined;
       }
     }
     async function order(m: Mark, epoch: number, part: string): Promise<boolean | undefined> {
       try {
-        const r = await request(`http://${m.address}/part`, { method: 'POST', dispatcher: http, headers: { 'content-type': 'application/json' }, body: JSON.stringify({ epoch, part }) });
+        const r = await request(`http://${m.address}/part`, {
+          method: 'POST',
+          dispatcher: http,
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify({ epoch, part }),
+        });
         await r.body.dump();
         return r.statusCode === 200;
       } catch {
@@ -40,22 +50,50 @@
       }
     }
     const sinkAt = b.eventSink;
-    const sink = sinkAt === undefined ? undefined : createEventSink(real.world, {
-      member: b.member,
-      post: async (body) => {
-        const r = await request(sinkAt, { method: 'POST', dispatcher: http, headers: { 'content-type': 'application/cloudevents-batch+json' }, body });
-        await r.body.dump();
-        return r.statusCode >= 200 && r.statusCode < 300;
-      },
-    });
+    const sink =
+      sinkAt === undefined
+        ? undefined
+        : createEventSink(real.world, {
+            member: b.member,
+            post: async (body) => {
+              const r = await request(sinkAt, {
+                method: 'POST',
+                dispatcher: http,
+                headers: { 'content-type': 'application/cloudevents-batch+json' },
+                body,
+              });
+              await r.body.dump();
+              return r.statusCode >= 200 && r.statusCode < 300;
+            },
+          });
     const service = b.service ?? 'main';
-    const core = createAgentCore(real.world, {
-      ...agentDefaults, member: b.member, self, zone: b.zone, router: b.router as Address, routerHttp: b.routerHttp, service,
-      seeds: b.seeds as Address[], slot: b.slot, born: Date.now(), persisted: file.read(),
-      ...(b.dutyTenureMs === undefined ? {} : { dutyTenure: b.dutyTenureMs * 1000 }),
-      ...(b.trainEvery === undefined ? {} : { trainEvery: b.trainEvery }),
-      ...(b.shiftParts === undefined ? {} : { shiftParts: b.shiftParts }),
-    }, { fetchReport, order, trainer, save: file.save, wall: () => Date.now() * 1000, ...(sink === undefined ? {} : { changed: sink.add }) });
+    const core = createAgentCore(
+      real.world,
+      {
+        ...agentDefaults,
+        member: b.member,
+        self,
+        zone: b.zone,
+        router: b.router as Address,
+        routerHttp: b.routerHttp,
+        service,
+        seeds: b.seeds as Address[],
+        slot: b.slot,
+        born: Date.now(),
+        persisted: file.read(),
+        ...(b.dutyTenureMs === undefined ? {} : { dutyTenure: b.dutyTenureMs * 1000 }),
+        ...(b.trainEvery === undefined ? {} : { trainEvery: b.trainEvery }),
+        ...(b.shiftParts === undefined ? {} : { shiftParts: b.shiftParts }),
+      },
+      {
+        fetchReport,
+        order,
+        trainer,
+        save: file.save,
+        wall: () => Date.now() * 1000,
+        ...(sink === undefined ? {} : { changed: sink.add }),
+      },
+    );
     real.onMessage(core.receive);
     const app = createAgentApp({ core, service, ...(sink === undefined ? {} : { sink: sink.figures }) });
     await app.listen(splitAddress(b.http));
--- a/programs/router-agent/src/news.ts
+++ b/programs/router-agent/src/news.ts
@@ -1,7 +1,17 @@
 // How news reaches the routers. In each zone one agent is the home of the service: it subscribes at the core
 // places, and the zone's other agents subscribe with it. Subscriptions carry the routers' askings
 // for their feed tenure one way; news and grants come back the other. What is held here only moves up.
-import { every, micros, rendezvous, type Address, type Entry, type MessageOf, type NewsItem, type Place, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  rendezvous,
+  type Address,
+  type Entry,
+  type MessageOf,
+  type NewsItem,
+  type Place,
+  type World,
+} from '@tansypost/inner-protocol';
 
 export interface NewsOptions {
   readonly self: Address;
@@ -67,9 +77,16 @@
       return;
     }
     const all = new Map(mine.map((t) => [t.router, t]));
-    for (const [, s] of live()) for (const t of s.tenures) if ((all.get(t.router)?.asked ?? -1) < t.asked) all.set(t.router, t);
+    for (const [, s] of live())
+      for (const t of s.tenures) if ((all.get(t.router)?.asked ?? -1) < t.asked) all.set(t.router, t);
     for (const p of o.places()) {
-      w.send(p.address as Address, { kind: 'Subscribe', from: o.self, have: have(), tenures: [...all.values()], relay: true });
+      w.send(p.address as Address, {
+        kind: 'Subscribe',
+        from: o.self,
+        have: have(),
+        tenures: [...all.values()],
+        relay: true,
+      });
     }
   }
 
@@ -126,7 +143,16 @@
 
   const stop = every(w, () => micros(300_000), subscribe);
   return {
-    isHome, home, subscribers: () => live().map(([a]) => a), get: (k) => held.get(k), all: () => [...held.values()], onNews, onSubscribe, onTenures,
-    routerAsks, learn, stop,
+    isHome,
+    home,
+    subscribers: () => live().map(([a]) => a),
+    get: (k) => held.get(k),
+    all: () => [...held.values()],
+    onNews,
+    onSubscribe,
+    onTenures,
+    routerAsks,
+    learn,
+    stop,
   };
 }
--- a/programs/router-agent/src/parts-duty.ts
+++ b/programs/router-agent/src/parts-duty.ts
@@ -43,7 +43,10 @@
     const e = parts[m.worker];
     if (e?.incarnation === m.incarnation) continue;
     changed = true;
-    parts[m.worker] = { incarnation: m.incarnation, part: ms.length === 1 ? 'both' : (e?.part ?? (n('prefill') <= n('decode') ? 'prefill' : 'decode')) };
+    parts[m.worker] = {
+      incarnation: m.incarnation,
+      part: ms.length === 1 ? 'both' : (e?.part ?? (n('prefill') <= n('decode') ? 'prefill' : 'decode')),
+    };
   }
   for (const p of ['prefill', 'decode'] as const) {
     if (ms.length > 0 && n(p) + n('both') === 0) {
@@ -58,7 +61,10 @@
   const left = s?.type === 'part' && parts[s.shift.worker]?.incarnation !== s.shift.incarnation;
   if (!left) return { ...r, parts };
   const ended = end({ ...r, parts }, 'superseded');
-  return { ...ended, parts: { ...parts, [s.shift.worker]: { incarnation: parts[s.shift.worker]!.incarnation, part: s.shift.from } } };
+  return {
+    ...ended,
+    parts: { ...parts, [s.shift.worker]: { incarnation: parts[s.shift.worker]!.incarnation, part: s.shift.from } },
+  };
 }
 
 export interface Pressure {
@@ -68,7 +74,10 @@
 export function pressure(r: RehearsalRecord, ms: readonly Mark[], rs: readonly Report[]): Pressure | undefined {
   const at = new Map(rs.filter((x) => x.age < 5_000_000).map((x) => [`${x.worker}/${x.incarnation}`, x]));
   function mean(p: Part, f: (x: Report) => number): number | undefined {
-    const xs = ms.filter((m) => partOf(r, m) === p).map((m) => at.get(`${m.worker}/${m.incarnation}`)).filter((x) => x !== undefined);
+    const xs = ms
+      .filter((m) => partOf(r, m) === p)
+      .map((m) => at.get(`${m.worker}/${m.incarnation}`))
+      .filter((x) => x !== undefined);
     return xs.length === 0 ? undefined : xs.reduce((a, x) => a + f(x), 0) / xs.length;
   }
   const p = mean('prefill', (x) => x.queued + x.active);
@@ -113,19 +122,28 @@
     const r = readRecord(b);
     const ms = o.workers();
     busy = true;
-    void work(r, ms, epoch).finally(() => { w.after(micros(200_000), () => { busy = false; }); });
+    void work(r, ms, epoch).finally(() => {
+      w.after(micros(200_000), () => {
+        busy = false;
+      });
+    });
   }
 
   async function work(r: RehearsalRecord, ms: Mark[], epoch: number): Promise<void> {
     if (ms.length > 0 && assignNew(r, ms) !== undefined) {
-      await o.writer.change((x) => assignNew(x, ms), () => o.holds() === epoch);
+      await o.writer.change(
+        (x) => assignNew(x, ms),
+        () => o.holds() === epoch,
+      );
       return;
     }
-    await Promise.all(ms.map(async (m) => {
-      const want = partOf(r, m) ?? '';
-      const had = ordered.get(`${m.worker}/${m.incarnation}`);
-      if (had === undefined || had.epoch !== epoch || (want !== '' && had.part !== want)) await send(m, epoch, want);
-    }));
+    await Promise.all(
+      ms.map(async (m) => {
+        const want = partOf(r, m) ?? '';
+        const had = ordered.get(`${m.worker}/${m.incarnation}`);
+        if (had === undefined || had.epoch !== epoch || (want !== '' && had.part !== want)) await send(m, epoch, want);
+      }),
+    );
     await propose(r, ms, epoch);
   }
 
@@ -135,7 +153,12 @@
       lean = undefined;
       return;
     }
-    const to: Part | undefined = p.prefill > 2 && p.prefill > 2.5 * p.decode ? 'prefill' : p.decode > 1 && p.decode > 2.5 * p.prefill ? 'decode' : undefined;
+    const to: Part | undefined =
+      p.prefill > 2 && p.prefill > 2.5 * p.decode
+        ? 'prefill'
+        : p.decode > 1 && p.decode > 2.5 * p.prefill
+          ? 'decode'
+          : undefined;
     if (to === undefined) {
       lean = undefined;
       return;
@@ -149,7 +172,16 @@
     restUntil = w.now() + (o.rest ?? 60_000_000);
     const shift = { worker: m.worker, incarnation: m.incarnation, from, to };
     await o.writer.change(
-      (x) => (x.running === undefined && partOf(x, m) === from ? begin(x, `part-${epoch}-${m.worker}-${Math.floor(w.random() * 1e6)}`, { type: 'part', shift }, o.slice, o.approval()) : undefined),
+      (x) =>
+        x.running === undefined && partOf(x, m) === from
+          ? begin(
+              x,
+              `part-${epoch}-${m.worker}-${Math.floor(w.random() * 1e6)}`,
+              { type: 'part', shift },
+              o.slice,
+              o.approval(),
+            )
+          : undefined,
       () => o.holds() === epoch,
     );
   }
@@ -167,7 +199,10 @@
     const r = assignNew(emptyRecord, ms)!;
     expect(Object.values(r.parts).filter((p) => p.part === 'prefill').length).toBe(3);
     expect(assignNew(r, ms)).toBeUndefined();
-    expect(assignNew(r, [mark('b', 2), ...ms.filter((m) => m.worker !== 'b')])!.parts['b']).toEqual({ incarnation: 2, part: 'decode' });
+    expect(assignNew(r, [mark('b', 2), ...ms.filter((m) => m.worker !== 'b')])!.parts['b']).toEqual({
+      incarnation: 2,
+      part: 'decode',
+    });
     const left = ms.filter((m) => r.parts[m.worker]!.part === 'decode');
     expect(Object.values(assignNew(r, left)!.parts).some((p) => p.part === 'both')).toBe(true);
   });
--- a/programs/router-agent/src/record-writer.ts
+++ b/programs/router-agent/src/record-writer.ts
@@ -10,7 +10,12 @@
   readonly change: (f: RecordChange, still: () => boolean) => Promise<RehearsalRecord | undefined>;
 }
 
-export function createRecordWriter(w: World, service: string, a: Asker, wrote: (version: number, epoch: number, value: Buffer) => void): RecordWriter {
+export function createRecordWriter(
+  w: World,
+  service: string,
+  a: Asker,
+  wrote: (version: number, epoch: number, value: Buffer) => void,
+): RecordWriter {
   const key = `rehearsal/${service}`;
   async function change(f: RecordChange, still: () => boolean): Promise<RehearsalRecord | undefined> {
     for (let n = 0; n < 4; n += 1) {
@@ -19,7 +24,14 @@
       const next = f(readRecord(r.value));
       if (next === undefined) return undefined;
       const value = writeRecord(next);
-      const x = await a.ask({ op: 'write', key, change: `${key}/${Math.floor(w.random() * 2 ** 48).toString(36)}`, base: r.version, value, patience: 5_000_000 });
+      const x = await a.ask({
+        op: 'write',
+        key,
+        change: `${key}/${Math.floor(w.random() * 2 ** 48).toString(36)}`,
+        base: r.version,
+        value,
+        patience: 5_000_000,
+      });
       if (x.status === 'done') {
         wrote(x.version, x.epoch, value);
         return next;
--- a/programs/router-agent/src/rehearsal-duty.ts
+++ b/programs/router-agent/src/rehearsal-duty.ts
@@ -3,7 +3,22 @@
 // write, which also records the look. Since the totals live at the routers, a new holder has them again within a
 // second; a router's two arms come and are lost together, so that what is missing favours neither.
 import { micros, type ArmCount, type MessageOf, type World } from '@tansypost/inner-protocol';
-import { armsOf, end, goLive, lookAt, looked, passed, readRecord, spendOf, timed, verdict, verdictDefaults, type Rehearsal, type RehearsalRecord, type VerdictOptions } from '@tansypost/rehearsal';
+import {
+  armsOf,
+  end,
+  goLive,
+  lookAt,
+  looked,
+  passed,
+  readRecord,
+  spendOf,
+  timed,
+  verdict,
+  verdictDefaults,
+  type Rehearsal,
+  type RehearsalRecord,
+  type VerdictOptions,
+} from '@tansypost/rehearsal';
 import type { RecordWriter } from './record-writer.js';
 
 export interface RehearsalDutyOptions {
@@ -33,12 +48,19 @@
     const { id } = x;
     busy = true;
     void o.writer
-      .change((r) => (r.running?.id === id && r.running.stage === x.stage && r.running.looks === x.looks ? f(r) : undefined), () => o.holds() !== undefined)
+      .change(
+        (r) => (r.running?.id === id && r.running.stage === x.stage && r.running.looks === x.looks ? f(r) : undefined),
+        () => o.holds() !== undefined,
+      )
       .then((r) => {
         const done = r?.ended.find((e) => e.id === id);
         if (done !== undefined) w.log(4102, { rehearsal: id, outcome: done.outcome, why: done.measured?.why });
       })
-      .finally(() => { w.after(micros(200_000), () => { busy = false; }); });
+      .finally(() => {
+        w.after(micros(200_000), () => {
+          busy = false;
+        });
+      });
   }
 
   function tick(): void {
@@ -47,12 +69,18 @@
     const run = b === undefined ? undefined : readRecord(b).running;
     if (run === undefined) return;
     if (watched?.id !== run.id || watched.stage !== run.stage) {
-      w.log(watched?.id === run.id ? 4104 : 4101, { rehearsal: run.id, stage: run.stage, slice: run.slice, subject: run.subject });
+      w.log(watched?.id === run.id ? 4104 : 4101, {
+        rehearsal: run.id,
+        stage: run.stage,
+        slice: run.slice,
+        subject: run.subject,
+      });
       watched = { id: run.id, stage: run.stage, since: w.now() };
     }
     if (run.asked === 'reject') return act(run, (r) => end(r, 'rejected'));
     if (run.state === 'passed') {
-      if (run.approval === 'automatic' || run.asked === 'approve') act(run, (r) => (r.running!.asked === 'reject' ? end(r, 'rejected') : goLive(r)));
+      if (run.approval === 'automatic' || run.asked === 'approve')
+        act(run, (r) => (r.running!.asked === 'reject' ? end(r, 'rejected') : goLive(r)));
       return;
     }
     const all = [...byRouter.values()].flatMap((x) => x.arms.filter((a) => a.rehearsal === armsOf(run)));
@@ -64,14 +92,20 @@
     }
     const v0 = o.verdict ?? verdictDefaults;
     // In the watch the control is the smaller arm; a look is due by the smaller one.
-    const least = Math.min(...(['slice', 'control'] as const).map((arm) => all.filter((a) => a.arm === arm).reduce((n, a) => n + a.count, 0)));
+    const least = Math.min(
+      ...(['slice', 'control'] as const).map((arm) =>
+        all.filter((a) => a.arm === arm).reduce((n, a) => n + a.count, 0),
+      ),
+    );
     if (!late && least < lookAt(run.looks, v0)) return;
     const v = verdict(all, v0, spendOf(run.looks, late));
     if (v.verdict === 'harmful') act(run, (r) => end(r, 'harmful', v.measured));
     else if (run.state === 'watched') {
-      if (v.verdict === 'pass' || late) act(run, (r) => end(r, r.running!.asked === 'reject' ? 'rejected' : 'live', run.measured));
+      if (v.verdict === 'pass' || late)
+        act(run, (r) => end(r, r.running!.asked === 'reject' ? 'rejected' : 'live', run.measured));
       else act(run, looked);
-    } else if (v.verdict === 'pass') act(run, (r) => (r.running!.asked === 'reject' ? end(r, 'rejected', v.measured) : passed(r, v.measured)));
+    } else if (v.verdict === 'pass')
+      act(run, (r) => (r.running!.asked === 'reject' ? end(r, 'rejected', v.measured) : passed(r, v.measured)));
     else if (late) act(run, (r) => end(r, 'inconclusive', { ...v.measured, why: `time is up: ${v.measured.why}` }));
     else act(run, looked);
   }
@@ -83,23 +117,58 @@
   const { begin, emptyRecord, writeRecord } = await import('@tansypost/rehearsal');
   function arm(rehearsal: string, which: string, count: number, slower: number): ArmCount {
     const l = Math.log(100_000 * slower);
-    return { rehearsal, arm: which, stratum: 't/k', count, failures: 0, sum: count * l, squares: count * (l * l + 0.25), tokenCount: count, tokenSum: 0, tokenSquares: 0.01 * count };
+    return {
+      rehearsal,
+      arm: which,
+      stratum: 't/k',
+      count,
+      failures: 0,
+      sum: count * l,
+      squares: count * (l * l + 0.25),
+      tokenCount: count,
+      tokenSum: 0,
+      tokenSquares: 0.01 * count,
+    };
   }
-  function bench(): { tell: (id: string, n: number, slower: number) => Promise<void>; now: () => RehearsalRecord; writes: () => number } {
-    let rec = begin(emptyRecord, 'm', { type: 'model', model: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' } }, 0.1, 'automatic');
+  function bench(): {
+    tell: (id: string, n: number, slower: number) => Promise<void>;
+    now: () => RehearsalRecord;
+    writes: () => number;
+  } {
+    let rec = begin(
+      emptyRecord,
+      'm',
+      { type: 'model', model: { version: { epoch: 64, n: 1 }, hash: 'h', blob: 'b' } },
+      0.1,
+      'automatic',
+    );
     let writes = 0;
-    const d = createRehearsalDuty({ now: () => micros(0), random: () => 0, after: (_d, f) => { f(); return () => undefined; }, send: () => undefined, log: () => undefined }, {
-      holds: () => 64, record: () => writeRecord(rec), timeLimit: 300_000_000,
-      writer: {
-        change: async (f) => {
-          const next = f(rec);
-          if (next === undefined) return undefined;
-          writes += 1;
-          rec = next;
-          return rec;
+    const d = createRehearsalDuty(
+      {
+        now: () => micros(0),
+        random: () => 0,
+        after: (_d, f) => {
+          f();
+          return () => undefined;
         },
+        send: () => undefined,
+        log: () => undefined,
       },
-    });
+      {
+        holds: () => 64,
+        record: () => writeRecord(rec),
+        timeLimit: 300_000_000,
+        writer: {
+          change: async (f) => {
+            const next = f(rec);
+            if (next === undefined) return undefined;
+            writes += 1;
+            rec = next;
+            return rec;
+          },
+        },
+      },
+    );
     async function tell(id: string, n: number, slower: number): Promise<void> {
       d.arms({ kind: 'Arms', from: 'r', arms: [arm(id, 'slice', n, slower), arm(id, 'control', n, 1)] });
       for (let i = 0; i < 3; i += 1) {
--- a/programs/router-agent/src/reports.ts
+++ b/programs/router-agent/src/reports.ts
@@ -1,7 +1,16 @@
 // Reports of the workers' load. Each costs a probe, so they are fetched only as fast as the routers' extra
 // budget grants, each worker by one home agent, and shared with the whole fleet. The grants come as
 // running totals, so that a lost message loses nothing.
-import { every, micros, rendezvous, type Address, type Mark, type MessageOf, type Report, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  rendezvous,
+  type Address,
+  type Mark,
+  type MessageOf,
+  type Report,
+  type World,
+} from '@tansypost/inner-protocol';
 
 export interface FetchedReport {
   readonly queued: number;
@@ -48,7 +57,11 @@
   function keep(r: Report): boolean {
     const at = w.now() - r.age;
     const old = held.get(r.worker);
-    if (old !== undefined && (old.r.incarnation > r.incarnation || (old.r.incarnation === r.incarnation && old.at >= at))) return false;
+    if (
+      old !== undefined &&
+      (old.r.incarnation > r.incarnation || (old.r.incarnation === r.incarnation && old.at >= at))
+    )
+      return false;
     held.set(r.worker, { r, at });
     return true;
   }
@@ -56,7 +69,8 @@
     const fresh = m.reports.filter(keep);
     if (fresh.length === 0) return;
     o.changed();
-    if (m.relay && o.isHome()) for (const a of o.subscribers()) w.send(a, { kind: 'Reports', reports: fresh, relay: false });
+    if (m.relay && o.isHome())
+      for (const a of o.subscribers()) w.send(a, { kind: 'Reports', reports: fresh, relay: false });
   }
   function demand(m: MessageOf<'Demand'>): void {
     const had = totals.get(m.from);
@@ -75,7 +89,9 @@
     if (!o.isHome()) return;
     const hs = o.homes();
     const mine = o.workers().filter((m) => rendezvous(m.worker, hs, (a) => a)[0] === o.self);
-    const due = mine.filter((m) => (asked.get(m.worker) ?? -Infinity) <= w.now() - 100_000).sort((a, b) => (asked.get(a.worker) ?? 0) - (asked.get(b.worker) ?? 0));
+    const due = mine
+      .filter((m) => (asked.get(m.worker) ?? -Infinity) <= w.now() - 100_000)
+      .sort((a, b) => (asked.get(a.worker) ?? 0) - (asked.get(b.worker) ?? 0));
     for (const m of due) {
       if (pot < 1) return;
       pot -= 1;
@@ -88,10 +104,27 @@
   async function fetchOne(m: Mark): Promise<void> {
     const at = w.now();
     const f = await o.fetch(m);
-    if (f === undefined) return share({ worker: m.worker, incarnation: m.incarnation, ...nonsense, part: '', age: 0, fence: 0 });
+    if (f === undefined)
+      return share({ worker: m.worker, incarnation: m.incarnation, ...nonsense, part: '', age: 0, fence: 0 });
     if (f.incarnation !== m.incarnation) return;
-    const r: Report = { worker: m.worker, incarnation: m.incarnation, queued: f.queued, active: f.active, kvUsed: f.kv_used, part: f.part, age: w.now() - at, fence: f.fence };
-    const sound = Number.isInteger(r.queued) && Number.isInteger(r.active) && Number.isFinite(r.kvUsed) && r.queued >= 0 && r.active >= 0 && r.kvUsed >= 0 && r.kvUsed <= 1;
+    const r: Report = {
+      worker: m.worker,
+      incarnation: m.incarnation,
+      queued: f.queued,
+      active: f.active,
+      kvUsed: f.kv_used,
+      part: f.part,
+      age: w.now() - at,
+      fence: f.fence,
+    };
+    const sound =
+      Number.isInteger(r.queued) &&
+      Number.isInteger(r.active) &&
+      Number.isFinite(r.kvUsed) &&
+      r.queued >= 0 &&
+      r.active >= 0 &&
+      r.kvUsed >= 0 &&
+      r.kvUsed <= 1;
     if (!sound) {
       w.log(5103, { worker: m.worker, why: 'impossible figures in its report', report: f });
       Object.assign(r, nonsense);
--- a/programs/router-agent/src/trainer-port.ts
+++ b/programs/router-agent/src/trainer-port.ts
@@ -25,11 +25,14 @@
   }
   return {
     add: (samples) => thread().postMessage({ do: 'add', samples }),
-    train: (version) => new Promise((ok, no) => {
-      n += 1;
-      open.set(n, { ok, no });
-      thread().postMessage({ do: 'train', id: n, version });
-    }),
-    close: async () => { await worker?.terminate(); },
+    train: (version) =>
+      new Promise((ok, no) => {
+        n += 1;
+        open.set(n, { ok, no });
+        thread().postMessage({ do: 'train', id: n, version });
+      }),
+    close: async () => {
+      await worker?.terminate();
+    },
   };
 }
--- a/programs/router-agent/src/trainer-thread.ts
+++ b/programs/router-agent/src/trainer-thread.ts
@@ -3,7 +3,9 @@
 import { parentPort } from 'node:worker_threads';
 import { createTrainer, encodeModel, trainingDefaults, type ModelVersion, type Sample } from '@tansypost/placement';
 
-export type TrainerCommand = { readonly do: 'add'; readonly samples: readonly Sample[] } | { readonly do: 'train'; readonly id: number; readonly version: ModelVersion };
+export type TrainerCommand =
+  | { readonly do: 'add'; readonly samples: readonly Sample[] }
+  | { readonly do: 'train'; readonly id: number; readonly version: ModelVersion };
 
 if (parentPort !== null) {
   const port = parentPort;
--- a/programs/router-agent/src/training-duty.ts
+++ b/programs/router-agent/src/training-duty.ts
@@ -57,13 +57,22 @@
       fresh = 0;
       trained += 1;
       const v = { epoch, n: trained };
-      void o.trainer.train(v).then((bytes) => {
-        waiting = { v, bytes };
-        w.log(4003, { version: v, bytes: bytes.length });
-      }).finally(() => { busy = false; });
+      void o.trainer
+        .train(v)
+        .then((bytes) => {
+          waiting = { v, bytes };
+          w.log(4003, { version: v, bytes: bytes.length });
+        })
+        .finally(() => {
+          busy = false;
+        });
     } else if (waiting !== undefined && !running) {
       busy = true;
-      void offer(waiting).finally(() => { w.after(micros(500_000), () => { busy = false; }); });
+      void offer(waiting).finally(() => {
+        w.after(micros(500_000), () => {
+          busy = false;
+        });
+      });
     }
   }
 
@@ -75,11 +84,21 @@
     const old = await o.asker.ask({ op: 'read', key: blob, patience: 5_000_000 });
     if (old.status !== 'value') return;
     const hash = modelHash(x.bytes);
-    const put = await o.asker.ask({ op: 'write', key: blob, change: hash, base: old.version, value: x.bytes, patience: 5_000_000 });
+    const put = await o.asker.ask({
+      op: 'write',
+      key: blob,
+      change: hash,
+      base: old.version,
+      value: x.bytes,
+      patience: 5_000_000,
+    });
     if (put.status !== 'done' || o.holds() === undefined) return;
     const model: ModelRef = { version: x.v, hash, blob };
     const done = await o.writer.change(
-      (rec) => (rec.running === undefined && freeSlotFits(rec, blob, o.service) ? begin(rec, `model-${x.v.epoch}-${x.v.n}`, { type: 'model', model }, o.slice, o.approval()) : undefined),
+      (rec) =>
+        rec.running === undefined && freeSlotFits(rec, blob, o.service)
+          ? begin(rec, `model-${x.v.epoch}-${x.v.n}`, { type: 'model', model }, o.slice, o.approval())
+          : undefined,
       () => o.holds() !== undefined,
     );
     if (done !== undefined && waiting === x) waiting = undefined;
--- a/programs/state-keeper/src/file-disk.ts
+++ b/programs/state-keeper/src/file-disk.ts
@@ -2,7 +2,18 @@
 // A rewrite goes to a second file, is synced, and takes the first one's name. Any error is final for
 // this opening: what a disk did after a failed sync is not known, so the next one writes all that it finds to a new
 // file. A damaged file is put aside under another name and never served.
-import { closeSync, existsSync, fsyncSync, mkdirSync, openSync, readFileSync, readdirSync, renameSync, rmSync, truncateSync } from 'node:fs';
+import {
+  closeSync,
+  existsSync,
+  fsyncSync,
+  mkdirSync,
+  openSync,
+  readFileSync,
+  readdirSync,
+  renameSync,
+  rmSync,
+  truncateSync,
+} from 'node:fs';
 import { open, rename, type FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import * as E from 'fp-ts/lib/Either.js';
@@ -23,7 +34,10 @@
 
 // Gives the damaged file another name; of those put aside the newest two are kept.
 function putAside(folder: string, name: string): string {
-  const old = readdirSync(folder).filter((f) => f.startsWith('place.journal.damaged.')).map((f) => Number(f.split('.').at(-1))).sort((a, b) => a - b);
+  const old = readdirSync(folder)
+    .filter((f) => f.startsWith('place.journal.damaged.'))
+    .map((f) => Number(f.split('.').at(-1)))
+    .sort((a, b) => a - b);
   const to = `${name}.damaged.${(old.at(-1) ?? 0) + 1}`;
   renameSync(name, to);
   for (const n of old.slice(0, -1)) rmSync(`${name}.damaged.${n}`, { force: true });
@@ -35,7 +49,11 @@
   try {
     return E.right(await openNow(folder, afresh));
   } catch (e) {
-    return E.left(new FailedDisk(`The data folder ${folder} cannot be used: ${e instanceof Error ? e.message : String(e)}. Give the keeper a folder on a sound disk that it may write to.`));
+    return E.left(
+      new FailedDisk(
+        `The data folder ${folder} cannot be used: ${e instanceof Error ? e.message : String(e)}. Give the keeper a folder on a sound disk that it may write to.`,
+      ),
+    );
   }
 }
 
@@ -102,7 +120,16 @@
     size: () => size,
   };
   if (afresh) await rewriteNow(r.right.records);
-  return { disk, found: r.right.records, cut: r.right.cut, ...(aside === undefined ? {} : { aside }), close: async () => { await busy; await file.close(); } };
+  return {
+    disk,
+    found: r.right.records,
+    cut: r.right.cut,
+    ...(aside === undefined ? {} : { aside }),
+    close: async () => {
+      await busy;
+      await file.close();
+    },
+  };
 }
 
 if (import.meta.vitest) {
@@ -120,7 +147,9 @@
       return new Promise((ok, no) => d.append(r, (e) => (e === undefined ? ok() : no(e))));
     }
     await Promise.all([put(a.right.disk, rec('a', 1)), put(a.right.disk, rec('b', 1))]);
-    await new Promise<void>((ok) => { a.right.disk.rewrite([rec('b', 2)], () => ok()); });
+    await new Promise<void>((ok) => {
+      a.right.disk.rewrite([rec('b', 2)], () => ok());
+    });
     await put(a.right.disk, rec('c', 3));
     await a.right.close();
     appendFileSync(join(folder, 'place.journal'), Buffer.from('TPJ1torn'));
@@ -150,7 +179,11 @@
       expect(readFileSync(`${name}.damaged.${n}`)).toEqual(bad);
       await d.right.close();
     }
-    expect(readdirSync(folder).filter((f) => f.includes('damaged')).sort()).toEqual(['place.journal.damaged.2', 'place.journal.damaged.3']);
+    expect(
+      readdirSync(folder)
+        .filter((f) => f.includes('damaged'))
+        .sort(),
+    ).toEqual(['place.journal.damaged.2', 'place.journal.damaged.3']);
     const no = await openFileDisk(name);
     expect(E.isLeft(no) && no.left.message).toMatch(/cannot be used.*Give the keeper a folder/);
     rmSync(folder, { recursive: true });
--- a/programs/state-keeper/src/keeper-core.ts
+++ b/programs/state-keeper/src/keeper-core.ts
@@ -11,7 +11,11 @@
 export function createKeeperCore(w: World, o: KeeperCoreOptions): Keeper {
   const k = createKeeper(w, o);
   const voter = createVoter(w, {
-    slot: o.slot, disk: k.place.diskId, voting: () => k.place.state() === 'voting', votingSince: k.place.votingSince, gen: () => k.place.core().gen,
+    slot: o.slot,
+    disk: k.place.diskId,
+    voting: () => k.place.state() === 'voting',
+    votingSince: k.place.votingSince,
+    gen: () => k.place.core().gen,
     tenure: o.dutyTenure,
     store: {
       epoch: (d) => k.place.row(`~ballot/${d}`).promised,
--- a/programs/state-keeper/src/keeper-host.ts
+++ b/programs/state-keeper/src/keeper-host.ts
@@ -96,11 +96,16 @@
     const opened: boolean[] = [];
     const logged: number[] = [];
     const w: World = {
-      now: () => micros(t), random: () => 0.5, send: () => undefined, log: (n) => logged.push(n),
+      now: () => micros(t),
+      random: () => 0.5,
+      send: () => undefined,
+      log: (n) => logged.push(n),
       after: (d, f) => {
         const x = { at: t + d, f };
         timers.push(x);
-        return () => { timers = timers.filter((y) => y !== x); };
+        return () => {
+          timers = timers.filter((y) => y !== x);
+        };
       },
     };
     async function step(us: number): Promise<void> {
@@ -123,12 +128,20 @@
         file.push(r);
         done();
       },
-      rewrite: (rs, done) => { file = [...rs]; done(); },
+      rewrite: (rs, done) => {
+        file = [...rs];
+        done();
+      },
       size: () => file.length,
     };
     let ids = 0;
     const h = createKeeperHost(w, {
-      slot: 0, self: 'k0:1' as Address, core: ['k0:1', 'k1:1', 'k2:1'] as Address[], seeds: [], tenure: 10_000_000, dutyTenure: 3_000_000,
+      slot: 0,
+      self: 'k0:1' as Address,
+      core: ['k0:1', 'k1:1', 'k2:1'] as Address[],
+      seeds: [],
+      tenure: 10_000_000,
+      dutyTenure: 3_000_000,
       newDiskId: () => `d${(ids += 1)}`,
       open: async (afresh) => {
         opened.push(afresh);
@@ -136,9 +149,17 @@
       },
     });
     await h.begin();
-    h.core()!.place.keep('k', { promised: 8, epoch: 8, version: 1, value: Buffer.from('v'), changes: [] }, () => undefined);
+    h.core()!.place.keep(
+      'k',
+      { promised: 8, epoch: 8, version: 1, value: Buffer.from('v'), changes: [] },
+      () => undefined,
+    );
     broken = true;
-    h.core()!.place.keep('k', { promised: 8, epoch: 8, version: 2, value: Buffer.from('w'), changes: [] }, () => undefined);
+    h.core()!.place.keep(
+      'k',
+      { promised: 8, epoch: 8, version: 2, value: Buffer.from('w'), changes: [] },
+      () => undefined,
+    );
     await step(5_000_000);
     expect(h.core()).toBeUndefined();
     expect(opened.length).toBeGreaterThan(2);
--- a/programs/state-keeper/src/main.ts
+++ b/programs/state-keeper/src/main.ts
@@ -18,8 +18,14 @@
     const real = await createRealWorld(b.listen as Address, log, self);
     const traces: { at: number; what: string; key: string; version: number }[] = [];
     const host = createKeeperHost(real.world, {
-      slot: b.slot, self, core: b.core as Address[], seeds: b.seeds as Address[], open: (afresh) => openFileDisk(b.data, afresh),
-      newDiskId: () => randomBytes(8).toString('hex'), tenure: (b.feedTenureMs ?? 10_000) * 1000, dutyTenure: (b.dutyTenureMs ?? 3000) * 1000,
+      slot: b.slot,
+      self,
+      core: b.core as Address[],
+      seeds: b.seeds as Address[],
+      open: (afresh) => openFileDisk(b.data, afresh),
+      newDiskId: () => randomBytes(8).toString('hex'),
+      tenure: (b.feedTenureMs ?? 10_000) * 1000,
+      dutyTenure: (b.dutyTenureMs ?? 3000) * 1000,
       note: (what, key, version) => {
         if (!key.startsWith('desired/')) return;
         traces.push({ at: Date.now() * 1000, what, key, version });
@@ -33,12 +39,25 @@
     app.get('/vitals', async (_q, a) => {
       const core = host.core();
       const ok = core?.place.state() === 'voting';
-      return a.code(ok ? 200 : 503).send({ ok, state: core?.place.state() ?? 'failed', disk: core?.place.diskId(), core: core?.place.core(), owned: core?.owned(), bytes: host.bytes() });
+      return a.code(ok ? 200 : 503).send({
+        ok,
+        state: core?.place.state() ?? 'failed',
+        disk: core?.place.diskId(),
+        core: core?.place.core(),
+        owned: core?.owned(),
+        bytes: host.bytes(),
+      });
     });
-    app.get<{ Params: { version: string } }>('/trace/:version', async (q) => traces.filter((t) => t.version === Number(q.params.version)));
-    app.get('/metrics', async (_q, a) => a.type('text/plain; version=0.0.4').send(
-      `tansypost_place_voting ${host.core()?.place.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${host.core()?.place.core().gen ?? 0}\ntansypost_keys_owned ${host.core()?.owned().length ?? 0}\ntansypost_file_bytes ${host.bytes()}\n`,
-    ));
+    app.get<{ Params: { version: string } }>('/trace/:version', async (q) =>
+      traces.filter((t) => t.version === Number(q.params.version)),
+    );
+    app.get('/metrics', async (_q, a) =>
+      a
+        .type('text/plain; version=0.0.4')
+        .send(
+          `tansypost_place_voting ${host.core()?.place.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${host.core()?.place.core().gen ?? 0}\ntansypost_keys_owned ${host.core()?.owned().length ?? 0}\ntansypost_file_bytes ${host.bytes()}\n`,
+        ),
+    );
     await app.listen(splitAddress(b.http));
     async function stop(): Promise<void> {
       await Promise.all([app.close(), real.carrier.close()]);
--- a/programs/tansypost/src/call.ts
+++ b/programs/tansypost/src/call.ts
@@ -10,13 +10,24 @@
 export async function call(agent: string, method: 'GET' | 'POST', path: string, body?: unknown): Promise<Called> {
   try {
     const r = await request(`http://${agent}${path}`, {
-      method, headersTimeout: 40_000, bodyTimeout: 40_000,
+      method,
+      headersTimeout: 40_000,
+      bodyTimeout: 40_000,
       ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) }),
     });
     const text = await r.body.text();
     return { status: r.statusCode, body: text === '' ? null : (JSON.parse(text) as unknown) };
   } catch (e) {
-    return { status: 0, body: { error: { kind: 'unreachable', message: e instanceof Error ? e.message : String(e), remedy: `Name a running agent with --agent; ${agent} did not answer.` } } };
+    return {
+      status: 0,
+      body: {
+        error: {
+          kind: 'unreachable',
+          message: e instanceof Error ? e.message : String(e),
+          remedy: `Name a running agent with --agent; ${agent} did not answer.`,
+        },
+      },
+    };
   }
 }
 
--- a/programs/tansypost/src/commands.ts
+++ b/programs/tansypost/src/commands.ts
@@ -9,7 +9,9 @@
 import { plainRehearsals } from './plain.js';
 
 abstract class AgentCommand extends Command<BaseContext> {
-  agent = Option.String('--agent', process.env['TANSYPOST_AGENT'] ?? '127.0.0.1:8000', { description: 'HTTP address of an agent (or TANSYPOST_AGENT)' });
+  agent = Option.String('--agent', process.env['TANSYPOST_AGENT'] ?? '127.0.0.1:8000', {
+    description: 'HTTP address of an agent (or TANSYPOST_AGENT)',
+  });
   protected say(c: Called): number {
     this.context.stdout.write(`${JSON.stringify(c.body, null, 2)}\n`);
     return exitCode(c.status);
@@ -21,19 +23,28 @@
 }
 
 function readJson(file: string): E.Either<Error, unknown> {
-  return E.tryCatch(() => JSON.parse(readFileSync(file, 'utf8')) as unknown, (e) => (e instanceof Error ? e : new Error(String(e))));
+  return E.tryCatch(
+    () => JSON.parse(readFileSync(file, 'utf8')) as unknown,
+    (e) => (e instanceof Error ? e : new Error(String(e))),
+  );
 }
 
 class Read extends AgentCommand {
   static override paths = [['desired', 'read']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'read the desired state and its version' });
+  static override usage = Command.Usage({
+    category: 'Desired state',
+    description: 'read the desired state and its version',
+  });
   async execute(): Promise<number> {
     return this.say(await call(this.agent, 'GET', '/desired-state'));
   }
 }
 class Check extends AgentCommand {
   static override paths = [['desired', 'check']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'check a file of templates and list every fault, sending nothing' });
+  static override usage = Command.Usage({
+    category: 'Desired state',
+    description: 'check a file of templates and list every fault, sending nothing',
+  });
   file = Option.String();
   async execute(): Promise<number> {
     const j = readJson(this.file);
@@ -49,7 +60,12 @@
 }
 class Submit extends AgentCommand {
   static override paths = [['desired', 'submit']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'submit a file of templates on the version it was made from', details: 'Without --base the version now in force is read first. Ends with 0 acknowledged, 3 refused, 4 lost the race, 5 outcome unknown (ask with `tansypost change ID`).' });
+  static override usage = Command.Usage({
+    category: 'Desired state',
+    description: 'submit a file of templates on the version it was made from',
+    details:
+      'Without --base the version now in force is read first. Ends with 0 acknowledged, 3 refused, 4 lost the race, 5 outcome unknown (ask with `tansypost change ID`).',
+  });
   file = Option.String();
   base = Option.String('--base', { description: 'the version it was made from' });
   change = Option.String('--change', { description: 'an id to ask after the outcome with' });
@@ -63,12 +79,21 @@
       base = (r.body as { version: number }).version;
     }
     if (!Number.isInteger(base)) return this.bad('--base takes a whole number, the version that `desired read` gave');
-    return this.say(await call(this.agent, 'POST', '/desired-state', { base, state: j.right, ...(this.change === undefined ? {} : { change: this.change }) }));
+    return this.say(
+      await call(this.agent, 'POST', '/desired-state', {
+        base,
+        state: j.right,
+        ...(this.change === undefined ? {} : { change: this.change }),
+      }),
+    );
   }
 }
 class Change extends AgentCommand {
   static override paths = [['change']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'ask after the outcome of a change by its id' });
+  static override usage = Command.Usage({
+    category: 'Desired state',
+    description: 'ask after the outcome of a change by its id',
+  });
   id = Option.String();
   async execute(): Promise<number> {
     return this.say(await call(this.agent, 'GET', `/changes/${encodeURIComponent(this.id)}`));
@@ -87,17 +112,29 @@
 
 class Template extends AgentCommand {
   static override paths = [['template']];
-  static override usage = Command.Usage({ category: 'Desired state', description: 'print a template to fill in; the meaning of its fields goes to the error stream' });
+  static override usage = Command.Usage({
+    category: 'Desired state',
+    description: 'print a template to fill in; the meaning of its fields goes to the error stream',
+  });
   async execute(): Promise<number> {
     this.context.stderr.write(fieldsMeaning);
-    const kinds = { fare_quote: { worth: 3, patienceMs: 8000, share: 5, repeatable: true }, seat_hold: { worth: 8, patienceMs: 4000, share: 2, repeatable: false } };
-    this.context.stdout.write(`${JSON.stringify({ templates: [{ tenant: 'passengers', approval: 'automatic', kinds }] }, null, 2)}\n`);
+    const kinds = {
+      fare_quote: { worth: 3, patienceMs: 8000, share: 5, repeatable: true },
+      seat_hold: { worth: 8, patienceMs: 4000, share: 2, repeatable: false },
+    };
+    this.context.stdout.write(
+      `${JSON.stringify({ templates: [{ tenant: 'passengers', approval: 'automatic', kinds }] }, null, 2)}\n`,
+    );
     return 0;
   }
 }
 class Rehearsals extends AgentCommand {
   static override paths = [['rehearsals']];
-  static override usage = Command.Usage({ category: 'Rehearsals', description: 'tell what is live, what is being rehearsed, on how many requests, what was measured, and what happens next' });
+  static override usage = Command.Usage({
+    category: 'Rehearsals',
+    description:
+      'tell what is live, what is being rehearsed, on how many requests, what was measured, and what happens next',
+  });
   json = Option.Boolean('--json', false, { description: 'print the record itself' });
   async execute(): Promise<number> {
     const r = await call(this.agent, 'GET', '/rehearsals');
@@ -107,8 +144,14 @@
   }
 }
 class Word extends AgentCommand {
-  static override paths = [['rehearsal', 'approve'], ['rehearsal', 'reject']];
-  static override usage = Command.Usage({ category: 'Rehearsals', description: 'approve or reject a rehearsal; a reject of what went live rolls it back' });
+  static override paths = [
+    ['rehearsal', 'approve'],
+    ['rehearsal', 'reject'],
+  ];
+  static override usage = Command.Usage({
+    category: 'Rehearsals',
+    description: 'approve or reject a rehearsal; a reject of what went live rolls it back',
+  });
   id = Option.String();
   async execute(): Promise<number> {
     return this.say(await call(this.agent, 'POST', `/rehearsals/${encodeURIComponent(this.id)}/${this.path[1]}`, {}));
@@ -123,13 +166,23 @@
 }
 class SetWorker extends AgentCommand {
   static override paths = [['worker']];
-  static override usage = Command.Usage({ category: 'Platform', description: 'tell of a worker: added, ready, leaving or gone' });
+  static override usage = Command.Usage({
+    category: 'Platform',
+    description: 'tell of a worker: added, ready, leaving or gone',
+  });
   worker = Option.String();
   state = Option.String();
   address = Option.String('--address', { required: true, description: 'ip:port of the worker' });
   incarnation = Option.String('--incarnation', { required: true, description: 'a number that rises with each start' });
   async execute(): Promise<number> {
-    return this.say(await call(this.agent, 'POST', '/platform/workers', { worker: this.worker, state: this.state, address: this.address, incarnation: Number(this.incarnation) }));
+    return this.say(
+      await call(this.agent, 'POST', '/platform/workers', {
+        worker: this.worker,
+        state: this.state,
+        address: this.address,
+        incarnation: Number(this.incarnation),
+      }),
+    );
   }
 }
 class Members extends AgentCommand {
@@ -141,11 +194,26 @@
 }
 class Vitals extends AgentCommand {
   static override paths = [['vitals']];
-  static override usage = Command.Usage({ category: 'Fleet', description: 'the vitals of an agent, a router or a keeper' });
+  static override usage = Command.Usage({
+    category: 'Fleet',
+    description: 'the vitals of an agent, a router or a keeper',
+  });
   at = Option.String({ required: false });
   async execute(): Promise<number> {
     return this.say(await call(this.at ?? this.agent, 'GET', '/vitals'));
   }
 }
 
-export const commands: CommandClass<BaseContext>[] = [Read, Check, Submit, Change, Template, Rehearsals, Word, Workers, SetWorker, Members, Vitals];
+export const commands: CommandClass<BaseContext>[] = [
+  Read,
+  Check,
+  Submit,
+  Change,
+  Template,
+  Rehearsals,
+  Word,
+  Workers,
+  SetWorker,
+  Members,
+  Vitals,
+];
--- a/programs/worker-stand-in/src/main.ts
+++ b/programs/worker-stand-in/src/main.ts
@@ -11,18 +11,21 @@
 import { createWorkerCore, workerDefaults, type Handle, type Part } from './worker-core.js';
 
 const Addr = Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' });
-const Boot = Type.Object({
-  member: Type.String({ minLength: 1 }),
-  listen: Addr,
-  advertise: Type.Optional(Addr),
-  incarnation: Type.Integer({ minimum: 1 }),
-  prefillPace: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
-  stepUs: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
-  kvTokens: Type.Optional(Type.Integer({ minimum: 100 })),
-  holdUs: Type.Optional(Type.Integer({ minimum: 1000 })),
-  logLevel: Type.Optional(Type.Integer()),
-  runsFile: Type.Optional(Type.String()),
-}, { additionalProperties: false });
+const Boot = Type.Object(
+  {
+    member: Type.String({ minLength: 1 }),
+    listen: Addr,
+    advertise: Type.Optional(Addr),
+    incarnation: Type.Integer({ minimum: 1 }),
+    prefillPace: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
+    stepUs: Type.Optional(Type.Number({ exclusiveMinimum: 0 })),
+    kvTokens: Type.Optional(Type.Integer({ minimum: 100 })),
+    holdUs: Type.Optional(Type.Integer({ minimum: 1000 })),
+    logLevel: Type.Optional(Type.Integer()),
+    runsFile: Type.Optional(Type.String()),
+  },
+  { additionalProperties: false },
+);
 
 interface Body {
   readonly prompt: string;
@@ -47,7 +50,18 @@
   flags: Object.keys(Boot.properties),
   start: async (b, log) => {
     const { logLevel: _l, advertise, listen, member, incarnation, runsFile, ...rest } = b;
-    const core = createWorkerCore({ now: monotonic, after: afterReal, log }, { ...workerDefaults, ...rest, worker: member, incarnation, onRun: (q, what) => { if (runsFile !== undefined) appendFileSync(runsFile, `${q} ${what}\n`); } });
+    const core = createWorkerCore(
+      { now: monotonic, after: afterReal, log },
+      {
+        ...workerDefaults,
+        ...rest,
+        worker: member,
+        incarnation,
+        onRun: (q, what) => {
+          if (runsFile !== undefined) appendFileSync(runsFile, `${q} ${what}\n`);
+        },
+      },
+    );
     const { host, port } = splitAddress(listen);
     const shown = splitAddress(advertise ?? listen);
     const app = fastify({ bodyLimit: 8 * 1024 * 1024, forceCloseConnections: true });
@@ -60,52 +74,82 @@
       if (dark && !q.url.startsWith('/fault')) await new Promise(() => undefined);
     });
 
-    app.post<{ Body: Body; Headers: { 'x-request-id'?: string; 'x-worker-incarnation'?: string } }>('/v1/completions', async (q, a) => {
-      const id = q.headers['x-request-id'] ?? '';
-      const want = Number(q.headers['x-worker-incarnation'] ?? incarnation);
-      if (want !== incarnation) return a.code(503).send(not('other_incarnation'));
-      const job = { request: id, prompt: q.body.prompt, maxTokens: q.body.max_tokens };
-      const kv = q.body.kv_transfer_params ?? {};
-      if (kv.do_remote_decode === true) {
-        const got = await new Promise<Parameters<Parameters<typeof core.prefill>[1]>[0]>((ok) => {
-          const off = core.prefill(job, ok);
-          a.raw.on('close', () => { if (!a.raw.writableEnded) off(); });
-        });
-        if (got.tag === 'refused') return a.code(503).send(not(got.why));
-        const h = got.handle;
-        return a.send({
-          id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: 'length' }],
-          usage: { prompt_tokens_details: { cached_tokens: got.cached } },
-          kv_transfer_params: {
-            do_remote_prefill: true, remote_engine_id: h.worker, remote_block_ids: [h.id], remote_host: shown.host, remote_port: shown.port,
-            request_id: h.request, prompt_digest: h.digest, incarnation: h.incarnation,
-          },
+    app.post<{ Body: Body; Headers: { 'x-request-id'?: string; 'x-worker-incarnation'?: string } }>(
+      '/v1/completions',
+      async (q, a) => {
+        const id = q.headers['x-request-id'] ?? '';
+        const want = Number(q.headers['x-worker-incarnation'] ?? incarnation);
+        if (want !== incarnation) return a.code(503).send(not('other_incarnation'));
+        const job = { request: id, prompt: q.body.prompt, maxTokens: q.body.max_tokens };
+        const kv = q.body.kv_transfer_params ?? {};
+        if (kv.do_remote_decode === true) {
+          const got = await new Promise<Parameters<Parameters<typeof core.prefill>[1]>[0]>((ok) => {
+            const off = core.prefill(job, ok);
+            a.raw.on('close', () => {
+              if (!a.raw.writableEnded) off();
+            });
+          });
+          if (got.tag === 'refused') return a.code(503).send(not(got.why));
+          const h = got.handle;
+          return a.send({
+            id,
+            object: 'text_completion',
+            choices: [{ index: 0, text: '', finish_reason: 'length' }],
+            usage: { prompt_tokens_details: { cached_tokens: got.cached } },
+            kv_transfer_params: {
+              do_remote_prefill: true,
+              remote_engine_id: h.worker,
+              remote_block_ids: [h.id],
+              remote_host: shown.host,
+              remote_port: shown.port,
+              request_id: h.request,
+              prompt_digest: h.digest,
+              incarnation: h.incarnation,
+            },
+          });
+        }
+        const h: Handle = {
+          id: kv.remote_block_ids?.[0] ?? '',
+          worker: kv.remote_engine_id ?? '',
+          incarnation: kv.incarnation ?? 0,
+          request: kv.request_id ?? '',
+          digest: kv.prompt_digest ?? '',
+        };
+        const no = core.admit(job, h);
+        if (no !== undefined) return a.code(no === 'memory_foreign' ? 409 : 503).send(not(no));
+        const taken = await takeFrom(`${kv.remote_host}:${kv.remote_port}`, h);
+        if (taken !== undefined) return a.code(409).send(not(taken));
+        a.hijack();
+        a.raw.writeHead(200, { 'content-type': 'text/event-stream' });
+        a.raw.on('error', () => undefined);
+        const off = core.decode(job, h, {
+          chunk: (text) =>
+            a.raw.write(
+              core.faults.nonsense === true
+                ? 'garbage\n\n'
+                : `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`,
+            ),
+          end: (finish) =>
+            a.raw.end(
+              `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: finish }] })}\n\ndata: [DONE]\n\n`,
+            ),
+          broke: () => a.raw.destroy(),
         });
-      }
-      const h: Handle = {
-        id: kv.remote_block_ids?.[0] ?? '', worker: kv.remote_engine_id ?? '', incarnation: kv.incarnation ?? 0,
-        request: kv.request_id ?? '', digest: kv.prompt_digest ?? '',
-      };
-      const no = core.admit(job, h);
-      if (no !== undefined) return a.code(no === 'memory_foreign' ? 409 : 503).send(not(no));
-      const taken = await takeFrom(`${kv.remote_host}:${kv.remote_port}`, h);
-      if (taken !== undefined) return a.code(409).send(not(taken));
-      a.hijack();
-      a.raw.writeHead(200, { 'content-type': 'text/event-stream' });
-      a.raw.on('error', () => undefined);
-      const off = core.decode(job, h, {
-        chunk: (text) => a.raw.write(core.faults.nonsense === true ? 'garbage\n\n' : `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`),
-        end: (finish) => a.raw.end(`data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text: '', finish_reason: finish }] })}\n\ndata: [DONE]\n\n`),
-        broke: () => a.raw.destroy(),
-      });
-      a.raw.on('close', off);
-      return undefined;
-    });
+        a.raw.on('close', off);
+        return undefined;
+      },
+    );
 
     async function takeFrom(at: string, h: Handle): Promise<string | undefined> {
       if (at === (advertise ?? listen)) return core.take(h);
       try {
-        const r = await request(`http://${at}/kv/take`, { method: 'POST', headers: { 'content-type': 'application/json' }, body: JSON.stringify(h), headersTimeout: 2000, bodyTimeout: 2000 });
+        const r = await request(`http://${at}/kv/take`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(h),
+          headersTimeout: 2000,
+          bodyTimeout: 2000,
+        });
         const x = (await r.body.json()) as { why?: string };
         return r.statusCode === 200 ? undefined : (x.why ?? 'memory_lapsed');
       } catch {
--- a/programs/worker-stand-in/src/worker-core.ts
+++ b/programs/worker-stand-in/src/worker-core.ts
@@ -19,7 +19,13 @@
   readonly onRun?: (request: string, what: 'prefill' | 'decode') => void;
 }
 export const workerDefaults: Omit<WorkerOptions, 'worker' | 'incarnation'> = {
-  prefillPace: 30_000, stepUs: 12_000, slots: 48, kvTokens: 200_000, queueLimit: 64, holdUs: 5_000_000, reportLagUs: 300_000,
+  prefillPace: 30_000,
+  stepUs: 12_000,
+  slots: 48,
+  kvTokens: 200_000,
+  queueLimit: 64,
+  holdUs: 5_000_000,
+  reportLagUs: 300_000,
 };
 
 export interface Faults {
@@ -163,7 +169,13 @@
     w.after(micros(us * (faults.slow ?? 1) * (1 + active.size / (4 * o.slots))), () => {
       busy = false;
       handles += 1;
-      const h: Handle = { id: `${o.worker}-${o.incarnation}-${handles}`, worker: o.worker, incarnation: o.incarnation, request: job.request, digest: promptDigest(job.prompt) };
+      const h: Handle = {
+        id: `${o.worker}-${o.incarnation}-${handles}`,
+        worker: o.worker,
+        incarnation: o.incarnation,
+        request: job.request,
+        digest: promptDigest(job.prompt),
+      };
       const cancel = w.after(micros(o.holdUs), () => held.delete(h.id));
       held.set(h.id, { h, tokens: ws.length, cancel });
       done({ tag: 'done', handle: h, cached: hit });
@@ -191,7 +203,15 @@
 
   function decode(job: Job, h: Handle, sink: DecodeSink): () => void {
     run(job.request, 'decode');
-    const a: Active = { job, digest: h.digest, length: answerLength(h.digest, job.maxTokens), at: 0, sink, tokens: words(job.prompt).length, began: w.now() };
+    const a: Active = {
+      job,
+      digest: h.digest,
+      length: answerLength(h.digest, job.maxTokens),
+      at: 0,
+      sink,
+      tokens: words(job.prompt).length,
+      began: w.now(),
+    };
     active.add(a);
     tick();
     return function off() {
@@ -235,8 +255,12 @@
   }
   function fresh(): WorkerReport {
     return {
-      queued: queue.length, active: active.size + (busy ? 1 : 0), kv_used: Math.min(1, kvLive() / o.kvTokens), part,
-      incarnation: o.incarnation, fence,
+      queued: queue.length,
+      active: active.size + (busy ? 1 : 0),
+      kv_used: Math.min(1, kvLive() / o.kvTokens),
+      part,
+      incarnation: o.incarnation,
+      fence,
     };
   }
 
@@ -258,13 +282,28 @@
     held.clear();
   }
 
-  return { prefill, admit, decode, take, report, order, lapse, faults, runs: () => runs, part: () => part, idle: () => ({ active: active.size + (busy ? 1 : 0) + held.size, queued: queue.length }) };
+  return {
+    prefill,
+    admit,
+    decode,
+    take,
+    report,
+    order,
+    lapse,
+    faults,
+    runs: () => runs,
+    part: () => part,
+    idle: () => ({ active: active.size + (busy ? 1 : 0) + held.size, queued: queue.length }),
+  };
 }
 
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
   it('refuses an order of an older epoch and obeys one of the same or a newer', () => {
-    const c = createWorkerCore({ now: () => micros(0), after: () => () => undefined, log: () => undefined }, { ...workerDefaults, worker: 'w', incarnation: 1 });
+    const c = createWorkerCore(
+      { now: () => micros(0), after: () => () => undefined, log: () => undefined },
+      { ...workerDefaults, worker: 'w', incarnation: 1 },
+    );
     expect(c.order(5, 'decode')).toBe(true);
     expect(c.order(4, 'prefill')).toBe(false);
     expect(c.part()).toBe('decode');
@@ -274,9 +313,21 @@
   });
   it('gives held memory only to the request, prompt and incarnation it was made for, and once', () => {
     const later: (() => void)[] = [];
-    const c = createWorkerCore({ now: () => micros(0), after: (_, f) => { later.push(f); return () => undefined; }, log: () => undefined }, { ...workerDefaults, worker: 'w', incarnation: 3 });
+    const c = createWorkerCore(
+      {
+        now: () => micros(0),
+        after: (_, f) => {
+          later.push(f);
+          return () => undefined;
+        },
+        log: () => undefined,
+      },
+      { ...workerDefaults, worker: 'w', incarnation: 3 },
+    );
     let h: Handle | undefined;
-    c.prefill({ request: 'r1', prompt: 'a b c', maxTokens: 4 }, (a) => { if (a.tag === 'done') h = a.handle; });
+    c.prefill({ request: 'r1', prompt: 'a b c', maxTokens: 4 }, (a) => {
+      if (a.tag === 'done') h = a.handle;
+    });
     later[0]!();
     expect(c.take({ ...h!, request: 'r2' })).toBe('memory_foreign');
     expect(c.take({ ...h!, digest: promptDigest('a b d') })).toBe('memory_foreign');
--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -38,7 +38,17 @@
 }
 
 // These travel only in some runs of this size; the rest must have been met.
-const rare = new Set<Kind>(['Samples', 'MarksDigest', 'CopyAsk', 'CopyPage', 'Arms', 'Marks', 'Tenures', 'Demand', 'Reports']);
+const rare = new Set<Kind>([
+  'Samples',
+  'MarksDigest',
+  'CopyAsk',
+  'CopyPage',
+  'Arms',
+  'Marks',
+  'Tenures',
+  'Demand',
+  'Reports',
+]);
 
 describe.each(['dropped', 'repeated', 'late', 'stale'] as const)('%s', (way) => {
   it.each(kinds)('%s', async (kind) => {
@@ -67,7 +77,17 @@
 
 it('calls every cut or lengthened frame bad and every single altered byte either bad or a message of the same kind', () => {
   const decode = decoderForSelf();
-  const m: Message = { kind: 'Accept', id: 'a', from: 'b', key: 'desired/main', epoch: 9, gen: 1, version: 3, value: Buffer.from('{}'), changes: ['c@3'] };
+  const m: Message = {
+    kind: 'Accept',
+    id: 'a',
+    from: 'b',
+    key: 'desired/main',
+    epoch: 9,
+    gen: 1,
+    version: 3,
+    value: Buffer.from('{}'),
+    changes: ['c@3'],
+  };
   const b = encode(m);
   for (let i = 0; i < b.length; i += 1) {
     expect(decode(b.subarray(0, i))._tag).toBe('Left');
--- a/tests/rehearsal.test.ts
+++ b/tests/rehearsal.test.ts
@@ -4,7 +4,16 @@
 import { checkAll, createSim, type SimFault, type SimOptions } from '../packages/simulator/src/index.js';
 import { coldStorage } from '../programs/requester-stand-in/src/index.js';
 
-const base: SimOptions = { deployment: { ...coldStorage, machines: 5 }, seed: 3, span: 60, calm: 10, rate: 20, faults: [], plain: true, trainEvery: 200 };
+const base: SimOptions = {
+  deployment: { ...coldStorage, machines: 5 },
+  seed: 3,
+  span: 60,
+  calm: 10,
+  rate: 20,
+  faults: [],
+  plain: true,
+  trainEvery: 200,
+};
 
 it('lets a model go live after its rehearsal, and an operator reject it and so roll it back', async () => {
   const sim = createSim({ ...base, shiftParts: false });
@@ -24,7 +33,9 @@
   expect(live).toBeDefined();
   expect(words.sort()).toEqual(['taken', 'unknown_rehearsal']);
   const end = sim.agents[1]!.core!.rehearsals();
-  expect(end.ended.some((e) => e.outcome === 'rolled back' && e.subject.type === 'model' && e.subject.model.hash === live)).toBe(true);
+  expect(
+    end.ended.some((e) => e.outcome === 'rolled back' && e.subject.type === 'model' && e.subject.model.hash === live),
+  ).toBe(true);
   expect(end.live?.hash).not.toBe(live);
 });
 
@@ -63,7 +74,12 @@
 });
 
 it('goes on with a rehearsal through the loss of its keeper, and no restart makes it live', async () => {
-  const faults: SimFault[] = [10, 18, 26, 34, 42].flatMap((at, i) => [0, 1, 2, 3, 4].filter((a) => a !== i).slice(0, 2).map((a) => ({ at, do: 'kill', who: `agent${a}`, for: 3 }) as SimFault));
+  const faults: SimFault[] = [10, 18, 26, 34, 42].flatMap((at, i) =>
+    [0, 1, 2, 3, 4]
+      .filter((a) => a !== i)
+      .slice(0, 2)
+      .map((a) => ({ at, do: 'kill', who: `agent${a}`, for: 3 }) as SimFault),
+  );
   const h = await createSim({ ...base, shiftParts: false, faults, span: 80 }).run();
   expect(checkAll(h, { faultless: false, overloaded: false })).toEqual([]);
   expect(h.records.at(-1)!.record.ended.length).toBeGreaterThan(0);
@@ -74,19 +90,41 @@
   const h = await sim.run();
   expect(checkAll(h, { faultless: false, overloaded: true })).toEqual([]);
   const rec = h.records.at(-1)!.record;
-  const shifts = [...rec.ended, ...(rec.running === undefined ? [] : [rec.running])].flatMap((e) => (e.subject.type === 'part' ? [{ e, s: e.subject.shift }] : []));
+  const shifts = [...rec.ended, ...(rec.running === undefined ? [] : [rec.running])].flatMap((e) =>
+    e.subject.type === 'part' ? [{ e, s: e.subject.shift }] : [],
+  );
   expect(shifts.length).toBeGreaterThan(0);
   for (const { e, s } of shifts) {
-    expect(['live', 'harmful', 'inconclusive', 'rejected', 'rolled back', 'superseded', undefined]).toContain(e.outcome);
+    expect(['live', 'harmful', 'inconclusive', 'rejected', 'rolled back', 'superseded', undefined]).toContain(
+      e.outcome,
+    );
     if (e.outcome === 'live') expect(e.measured!.slice.count).toBeGreaterThanOrEqual(40);
     expect(h.orders.some((o) => o.obeyed && o.worker.startsWith(`${s.worker}/`) && o.part === 'both')).toBe(true);
-    if (e.outcome !== undefined) expect(h.orders.some((o) => o.obeyed && o.worker.startsWith(`${s.worker}/`) && o.part === (e.outcome === 'live' ? s.to : s.from))).toBe(true);
+    if (e.outcome !== undefined)
+      expect(
+        h.orders.some(
+          (o) => o.obeyed && o.worker.startsWith(`${s.worker}/`) && o.part === (e.outcome === 'live' ? s.to : s.from),
+        ),
+      ).toBe(true);
   }
-  console.log(shifts.map(({ e, s }) => `${s.worker} ${s.from} to ${s.to}: ${e.outcome ?? 'running'} (${e.measured?.why ?? ''})`).join('; '));
+  console.log(
+    shifts
+      .map(({ e, s }) => `${s.worker} ${s.from} to ${s.to}: ${e.outcome ?? 'running'} (${e.measured?.why ?? ''})`)
+      .join('; '),
+  );
 });
 
 it('stops a model that is good for a few requests and bad for all when it is widened', async () => {
-  const h = await createSim({ ...base, shiftParts: false, sabotage: 'herd', span: 110, rate: 50, trainEvery: 400, rehearsalLimit: 60_000_000, paces: [16_000, 9000, 5000, 9000, 5000, 9000] }).run();
+  const h = await createSim({
+    ...base,
+    shiftParts: false,
+    sabotage: 'herd',
+    span: 110,
+    rate: 50,
+    trainEvery: 400,
+    rehearsalLimit: 60_000_000,
+    paces: [16_000, 9000, 5000, 9000, 5000, 9000],
+  }).run();
   const seen = h.records.flatMap((r) => (r.record.running === undefined ? [] : [r.record.running.stage]));
   const ended = h.records.at(-1)!.record.ended;
   console.log(ended.map((e) => `stage ${e.stage} ${e.outcome}: ${e.measured?.why}`).join('; '));
@@ -96,9 +134,16 @@
 });
 
 it('keeps every point while all workers are released under a rehearsal', async () => {
-  const faults = Array.from({ length: 12 }, (_, i): SimFault => ({ at: 8 + 4 * i, do: 'worker-release', who: `worker${i % 6}`, for: 4 }));
+  const faults = Array.from({ length: 12 }, (_, i): SimFault => ({
+    at: 8 + 4 * i,
+    do: 'worker-release',
+    who: `worker${i % 6}`,
+    for: 4,
+  }));
   const h = await createSim({ ...base, shiftParts: false, faults }).run();
   expect(checkAll(h, { faultless: false, overloaded: false })).toEqual([]);
   expect(h.records.some((r) => r.record.running !== undefined)).toBe(true);
-  expect(h.requests.filter((q) => !['whole', 'claimed'].includes(q.ended)).map((q) => `${q.id} ${q.ended}`)).toEqual([]);
+  expect(h.requests.filter((q) => !['whole', 'claimed'].includes(q.ended)).map((q) => `${q.id} ${q.ended}`)).toEqual(
+    [],
+  );
 });
--- a/tests/requests.test.ts
+++ b/tests/requests.test.ts
@@ -5,8 +5,23 @@
 import fastify, { type FastifyInstance } from 'fastify';
 import { Agent, request } from 'undici';
 import { afterEach, expect, it } from 'vitest';
-import { afterReal, digest, monotonic, type Address, type Mark, type World } from '../packages/inner-protocol/src/index.js';
-import { createApp, createHttpWorkers, createRouterCore, failure, routerDefaults, sendOnHttp, type RouterCore } from '../programs/request-router/src/index.js';
+import {
+  afterReal,
+  digest,
+  monotonic,
+  type Address,
+  type Mark,
+  type World,
+} from '../packages/inner-protocol/src/index.js';
+import {
+  createApp,
+  createHttpWorkers,
+  createRouterCore,
+  failure,
+  routerDefaults,
+  sendOnHttp,
+  type RouterCore,
+} from '../programs/request-router/src/index.js';
 
 const closing: (() => Promise<unknown>)[] = [];
 afterEach(async () => {
@@ -35,32 +50,46 @@
   function leave(): void {
     for (const f of leaving) f();
   }
-  app.post<{ Body: Record<string, unknown> & { prompt: string; kv_transfer_params: { do_remote_decode: boolean } } }>('/v1/completions', async (q, a) => {
-    bodies.push(q.body);
-    const id = q.headers['x-request-id'];
-    if (q.body.kv_transfer_params.do_remote_decode) {
-      return { choices: [{ index: 0, text: '', finish_reason: 'length' }], kv_transfer_params: { remote_engine_id: 'w', remote_block_ids: ['b'], remote_host: '127.0.0.1', remote_port: 1, request_id: id, prompt_digest: digest(q.body.prompt).slice(0, 32), incarnation: 1 } };
-    }
-    a.hijack();
-    a.raw.writeHead(200, { 'content-type': 'text/event-stream' });
-    function event(text: string, end: string | null): string {
-      return `data: ${JSON.stringify({ choices: [{ index: 0, text, finish_reason: end }] })}\n\n`;
-    }
-    a.raw.on('close', leave);
-    if (!endless) {
-      a.raw.end(`${event('one ', null)}${event('two', null)}${event('', finish)}data: [DONE]\n\n`);
-      return undefined;
-    }
-    const big = event('x'.repeat(100_000), null);
-    function more(): void {
-      while (written < 400_000_000 && !a.raw.destroyed) {
-        written += big.length;
-        if (!a.raw.write(big)) return void a.raw.once('drain', more);
+  app.post<{ Body: Record<string, unknown> & { prompt: string; kv_transfer_params: { do_remote_decode: boolean } } }>(
+    '/v1/completions',
+    async (q, a) => {
+      bodies.push(q.body);
+      const id = q.headers['x-request-id'];
+      if (q.body.kv_transfer_params.do_remote_decode) {
+        return {
+          choices: [{ index: 0, text: '', finish_reason: 'length' }],
+          kv_transfer_params: {
+            remote_engine_id: 'w',
+            remote_block_ids: ['b'],
+            remote_host: '127.0.0.1',
+            remote_port: 1,
+            request_id: id,
+            prompt_digest: digest(q.body.prompt).slice(0, 32),
+            incarnation: 1,
+          },
+        };
       }
-    }
-    more();
-    return undefined;
-  });
+      a.hijack();
+      a.raw.writeHead(200, { 'content-type': 'text/event-stream' });
+      function event(text: string, end: string | null): string {
+        return `data: ${JSON.stringify({ choices: [{ index: 0, text, finish_reason: end }] })}\n\n`;
+      }
+      a.raw.on('close', leave);
+      if (!endless) {
+        a.raw.end(`${event('one ', null)}${event('two', null)}${event('', finish)}data: [DONE]\n\n`);
+        return undefined;
+      }
+      const big = event('x'.repeat(100_000), null);
+      function more(): void {
+        while (written < 400_000_000 && !a.raw.destroyed) {
+          written += big.length;
+          if (!a.raw.write(big)) return void a.raw.once('drain', more);
+        }
+      }
+      more();
+      return undefined;
+    },
+  );
   return { address: await listen(app), bodies, left, written: () => written };
 }
 
@@ -69,19 +98,45 @@
   readonly core: RouterCore;
 }
 // A router that was fed a desired state, one worker and, unless told otherwise, a tenure.
-async function router(w: string | undefined, o: { tenured?: boolean; others?: string[]; patienceMs?: number } = {}): Promise<Router> {
-  const world: World = { now: monotonic, random: () => 0, after: afterReal, send: () => undefined, log: () => undefined };
+async function router(
+  w: string | undefined,
+  o: { tenured?: boolean; others?: string[]; patienceMs?: number } = {},
+): Promise<Router> {
+  const world: World = {
+    now: monotonic,
+    random: () => 0,
+    after: afterReal,
+    send: () => undefined,
+    log: () => undefined,
+  };
   const workers = createHttpWorkers();
   const others = new Agent({ connect: { timeout: 1000 } });
-  const core = createRouterCore(world, { ...routerDefaults, router: 'r#1', http: 'r', agent: 'a:1' as Address, service: 'main' }, {
-    workers, digest: (p) => digest(p).slice(0, 32), sendOn: (to, r, reply, gone) => sendOnHttp(to, r, reply, gone, others),
-  });
-  const value = Buffer.from(JSON.stringify({ templates: [{ tenant: 't', kinds: { k: { worth: 1, patienceMs: o.patienceMs ?? 20_000, share: 1, repeatable: true } } }] }));
+  const core = createRouterCore(
+    world,
+    { ...routerDefaults, router: 'r#1', http: 'r', agent: 'a:1' as Address, service: 'main' },
+    {
+      workers,
+      digest: (p) => digest(p).slice(0, 32),
+      sendOn: (to, r, reply, gone) => sendOnHttp(to, r, reply, gone, others),
+    },
+  );
+  const value = Buffer.from(
+    JSON.stringify({
+      templates: [
+        { tenant: 't', kinds: { k: { worth: 1, patienceMs: o.patienceMs ?? 20_000, share: 1, repeatable: true } } },
+      ],
+    }),
+  );
   const marks: Mark[] = w === undefined ? [] : [{ worker: 'w', incarnation: 1, state: 1, address: w }];
   function feed(): void {
     core.receive({
-      kind: 'Feed', workers: marks, reports: [], news: [{ key: 'desired/main', epoch: 8, version: 1, value }],
-      grants: o.tenured === false ? [] : [{ asked: monotonic(), version: 1 }], others: o.others ?? [], contact: true,
+      kind: 'Feed',
+      workers: marks,
+      reports: [],
+      news: [{ key: 'desired/main', epoch: 8, version: 1, value }],
+      grants: o.tenured === false ? [] : [{ asked: monotonic(), version: 1 }],
+      others: o.others ?? [],
+      contact: true,
     });
   }
   feed();
@@ -96,15 +151,31 @@
   return { http, core };
 }
 const headers = { 'content-type': 'application/json', 'x-tansypost-tenant': 't', 'x-tansypost-kind': 'k' };
-async function post(to: string, body: object, more: Record<string, string> = {}): Promise<{ status: number; retry: unknown; body: { choices?: { text: string; finish_reason: string }[]; error?: { kind: string } } }> {
-  const r = await request(`http://${to}/v1/completions`, { method: 'POST', headers: { ...headers, ...more }, body: JSON.stringify({ model: 'm', prompt: 'a b c', max_tokens: 8, ...body }) });
+async function post(
+  to: string,
+  body: object,
+  more: Record<string, string> = {},
+): Promise<{
+  status: number;
+  retry: unknown;
+  body: { choices?: { text: string; finish_reason: string }[]; error?: { kind: string } };
+}> {
+  const r = await request(`http://${to}/v1/completions`, {
+    method: 'POST',
+    headers: { ...headers, ...more },
+    body: JSON.stringify({ model: 'm', prompt: 'a b c', max_tokens: 8, ...body }),
+  });
   return { status: r.statusCode, retry: r.headers['retry-after'], body: (await r.body.json()) as never };
 }
 function raw(to: string): Socket {
   const s = connect(Number(to.split(':')[1]), '127.0.0.1');
   const b = JSON.stringify({ model: 'm', prompt: 'a b c', max_tokens: 8, stream: true });
   s.on('error', () => undefined);
-  s.write(`POST /v1/completions HTTP/1.1\r\nhost: x\r\n${Object.entries(headers).map(([k, v]) => `${k}: ${v}\r\n`).join('')}content-length: ${b.length}\r\n\r\n${b}`);
+  s.write(
+    `POST /v1/completions HTTP/1.1\r\nhost: x\r\n${Object.entries(headers)
+      .map(([k, v]) => `${k}: ${v}\r\n`)
+      .join('')}content-length: ${b.length}\r\n\r\n${b}`,
+  );
   return s;
 }
 
@@ -142,8 +213,21 @@
 
 it('answers an unforeseen error inside by its type and without a stack', async () => {
   const r = await router('127.0.0.1:1');
-  r.core.table.candidates = (() => { throw new Error('secret at line 12'); }) as never;
-  const app = createApp({ core: { ...r.core, serve: () => { throw new Error('secret at line 12'); } }, bodyLimit: 1000, metrics: () => { throw new Error('secret'); } });
+  r.core.table.candidates = (() => {
+    throw new Error('secret at line 12');
+  }) as never;
+  const app = createApp({
+    core: {
+      ...r.core,
+      serve: () => {
+        throw new Error('secret at line 12');
+      },
+    },
+    bodyLimit: 1000,
+    metrics: () => {
+      throw new Error('secret');
+    },
+  });
   const http = await listen(app);
   for (const x of [await post(http, {}), await post(r.http, {})]) {
     expect([x.status, x.body.error?.kind]).toEqual([500, 'internal_error']);
@@ -162,7 +246,9 @@
   const [oddAt, silentAt] = [await listen(odd), await listen(silent)];
   const x = await post((await router(undefined, { tenured: false, others: [oddAt] })).http, {});
   expect([x.status, x.body.error?.kind, x.retry]).toEqual([502, 'outcome_unknown', '1']);
-  expect((await post((await router(undefined, { tenured: false, others: [silentAt, a.http] })).http, {})).status).toBe(200);
+  expect((await post((await router(undefined, { tenured: false, others: [silentAt, a.http] })).http, {})).status).toBe(
+    200,
+  );
 });
 
 it('counts the time spent at another router against the patience', async () => {
@@ -176,6 +262,9 @@
   const hung = fastify({ forceCloseConnections: true });
   hung.get('/vitals', async () => ({}));
   hung.post('/v1/completions', () => new Promise(() => undefined));
-  const y = await post((await router(undefined, { tenured: false, others: [await listen(hung)], patienceMs: 700 })).http, {});
+  const y = await post(
+    (await router(undefined, { tenured: false, others: [await listen(hung)], patienceMs: 700 })).http,
+    {},
+  );
   expect(y.body.error?.kind).toBe('budget_spent');
 });
