Believe no hearsay of a member that went silent, and confirm a mark where all who may serve must hear it

(1) A forgotten member was taken back, with its silence forgiven, from any neighbour that had not forgotten it yet; in a split the members of a small side told each other of the lost ones for seconds, so it held itself to be in contact and went on serving. (2) A mark told to one side in the first second and a half of a split was confirmed by one neighbour and reached the other side only when the cut healed. Ruled out: the tenure (ten seconds long by design); the check (the sends were real). Change: a member comes back only on a beat that has risen; a mark is confirmed when half of all members and a majority of the core have answered after it, else the platform is told to tell another agent.

--- a/packages/membership/src/views.ts
+++ b/packages/membership/src/views.ts
@@ -38,6 +38,8 @@
   readonly live: () => Entry[];
   readonly zone: () => Entry[];
   readonly contact: () => boolean;
+  // How many members there are, itself among them, with those no longer heard of for a minute.
+  readonly total: () => number;
   readonly stop: () => void;
 }
 
@@ -49,7 +51,7 @@
 export function createViews(w: World, o: ViewsOptions): Views {
   const known = new Map<string, Known>();
   const old = new Set<string>(o.persisted.map((e) => e.address).filter((a) => a !== o.self));
-  const gone = new Map<string, number>();
+  const gone = new Map<string, { at: number; e: Entry }>();
   let beat = 0;
 
   function me(): Entry {
@@ -64,6 +66,9 @@
     for (const e of es) {
       if (e.member === o.member || e.member === '') continue;
       const k = known.get(e.member);
+      // Others may not have forgotten it yet; what they tell of it is no sign of life unless its beat has risen since.
+      const last = gone.get(e.member);
+      if (k === undefined && last !== undefined && !later(e, last.e)) continue;
       if (k === undefined) w.log(3001, { member: e.member, address: e.address, zone: e.zone });
       if (k === undefined || later(e, k.e)) gone.delete(e.member);
       if (k === undefined || later(e, k.e)) known.set(e.member, { e, risen: w.now() });
@@ -74,7 +79,7 @@
     for (const [m, k] of known) {
       if (w.now() - k.risen <= o.forgetAfter) continue;
       known.delete(m);
-      gone.set(m, w.now());
+      gone.set(m, { at: w.now(), e: k.e });
       old.add(k.e.address);
       w.log(3002, { member: m });
     }
@@ -103,7 +108,7 @@
 
   // Whether at least half of the members heard of in the last minute are still heard of.
   function contact(): boolean {
-    for (const [m, at] of gone) if (w.now() - at > 60_000_000) gone.delete(m);
+    for (const [m, x] of gone) if (w.now() - x.at > 60_000_000) gone.delete(m);
     const fresh = [...known.values()].filter((k) => w.now() - k.risen < 1_500_000).length;
     return 2 * fresh >= known.size + gone.size && (fresh > 0 || known.size + gone.size === 0);
   }
@@ -145,5 +150,68 @@
 
   w.after(micros(1000), tick);
   const stop = every(w, () => micros(o.period * (0.8 + 0.4 * w.random())), tick);
-  return { receive, neighbours, live, zone, contact, stop };
+  return { receive, neighbours, live, zone, contact, total: () => 1 + known.size + gone.size, stop };
+}
+
+if (import.meta.vitest) {
+  const { it, expect } = import.meta.vitest;
+  it('takes a member that it forgot back only on a beat that has risen since, whatever others still tell of it', () => {
+    let t = 0;
+    const ticks: (() => void)[] = [];
+    const views = createViews(
+      {
+        now: () => micros(t),
+        random: () => 0.5,
+        after: (_d, f) => {
+          ticks.push(f);
+          return () => undefined;
+        },
+        send: () => undefined,
+        log: () => undefined,
+      },
+      {
+        member: 'a',
+        self: 'a:1' as Address,
+        zone: 'z',
+        http: 'a',
+        born: 1,
+        seeds: [],
+        persisted: [],
+        size: 8,
+        period: 300_000,
+        forgetAfter: 2_500_000,
+        tenured: () => true,
+        core: () => ({ gen: 1, places: [] }),
+        duties: () => [],
+        heardCore: () => undefined,
+        heardDuty: () => undefined,
+        save: () => undefined,
+      },
+    );
+    function tell(beats: Record<string, number>): void {
+      const entries = Object.entries(beats).map(([member, beat]): Entry => ({
+        member,
+        address: `${member}:1`,
+        zone: 'z',
+        born: 1,
+        beat,
+        http: member,
+        tenured: true,
+      }));
+      views.receive({ kind: 'Shuffle', answer: false, from: 'b:1', entries, coreGen: 0, places: [], duties: [] });
+    }
+    tell({ b: 1, c: 5, d: 5, e: 5 });
+    expect(views.contact()).toBe(true);
+    for (let n = 2; n < 12; n += 1) {
+      t += 300_000;
+      tell({ b: n, c: 5, d: 5, e: 5 });
+      for (const f of ticks.splice(0)) f();
+    }
+    expect(views.live().map((e) => e.member)).toEqual(['b']);
+    expect(views.contact()).toBe(false);
+    expect(views.total()).toBe(5);
+    tell({ c: 6 });
+    expect(views.live().map((e) => e.member)).toEqual(['b', 'c']);
+    expect(views.contact()).toBe(true);
+  });
 }
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -8,6 +8,7 @@
 import { shrink, type SimFault } from './faults.js';
 import { loads, measureOne, policies, type Figure, type Load, type Policy } from './measure.js';
 import { runOne, type OneResult } from './one.js';
+import { measureParts } from './measure-parts.js';
 import { fleetShows, measureVerdict, type Harm } from './verdicts.js';
 
 interface Job {
@@ -181,6 +182,33 @@
   ['5 points more fail', { ttft: 1, token: 1, fail: 0.05 }],
 ];
 
+class Parts extends Command {
+  static override paths = [['parts']];
+  static override usage = Command.Usage({
+    description: 'Compare shifts of parts with parts held still, on the same arrivals.',
+  });
+  shape = Option.String('--deployment', 'ferry');
+  seeds = Option.String('--seeds', '5,6,7');
+  secondsFor = Option.String('--seconds', '600');
+  period = Option.String('--period', '2400', {
+    description: 'seconds of a swing between long prompts and long answers',
+  });
+  async execute(): Promise<number> {
+    const d = deployments[this.shape];
+    if (d === undefined) return 2;
+    const out = this.context.stdout;
+    for (const seed of this.seeds.split(',').map(Number)) {
+      for (const shifts of [false, true]) {
+        const f = await measureParts(d, seed, Number(this.secondsFor), Number(this.period), shifts);
+        out.write(
+          `| ${this.shape} | ${seed} | ${shifts ? 'on' : 'off'} | ${f.whole} of ${f.asked} | ${f.mean.toFixed(0)} | ${f.p99.toFixed(0)} | ${f.ended} |\n`,
+        );
+      }
+    }
+    return 0;
+  }
+}
+
 class Verdicts extends Command {
   static override paths = [['verdicts']];
   static override usage = Command.Usage({
@@ -215,6 +243,7 @@
   cli.register(Simulate);
   cli.register(Measure);
   cli.register(Verdicts);
+  cli.register(Parts);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
   parentPort!.on('message', (j: Job | MeasureJob) => {
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -56,6 +56,8 @@
   readonly warm?: number;
   readonly trainer?: Partial<typeof trainingDefaults>;
   readonly shiftParts?: boolean;
+  readonly shiftHold?: number;
+  readonly shiftRest?: number;
   readonly slice?: number;
   readonly verdict?: VerdictOptions;
   readonly rehearsalLimit?: number;
@@ -296,8 +298,8 @@
           verdict: o.verdict ?? { minCount: 40, ttftMargin: 0.25, tokenMargin: 0.25, failureMargin: 0.05 },
           rehearsalLimit: o.rehearsalLimit ?? 20_000_000,
           slice: o.slice ?? 0.2,
-          shiftHold: 3_000_000,
-          shiftRest: 10_000_000,
+          shiftHold: o.shiftHold ?? 3_000_000,
+          shiftRest: o.shiftRest ?? 10_000_000,
           shiftParts: o.shiftParts ?? true,
         },
         {
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -119,7 +119,7 @@
   // a member that is itself current, or, where all have just started, with half of those it hears of.
   let warm = false;
   const met = new Set<string>();
-  const confirmations = new Set<(confirmed: boolean) => void>();
+  const confirmations = new Set<(from: string) => void>();
   let traces: TraceEvent[] = [];
   const marks = createMarks();
   marks.take(o.persisted.marks);
@@ -392,7 +392,7 @@
   function onDigest(m: MessageOf<'MarksDigest'>): void {
     if (m.digest === marks.digest()) {
       compared(m.from, m.warm);
-      for (const f of [...confirmations]) f(true);
+      for (const f of [...confirmations]) f(m.from);
       if (m.answer) w.send(m.from as Address, digest(false));
       return;
     }
@@ -412,21 +412,35 @@
     });
   }
 
-  // Takes marks from the platform and says whether a neighbour has confirmed that it holds them while this agent hears
-  // at least half of its members; from a side that is cut off a mark does not reach the others, and the platform
-  // should tell another agent too.
+  // Takes marks from the platform and says whether they are sure to govern: half of all members say after it that they
+  // hold them, and a majority of the core answers after it. Whoever else may go on serving in a cut hears one of the two,
+  // so a side that has both has all of them. A side that lacks one keeps the marks and passes them on, but the
+  // platform should tell another agent too.
   function platform(ms: readonly Mark[]): Promise<{ fresh: Mark[]; confirmed: boolean }> {
     const fresh = marks.take(ms);
     spread(fresh);
-    if (fresh.length === 0) for (const a of views.neighbours().slice(0, 3)) w.send(a, digest(true));
+    for (const e of views.live()) w.send(e.address as Address, digest(true));
     return new Promise((done) => {
+      const holders = new Set<string>();
+      let core = false;
       const cancel = w.after(micros(600_000), () => end(false));
       function end(confirmed: boolean): void {
         cancel();
-        confirmations.delete(end);
-        done({ fresh, confirmed: confirmed && views.contact() });
+        confirmations.delete(holds);
+        done({ fresh, confirmed });
       }
-      confirmations.add(end);
+      function look(): void {
+        if (core && 2 * (holders.size + 1) > views.total()) end(true);
+      }
+      function holds(from: string): void {
+        holders.add(from);
+        look();
+      }
+      confirmations.add(holds);
+      void asker.ask({ op: 'read', key: `desired/${o.service}`, patience: 550_000 }).then((r) => {
+        core = r.status === 'value';
+        look();
+      });
     });
   }
 
