Send on or refuse at once what waits for admission when its router loses its tenure

Ruled out: the tries of sending on (there were none), the claim (it had no key). Change: admission lets nothing wait that its router may not decide on; it is sent on, or refused, at once. The check counts from the loss of the tenure, so that a longer wait cannot hide in it.

--- a/packages/simulator/src/history.ts
+++ b/packages/simulator/src/history.ts
@@ -129,6 +129,8 @@
   readonly holders: HoldersSeen[];
   readonly gaveUp: GaveUp[];
   readonly disturbed: Disturbance[];
+  // When routers lost their tenures.
+  readonly untenured: { readonly at: number; readonly router: string }[];
   // Every version of the rehearsal record that any agent held, by version.
   readonly records: RecordSeen[];
   // The zone of a router, by its name.
@@ -154,6 +156,7 @@
     holders: [],
     gaveUp: [],
     disturbed: [],
+    untenured: [],
     readBack: undefined,
     zoneOf: () => '',
     calmFrom: 0,
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -213,6 +213,7 @@
 
   function log(who: string): (event: number, fields: Record<string, unknown>) => void {
     return function note(event, fields) {
+      if (event === 5002) h.untenured.push({ at: e.now(), router: who });
       if (event === 5102)
         h.gaveUp.push({ at: e.now(), request: String(fields['request']), router: who, kind: String(fields['kind']) });
       if (o.keepLogs === true) h.logs.push({ at: e.now(), who, event, fields });
--- a/programs/request-router/src/admission.ts
+++ b/programs/request-router/src/admission.ts
@@ -14,7 +14,9 @@
   readonly waited: number;
 }
 export type Admitted =
-  { readonly tag: 'go'; readonly begun: () => void } | { readonly tag: 'shed'; readonly retryAfter: number };
+  | { readonly tag: 'go'; readonly begun: () => void }
+  | { readonly tag: 'shed'; readonly retryAfter: number }
+  | { readonly tag: 'unable' };
 export interface Admission {
   // `renew` gives the terms in force, as these may change while it waits.
   readonly enter: (c: Claimant, renew?: () => Claimant) => Promise<Admitted>;
@@ -30,7 +32,16 @@
 }
 const half = 10_000_000;
 
-export function createAdmission(w: Pick<World, 'now' | 'after'>, room: (granted: number) => boolean): Admission {
+function allAble(): boolean {
+  return true;
+}
+
+// While the router is not able to decide nothing waits here.
+export function createAdmission(
+  w: Pick<World, 'now' | 'after'>,
+  room: (granted: number) => boolean,
+  able: () => boolean = allAble,
+): Admission {
   const used = new Map<string, { n: number; at: number; share: number }>();
   let queue: Waiting[] = [];
   let granted = 0;
@@ -86,6 +97,12 @@
 
   function drain(): void {
     if (queue.length === 0) return;
+    if (!able()) {
+      const xs = queue;
+      queue = [];
+      for (const x of xs) x.done({ tag: 'unable' });
+      return;
+    }
     for (const x of queue) x.c = x.renew();
     order();
     while (queue.length > 0 && room(granted)) {
@@ -160,6 +177,28 @@
     expect(await r).toMatchObject({ tag: 'shed' });
     expect(((await r) as { retryAfter: number }).retryAfter).toBeGreaterThanOrEqual(1);
   });
+  it('lets nothing wait where the router may not decide any more', async () => {
+    let able = true;
+    const ticks: (() => void)[] = [];
+    const a = createAdmission(
+      {
+        now: () => micros(0),
+        after: (_d, f) => {
+          ticks.push(f);
+          return () => undefined;
+        },
+      },
+      () => false,
+      () => able,
+    );
+    const x = a.enter(kind('p'));
+    for (const f of ticks.splice(0)) f();
+    expect(a.waiting()).toBe(1);
+    able = false;
+    for (const f of ticks.splice(0)) f();
+    expect(await x).toEqual({ tag: 'unable' });
+    expect(a.waiting()).toBe(0);
+  });
   it('goes by the terms in force, which may change while a request waits', async () => {
     const b = bench();
     let worth = 1;
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -118,7 +118,7 @@
   const tree = createRadixTree();
   const budget = createExtraBudget(w.now);
   const window = createWindow(w.now, readTarget);
-  const admission = createAdmission(w, room);
+  const admission = createAdmission(w, room, () => feed.tenured());
   const claims = createClaims(w, o.agent, o.router);
   const reasons = new Map<string, number>();
   const ends = new Map<string, number>();
@@ -350,6 +350,14 @@
       };
     }
     const a = await admission.enter(claimant(), claimant);
+    if (a.tag === 'unable') {
+      // A router that stops still serves what it has taken, so only the tenure is missing. One with a claim is not sent on.
+      const f = r.idempotencyKey === undefined ? await refusalBefore(r, reply, gone, arrived) : undefined;
+      if (f === undefined && feed.tenured()) return admitAndRun(r, reply, terms, gone, arrived, feed.applied());
+      if (f !== 'sent on')
+        giveUp(r, reply, f ?? failure('no_tenure', 'This router has lost touch with the control state.'));
+      return 'not sent';
+    }
     if (a.tag === 'shed') {
       giveUp(r, reply, failure('overloaded', 'There are more requests than the workers can take.', a.retryAfter));
       return 'not sent';
