Order a part only of a worker that has just answered a fence

A cut link held an order of epoch 200 and delivered it 2.2 s after its holder's tenure, to a worker that the next holder could not fence, when orders of epoch 264 had been obeyed elsewhere. Ruled out: the ballots (nobody held the duty twice at one instant), the holder's clock (it sent in its tenure), the worker's fence (it had never heard of the newer epoch); closing the connection on time-out (what is queued is still delivered). Change: before a part goes out the worker must have answered a fence on the same epoch. A late fence changes no part. What is left is a link that is cut within the one round trip between the two. After: it holds; one part, as only one worker answered.

--- a/programs/router-agent/src/parts-duty.ts
+++ b/programs/router-agent/src/parts-duty.ts
@@ -96,6 +96,9 @@
   async function send(m: Mark, epoch: number, part: Part | ''): Promise<void> {
     if (o.holds() !== epoch) return;
     orders += 1;
+    // A cut link may hold an order and deliver it long after this tenure, to a worker that no later holder could reach. So
+    // a part is ordered only right after the worker has answered a fence, which changes nothing when it comes late.
+    if (part !== '' && ((await o.order(m, epoch, '')) !== true || o.holds() !== epoch)) return;
     const ok = await o.order(m, epoch, part);
     if (ok === true) {
       ordered.set(`${m.worker}/${m.incarnation}`, { epoch, part });
@@ -206,4 +209,39 @@
     const left = ms.filter((m) => r.parts[m.worker]!.part === 'decode');
     expect(Object.values(assignNew(r, left)!.parts).some((p) => p.part === 'both')).toBe(true);
   });
+  it('orders a part only of a worker that has just answered a fence', async () => {
+    const asked: string[] = [];
+    const record = Buffer.from(
+      JSON.stringify({
+        ...emptyRecord,
+        parts: { a: { part: 'prefill', incarnation: 1 }, b: { part: 'decode', incarnation: 1 } },
+      }),
+    );
+    const d = createPartsDuty(
+      {
+        now: () => micros(0),
+        random: () => 0,
+        after: () => () => undefined,
+        send: () => undefined,
+        log: () => undefined,
+      },
+      {
+        holds: () => 64,
+        record: () => record,
+        workers: () => [mark('a'), mark('b')],
+        reports: () => [],
+        writer: { change: async () => undefined },
+        order: async (m, _epoch, part) => {
+          asked.push(`${m.worker} ${part === '' ? 'fence' : part}`);
+          return m.worker === 'a' ? true : undefined;
+        },
+        shift: false,
+        slice: 0.1,
+        approval: () => 'automatic',
+      },
+    );
+    d.tick();
+    for (let i = 0; i < 20; i += 1) await Promise.resolve();
+    expect(asked.sort()).toEqual(['a fence', 'a prefill', 'b fence']);
+  });
 }
