Let a look-up acknowledge no sooner than the change governs

Cause: a look-up by change id said acknowledged as soon as the change was on a majority, while routers in a live tenure still went by the version before; whoever lost its answer learned of it seconds before it was true. Ruled out: the write's own answer, which waits for the tenures. The scene: the agent asked dies 15 ms after the submission, with a router frozen in its tenure. After: when the tenure has run out.

--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -149,7 +149,11 @@
       if (r === undefined) return answer('retry');
       if (m.op === 'read') return answer('value', r);
       const v = versionOfChange(r.changes, m.change);
-      answer(v === undefined ? 'none' : 'done', { epoch: r.epoch, version: v ?? r.version, value: Buffer.alloc(0) });
+      const found = { epoch: r.epoch, version: v ?? r.version, value: Buffer.alloc(0) };
+      if (v === undefined) return answer('none', found);
+      // A look-up acknowledges as much as the answer it stands for, so it waits for the same.
+      if (isTenured(m.key)) whenGoverns(m.key, v, () => answer('done', found));
+      else answer('done', found);
     });
   }
 
@@ -162,10 +166,12 @@
       w.log(2101, { key: m.key, change: m.change, version: a.version });
       say('done');
     }
-    const list = acks.get(m.key) ?? [];
-    list.push({ version: a.version, go });
-    acks.set(m.key, list);
-    tryAcks(m.key);
+    whenGoverns(m.key, a.version, go);
+  }
+
+  function whenGoverns(k: string, version: number, go: () => void): void {
+    acks.set(k, [...(acks.get(k) ?? []), { version, go }]);
+    tryAcks(k);
   }
 
   // Lets go of each acknowledgement whose version every live tenure has applied.
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -45,7 +45,7 @@
     }
   | {
       readonly at: number;
-      readonly do: 'crash-on-ack' | 'submit' | 'race' | 'storm' | 'refused' | 'crowd' | 'swing';
+      readonly do: 'submit-and-die' | 'crash-on-ack' | 'submit' | 'race' | 'storm' | 'refused' | 'crowd' | 'swing';
       readonly who: string;
       readonly for: number;
     };
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -567,9 +567,9 @@
     const up = agents.filter((x) => x.proc.alive && !x.proc.frozen);
     return up[Math.floor(r() * up.length)];
   }
-  function submit(base?: number, sound = true): void {
+  function submit(base?: number, sound = true): AgentNode | undefined {
     const at = liveAgent();
-    if (at === undefined) return;
+    if (at === undefined) return undefined;
     changes += 1;
     const tag = changes;
     const c = {
@@ -610,6 +610,15 @@
       }
     }
     into(at.proc, gen, () => void go());
+    return at;
+  }
+  function lookUp(c: History['changes'][number]): void {
+    const at = liveAgent();
+    if (at === undefined || c.end !== undefined) return;
+    void at.core!.lookup(c.id).then((x) => {
+      if (x.status === 'done') Object.assign(c, { answer: 'acknowledged', version: x.version, end: e.now() });
+      else lookUp(c);
+    });
   }
 
   // The platform tells all agents that answer, as it does of workers.
@@ -838,12 +847,24 @@
         return;
       case 'crash-on-ack':
         crashOnAck += 1;
-        return submit();
+        submit();
+        return;
       case 'lose-on-ack':
         loseOnAck.push(node(f.who) as KeeperNode);
-        return submit();
+        submit();
+        return;
+      case 'submit-and-die': {
+        // The agent that was asked dies before it hears the answer; the operator looks the change up at another.
+        const at = submit();
+        if (at === undefined) return;
+        e.at(e.now() + s(0.015), () => killNode(at));
+        e.at(e.now() + s(0.3), () => lookUp(h.changes.at(-1)!));
+        e.at(e.now() + s(2), () => startNode(at));
+        return;
+      }
       case 'submit':
-        return submit();
+        submit();
+        return;
       case 'race': {
         const b = h.applied.reduce((m, x) => Math.max(m, x.version), 0);
         submit(b);
@@ -855,7 +876,8 @@
         for (let i = 0; i < 6; i += 1) e.at(e.now() + s(i * 0.15 * r()), () => submit());
         return;
       case 'refused':
-        return submit(undefined, false);
+        submit(undefined, false);
+        return;
       case 'crowd':
         rate = o.rate * 3;
         e.at(end, () => {
--- a/tests/scenarios.test.ts
+++ b/tests/scenarios.test.ts
@@ -145,6 +145,12 @@
     [1, 'isolate', 'm5', 18],
     [3, 'submit', '', 0],
   ],
+  'an agent dies before it hears that its change won, while a router is frozen in its tenure': [
+    [1.9, 'freeze', 'router5', 7],
+    [2, 'submit-and-die', '', 0],
+    [10, 'submit-and-die', '', 0],
+    [13, 'submit', '', 0],
+  ],
   'memory lapsing in bulk, again and again': [1, 3, 5, 7, 9, 11].map((t): Row => [t, 'lapse', '', 0]),
 };
 
@@ -165,6 +171,12 @@
     const bad = x.history.requests.filter((q) => !['whole', 'claimed', 'unreachable'].includes(q.ended));
     if (name.startsWith('workers released')) expect(bad.map((q) => `${q.id} ${q.ended}`)).toEqual([]);
     const acked = x.history.changes.filter((c) => c.answer === 'acknowledged').length;
+    if (name.startsWith('an agent dies')) {
+      // A look-up acknowledges no sooner than the tenure of the frozen router has run out: 3 s from its last asking.
+      const [, first, second] = x.history.changes;
+      expect([first!.answer, second!.answer]).toEqual(['acknowledged', 'acknowledged']);
+      expect(first!.end! - first!.at).toBeGreaterThan(2_000_000);
+    }
     if (name.startsWith('a full disk')) {
       expect(acked).toBeGreaterThanOrEqual(5);
       expect(x.history.changes.at(-1)!.answer).toBe('acknowledged');
