Refuse a change id that stands for another state in force

Cause: a second submission under a used id was answered as acknowledged with the first one's version, though its state was never taken. Change: where the version in force was made under that id from another state, the answer is refused, with the remedy. An id of an older version is still answered with that version, as its state is no longer kept to compare.

--- a/packages/control-state/src/owner.ts
+++ b/packages/control-state/src/owner.ts
@@ -7,7 +7,8 @@
 import { changesKept, emptyRow, merge, nextEpoch, versionOfChange, type Row } from './row.js';
 import type { AskVote, Rounds } from './rounds.js';
 
-export type WriteStatus = 'done' | 'lost' | 'unknown' | 'retry';
+// `reused` is a change id that stands for another value in force.
+export type WriteStatus = 'done' | 'lost' | 'reused' | 'unknown' | 'retry';
 export interface WriteAnswer {
   readonly status: WriteStatus;
   readonly epoch: number;
@@ -143,6 +144,8 @@
       return check((ok) => {
         busy = false;
         if (!ok) x.done({ status: 'retry', epoch: 0, version: 0 });
+        else if (had === row.version && !row.value.equals(x.value))
+          x.done({ status: 'reused', epoch: row.epoch, version: had });
         else if (had !== undefined) x.done({ status: 'done', epoch: row.epoch, version: had });
         else x.done({ status: 'lost', epoch: row.epoch, version: row.version });
         nextWrite();
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -457,6 +457,10 @@
     });
     if (r.status === 'done') return { answer: 'acknowledged', version: r.version, change };
     if (r.status === 'lost') return { answer: 'lost the race', version: r.version, change };
+    if (r.status === 'reused') {
+      const why = `this id stands for version ${r.version}, which holds another state; submit under a new id`;
+      return { answer: 'refused', faults: [{ at: '/change', why }], change };
+    }
     return { answer: 'outcome unknown', change };
   }
 
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -3,7 +3,7 @@
 // when patience ends is reported as unknown, with the id to ask after.
 import { micros, type Address, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
 
-export type AskStatus = 'done' | 'lost' | 'value' | 'none' | 'unknown';
+export type AskStatus = 'done' | 'lost' | 'reused' | 'value' | 'none' | 'unknown';
 export interface AskResult {
   readonly status: AskStatus;
   readonly epoch: number;
--- a/tests/smoke.test.ts
+++ b/tests/smoke.test.ts
@@ -131,6 +131,9 @@
     expect(two.map((x) => x.code).sort()).toEqual([0, 4]);
     expect((await cli(['change', two[0]!.code === 0 ? 'evening-a' : 'evening-b', ...at])).out).toMatch(/acknowledged/);
     expect(JSON.parse((await cli(['desired', 'read', ...at])).out)).toMatchObject({ version: 3, state: evening });
+    const used = two[0]!.code === 0 ? 'evening-a' : 'evening-b';
+    const reused = await f.post(agentHttp, '/desired-state', { base: 3, change: used, state: now.state });
+    expect(reused).toMatchObject({ status: 422, body: { answer: 'refused', faults: [{ at: '/change' }] } });
     expect(await cli(['rehearsals', ...at])).toMatchObject({
       code: 0,
       out: expect.stringMatching(/No model is live[^]*Parts: /),
