Leave no listener on a request's signal when its stream has ended

Cause: a composite signal is kept in memory while somebody listens to it, and the reading of a worker's stream, since it waits for slow readers, listened without end: one signal and its closure for each answered request. Ruled out: the arms, the samples and the radix tree of a router (all bounded). Change: the listener goes with the stream. Before: the new test finds one listener left.

--- a/programs/request-router/src/http-workers.ts
+++ b/programs/request-router/src/http-workers.ts
@@ -102,13 +102,30 @@
   body: AsyncIterable<Buffer | string>,
   chunk: (t: string) => void | Promise<void>,
   signal?: AbortSignal,
+): Promise<DecodeResult> {
+  // A signal made of others is held in memory for as long as somebody listens to it, so the listener must go.
+  const ends: (() => void)[] = [];
+  const off = new Promise<void>((ok) => ends.push(ok));
+  function stop(): void {
+    for (const f of ends) f();
+  }
+  if (signal?.aborted === true) stop();
+  signal?.addEventListener('abort', stop);
+  try {
+    return await readEvents(body, chunk, off, signal);
+  } finally {
+    signal?.removeEventListener('abort', stop);
+  }
+}
+
+async function readEvents(
+  body: AsyncIterable<Buffer | string>,
+  chunk: (t: string) => void | Promise<void>,
+  off: Promise<void>,
+  signal?: AbortSignal,
 ): Promise<DecodeResult> {
   let held = '';
   let finished: string | undefined;
-  const off = new Promise<void>((ok) => {
-    if (signal?.aborted === true) ok();
-    signal?.addEventListener('abort', () => ok());
-  });
   const d = new TextDecoder();
   for await (const b of body) {
     held += typeof b === 'string' ? b : d.decode(b, { stream: true });
@@ -149,6 +166,14 @@
     return `data: ${JSON.stringify({ choices: [{ text, finish_reason: end }] })}\n\n`;
   }
   const whole = [ev('a'), ev('b'), ev('', 'stop'), 'data: [DONE]\n\n'];
+  it('leaves no listener on its signal, however the stream ends', async () => {
+    const { EventEmitter } = await import('node:events');
+    for (const s of [whole.join(''), whole[0]!, '%%\n\n']) {
+      const signal = AbortSignal.any([new AbortController().signal]);
+      await readStream(feedOf(s, 9), () => undefined, signal);
+      expect(EventEmitter.getEventListeners(signal, 'abort').length).toBe(0);
+    }
+  });
   it('calls a stream whole only if it is, with one event dropped, altered or moved at a time', async () => {
     let got = '';
     expect(
