--- a/packages/control-feed/src/asker.ts
+++ b/packages/control-feed/src/asker.ts
@@ -25,7 +25,12 @@
 const none = Buffer.alloc(0);
 
 // `places` gives where to ask, the best first.
-export function createCoreAsker(w: World, self: Address, places: () => readonly Address[], perTry = 400_000): CoreAsker {
+export function createCoreAsker(
+  w: World,
+  self: Address,
+  places: () => readonly Address[],
+  perTry = 400_000,
+): CoreAsker {
   const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
   let n = Math.floor(w.random() * 1e9);
 
--- a/packages/inner-protocol/src/link.test.ts
+++ b/packages/inner-protocol/src/link.test.ts
@@ -72,7 +72,15 @@
     more = ok;
   });
   const s = net.connect(splitAddress(at));
-  s.write(frame(Buffer.from(shortHello('127.0.0.1:9').toString().replace(/"fingerprint":"..../, '"fingerprint":"0000'))));
+  s.write(
+    frame(
+      Buffer.from(
+        shortHello('127.0.0.1:9')
+          .toString()
+          .replace(/"fingerprint":"..../, '"fingerprint":"0000'),
+      ),
+    ),
+  );
   s.write(frame(Buffer.concat([Buffer.from([0, 0]), Buffer.from([2, 97, 2, 98, 2, 99, 4, 6])])));
   s.once('data', () => s.write(frame(Buffer.from(JSON.stringify({ ...all, schemas: [all.schemas[i]] })))));
   await told;
