Small prompts first, two ranked homes a group, memory read long ago counts as given way

Cause: under a crowd small prompts waited behind large ones though they take a twentieth; second choices scattered over all readers.

--- a/packages/control-feed/src/asker.ts
+++ b/packages/control-feed/src/asker.ts
@@ -1,5 +1,5 @@
 // How a machine that serves control asks the core: first the place it stands on, which sends on to whoever owns
-// the key, then one live place after the other, which then takes the key over itself. A write is repeated under
+// the key, then that place again, to take the key over itself, then one live place after the other. A write is repeated under
 // its change id, which the owners remember, so that repeating it does no harm.
 import type { Keeper } from '@tansypost/control-state';
 import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
@@ -30,7 +30,7 @@
   w: World,
   self: Address,
   places: () => readonly Address[],
-  perTry = 400_000,
+  perTry = 350_000,
 ): CoreAsker {
   const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
   let n = Math.floor(w.random() * 1e9);
@@ -59,7 +59,7 @@
         }
         done({ status: m.status, epoch: m.epoch, version: m.version, value: m.value });
       });
-      const to = ps[turn % ps.length]!;
+      const to = ps[(ps[0] === self ? Math.max(0, turn - 1) : turn) % ps.length]!;
       turn += 1;
       w.send(to, {
         kind: 'Ask',
--- a/packages/control-feed/src/control-feed.test.ts
+++ b/packages/control-feed/src/control-feed.test.ts
@@ -123,13 +123,13 @@
 it('never goes back to an older document or an older core', () => {
   const got: string[] = [];
   const to: string[] = [];
-  let tick = (): void => undefined;
+  const timer: { f: () => void } = { f: () => undefined };
   const f = createControlFeed(
     {
       now: () => micros(0),
       random: () => 0.5,
       after: (_d, g) => {
-        tick = g;
+        timer.f = g;
         return () => undefined;
       },
       send: (a) => to.push(a),
@@ -164,6 +164,6 @@
   expect(f.document()).toEqual({ version: 4, value: Buffer.from('v4') });
   expect(got).toEqual(['document', 'document']);
   to.length = 0;
-  tick();
+  timer.f();
   expect(to).toEqual(['g6:1', 'k0:1']);
 });
--- a/packages/control-state/src/place.ts
+++ b/packages/control-state/src/place.ts
@@ -64,6 +64,7 @@
   let since = 0;
   let rewriting = false;
   let leaving = false;
+  let entering: PlaceState | undefined;
   const waiting: number[] = [];
   const votingUnder = new Map<string, number>();
   const blanks = new Map<number, { disk: string; address: string; at: number }>();
@@ -143,17 +144,24 @@
     const r = rows.get(coreKey);
     if (r === undefined || r.epoch <= core.gen) return;
     core = decodeCore(r.epoch, r.value);
+    refreshFence();
+  }
+
+  function refreshFence(): void {
     if (state === 'voting' && !named()) enter('fenced');
   }
 
   function enter(s: PlaceState): void {
-    if (state === s || state === 'failed') return;
+    if (state === s || entering === s || state === 'failed') return;
+    entering = s;
     write(record('state', s, emptyRow, founders), (ok) => {
+      if (entering === s) entering = undefined;
       if (!ok) return;
       state = s;
       since = w.now();
       w.log(2001, { state: s, disk, gen: core.gen });
       o.entered?.(s);
+      refreshFence();
     });
   }
 
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -22,12 +22,12 @@
   // What a microsecond is worth by which a run under way is held up.
   readonly holdCost: number;
   readonly pauseCost: number;
-  // The part of what is shared that a worker first in the rank of its group is taken to hold.
-  readonly homeCredit: number;
+  // The part of what is shared that the first workers in the rank of its group are taken to hold.
+  readonly homeCredits: readonly number[];
   readonly enough: number;
   readonly placement: PlacementOptions;
 }
-export const pairDefaults = { moveCost: 150, zoneCost: 400, rereadCost: 60, runCost: 3000, holdCost: 0.4, pauseCost: 1, homeCredit: 0.9, enough: 0.15 };
+export const pairDefaults = { moveCost: 150, zoneCost: 400, rereadCost: 60, runCost: 3000, holdCost: 0.4, pauseCost: 1, homeCredits: [0.9, 0.4], enough: 0.15 };
 
 export interface Pair {
   readonly reader: FleetWorker | undefined;
@@ -72,17 +72,18 @@
   const shared = tokensOfParts(q, q.parts.length - 1);
   const facts: PromptFacts = { tokens: q.promptTokens, blocks, group };
 
-  // Routers do not tell each other what they sent where, but all rank workers alike for a group.
-  function homes(vs: readonly View[]): Set<string> {
-    return new Set(rendezvous(group, vs, (v) => v.worker.id).slice(0, 1).map((v) => v.worker.id));
+  // Routers do not tell each other what they sent where, but all rank workers alike for a group: the first is taken to
+  // hold what the group shares, the second, where what the first cannot take goes, to hold some of it.
+  function homes(vs: readonly View[]): Map<string, number> {
+    const ranked = rendezvous(group, vs, (v) => v.worker.id);
+    return new Map(ranked.slice(0, t.homeCredits.length).map((v, i) => [v.worker.id, t.homeCredits[i]!]));
   }
   const readerHomes = homes(readers);
   const runnerHomes = homes(runners);
-  function known(v: View, home: ReadonlySet<string>): number {
-    const n = tokensOfParts(q, hits.get(v.worker.id) ?? 0);
-    return home.has(v.worker.id) ? Math.max(n, shared * t.homeCredit) : n;
+  function known(v: View, home: ReadonlyMap<string, number>): number {
+    return Math.max(tokensOfParts(q, hits.get(v.worker.id) ?? 0), shared * (home.get(v.worker.id) ?? 0));
   }
-  function miss(v: View, home: ReadonlySet<string>): number {
+  function miss(v: View, home: ReadonlyMap<string, number>): number {
     return Math.max(1, q.promptTokens - known(v, home));
   }
   function apart(a: string, b: string): number {
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -39,7 +39,10 @@
 const firstPatience = { least: 700_000, times: 3 };
 const pausePatience = { least: 900_000, times: 3 };
 const mostUnsent = 4;
-const urgencies = { begun: 2, tight: 3, near: 4, ample: 5, late: 7 };
+// Ours: what a worker read longer ago than this has given way to other prompts.
+const keptFor = 10_000_000;
+const smallRead = 60_000;
+const urgencies = { small: 1, begun: 2, tight: 3, near: 4, ample: 5, late: 7 };
 
 interface Running {
   readonly q: Incoming;
@@ -155,7 +158,7 @@
     const s = r.service.name;
     const runners = fleet.views(s, 'decode', r.tried);
     const readers = aloneOnly ? [] : fleet.views(s, 'prefill', r.tried);
-    return assignPair(r.q, readers, runners, tree.hits(promptBlocks(r.q)), p.model?.(), terms(r), w.now, w.random);
+    return assignPair(r.q, readers, runners, tree.hits(promptBlocks(r.q), w.now() - keptFor), p.model?.(), terms(r), w.now, w.random);
   }
 
   async function run(r: Running): Promise<void> {
@@ -231,7 +234,7 @@
     const runners = fleet.views(r.service.name, 'decode', r.tried);
     if (from === undefined) return assign(r, true);
     const t = terms(r);
-    const hits = tree.hits(promptBlocks(r.q));
+    const hits = tree.hits(promptBlocks(r.q), w.now() - keptFor);
     // What was read moves whole, so only load and distance count here.
     const near = { ...t, rereadCost: 0 };
     const q = { ...r.q, promptTokens: 1, parts: [] };
@@ -244,10 +247,12 @@
     return a === undefined ? undefined : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: 60_000 };
   }
 
-  // Workers let in the more urgent first: what is left until its aim less what it takes to read says how long it can
-  // wait. What cannot be in time any more goes last, as it loses nothing by it.
+  // Workers let in the more urgent first. Small prompts hold nobody up, so they go before the rest; of the others, what
+  // is left until the aim less what it takes to read says how long it can wait, and what cannot be in time any more goes
+  // last, as it loses nothing by it.
   function urgencyOf(r: Running, service: number): number {
     const slack = r.arrived + r.path.aim - w.now() - service;
+    if (service < smallRead) return urgencies.small;
     if (slack < 0) return urgencies.late;
     if (slack < 0.25 * r.path.aim) return urgencies.tight;
     return slack < 0.6 * r.path.aim ? urgencies.near : urgencies.ample;
@@ -283,7 +288,7 @@
         p.sample?.(plan.assignment.row, w.now() - now);
         note(`reader ${plan.assignment.reason}`);
       }
-    } else under.end(r.gone.aborted ? 'left' : got.tag === 'refused' ? 'refused' : 'failed');
+    } else under.end(r.gone.aborted ? 'left' : got.tag !== 'refused' ? 'failed' : got.other ? 'gone' : 'refused');
     return got;
   }
 
@@ -366,7 +371,7 @@
         if (from !== undefined) p.workers.free(from.worker, from.handle);
         break;
       case 'refused':
-        under.end(from === undefined ? 'refused' : 'left');
+        under.end(got.other ? 'gone' : from === undefined ? 'refused' : 'left');
         note(got.other ? 'run misdirected' : from === undefined ? 'run refused' : 'memory refused');
         r.lastRefused = true;
         if (from === undefined || got.other) r.tried.add(runner.id);
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -28,7 +28,8 @@
 export interface Under {
   // Bytes came: the worker is alive. The first ones of a run also say that its prompt is read.
   readonly progress: () => void;
-  readonly end: (how: 'done' | 'refused' | 'failed' | 'left') => void;
+  // `gone`: another worker has its address now.
+  readonly end: (how: 'done' | 'refused' | 'failed' | 'left' | 'gone') => void;
 }
 export interface View {
   readonly worker: FleetWorker;
@@ -222,7 +223,8 @@
         } else if (how === 'refused') {
           r.heardAt = now();
           r.restUntil = Math.max(r.restUntil, now() + 150_000);
-        } else if (how === 'failed') {
+        } else if (how === 'gone') r.restUntil = Infinity;
+        else if (how === 'failed') {
           r.failures += 1;
           r.restUntil = now() + Math.min(4_000_000, 400_000 * 2 ** Math.min(4, r.failures - 1));
         }
--- a/packages/placement/src/radix-tree.ts
+++ b/packages/placement/src/radix-tree.ts
@@ -12,7 +12,8 @@
 }
 
 export interface RadixTree {
-  readonly hits: (blocks: readonly number[]) => Map<string, number>;
+  // Only sends after `since` count, where it is given: what was read long ago has given way.
+  readonly hits: (blocks: readonly number[], since?: number) => Map<string, number>;
   readonly insert: (blocks: readonly number[], worker: string, now: number) => void;
   readonly forget: (worker: string) => void;
   readonly size: () => number;
@@ -28,7 +29,7 @@
     return n;
   }
 
-  function hits(bs: readonly number[]): Map<string, number> {
+  function hits(bs: readonly number[], since = -Infinity): Map<string, number> {
     const out = new Map<string, number>();
     let node = root;
     let at = 0;
@@ -37,7 +38,7 @@
       if (c === undefined) return out;
       const n = shared(c.run, bs, at);
       at += n;
-      for (const w of c.used.keys()) out.set(w, at);
+      for (const [w, t] of c.used) if (t >= since) out.set(w, at);
       if (n < c.run.length) return out;
       node = c;
     }
--- /dev/null
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -0,0 +1,106 @@
+// What a day showed, as the checks read it: tries of requesters and what came back, arrivals and runs at workers,
+// changes of the document and their answers, what governed at each router, and when which machine was in trouble.
+
+export type TryEnd =
+  'open' | 'unread' | 'whole' | 'cut' | 'refused' | 'gave_up' | 'failed' | 'left' | 'unknown_path' | 'odd';
+export interface TrySeen {
+  readonly id: string;
+  readonly task: number;
+  readonly kind: string;
+  readonly target: string;
+  readonly at: number;
+  readonly lastEvent: number | undefined;
+  readonly streaming: boolean;
+  readonly resumable: boolean;
+  readonly repeatable: boolean;
+  // The last piece that the answer has.
+  readonly pieces: number;
+  router: string;
+  readAt: number | undefined;
+  end: number | undefined;
+  ended: TryEnd;
+  why: string;
+  firstAt: number | undefined;
+  readonly body: Buffer[];
+}
+export interface ArrivalSeen {
+  readonly at: number;
+  readonly sentAt: number;
+  readonly request: string;
+  readonly doing: 'read' | 'run';
+  readonly worker: string;
+  readonly service: string;
+  readonly router: string;
+  // 421: another worker has the address.
+  misdirected: boolean;
+  // A read that was taken up.
+  taken: boolean;
+}
+export interface RunSeen {
+  readonly at: number;
+  readonly request: string;
+  readonly run: string;
+  readonly worker: string;
+  readonly service: string;
+  // The request whose memory it goes on from.
+  readonly memoryOf: string | undefined;
+}
+export interface ChangeSent {
+  readonly revision: number;
+  readonly base: number;
+  readonly text: string;
+  readonly valid: boolean;
+  readonly at: number;
+  // Taken, refused for good, or without a clear answer.
+  answer: 'open' | 'taken' | 'refused' | 'unclear';
+  answeredAt: number | undefined;
+}
+export interface AppliedSeen {
+  readonly at: number;
+  readonly router: string;
+  readonly life: number;
+  readonly revision: number;
+  readonly text: string;
+}
+export interface TroubleSeen {
+  // A machine, or `core` for one of its machines or the links between them, or `list`.
+  readonly who: string;
+  readonly what: string;
+  readonly from: number;
+  to: number;
+}
+export interface PassedHistory {
+  readonly tries: TrySeen[];
+  readonly arrivals: ArrivalSeen[];
+  readonly runs: RunSeen[];
+  readonly changes: ChangeSent[];
+  readonly applied: AppliedSeen[];
+  readonly troubles: TroubleSeen[];
+  // When the list showed a worker as leaving or gone.
+  readonly shownLeaving: Map<string, number>;
+  // Starts of a router's life, and its end.
+  readonly lives: { readonly router: string; readonly life: number; readonly from: number; to: number }[];
+  readonly unforeseen: string[];
+  allKilledUntil: number[];
+  readBack: { readonly text: string | undefined; readonly at: number } | undefined;
+  from: number;
+  to: number;
+}
+
+export function emptyHistory(): PassedHistory {
+  return {
+    tries: [],
+    arrivals: [],
+    runs: [],
+    changes: [],
+    applied: [],
+    troubles: [],
+    shownLeaving: new Map(),
+    lives: [],
+    unforeseen: [],
+    allKilledUntil: [],
+    readBack: undefined,
+    from: 0,
+    to: 0,
+  };
+}
--- /dev/null
+++ b/packages/simulator/src/pass-through/paths-drawn.ts
@@ -0,0 +1,82 @@
+// Documents of a drawn day: each new one moves or splits a path, adds or drops one, or changes a budget. Invalid ones
+// have one of the faults that an operator may make.
+import type { Path, PathTable } from '@tansypost/paths';
+import { asideService, mainService, type PassedDeployment } from './passed-deployment.js';
+
+export function hostOf(kind: string): string {
+  return `${kind}.example`;
+}
+function prefixOf(kind: string): string {
+  return `/${kind}/`;
+}
+export function targetOf(kind: string, task: number): string {
+  return `${prefixOf(kind)}${task}`;
+}
+// Moves between services, comes and goes.
+export const movedKind = 'look-up';
+export const droppedKind = 'booking';
+
+export function drawTable(d: PassedDeployment, revision: number, random: () => number): PathTable {
+  const move = revision === 1 ? 0 : random();
+  const dropped = revision > 1 && random() < 0.4;
+  const paths = d.kinds
+    .filter((k) => k.name !== droppedKind || !dropped)
+    .map((k): Path => {
+      const shares =
+        k.name !== movedKind || move < 0.4
+          ? [{ service: mainService, weight: 1 }]
+          : move < 0.7
+            ? [{ service: asideService, weight: 1 }]
+            : [
+                { service: mainService, weight: 70 },
+                { service: asideService, weight: 30 },
+              ];
+      return {
+        name: k.name,
+        host: hostOf(k.name),
+        prefix: prefixOf(k.name),
+        budget: k.budget + (random() < 0.3 ? 500_000 : 0),
+        aim: k.aim,
+        pause: k.pause,
+        rank: k.rank,
+        streaming: k.streaming,
+        repeatable: k.repeatable,
+        resumable: k.resumable,
+        sends: k.sends,
+        shares,
+      };
+    });
+  const service = {
+    vitalsPath: '/health',
+    connections: 360,
+    slots: 64,
+    kvTokens: d.kvTokens,
+    tokenBytes: 18_432,
+    linkMbps: 740_000,
+    handleTtl: 5_000_000,
+    switchTime: 1_800_000,
+  };
+  return {
+    revision,
+    paths,
+    services: [
+      { ...service, name: mainService },
+      { ...service, name: asideService },
+    ],
+    limits: { headBytes: 16_384, bodyBytes: 4_194_304, headTime: 3_000_000, idleTime: 15_000_000 },
+  };
+}
+
+export function drawInvalid(d: PassedDeployment, base: number, random: () => number): string {
+  const t = drawTable(d, base + 1, random);
+  const p = t.paths[0]!;
+  const wrong: readonly object[] = [
+    { ...t, paths: [{ ...p, shares: [{ service: 'nowhere', weight: 1 }] }, ...t.paths.slice(1)] },
+    { ...t, paths: [...t.paths, { ...p, name: 'twice' }] },
+    { ...t, paths: [{ ...p, shares: [{ service: mainService, weight: 0 }] }, ...t.paths.slice(1)] },
+    { ...t, paths: [{ ...p, budget: 0 }, ...t.paths.slice(1)] },
+    { ...t, revision: base },
+  ];
+  const i = Math.floor(random() * (wrong.length + 1));
+  return i === wrong.length ? JSON.stringify(t).slice(0, -9) : JSON.stringify(wrong[i]);
+}
--- /dev/null
+++ b/packages/simulator/src/pass-through/spoil.ts
@@ -0,0 +1,15 @@
+// Mechanisms that a test breaks on purpose, so that each check is seen to fail.
+export type Spoil =
+  | 'unknown-called-refused'
+  | 'cut-called-whole'
+  | 'piece-dropped'
+  | 'piece-doubled'
+  | 'handles-mixed'
+  | 'leaving-hidden'
+  | 'news-withheld'
+  | 'document-set-back'
+  | 'invalid-let-through'
+  | 'two-disks-lost'
+  | 'budget-ignored'
+  | 'core-stays-dead'
+  | 'leaves-at-once';
--- /dev/null
+++ b/packages/simulator/src/pass-through/virtual-operator.ts
@@ -0,0 +1,123 @@
+// The operators of a virtual day: each sends a change to one machine after the other until it gets a clear answer.
+import { oneOf, sleep, type Ground } from './ground.js';
+import { drawInvalid, drawTable } from './paths-drawn.js';
+import type { ChangeSent } from './passed-history.js';
+import { createPipe } from './pipe.js';
+import { into } from '../process.js';
+import type { CoreMachine, VirtualCore } from './virtual-core.js';
+import type { SubmitAnswer } from './submit.js';
+
+export interface VirtualOperator {
+  readonly first: () => Promise<void>;
+  readonly change: () => Promise<void>;
+  readonly race: () => Promise<void>;
+  readonly storm: (n: number) => Promise<void>;
+  readonly invalid: () => Promise<void>;
+  readonly readBack: () => Promise<string | undefined>;
+  readonly newest: () => number;
+  // Called when a machine's acknowledgement has come.
+  onTaken: ((m: CoreMachine) => void) | undefined;
+}
+const silence = 1_000_000;
+const patience = 12_000_000;
+
+export function createVirtualOperator(g: Ground, core: VirtualCore): VirtualOperator {
+  const { e, net, random, h } = g;
+
+  function call<T>(m: CoreMachine, f: (m: CoreMachine) => Promise<T>, none: T): Promise<T> {
+    return new Promise((done) => {
+      let over = false;
+      function end(x: T): void {
+        if (over) return;
+        over = true;
+        done(x);
+      }
+      e.at(e.now() + silence, () => end(none));
+      const there = createPipe(e, net, 'operator', m.name);
+      const back = createPipe(e, net, m.name, 'operator');
+      const gen = m.proc.gen;
+      there(() =>
+        into(m.proc, gen, () => {
+          void f(m).then((x) => back(() => end(x)));
+        }),
+      );
+    });
+  }
+
+  async function send(text: string, revision: number, base: number, valid: boolean): Promise<ChangeSent> {
+    const c: ChangeSent = { revision, base, text, valid, at: e.now(), answer: 'open', answeredAt: undefined };
+    h.changes.push(c);
+    let pause = 100_000;
+    let met = false;
+    while (e.now() - c.at < patience) {
+      const m = oneOf(core.running(), random());
+      const x: SubmitAnswer = m === undefined ? 'not now' : await call(m, (k) => k.submit(text, base), 'not now');
+      if (x !== 'not now') {
+        // Refused after a call without a clear answer: it may have been taken and followed by another.
+        c.answer = x === 'taken' ? 'taken' : met && valid ? 'unclear' : 'refused';
+        c.answeredAt = e.now();
+        if (x === 'taken') self.onTaken?.(m!);
+        return c;
+      }
+      met = true;
+      await sleep(g, pause);
+      pause = Math.min(1_000_000, pause * 1.5);
+    }
+    c.answer = 'unclear';
+    return c;
+  }
+
+  function newest(): number {
+    return Math.max(0, ...h.changes.filter((c) => c.answer === 'taken').map((c) => c.revision));
+  }
+  // What is in place, as far as anybody tells.
+  async function base(): Promise<number> {
+    const text = await readBack();
+    return text === undefined ? newest() : (JSON.parse(text) as { revision: number }).revision;
+  }
+  function draw(b: number): { text: string; revision: number } {
+    const revision = b + 1 + Math.floor(random() * 4);
+    return { text: JSON.stringify(drawTable(g.d, b === 0 ? 1 : revision, random)), revision: b === 0 ? 1 : revision };
+  }
+  async function change(): Promise<void> {
+    const b = await base();
+    const x = draw(b);
+    await send(x.text, x.revision, b, true);
+  }
+
+  async function readBack(): Promise<string | undefined> {
+    for (let i = 0; i < 8; i += 1) {
+      const m = oneOf(core.running(), random());
+      const a = m === undefined ? undefined : await call(m, (k) => k.read(), undefined);
+      if (a?.status === 'value' && a.version > 0) return a.value.toString();
+      if (a?.status === 'value') return undefined;
+      await sleep(g, 300_000);
+    }
+    return undefined;
+  }
+
+  const self: VirtualOperator = {
+    onTaken: undefined,
+    newest,
+    readBack,
+    first: change,
+    change,
+    race: async () => {
+      const b = await base();
+      const [x, y] = [draw(b), draw(b)];
+      // Two of one revision could not be told apart.
+      const other = y.revision === x.revision ? { ...y, revision: y.revision + 4 } : y;
+      const text = JSON.stringify({ ...(JSON.parse(y.text) as object), revision: other.revision });
+      await Promise.all([send(x.text, x.revision, b, true), send(text, other.revision, b, true)]);
+    },
+    storm: async (n) => {
+      for (let i = 0; i < n; i += 1) await change();
+    },
+    invalid: async () => {
+      const b = await base();
+      const text = drawInvalid(g.d, b, random);
+      await send(text, b + 1, b, false);
+    },
+  };
+  return self;
+}
--- /dev/null
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -0,0 +1,163 @@
+// The requesters of a virtual day. Each connects through the platform, which spreads them over the routers of their
+// zone that answer its probe; they try again only where that can do no harm, and some more often than told.
+import type { Incoming } from '@tansypost/pass-through';
+import type { Ground } from './ground.js';
+import { hostOf, targetOf } from './paths-drawn.js';
+import type { PassedKind } from './passed-deployment.js';
+import type { TrySeen } from './passed-history.js';
+import { piecesOf } from './virtual-worker.js';
+import type { VirtualRouter } from './virtual-router.js';
+
+export interface VirtualRequesters {
+  readonly begin: (until: number) => void;
+  // How many times the usual number come.
+  crowd: number;
+}
+const probeEvery = 1_000_000;
+const connectPatience = 1_000_000;
+
+export function createVirtualRequesters(g: Ground, routers: readonly VirtualRouter[]): VirtualRequesters {
+  const { e, net, random, h, d } = g;
+  const misses = new Map<string, number>();
+  let tasks = 0;
+
+  function probe(): void {
+    for (const r of routers) {
+      const ok = r.ready() && !net.blocked('clients', r.name) && !net.blocked(r.name, 'clients');
+      misses.set(r.name, ok ? 0 : (misses.get(r.name) ?? 2) + 1);
+    }
+    e.at(e.now() + probeEvery, probe);
+  }
+  function pick(zone: string): VirtualRouter {
+    const here = routers.filter((r) => r.zone === zone);
+    const into = here.filter((r) => (misses.get(r.name) ?? 0) < 2);
+    const any = routers.filter((r) => (misses.get(r.name) ?? 0) < 2);
+    const from = into.length * 2 >= here.length ? into : into.length > 0 || any.length === 0 ? here : any;
+    return from[Math.floor(random() * from.length)]!;
+  }
+
+  function ask(k: PassedKind): void {
+    tasks += 1;
+    const task = tasks;
+    const began = e.now();
+    const zone = d.zones[Math.floor(random() * d.zones.length)]!;
+    const impatient = random() < 0.1;
+    const most = impatient ? 4 : 1 + k.furtherTries;
+    const group = Math.floor(random() * 4);
+    const own = Math.round(k.own * (0.5 + random()));
+    let tries = 0;
+    let has = 0;
+
+    function once(): void {
+      tries += 1;
+      const id = `q${task}.${tries}`;
+      const left = began + k.budget - e.now();
+      if (left <= 0) return;
+      const router = pick(zone);
+      const lastEvent = k.resumable && has > 0 ? has : undefined;
+      const t: TrySeen = {
+        id,
+        task,
+        kind: k.name,
+        target: targetOf(k.name, task),
+        at: e.now(),
+        lastEvent,
+        streaming: k.streaming,
+        resumable: k.resumable,
+        repeatable: k.repeatable,
+        pieces: piecesOf(k.answer),
+        router: router.name,
+        readAt: undefined,
+        end: undefined,
+        ended: 'open',
+        why: '',
+        firstAt: undefined,
+        body: [],
+      };
+      h.tries.push(t);
+      const q: Incoming = {
+        id,
+        method: 'POST',
+        target: t.target,
+        host: hostOf(k.name),
+        head: [],
+        body: Buffer.from(`${task}`),
+        promptTokens: k.shared + own,
+        answerTokens: k.answer,
+        parts: [
+          { id: `${k.name}${group}`, tokens: k.shared },
+          { id: `own${task}`, tokens: own },
+        ],
+        patience: left,
+        lastEvent,
+      };
+      let heardAt = e.now();
+      let over = false;
+      let leave: () => void = () => undefined;
+      function settle(how: TrySeen['ended'], why: string, retryAfter = 0): void {
+        if (over) return;
+        over = true;
+        t.end = e.now();
+        t.ended = how;
+        t.why = why;
+        const rest = began + k.budget - e.now();
+        const may = k.repeatable || k.resumable || how === 'refused' || how === 'unread';
+        if (how === 'whole' || how === 'unknown_path' || how === 'left' || !may || tries >= most) return;
+        if (k.resumable) {
+          const ids = [...Buffer.concat(t.body).toString().matchAll(/id: (\d+)\n[^\n]*\n\n/g)].map((m) => Number(m[1]));
+          has = Math.max(has, ...ids);
+          if (has >= t.pieces) return;
+        }
+        const wait = impatient ? 0 : Math.min(retryAfter * 1e6 || 50_000 + random() * 100_000, rest / 3);
+        e.at(e.now() + wait, once);
+      }
+      const silence = Math.max(2_000_000, 4 * k.aim, 8 * k.pause);
+      function watch(): void {
+        if (over) return;
+        if (t.readAt === undefined && (k.repeatable || k.resumable) && e.now() - t.at >= Math.min(connectPatience, left / 3)) {
+          leave();
+          return settle('unread', 'not read in time');
+        }
+        if (e.now() - heardAt >= silence || e.now() >= began + k.budget) {
+          leave();
+          return settle('left', 'silence');
+        }
+        e.at(e.now() + 250_000, watch);
+      }
+      // Cut off or without power: the connection does not come up.
+      if (net.blocked('clients', router.name) || net.blocked(router.name, 'clients') || g.silent.has(router.name))
+        return e.at(e.now() + Math.min(connectPatience, left / 3), () => settle('unread', 'no connection'));
+      if (!router.proc.alive) return e.at(e.now() + 1000, () => settle('unread', 'nobody there'));
+      leave = router.take(t, q, {
+        first: () => {
+          heardAt = e.now();
+        },
+        bytes: (b) => {
+          if (over) return;
+          heardAt = e.now();
+          t.firstAt ??= e.now();
+          t.body.push(b);
+        },
+        ended: settle,
+      });
+      watch();
+    }
+    once();
+  }
+
+  const self: VirtualRequesters = {
+    crowd: 1,
+    begin: (until) => {
+      probe();
+      for (const k of d.kinds) next(k);
+      function next(k: PassedKind): void {
+        e.at(e.now() - (1e6 / (k.rate * self.crowd)) * Math.log(1 - random()), () => {
+          if (e.now() > until) return;
+          ask(k);
+          next(k);
+        });
+      }
+    },
+  };
+  return self;
+}
--- /dev/null
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -0,0 +1,264 @@
+// One edge machine of a virtual day and the lives of the router on it: the course and the feed, wired as the program
+// wires them, and the way in from requesters.
+import { createControlFeed } from '@tansypost/control-feed';
+import { micros, type Address } from '@tansypost/inner-protocol';
+import { createCourse, type Course, type FleetWorker, type Incoming, type WorkerPort } from '@tansypost/pass-through';
+import { faultsOf } from '@tansypost/paths';
+import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
+import type { Ground } from './ground.js';
+import type { TrySeen } from './passed-history.js';
+import { createPipe } from './pipe.js';
+import { tableOf } from './submit.js';
+import type { VirtualCore } from './virtual-core.js';
+import { createVirtualPort } from './virtual-port.js';
+import type { VirtualWorkers } from './virtual-workers.js';
+
+export interface VirtualRouter {
+  readonly name: string;
+  readonly zone: string;
+  readonly proc: Proc;
+  readonly start: () => void;
+  readonly kill: (power: boolean) => void;
+  readonly wake: () => void;
+  // SIGTERM: what is under way ends by itself, then the process ends.
+  readonly roll: () => void;
+  readonly ready: () => boolean;
+  readonly figures: () => Record<string, unknown>;
+  // Gives how to leave. `told` is called where the requester is, with what it sees.
+  readonly take: (t: TrySeen, q: Incoming, told: Told) => () => void;
+}
+export interface Told {
+  readonly first: () => void;
+  readonly bytes: (b: Buffer) => void;
+  readonly ended: (how: TrySeen['ended'], why: string, retryAfter?: number) => void;
+}
+const grace = 8_000_000;
+
+function spoiled(g: Ground, p: WorkerPort): WorkerPort {
+  const s = g.spoil;
+  if (s === undefined) return p;
+  let other: string | undefined;
+  return {
+    free: p.free,
+    read: async (...a) => {
+      const x = await p.read(...a);
+      if (s !== 'handles-mixed' || x.tag !== 'read') return x;
+      const given = other ?? x.handle;
+      other = x.handle;
+      return { ...x, handle: given };
+    },
+    run: async (w, q, t, sink, gone) => {
+      let n = 0;
+      const x = await p.run(
+        w,
+        q,
+        t,
+        {
+          head: sink.head,
+          chunk: (b) => {
+            n += 1;
+            if (s === 'piece-dropped' && n % 5 === 2 && b.toString().startsWith('id:')) return undefined;
+            if (s === 'piece-doubled' && n === 2 && b.toString().endsWith('\n\n')) return sink.chunk(Buffer.concat([b, b]));
+            return sink.chunk(b);
+          },
+        },
+        gone,
+      );
+      if (x.tag !== 'unknown' || gone.aborted) return x;
+      if (s === 'cut-called-whole' && n > 0) return { tag: 'whole' };
+      if (s === 'unknown-called-refused' && n === 0)
+        return { tag: 'refused', why: '503', other: false, answer: { status: 503, head: [], body: Buffer.alloc(0) } };
+      return x;
+    },
+  };
+}
+
+export function createVirtualRouter(
+  g: Ground,
+  core: VirtualCore,
+  workers: VirtualWorkers,
+  name: string,
+  zone: string,
+  resets: () => number,
+): VirtualRouter {
+  const { e, net, random, h } = g;
+  const proc = createProc(name, name);
+  const self = `${name}:1` as Address;
+  net.add(self, proc);
+  let course: Course | undefined;
+  let life = 0;
+  let stopping = false;
+  const open = new Map<TrySeen, (why: string) => void>();
+
+  function start(): void {
+    if (proc.alive) return;
+    proc.alive = true;
+    stopping = false;
+    g.silent.delete(name);
+    life += 1;
+    const mine = life;
+    h.lives.push({ router: name, life, from: e.now(), to: Infinity });
+    const w = procWorld(
+      e,
+      proc,
+      random,
+      (to, m) => net.send(proc, self, to, m),
+      (n, f) => {
+        if (n === 5105) h.unforeseen.push(JSON.stringify(f));
+      },
+    );
+    const streaming = new Map(g.d.kinds.map((k) => [`${k.name}.example`, k.streaming]));
+    const port = createVirtualPort(e, {
+      proc,
+      net,
+      random,
+      lifeAt: workers.lifeAt,
+      machineAt: workers.machineAt,
+      silentMachine: (m) => g.silent.has(m),
+      arrived: (a) => h.arrivals.push(a),
+      streaming: (q) => streaming.get(q.host) ?? true,
+      resets,
+    });
+    const c = createCourse(
+      w,
+      {
+        zone,
+        regionOf: () => 'region',
+        budget:
+          g.spoil === 'budget-ignored'
+            ? { share: 50, always: 5000, window: 10_000_000, routers: () => 1 }
+            : {
+                share: 0.2,
+                always: g.d.sendSlack,
+                window: 10_000_000,
+                routers: () => Math.max(4, feed.routers()),
+              },
+      },
+      { workers: spoiled(g, port) },
+    );
+    course = c;
+    const known = new Map<string, FleetWorker>();
+    const feed = createControlFeed(w, {
+      self,
+      member: name,
+      zone,
+      seeds: core.seeds(),
+      fetchList: core.fetchList(name, proc),
+      changed: (what) => {
+        if (what === 'document') {
+          const text = feed.document()!.value.toString();
+          const t = tableOf(text);
+          if (t === undefined || (g.spoil !== 'invalid-let-through' && faultsOf(t).length > 0))
+            return void h.unforeseen.push('a document that cannot govern');
+          if (g.spoil === 'news-withheld' && name === 'r1' && t.revision > 1) return;
+          h.applied.push({ at: e.now(), router: name, life: mine, revision: t.revision, text });
+          c.paths(t);
+          if (g.spoil === 'document-set-back' && t.revision > 1)
+            w.after(micros(1_000_000), () => {
+              const was = h.applied.find((a) => a.router === name && a.revision < t.revision);
+              if (was === undefined) return;
+              h.applied.push({ ...was, at: e.now(), life: mine });
+              c.paths(tableOf(was.text)!);
+            });
+        } else if (what === 'workers') {
+          if (g.spoil !== 'leaving-hidden') return c.workers(feed.workers());
+          for (const x of feed.workers()) known.set(x.id, { ...x, leaving: false });
+          c.workers([...known.values()]);
+        } else
+          for (const l of feed.loads().values())
+            c.told(l.id, {
+              queued: l.queued,
+              active: l.active,
+              kvUsed: l.kvTotal > 0 ? l.kvUsed / l.kvTotal : 0,
+              silent: l.silent,
+              at: l.at,
+            });
+      },
+    });
+    proc.receive = feed.receive;
+  }
+
+  function ended(why: string, power: boolean): void {
+    const was = [...open.values()];
+    open.clear();
+    if (!power) for (const f of was) f(why);
+    for (const l of h.lives) if (l.router === name && l.to === Infinity) Object.assign(l, { to: e.now() });
+  }
+  function kill(power: boolean): void {
+    if (!proc.alive) return;
+    if (power) g.silent.add(name);
+    die(proc);
+    course = undefined;
+    ended('the router died', power);
+  }
+  function roll(): void {
+    if (!proc.alive || stopping) return;
+    stopping = true;
+    const [gen, asked] = [proc.gen, e.now()];
+    function look(): void {
+      if (proc.gen !== gen) return;
+      const t = e.now() - asked;
+      const done = g.spoil === 'leaves-at-once' || (t > 2_600_000 && course?.active() === 0);
+      if (!done && t < grace - 400_000) return void e.at(e.now() + 100_000, look);
+      die(proc);
+      course = undefined;
+      ended('the router left in order', false);
+      e.at(e.now() + 400_000, start);
+    }
+    look();
+  }
+
+  function take(t: TrySeen, q: Incoming, told: Told): () => void {
+    const there = createPipe(e, net, 'clients', name);
+    const back = createPipe(e, net, name, 'clients');
+    const gone = new AbortController();
+    const gen = proc.gen;
+    let over = false;
+    function finish(how: TrySeen['ended'], why: string, retryAfter?: number): void {
+      if (over) return;
+      over = true;
+      open.delete(t);
+      back(() => told.ended(how, why, retryAfter));
+    }
+    open.set(t, (why) => finish(t.readAt === undefined ? 'unread' : 'cut', why));
+    there(() =>
+      into(proc, gen, () => {
+        t.readAt = e.now();
+        void course!.serve(
+          q,
+          {
+            head: () => back(told.first),
+            chunk: (b) => {
+              const copy = Buffer.from(b);
+              back(() => told.bytes(copy));
+              if (random() > 0.05) return undefined;
+              return new Promise((ok) => e.at(e.now() + random() * 20_000, () => into(proc, gen, () => ok())));
+            },
+            end: () => finish('whole', ''),
+            cut: () => finish('cut', 'cut by the router'),
+            whole: (a) => finish([408, 421, 429, 503].includes(a.status) ? 'refused' : 'failed', `${a.status}`),
+            giveUp: (x) =>
+              finish(x.kind === 'unknown_path' ? 'unknown_path' : x.ran === 'no' ? 'refused' : 'gave_up', x.kind, x.retryAfter),
+          },
+          gone.signal,
+        );
+      }),
+    );
+    return function leave() {
+      there(() => into(proc, gen, () => gone.abort()));
+    };
+  }
+
+  return {
+    name,
+    zone,
+    proc,
+    start,
+    kill,
+    roll,
+    wake: () => wake(e, proc),
+    ready: () => proc.alive && !proc.frozen && !stopping && course?.ready() === true,
+    figures: () => course?.figures() ?? {},
+    take,
+  };
+}
--- /dev/null
+++ b/packages/simulator/src/pass-through/virtual-workers.ts
@@ -0,0 +1,148 @@
+// The workers of a virtual day and the platform's list of them, which runs behind. Every start is a new life with a
+// new id; addresses are used again, also by workers of a service that no path names.
+import type { ListedWorker } from '@tansypost/control-feed';
+import { asideService, mainService } from './passed-deployment.js';
+import { sleep, type Ground } from './ground.js';
+import { createWorkerLife, type Mischief, type WorkerCall, type WorkerLife } from './virtual-worker.js';
+
+export interface VirtualWorkers {
+  readonly lifeAt: (address: string) => WorkerLife | undefined;
+  readonly machineAt: (address: string) => string;
+  // The list as it shows now.
+  readonly list: () => readonly ListedWorker[];
+  readonly lives: (service?: string) => readonly WorkerLife[];
+  readonly crash: (w: WorkerLife, back: boolean, power: boolean) => void;
+  readonly release: (service: string) => Promise<void>;
+  readonly mischief: { kind: Mischief; share: number; readonly more: { slowMoves: number; handleTtl: number } };
+}
+interface Entry {
+  readonly life: WorkerLife;
+  readonly from: number;
+  leaving: number;
+  until: number;
+}
+const listedAfterCrash = 3_000_000;
+const drain = 3_000_000;
+const usedAgain = 2_000_000;
+
+export function createVirtualWorkers(g: Ground): VirtualWorkers {
+  const { e, d, random } = g;
+  const at = new Map<string, WorkerLife>();
+  const machines = new Map<string, string>();
+  const entries: Entry[] = [];
+  const lag = 200_000 + random() * 600_000;
+  const mischief = {
+    kind: 'none' as Mischief,
+    share: 0,
+    more: { slowMoves: 1, handleTtl: 5_000_000 },
+  };
+  let ids = 0;
+  let addresses = 0;
+
+  function began(c: WorkerCall, life: () => WorkerLife, run: string, memoryOf: string | undefined): void {
+    const o = life().o;
+    g.h.runs.push({ at: e.now(), request: c.request, run, worker: o.id, service: o.service, memoryOf });
+  }
+
+  function start(address: string, service: string, zone: string, part: 'prefill' | 'decode'): WorkerLife {
+    ids += 1;
+    const id = `i${ids}`;
+    const machine = `w${address.split(':')[0]}`;
+    machines.set(address, machine);
+    g.silent.delete(machine);
+    const life: WorkerLife = createWorkerLife(e, random, {
+      id,
+      address,
+      machine,
+      service,
+      zone,
+      part,
+      kvTokens: d.kvTokens,
+      handleTtl: () => mischief.more.handleTtl,
+      slow: 0.9 + 0.5 * random(),
+      mischief: () => (random() < mischief.share ? mischief.kind : 'none'),
+      moveTime: (from, tokens) => {
+        const m = machines.get(from) ?? '';
+        if (g.net.blocked(machine, m) || g.net.blocked(m, machine)) return undefined;
+        return ((tokens * 18_432 * 8) / 740_000) * (at.get(from)?.o.zone === zone ? 1 : 2) * mischief.more.slowMoves;
+      },
+      lifeAt: (a) => at.get(a),
+      began: (c, run, memoryOf) => began(c, () => life, run, memoryOf),
+    });
+    at.set(address, life);
+    entries.push({ life, from: e.now(), leaving: Infinity, until: Infinity });
+    return life;
+  }
+  function fresh(): string {
+    addresses += 1;
+    return `a${addresses}:80`;
+  }
+  function entry(w: WorkerLife): Entry {
+    return entries.find((x) => x.life === w)!;
+  }
+
+  for (let i = 0; i < d.workers; i += 1)
+    start(fresh(), mainService, d.zones[i % d.zones.length]!, i % 2 === 0 ? 'prefill' : 'decode');
+  for (let i = 0; i < d.asideWorkers; i += 1)
+    start(fresh(), asideService, d.zones[i % d.zones.length]!, i % 2 === 0 ? 'prefill' : 'decode');
+
+  function end(w: WorkerLife, listedUntil: number): void {
+    const x = entry(w);
+    x.until = listedUntil;
+    const shown = Math.min(x.leaving, x.until) + lag;
+    if (!g.h.shownLeaving.has(w.o.id)) g.h.shownLeaving.set(w.o.id, shown);
+    w.crash();
+  }
+
+  function crash(w: WorkerLife, back: boolean, power: boolean): void {
+    if (!w.alive()) return;
+    if (power) g.silent.add(w.o.machine);
+    end(w, e.now() + listedAfterCrash);
+    const { address, service, zone, part } = w.o;
+    if (back) e.at(e.now() + 500_000 + random() * 2_000_000, () => start(address, service, zone, part));
+  }
+
+  // One after the other: another starts, the old one leaves, ends, and its address may go to a stranger.
+  async function release(service: string): Promise<void> {
+    for (const w of lives(service)) {
+      if (!w.alive()) continue;
+      start(fresh(), service, w.o.zone, w.o.part);
+      await sleep(g, 300_000 + random() * 700_000);
+      if (!w.alive()) continue;
+      const x = entry(w);
+      x.leaving = e.now();
+      g.h.shownLeaving.set(w.o.id, e.now() + lag);
+      e.at(e.now() + drain + lag + 800_000, () => {
+        if (!w.alive()) return;
+        end(w, e.now());
+        if (random() < 0.5)
+          e.at(e.now() + usedAgain, () => {
+            if (at.get(w.o.address) === w) start(w.o.address, 'stranger', w.o.zone, w.o.part);
+          });
+      });
+    }
+  }
+
+  function lives(service?: string): WorkerLife[] {
+    return entries
+      .filter((x) => x.life.alive() && x.leaving === Infinity && (service === undefined || x.life.o.service === service))
+      .map((x) => x.life);
+  }
+
+  function list(): ListedWorker[] {
+    const t = e.now() - lag;
+    return entries
+      .filter((x) => x.from <= Math.max(0, t) && t < x.until)
+      .map((x) => ({
+        id: x.life.o.id,
+        service: x.life.o.service,
+        address: x.life.o.address,
+        zone: x.life.o.zone,
+        slots: 64,
+        leaving: x.leaving <= t,
+        coldMs: 0,
+        part: x.life.o.part,
+      }));
+  }
+  return { lifeAt: (a) => at.get(a), machineAt: (a) => machines.get(a) ?? '', list, lives, crash, release, mischief };
+}
