--- a/packages/control-feed/src/core.test.ts
+++ b/packages/control-feed/src/core.test.ts
@@ -108,7 +108,7 @@
       self,
       createPlaceList(host.core, self, () => seeds),
     );
-    const feed = createFeedKeeper(w, { keeper: host.core, fetchList: async () => undefined });
+    const feed = createFeedKeeper(w, { keeper: host.core, ...told });
     proc.receive = (x, from) => {
       if (x.kind === 'Answer') asker.answer(x);
       else if (x.kind === 'Follow') feed.receive(x, from);
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -1,7 +1,7 @@
 // The placement of one request: which worker reads its prompt and which makes its tokens, or one that does both. The
 // reader is assigned as Lodestar says (heuristic first, then the model where one serves and knows the range); the
 // heuristic's cost is the expected time to the first token, to which the memory that would move is added at a rate,
-// more between zones. Whatever is faster than a part of the aim counts as fast enough, so what is left decides.
+// more between zones. Coming late costs a step, so that a prompt which will be late anyway takes nobody's place.
 import { assignPrefill, type Assignment, type Model, type PlacementOptions, type PromptFacts } from '@tansypost/placement';
 import { hash32, rendezvous } from '@tansypost/inner-protocol';
 import type { Incoming } from './incoming.js';
@@ -24,10 +24,13 @@
   readonly pauseCost: number;
   // The part of what is shared that the first workers in the rank of its group are taken to hold.
   readonly homeCredits: readonly number[];
-  readonly enough: number;
+  // What a microsecond until the first token is worth, what being late is, and from which part of the aim on.
+  readonly slope: number;
+  readonly lateCost: number;
+  readonly lateFrom: number;
   readonly placement: PlacementOptions;
 }
-export const pairDefaults = { moveCost: 150, zoneCost: 400, rereadCost: 60, runCost: 3000, holdCost: 0.4, pauseCost: 1, homeCredits: [0.9, 0.4], enough: 0.15 };
+export const pairDefaults = { moveCost: 150, zoneCost: 400, rereadCost: 60, runCost: 3000, holdCost: 0.4, pauseCost: 1, homeCredits: [0.9, 0.4], slope: 0.3, lateCost: 500_000, lateFrom: 0.8 };
 
 export interface Pair {
   readonly reader: FleetWorker | undefined;
@@ -93,7 +96,9 @@
     return apart(t.zone, v.worker.zone) * t.zoneCost * (1 + q.body.length / 1024);
   }
   function score(time: number, cost: number): number {
-    return Math.max(time, t.enough * t.aim) + cost;
+    // A step where it comes late, and a slope before and behind it.
+    const late = 1 / (1 + Math.exp(-(time - t.lateFrom * t.aim) / (0.08 * t.aim)));
+    return t.slope * time + t.lateCost * late + cost;
   }
 
   function readTime(v: View): number {
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -242,7 +242,6 @@
       ...near,
       zone: from.worker.zone,
       zoneCost: t.zoneCost + ((r.q.promptTokens * t.tokenBytes) / 1_048_576) * t.moveCost,
-      aim: 0,
     }, w.now, w.random);
     return a === undefined ? undefined : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: 60_000 };
   }
--- a/packages/simulator/src/index.ts
+++ b/packages/simulator/src/index.ts
@@ -7,3 +7,4 @@
 export * from './sim-fleet.js';
 export * from './process.js';
 export * from './sim-disk.js';
+export * from './pass-through/index.js';
--- /dev/null
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -0,0 +1,282 @@
+// One virtual day: the fleet starts on empty disks, the first document is taken, traffic comes, troubles come and go,
+// and the day ends in calm or with a closing fault, after which the document is read back.
+import { seeded } from '@tansypost/inner-protocol';
+import { createEngine } from '../engine.js';
+import { createNetwork, type Network } from '../network.js';
+import { oneOf, sleep, type Ground } from './ground.js';
+import { mainService, type PassedDeployment } from './passed-deployment.js';
+import { emptyHistory, type PassedHistory } from './passed-history.js';
+import type { PassedTrouble } from './passed-troubles.js';
+import type { Spoil } from './spoil.js';
+import { createVirtualCore } from './virtual-core.js';
+import { createVirtualOperator } from './virtual-operator.js';
+import { createVirtualRequesters } from './virtual-requesters.js';
+import { createVirtualRouter, type VirtualRouter } from './virtual-router.js';
+import { createVirtualWorkers } from './virtual-workers.js';
+import type { Mischief } from './virtual-worker.js';
+
+export type Closing = 'none' | 'all-killed' | 'all-lose-power' | 'one-disk-lost';
+export interface PassedDayOptions {
+  readonly d: PassedDeployment;
+  readonly seed: number;
+  readonly span: number;
+  readonly troubles: readonly PassedTrouble[];
+  readonly closing: Closing;
+  readonly places?: number;
+  readonly rate?: number;
+  readonly spoil?: Spoil;
+  readonly net?: (n: Network) => void;
+}
+export interface PassedDay {
+  readonly history: PassedHistory;
+  readonly events: number;
+  readonly figures: readonly Record<string, unknown>[];
+}
+const start = 6;
+const calm = 5;
+const afterClosing = 17;
+
+export async function playPassedDay(o: PassedDayOptions): Promise<PassedDay> {
+  const { d } = o;
+  const random = seeded(o.seed * 7919 + 11);
+  const e = createEngine();
+  const net = createNetwork(e, random);
+  const h = emptyHistory();
+  const g: Ground = { e, net, random, d, h, spoil: o.spoil, silent: new Set() };
+  const names = Array.from({ length: o.places ?? 3 }, (_, i) => `c${i}`);
+  const workers = createVirtualWorkers(g);
+  const core = createVirtualCore(g, workers, names);
+  for (const n of names) {
+    core.add(n);
+    core.start(n, true);
+  }
+  let resets = 0;
+  const routers = Array.from({ length: d.routers }, (_, i) =>
+    createVirtualRouter(g, core, workers, `r${i}`, d.zones[i % d.zones.length]!, () => resets),
+  );
+  for (const r of routers) r.start();
+  const requesters = createVirtualRequesters(g, routers);
+  requesters.crowd = o.rate ?? 1;
+  const usual = requesters.crowd;
+  const operator = createVirtualOperator(g, core);
+  o.net?.(net);
+  let coreNames = [...names];
+
+  function us(s: number): number {
+    return s * 1_000_000;
+  }
+  function trouble(who: string, what: string, seconds: number): void {
+    h.troubles.push({ who, what, from: e.now(), to: e.now() + us(seconds) });
+  }
+  function later(s: number, f: () => void): void {
+    e.at(e.now() + us(s), f);
+  }
+  function wrong(kind: Mischief, share: number, s: number): void {
+    Object.assign(workers.mischief, { kind, share });
+    later(s, () => Object.assign(workers.mischief, { kind: 'none', share: 0 }));
+  }
+  function cut(name: string, f: (a: string, b: string) => boolean, s: number): void {
+    net.cut(name, f);
+    later(s, () => net.heal(name));
+  }
+  function restart(n: string, bootstrap = false): void {
+    if (core.machines.get(n)?.proc.alive === false) core.start(n, bootstrap);
+  }
+  function replace(old: string, planned: boolean, s: number): void {
+    const n = `c${core.machines.size}`;
+    if (planned) core.leave(old);
+    else core.kill(old, true);
+    coreNames = coreNames.map((x) => (x === old ? n : x));
+    core.add(n);
+    later(0.5, () => {
+      core.reseed(coreNames.slice(0, 3));
+      core.start(n, false);
+    });
+    trouble('core', planned ? 'replaced as planned' : 'replaced', s + 1);
+  }
+
+  function apply(t: PassedTrouble): void {
+    const r = oneOf(routers, t.who)!;
+    const k = oneOf(coreNames, t.who)!;
+    const w = oneOf(workers.lives(), t.who);
+    const s = t.for;
+    switch (t.do) {
+      case 'crowd':
+        requesters.crowd = 3 * usual;
+        return later(s, () => (requesters.crowd = usual));
+      case 'worker-crash':
+        return w === undefined ? undefined : workers.crash(w, true, false);
+      case 'worker-power':
+        return w === undefined ? undefined : workers.crash(w, true, true);
+      case 'worker-gone':
+        return w === undefined ? undefined : workers.crash(w, false, t.who > 0.5);
+      case 'worker-dark':
+        w?.dark(true);
+        return later(s, () => w?.dark(false));
+      case 'release':
+        return void workers.release(mainService);
+      case 'answers-lost':
+        return wrong('lost', 0.3, s);
+      case 'answers-garbled':
+        return wrong(oneOf(['cut', 'foreign', 'surplus'] as const, t.who)!, 0.4, s);
+      case 'workers-fail':
+        return wrong('fail', 0.3, s);
+      case 'connections-reset':
+        resets = 0.4;
+        return later(s, () => (resets = 0));
+      case 'router-kill':
+      case 'router-power':
+        r.kill(t.do === 'router-power');
+        trouble(r.name, t.do, t.do === 'router-power' ? s : 0.5);
+        return later(t.do === 'router-power' ? s : 0.5, r.start);
+      case 'router-freeze':
+        if (!r.proc.alive) return;
+        r.proc.frozen = true;
+        trouble(r.name, t.do, s);
+        return later(s, r.wake);
+      case 'router-roll':
+        return void rollAll();
+      case 'router-cut':
+        trouble(r.name, t.do, s);
+        return cut(`cut ${r.name}`, (a, b) => (a === r.name) !== (b === r.name), s);
+      case 'herd-kill':
+        trouble('core', 'killed whole', 1);
+        trouble('core lost', 'killed whole', 1);
+        for (const n of coreNames) core.kill(n, false);
+        for (const x of routers) {
+          x.kill(false);
+          trouble(x.name, t.do, 1);
+        }
+        h.allKilledUntil.push(e.now() + us(1));
+        return later(1, () => {
+          if (o.spoil !== 'core-stays-dead') {
+            for (const n of coreNames) restart(n);
+            for (const x of routers) x.start();
+          }
+        });
+      case 'slow-moves':
+        workers.mischief.more.slowMoves = 60;
+        return later(s, () => (workers.mischief.more.slowMoves = 1));
+      case 'lapse':
+        workers.mischief.more.handleTtl = 15_000;
+        for (const x of workers.lives()) x.lapse();
+        return later(s, () => (workers.mischief.more.handleTtl = 5_000_000));
+      case 'list-down':
+        core.listDown(true);
+        trouble('list', t.do, s);
+        return later(s, () => core.listDown(false));
+      case 'config-change':
+        return void operator.change();
+      case 'config-race':
+        return void operator.race();
+      case 'config-storm':
+        return void operator.storm(5);
+      case 'config-invalid':
+        return void operator.invalid();
+      case 'seeds-exchanged':
+        return core.reseed([...coreNames].reverse().slice(0, 3));
+      case 'keeper-kill':
+      case 'keeper-power':
+        core.kill(k, t.do === 'keeper-power');
+        trouble('core', t.do, s);
+        return later(s, () => restart(k));
+      case 'keeper-freeze':
+        core.machines.get(k)!.proc.frozen = true;
+        trouble('core', t.do, s);
+        return later(s, () => core.wake(k));
+      case 'keeper-roll':
+        core.leave(k);
+        trouble('core', t.do, 1);
+        return later(0.8, () => restart(k));
+      case 'keeper-cut':
+        trouble('core', t.do, s);
+        return cut(`cut ${k}`, (a, b) => (a === k) !== (b === k), s);
+      case 'keeper-one-way':
+        trouble('core', t.do, s);
+        return cut(`cut ${k}`, (a) => a === k, s);
+      case 'core-cut': {
+        trouble('core', t.do, s);
+        trouble('core lost', t.do, s);
+        const cs = new Set(coreNames);
+        return cut('cut core', (a, b) => cs.has(a) !== cs.has(b) && a !== 'operator' && b !== 'operator', s);
+      }
+      case 'core-replaced':
+      case 'core-replaced-planned':
+        return replace(k, t.do === 'core-replaced-planned', s);
+      case 'disk-wiped-after-ack': {
+        trouble('core', t.do, s + 2);
+        operator.onTaken = (m) => {
+          operator.onTaken = undefined;
+          trouble('core', t.do, s + 2);
+          const others = o.spoil === 'two-disks-lost' ? coreNames.filter((n) => n !== m.name).slice(0, 1) : [];
+          for (const n of [m.name, ...others]) {
+            core.kill(n, true);
+            core.machines.get(n)!.disk.lose();
+            later(0.5, () => restart(n));
+          }
+        };
+        return void operator.change();
+      }
+      case 'disk-full':
+      case 'disk-stalled':
+      case 'disk-slow': {
+        const { disk } = core.machines.get(k)!;
+        trouble('core', t.do, s);
+        if (t.do === 'disk-full') disk.full = true;
+        if (t.do === 'disk-stalled') disk.stalled = true;
+        if (t.do === 'disk-slow') disk.slowUs = 100_000;
+        return later(s, () => {
+          disk.full = false;
+          disk.slowUs = 0;
+          disk.resume();
+        });
+      }
+    }
+  }
+
+  async function rollAll(): Promise<void> {
+    for (const r of routers.slice(0, 3)) {
+      roll(r);
+      await sleep(g, 1_000_000);
+    }
+  }
+  function roll(r: VirtualRouter): void {
+    r.roll();
+  }
+
+  async function close(): Promise<void> {
+    await operator.change();
+    const c = o.closing;
+    const lost = c === 'one-disk-lost' ? oneOf(coreNames, random())! : '';
+    h.allKilledUntil.push(e.now() + us(1));
+    trouble('core', c, 1);
+    trouble('core lost', c, 1);
+    for (const n of coreNames) {
+      core.kill(n, c !== 'all-killed');
+      if (n === lost) core.machines.get(n)!.disk.lose();
+    }
+    for (const r of routers) {
+      r.kill(c !== 'all-killed');
+      trouble(r.name, c, 1);
+    }
+    await sleep(g, us(1));
+    if (o.spoil === 'core-stays-dead') return;
+    for (const n of coreNames) restart(n);
+    for (const r of routers) r.start();
+  }
+
+  let firstTaken = false;
+  void operator.first().then(() => (firstTaken = true));
+  await e.run(us(start));
+  if (!firstTaken) h.unforeseen.push('the first document was not taken before traffic');
+  h.from = e.now();
+  const end = start + o.span + (o.closing === 'none' ? calm : afterClosing);
+  requesters.begin(us(end - 3));
+  for (const t of o.troubles) e.at(us(start + t.at), () => apply(t));
+  if (o.closing !== 'none') e.at(us(start + o.span - 1), () => void close());
+  await e.run(us(end));
+  void operator.readBack().then((text) => (h.readBack = { text, at: e.now() }));
+  await e.run(us(end + 9));
+  h.to = e.now();
+  return { history: h, events: e.events(), figures: routers.map((r) => r.figures()) };
+}
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -55,7 +55,7 @@
   answer: 'open' | 'taken' | 'refused' | 'unclear';
   answeredAt: number | undefined;
 }
-export interface AppliedSeen {
+export interface GoverningSeen {
   readonly at: number;
   readonly router: string;
   readonly life: number;
@@ -74,7 +74,7 @@
   readonly arrivals: ArrivalSeen[];
   readonly runs: RunSeen[];
   readonly changes: ChangeSent[];
-  readonly applied: AppliedSeen[];
+  readonly applied: GoverningSeen[];
   readonly troubles: TroubleSeen[];
   // When the list showed a worker as leaving or gone.
   readonly shownLeaving: Map<string, number>;
--- /dev/null
+++ b/packages/simulator/src/pass-through/passed-one.ts
@@ -0,0 +1,70 @@
+// One drawn day of one deployment: draws its troubles, plays it, checks it, and counts what its requesters got.
+import { seeded } from '@tansypost/inner-protocol';
+import { checkPassed, type PassedBreach } from './passed-checks.js';
+import { playPassedDay, type Closing, type PassedDayOptions } from './passed-day.js';
+import type { PassedDeployment } from './passed-deployment.js';
+import type { PassedHistory } from './passed-history.js';
+import { drawPassedTroubles, type PassedTrouble, type PassedTroubleKind } from './passed-troubles.js';
+
+export interface PassedOne {
+  readonly seed: number;
+  readonly troubles: readonly PassedTrouble[];
+  readonly breaches: readonly PassedBreach[];
+  readonly history: PassedHistory;
+  readonly events: number;
+  readonly tasks: number;
+  readonly served: number;
+  readonly inTime: number;
+  readonly ends: Record<string, number>;
+  readonly figures: readonly Record<string, unknown>[];
+}
+const closings: readonly Closing[] = ['none', 'none', 'all-killed', 'all-lose-power', 'one-disk-lost'];
+export const passedSpan = 20;
+
+export async function playPassedOne(
+  d: PassedDeployment,
+  seed: number,
+  over: Partial<PassedDayOptions> = {},
+  only?: readonly PassedTroubleKind[],
+): Promise<PassedOne> {
+  const random = seeded(seed * 40503 + 7);
+  const closing = closings[seed % closings.length]!;
+  const span = over.span ?? passedSpan;
+  const troubles = over.troubles ?? drawPassedTroubles(random, span - (closing === 'none' ? 0 : 8), only);
+  const day = await playPassedDay({
+    d,
+    seed,
+    span,
+    troubles,
+    closing,
+    places: random() < 0.3 ? 5 : 3,
+    ...over,
+  });
+  const h = day.history;
+  const ends: Record<string, number> = {};
+  for (const t of h.tries) {
+    const k = t.ended === 'refused' || t.ended === 'gave_up' ? `${t.ended} ${t.why}` : t.ended;
+    ends[k] = (ends[k] ?? 0) + 1;
+  }
+  const firstAt = new Map<number, number>();
+  const served = new Map<number, boolean>();
+  const aims = new Map(d.kinds.map((k) => [k.name, k.aim]));
+  for (const t of h.tries) {
+    if (!firstAt.has(t.task)) firstAt.set(t.task, t.at);
+    if (t.ended !== 'whole') continue;
+    const at = t.streaming ? (t.firstAt ?? t.end!) : t.end!;
+    served.set(t.task, at - firstAt.get(t.task)! <= aims.get(t.kind)!);
+  }
+  return {
+    seed,
+    troubles,
+    breaches: checkPassed(h, d),
+    history: h,
+    events: day.events,
+    tasks: firstAt.size,
+    served: served.size,
+    inTime: [...served.values()].filter((x) => x).length,
+    ends,
+    figures: day.figures,
+  };
+}
--- a/packages/simulator/src/pass-through/virtual-operator.ts
+++ b/packages/simulator/src/pass-through/virtual-operator.ts
@@ -5,7 +5,7 @@
 import { createPipe } from './pipe.js';
 import { into } from '../process.js';
 import type { CoreMachine, VirtualCore } from './virtual-core.js';
-import type { SubmitAnswer } from './submit.js';
+import { tableOf, type SubmitAnswer } from './submit.js';
 
 export interface VirtualOperator {
   readonly first: () => Promise<void>;
@@ -48,18 +48,15 @@
     const c: ChangeSent = { revision, base, text, valid, at: e.now(), answer: 'open', answeredAt: undefined };
     h.changes.push(c);
     let pause = 100_000;
-    let met = false;
     while (e.now() - c.at < patience) {
       const m = oneOf(core.running(), random());
       const x: SubmitAnswer = m === undefined ? 'not now' : await call(m, (k) => k.submit(text, base), 'not now');
       if (x !== 'not now') {
-        // Refused after a call without a clear answer: it may have been taken and followed by another.
-        c.answer = x === 'taken' ? 'taken' : met && valid ? 'unclear' : 'refused';
+        c.answer = x;
         c.answeredAt = e.now();
         if (x === 'taken') self.onTaken?.(m!);
         return c;
       }
-      met = true;
       await sleep(g, pause);
       pause = Math.min(1_000_000, pause * 1.5);
     }
@@ -73,7 +70,7 @@
   // What is in place, as far as anybody tells.
   async function base(): Promise<number> {
     const text = await readBack();
-    return text === undefined ? newest() : (JSON.parse(text) as { revision: number }).revision;
+    return (text === undefined ? undefined : tableOf(text)?.revision) ?? newest();
   }
   function draw(b: number): { text: string; revision: number } {
     const revision = b + 1 + Math.floor(random() * 4);
