--- a/packages/simulator/src/pass-through/passed-checks.ts
+++ b/packages/simulator/src/pass-through/passed-checks.ts
@@ -17,6 +17,8 @@
   | 'document back'
   | 'document not taken'
   | 'two on one'
+  | 'not answered'
+  | 'not ready'
   | 'path'
   | 'denied'
   | 'budget'
@@ -34,6 +36,7 @@
 const stretch = 5_000_000;
 const window = 10_000_000;
 const share = 0.2;
+const answerTime = 4_000_000;
 const recovery = 12_000_000;
 
 export function checkPassed(h: PassedHistory, d: PassedDeployment): PassedBreach[] {
@@ -92,7 +95,10 @@
     const shown = h.shownLeaving.get(a.worker);
     if (a.misdirected || shown === undefined || a.at <= shown + drain) continue;
     if (a.at - shown - listDown(shown, a.at) <= drain || !calm(a.router, a.at) || !settled(a.at)) continue;
-    breach('leaving worker', `${a.request} (${a.doing}) reached ${a.worker} ${s(a.at - shown)} s after it was shown leaving, from ${a.router} at ${s(a.at)}`);
+    breach(
+      'leaving worker',
+      `${a.request} (${a.doing}) reached ${a.worker} ${s(a.at - shown)} s after it was shown leaving, from ${a.router} at ${s(a.at)}`,
+    );
   }
 
   // Documents.
@@ -105,7 +111,8 @@
   for (const c of taken) if (!c.valid) breach('document not taken', `an invalid document of ${c.revision} was taken`);
   for (const [i, c] of taken.entries())
     for (const b of taken.slice(i + 1))
-      if (b.base === c.base) breach('two on one', `${c.revision} and ${b.revision} were both taken on top of ${c.base}`);
+      if (b.base === c.base)
+        breach('two on one', `${c.revision} and ${b.revision} were both taken on top of ${c.base}`);
   for (const a of h.applied) {
     const c = h.changes.find((x) => x.text === a.text);
     if (c === undefined || !c.valid || c.answer === 'refused')
@@ -124,7 +131,10 @@
       const to = Math.min(l.to, at ?? Infinity, h.to);
       for (let x = Math.max(c.answeredAt! + apply, l.from); x < to; x += 50_000)
         if (calm(l.router, x) && inForceBy(c.answeredAt!, x)) {
-          breach('document late', `${c.revision}, taken at ${s(c.answeredAt!)}, does not govern at ${l.router} at ${s(x)}`);
+          breach(
+            'document late',
+            `${c.revision}, taken at ${s(c.answeredAt!)}, does not govern at ${l.router} at ${s(x)}`,
+          );
           break;
         }
     }
@@ -133,20 +143,33 @@
     return settled(x) || x > ack + apply + stretch;
   }
 
+  // An order that is in place is answered, counted in one stretch of calm.
+  for (const c of h.changes.filter((x) => x.valid)) {
+    let calmFor = 0;
+    for (let x = c.at; x < (c.answeredAt ?? h.to) && calmFor <= answerTime; x += 100_000)
+      calmFor = settled(x) ? calmFor + 100_000 : 0;
+    if (calmFor > answerTime)
+      breach('not answered', `${c.revision}, sent at ${s(c.at)}, had no answer for 4 s of calm`);
+  }
+  for (const t of h.tries)
+    if (t.ended === 'refused' && t.why === 'not_ready' && calm(t.router, t.end!) && settled(t.end!))
+      breach('not ready', `${t.router} knew no paths at ${s(t.end!)}`);
+
   // Paths: which documents may have governed a try.
   function pathsOf(t: TrySeen, until: number): (Path | undefined)[] {
     const read = t.readAt ?? t.at;
     const touch = calm(t.router, read) && settled(read);
-    const least = touch
-      ? Math.max(0, ...taken.filter((c) => c.answeredAt! <= read - apply).map((c) => c.revision))
-      : 0;
+    const least = touch ? Math.max(0, ...taken.filter((c) => c.answeredAt! <= read - apply).map((c) => c.revision)) : 0;
     return h.changes
       .filter((c) => c.valid && c.answer !== 'refused' && c.revision >= least && c.at <= until)
       .map((c) => tables.get(c.text)?.paths.find((p) => p.host === hostOf(t.kind)));
   }
   for (const r of h.runs) {
     const t = tries.get(r.request);
-    if (t !== undefined && !pathsOf(t, r.at).some((p) => p?.shares.some((x) => x.service === r.service && x.weight > 0)))
+    if (
+      t !== undefined &&
+      !pathsOf(t, r.at).some((p) => p?.shares.some((x) => x.service === r.service && x.weight > 0))
+    )
       breach('path', `${r.request} (${t.kind}) ran at service ${r.service} at ${s(r.at)}`);
   }
   for (const t of h.tries)
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -111,7 +111,11 @@
       case 'worker-gone':
         // The last of a part comes back: routers do not order workers to change theirs.
         if (w === undefined) return;
-        return workers.crash(w, workers.lives(w.o.service).filter((x) => x.o.part === w.o.part).length < 2, t.who > 0.5);
+        return workers.crash(
+          w,
+          workers.lives(w.o.service).filter((x) => x.o.part === w.o.part).length < 2,
+          t.who > 0.5,
+        );
       case 'worker-dark':
         w?.dark(true);
         return later(s, () => w?.dark(false));
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -1,7 +1,13 @@
 // The machines of the core in a virtual day: each a keeper on its own disk, with the feed to routers and the way for
 // operators' changes, wired as the programs wire them.
 import * as E from 'fp-ts/lib/Either.js';
-import { createCoreAsker, createFeedKeeper, createPlaceList, documentKey, type CoreAnswer } from '@tansypost/control-feed';
+import {
+  createCoreAsker,
+  createFeedKeeper,
+  createPlaceList,
+  documentKey,
+  type CoreAnswer,
+} from '@tansypost/control-feed';
 import { readJournal } from '@tansypost/control-state';
 import { micros, type Address, type Message } from '@tansypost/inner-protocol';
 import { createKeeperHost, type KeeperHost, type OpenDisk } from '@tansypost/state-keeper';
--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -104,7 +104,11 @@
         const may = k.repeatable || k.resumable || how === 'refused' || how === 'unread';
         if (how === 'whole' || how === 'unknown_path' || how === 'left' || !may || tries >= most) return;
         if (k.resumable) {
-          const ids = [...Buffer.concat(t.body).toString().matchAll(/id: (\d+)\n[^\n]*\n\n/g)].map((m) => Number(m[1]));
+          const ids = [
+            ...Buffer.concat(t.body)
+              .toString()
+              .matchAll(/id: (\d+)\n[^\n]*\n\n/g),
+          ].map((m) => Number(m[1]));
           has = Math.max(has, ...ids);
           if (has >= t.pieces) return;
         }
@@ -114,7 +118,11 @@
       const silence = Math.max(2_000_000, 4 * k.aim, 8 * k.pause);
       function watch(): void {
         if (over) return;
-        if (t.readAt === undefined && (k.repeatable || k.resumable) && e.now() - t.at >= Math.min(connectPatience, left / 3)) {
+        if (
+          t.readAt === undefined &&
+          (k.repeatable || k.resumable) &&
+          e.now() - t.at >= Math.min(connectPatience, left / 3)
+        ) {
           leave();
           return settle('unread', 'not read in time');
         }
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -58,7 +58,8 @@
           chunk: (b) => {
             n += 1;
             if (s === 'piece-dropped' && n % 5 === 2 && b.toString().startsWith('id:')) return undefined;
-            if (s === 'piece-doubled' && n === 2 && b.toString().endsWith('\n\n')) return sink.chunk(Buffer.concat([b, b]));
+            if (s === 'piece-doubled' && n === 2 && b.toString().endsWith('\n\n'))
+              return sink.chunk(Buffer.concat([b, b]));
             return sink.chunk(b);
           },
         },
@@ -238,7 +239,11 @@
             cut: () => finish('cut', 'cut by the router'),
             whole: (a) => finish([408, 421, 429, 503].includes(a.status) ? 'refused' : 'failed', `${a.status}`),
             giveUp: (x) =>
-              finish(x.kind === 'unknown_path' ? 'unknown_path' : x.ran === 'no' ? 'refused' : 'gave_up', x.kind, x.retryAfter),
+              finish(
+                x.kind === 'unknown_path' ? 'unknown_path' : x.ran === 'no' ? 'refused' : 'gave_up',
+                x.kind,
+                x.retryAfter,
+              ),
           },
           gone.signal,
         );
--- a/packages/simulator/src/pass-through/virtual-workers.ts
+++ b/packages/simulator/src/pass-through/virtual-workers.ts
@@ -125,7 +125,9 @@
 
   function lives(service?: string): WorkerLife[] {
     return entries
-      .filter((x) => x.life.alive() && x.leaving === Infinity && (service === undefined || x.life.o.service === service))
+      .filter(
+        (x) => x.life.alive() && x.leaving === Infinity && (service === undefined || x.life.o.service === service),
+      )
       .map((x) => x.life);
   }
 
