--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -93,7 +93,7 @@
       };
       let heardAt = e.now();
       let over = false;
-      let leave: () => void = () => undefined;
+      let leave: (() => void) | undefined;
       function settle(how: TrySeen['ended'], why: string, retryAfter = 0): void {
         if (over) return;
         over = true;
@@ -123,11 +123,11 @@
           (k.repeatable || k.resumable) &&
           e.now() - t.at >= Math.min(connectPatience, left / 3)
         ) {
-          leave();
+          leave?.();
           return settle('unread', 'not read in time');
         }
         if (e.now() - heardAt >= silence || e.now() >= began + k.budget) {
-          leave();
+          leave?.();
           return settle('left', 'silence');
         }
         e.at(e.now() + 250_000, watch);
