Routers tell each other of the prompts they send to be read

Cause: traced per request, half of the late large prompts met another router's large prompt at the same reader (error of the expected read time: 90th percentile 0.45 s, 99th 1.0 s). Change: keepers tell each router of up to 16 others; a read of over 20 ms is told to them within 5 ms and counted as work that drains.

--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -27,6 +27,8 @@
   readonly seeds: readonly Address[];
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
   readonly changed: (what: 'document' | 'workers' | 'loads') => void;
+  // Another router has sent a worker a prompt that takes so long to read, in microseconds.
+  readonly elsewhere?: (worker: string, service: number) => void;
   readonly followEvery?: number;
   // How old the newest look at the list may get before the router looks itself.
   readonly listPatience?: number;
@@ -39,6 +41,8 @@
   // How many routers follow the core, as the keepers count them; 0 when none has told.
   readonly routers: () => number;
   readonly heardCore: () => boolean;
+  // Tells the other routers of a read; those within a moment go out together.
+  readonly reading: (worker: string, service: number) => void;
   // The seeds of a settings file that has changed.
   readonly reseed: (seeds: readonly Address[]) => void;
   readonly stop: () => void;
@@ -51,6 +55,8 @@
   list: number;
 }
 const coreSilence = 2_000_000;
+const leastTold = 20_000;
+const tellWithin = 5_000;
 const ownLookAgain = 700_000;
 
 export function createControlFeed(w: World, o: ControlFeedOptions): ControlFeed {
@@ -60,6 +66,9 @@
   let seeds = o.seeds;
   let places: readonly Address[] = [];
   let gen = 0;
+  let peers: readonly Address[] = [];
+  let peersKnown = 0;
+  let reads: { worker: string; service: number }[] = [];
   let doc: { version: number; value: Buffer } | undefined;
   let looking = false;
   let lookAgain = 0;
@@ -76,8 +85,15 @@
     return s;
   }
 
+  // One keeper tells of the other routers, as what two of them know may differ for a moment.
+  function teller(): Address | undefined {
+    let best: Address | undefined;
+    for (const [a, s] of sources) if (s.voting && w.now() - s.heardAt < coreSilence && (best === undefined || a < best)) best = a;
+    return best;
+  }
+
   function follow(a: Address): void {
-    w.send(a, { kind: 'Follow', key: documentKey, version: doc?.version ?? 0, gen, list: source(a).list });
+    w.send(a, { kind: 'Follow', key: documentKey, version: doc?.version ?? 0, gen, list: source(a).list, peers: a === teller() ? peersKnown : -1 });
   }
 
   function tick(): void {
@@ -130,6 +146,11 @@
         doc = { version: n.version, value: Buffer.from(n.value) };
         o.changed('document');
       }
+    } else if (m.kind === 'Peers') {
+      peersKnown = m.digest;
+      peers = m.addresses as Address[];
+    } else if (m.kind === 'Reading') {
+      for (const x of m.reads) o.elsewhere?.(x.worker, x.service);
     } else if (m.kind === 'WorkerList') onList(m, from);
     else if (m.kind === 'WorkerLoads') {
       for (const { age, ...x } of m.loads) {
@@ -141,6 +162,16 @@
     }
   }
 
+  function reading(worker: string, service: number): void {
+    if (peers.length === 0 || service < leastTold) return;
+    reads.push({ worker, service: Math.round(service) });
+    if (reads.length > 1) return;
+    w.after(micros(tellWithin), () => {
+      for (const a of peers) w.send(a, { kind: 'Reading', reads });
+      reads = [];
+    });
+  }
+
   tick();
   const stop = every(w, () => micros((o.followEvery ?? 450_000) * (0.9 + 0.2 * w.random())), tick);
   return {
@@ -151,6 +182,7 @@
     routers: () =>
       Math.max(0, ...[...sources.values()].filter((s) => w.now() - s.heardAt < 3_000_000).map((s) => s.followers)),
     heardCore,
+    reading,
     reseed: (x) => {
       seeds = x;
     },
--- a/packages/control-feed/src/core.test.ts
+++ b/packages/control-feed/src/core.test.ts
@@ -255,6 +255,14 @@
   }
 });
 
+it('takes a wiped disk back though all the seeds that its machine is told are gone', async () => {
+  const c = await founded(12);
+  c.wipe('c0');
+  c.start('c0', false, ['x0', 'x1', 'x2']);
+  await c.run(2000);
+  expect(c.voting()).toEqual(seedNames);
+});
+
 it('lets no wiped disk vote before it has copied from as many as hold every acknowledged change', async () => {
   const c = await founded(11);
   for (const silent of ['c1', 'c2']) {
--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-keeper.ts
@@ -2,7 +2,7 @@
 // and the list of workers when what the follower has is older. It looks at the list every so often and tells all
 // followers at once what has changed. One keeper looks often, the others now and then, as each look is priced; a
 // keeper that the first one's place falls to looks often from then on.
-import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
+import { every, hash32, micros, rendezvous, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import type { Keeper } from '@tansypost/control-state';
 import type { WorkerLoad } from './control-feed.js';
 import { listDigest, sameListed, type ListedWorker } from './listed-worker.js';
@@ -24,6 +24,7 @@
 }
 type Told = Omit<WorkerLoad, 'at'> & { readonly at: number };
 const followerKept = 3_000_000;
+const peersAtMost = 16;
 
 export function createFeedKeeper(w: World, o: FeedKeeperOptions): FeedKeeper {
   const followers = new Map<Address, number>();
@@ -43,6 +44,12 @@
     return [...followers.keys()];
   }
 
+  // A follower's part of the others: all of them while they are few.
+  function peersOf(from: Address): Address[] {
+    const others = live().filter((a) => a !== from);
+    return rendezvous(from, others, (a) => a).slice(0, peersAtMost).sort();
+  }
+
   function whole(): Message {
     return { kind: 'WorkerList', base: 0, digest, age: age(), workers: [...list], gone: [] };
   }
@@ -92,6 +99,11 @@
     followers.set(from, w.now());
     const f = o.keeper()?.follow(m.key, m.version, m.gen, from);
     if (digest !== 0 && m.list !== digest) w.send(from, whole());
+    if (m.peers >= 0) {
+      const addresses = peersOf(from);
+      const d = hash32(addresses.join());
+      if (d !== m.peers) w.send(from, { kind: 'Peers', digest: d, addresses });
+    }
     w.send(from, {
       kind: 'Beat',
       version: f?.version ?? 0,
--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -394,6 +394,8 @@
       if (known?.voting !== true && voting) w.send(m.from as Address, place.hello());
     }
     const gen = place.core().gen;
+    // Told slimly of a core record that it has not, as who tells it knew the disk before it was lost.
+    if (m.gen > gen && m.places.length === 0) w.send(m.from as Address, place.hello());
     place.heard(m);
     if (place.state() === 'blank' && place.core().gen > gen) place.copyTick();
     if (place.state() !== 'voting' || m.slot === place.slot) return;
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -184,11 +184,14 @@
   // The owner tells the other places up to which version a key is on a majority.
   Committed: { key: 'string', epoch: 'long', version: 'long' },
   // What follows a key asks with all that it has, and each keeper answers with a beat as small.
-  Follow: { key: 'string', version: 'long', gen: 'long', list: 'long' },
+  Follow: { key: 'string', version: 'long', gen: 'long', list: 'long', peers: 'long' },
   Beat: { version: 'long', gen: 'long', list: 'long', age: 'long', followers: 'long', voting: 'boolean' },
   // A list of workers: whole where `base` is 0, else what is other than in the list with that digest.
   WorkerList: { base: 'long', digest: 'long', age: 'long', workers: [listed], gone: ['string'] },
   WorkerLoads: { loads: [load] },
+  // Other routers, for one that asked with another digest; and what one of them has just sent to be read, in time to read.
+  Peers: { digest: 'long', addresses: ['string'] },
+  Reading: { reads: [{ worker: 'string', service: 'long' }] },
 } as const satisfies { [k: string]: Shape };
 
 export type Kind = keyof typeof shapes;
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -21,6 +21,8 @@
 }
 export interface CoursePorts {
   readonly workers: WorkerPort;
+  // A read that takes so long was sent: others may want to know.
+  readonly reading?: (worker: string, service: number) => void;
   readonly sample?: (row: Float32Array, firstTime: number) => void;
   readonly model?: () => Model | undefined;
 }
@@ -29,6 +31,7 @@
   readonly paths: (t: PathTable) => void;
   readonly workers: (ws: readonly FleetWorker[]) => void;
   readonly told: (id: string, l: ToldLoad) => void;
+  readonly elsewhere: (worker: string, service: number) => void;
   readonly ready: () => boolean;
   readonly active: () => number;
   readonly figures: () => Record<string, unknown>;
@@ -261,6 +264,7 @@
     const reader = plan.reader!;
     const now = w.now();
     const stop = new AbortController();
+    p.reading?.(reader.id, plan.serviceTime);
     const under = fleet.began(reader.id, 'read', plan.readerTokens, plan.readTime);
     const limit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
     let over = false;
@@ -398,6 +402,7 @@
     paths,
     workers,
     told: fleet.told,
+    elsewhere: fleet.elsewhere,
     ready: () => matcher !== undefined && listed,
     active: () => active,
     figures: () => ({
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -49,6 +49,8 @@
   readonly views: (service: string, part: Part, without: ReadonlySet<string>) => View[];
   // `tokens` are those expected to be read there, `expected` the time until the first answer.
   readonly began: (id: string, doing: Doing, tokens: number, expected: number) => Under;
+  // Another router has sent it a prompt that takes so long to read.
+  readonly elsewhere: (id: string, service: number) => void;
   readonly silent: (id: string) => boolean;
   readonly view: () => object[];
 }
@@ -73,6 +75,9 @@
   heardAt: number;
   pause: number;
   pauseAt: number;
+  // What was sent there lately by this router and others, as far as they told, in time to read.
+  work: { readonly at: number; readonly us: number }[];
+  noted: number;
   failures: number;
   restUntil: number;
 }
@@ -83,6 +88,8 @@
 const silentAfter = 450_000;
 const pauseKept = 2_500_000;
 const toldKept = 1_600_000;
+const workKept = 6_000_000;
+const notesKept = 5_000_000;
 
 export function createWorkerFleet(now: () => number, speedClass: (id: string) => number = () => 0): WorkerFleet {
   const rows = new Map<string, Row>();
@@ -106,6 +113,8 @@
           heardAt: -Infinity,
           pause: 0,
           pauseAt: -Infinity,
+          work: [],
+          noted: -Infinity,
           failures: 0,
           restUntil: 0,
         });
@@ -128,6 +137,23 @@
     for (const s of r.sends) if (!s.read) n += s.tokens;
     return n;
   }
+  // What is left of the work sent there if it is done one after the other; an idle report ends what was sent before it.
+  function backlog(r: Row): number {
+    const t = now();
+    while (r.work.length > 0 && t - r.work[0]!.at > workKept) r.work.shift();
+    const idleAt = r.told !== undefined && !r.told.silent && r.told.queued + r.told.active === 0 ? r.told.at : -Infinity;
+    let [left, at] = [0, 0];
+    for (const x of r.work) {
+      if (x.at < idleAt) continue;
+      left = Math.max(0, left - (x.at - at)) + x.us;
+      at = x.at;
+    }
+    return Math.max(0, left - (t - at));
+  }
+  function add(r: Row, us: number): void {
+    r.work.push({ at: now(), us: Math.min(3_000_000, us) });
+    if (r.work.length > 200) r.work.shift();
+  }
   function runs(r: Row): number {
     let n = 0;
     for (const s of r.sends) if (s.doing === 'run') n += 1;
@@ -152,8 +178,10 @@
     const mine = r.sends.size;
     const all = Math.max(mine, told === undefined ? mine : told.queued + told.active);
     const queued = Math.min(all, told?.queued ?? 0);
-    // Of the reads of others only their number is known.
-    const pending = reading(r) + (r.w.part === 'prefill' ? Math.max(0, all - mine) * usualRead : 0);
+    const pending = reading(r);
+    // Of the reads of others only their number is known where they do not tell.
+    const notes = now() - r.noted < notesKept;
+    const others = r.w.part !== 'prefill' || notes ? 0 : Math.max(0, all - mine) * usualRead;
     return {
       worker: r.w,
       candidate: {
@@ -166,7 +194,7 @@
         kvUsed: told?.kvUsed ?? 0,
         speedClass: speedClass(r.w.id),
       },
-      wait: fixed + pending / r.pace + Math.max(0, off(r)),
+      wait: fixed + Math.max((pending + others) / r.pace, r.w.part === 'prefill' ? backlog(r) : 0) + Math.max(0, off(r)),
       perToken: 1 / r.pace,
       runs: Math.max(runs(r), r.w.part === 'decode' ? (told?.active ?? 0) : 0),
       pause: now() - r.pauseAt < pauseKept ? r.pause : 0,
@@ -185,7 +213,10 @@
     if (r === undefined) return { progress: () => undefined, end: () => undefined };
     const s: Send = { doing, at: now(), tokens, expected, alone: reading(r) === 0, read: false };
     r.sends.add(s);
-    if (doing === 'read') usualRead += 0.05 * (tokens - usualRead);
+    if (doing === 'read') {
+      usualRead += 0.05 * (tokens - usualRead);
+      add(r, tokens / r.pace);
+    }
     function firstSeen(): void {
       if (s.read) return;
       s.read = true;
@@ -241,6 +272,12 @@
     find: (id) => rows.get(id)?.w,
     views,
     began,
+    elsewhere: (id, service) => {
+      const r = rows.get(id);
+      if (r === undefined) return;
+      r.noted = now();
+      add(r, service);
+    },
     silent: (id) => {
       const r = rows.get(id);
       return r === undefined || quiet(r);
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -248,13 +248,14 @@
   readonly passed: string;
   readonly seed: number;
   readonly only: readonly PassedTroubleKind[] | undefined;
+  readonly rate: number;
 }
 type PassedResult = Omit<PassedOne, 'history'>;
 
 function line(x: PassedResult): string {
   const n = x.figures.length;
   const troubles = x.troubles.map((t) => `${t.do} ${t.at.toFixed(1)}`).join(', ');
-  return `seed ${x.seed}: ${x.served} of ${x.tasks} served, ${x.inTime} in time, ${n} routers; ${JSON.stringify(x.ends)}; ${troubles || 'no troubles'}\n`;
+  return `seed ${x.seed}: ${x.served} of ${x.tasks} served, ${x.inTime} in time, ${n} routers; ${JSON.stringify(x.ends)}; ${JSON.stringify(x.margins)}; ${troubles || 'no troubles'}\n`;
 }
 
 class Passed extends Command {
@@ -266,6 +267,7 @@
   shape = Option.String('--deployment', 'ferry', { description: Object.keys(passedDeployments).join(' or ') });
   seed = Option.String('--seed', '1');
   count = Option.String('--seeds', '1');
+  rate = Option.String('--rate', '1', { description: 'how many times the usual number of requests come' });
   kinds = Option.String('--kinds', { description: `a dozen troubles of these only: ${passedTroubleKinds.join(',')}` });
   threads = Option.String('--threads', `${Math.max(1, availableParallelism() >> 1)}`);
   async execute(): Promise<number> {
@@ -279,11 +281,12 @@
     const { stdout } = this.context;
     const to = Number(this.seed) + Number(this.count);
     const { shape } = this;
+    const rate = Number(this.rate);
     let next = Number(this.seed);
     let [days, bad, tasks, served, inTime] = [0, 0, 0, 0, 0];
     async function work(): Promise<void> {
       while (next < to) {
-        const job: PassedJob = { passed: shape, seed: next, only };
+        const job: PassedJob = { passed: shape, seed: next, only, rate };
         next += 1;
         const w = new Worker(new URL(import.meta.url));
         const x = await new Promise<PassedResult>((ok, no) => {
@@ -322,7 +325,9 @@
   parentPort!.on('message', (j: Job | MeasureJob | PassedJob) => {
     if ('passed' in j) {
       const shape = passedDeployments[j.passed]!;
-      return void playPassedOne(shape, j.seed, {}, j.only).then(({ history: _h, ...x }) => parentPort!.postMessage(x));
+      return void playPassedOne(shape, j.seed, { rate: j.rate }, j.only).then(({ history: _h, ...x }) =>
+        parentPort!.postMessage(x),
+      );
     }
     const d = deployments[j.deployment]!;
     if ('policy' in j) void measureOne(d, j.policy, j.load, j.seed, j.seconds).then((f) => parentPort!.postMessage(f));
--- a/packages/simulator/src/pass-through/passed-one.ts
+++ b/packages/simulator/src/pass-through/passed-one.ts
@@ -17,10 +17,45 @@
   readonly inTime: number;
   readonly ends: Record<string, number>;
   readonly figures: readonly Record<string, unknown>[];
+  readonly margins: PassedMargins;
+}
+// The longest of the day, in seconds: until a document was acknowledged, until it governed at a router after that, and
+// from a worker's leaving being shown until something reached it; the first whole answer after all had been killed.
+export interface PassedMargins {
+  readonly acknowledged: number;
+  readonly governed: number;
+  readonly leaving: number;
+  readonly backAfter: number;
 }
 const closings: readonly Closing[] = ['none', 'none', 'all-killed', 'all-lose-power', 'one-disk-lost'];
 export const passedSpan = 20;
 
+function marginsOf(h: PassedHistory): PassedMargins {
+  let [acknowledged, governed, leaving, backAfter] = [0, 0, 0, 0];
+  for (const c of h.changes.filter((x) => x.answer === 'taken')) {
+    acknowledged = Math.max(acknowledged, c.answeredAt! - c.at);
+    for (const l of h.lives) {
+      const a = h.applied.find((x) => x.router === l.router && x.life === l.life && x.revision >= c.revision);
+      if (a !== undefined) governed = Math.max(governed, a.at - Math.max(l.from, c.answeredAt!));
+    }
+  }
+  for (const a of h.arrivals)
+    if (!a.misdirected) leaving = Math.max(leaving, a.at - (h.shownLeaving.get(a.worker) ?? Infinity));
+  for (const at of h.allKilledUntil) {
+    const first = h.tries.find((t) => t.ended === 'whole' && t.readAt! > at);
+    backAfter = Math.max(backAfter, (first?.end ?? h.to) - at);
+  }
+  function seconds(us: number): number {
+    return Math.round(us / 1e4) / 100;
+  }
+  return {
+    acknowledged: seconds(acknowledged),
+    governed: seconds(governed),
+    leaving: seconds(leaving),
+    backAfter: seconds(backAfter),
+  };
+}
+
 export async function playPassedOne(
   d: PassedDeployment,
   seed: number,
@@ -66,5 +101,6 @@
     inTime: [...served.values()].filter((x) => x).length,
     ends,
     figures: day.figures,
+    margins: marginsOf(h),
   };
 }
