--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -326,6 +326,7 @@
     }
     r.gone.addEventListener('abort', left, { once: true });
     r.sends += 1;
+    if (from === undefined) p.reading?.(runner.id, plan.serviceTime);
     note(from === undefined ? 'run alone' : 'run from memory');
     const lastEvent = resumed ? (r.cutter?.last() ?? r.q.lastEvent) : r.q.lastEvent;
     const got = await p.workers.run(
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -194,7 +194,7 @@
         kvUsed: told?.kvUsed ?? 0,
         speedClass: speedClass(r.w.id),
       },
-      wait: fixed + Math.max((pending + others) / r.pace, r.w.part === 'prefill' ? backlog(r) : 0) + Math.max(0, off(r)),
+      wait: fixed + Math.max((pending + others) / r.pace, backlog(r)) + Math.max(0, off(r)),
       perToken: 1 / r.pace,
       runs: Math.max(runs(r), r.w.part === 'decode' ? (told?.active ?? 0) : 0),
       pause: now() - r.pauseAt < pauseKept ? r.pause : 0,
@@ -213,10 +213,8 @@
     if (r === undefined) return { progress: () => undefined, end: () => undefined };
     const s: Send = { doing, at: now(), tokens, expected, alone: reading(r) === 0, read: false };
     r.sends.add(s);
-    if (doing === 'read') {
-      usualRead += 0.05 * (tokens - usualRead);
-      add(r, tokens / r.pace);
-    }
+    if (doing === 'read') usualRead += 0.05 * (tokens - usualRead);
+    if (tokens > 1) add(r, tokens / r.pace);
     function firstSeen(): void {
       if (s.read) return;
       s.read = true;
--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -93,7 +93,7 @@
       };
       let heardAt = e.now();
       let over = false;
-      let way: { readonly leave: () => void } | undefined;
+      const way: { leave?: () => void } = {};
       function settle(how: TrySeen['ended'], why: string, retryAfter = 0): void {
         if (over) return;
         over = true;
@@ -123,11 +123,11 @@
           (k.repeatable || k.resumable) &&
           e.now() - t.at >= Math.min(connectPatience, left / 3)
         ) {
-          way?.leave();
+          way.leave?.();
           return settle('unread', 'not read in time');
         }
         if (e.now() - heardAt >= silence || e.now() >= began + k.budget) {
-          way?.leave();
+          way.leave?.();
           return settle('left', 'silence');
         }
         e.at(e.now() + 250_000, watch);
@@ -136,7 +136,7 @@
       if (net.blocked('clients', router.name) || net.blocked(router.name, 'clients') || g.silent.has(router.name))
         return e.at(e.now() + Math.min(connectPatience, left / 3), () => settle('unread', 'no connection'));
       if (!router.proc.alive) return e.at(e.now() + 1000, () => settle('unread', 'nobody there'));
-      const leave = router.take(t, q, {
+      way.leave = router.take(t, q, {
         first: () => {
           heardAt = e.now();
         },
@@ -148,7 +148,6 @@
         },
         ended: settle,
       });
-      way = { leave };
       watch();
     }
     once();
