--- /dev/null
+++ b/packages/pass-through/src/assign-pair.test.ts
@@ -0,0 +1,83 @@
+import { expect, it } from 'vitest';
+import { placementDefaults } from '@tansypost/placement';
+import { seeded } from '@tansypost/inner-protocol';
+import { assignPair, pairDefaults, type Pair, type PairTerms } from './assign-pair.js';
+import type { Incoming } from './incoming.js';
+import type { View } from './worker-fleet.js';
+
+const terms: PairTerms = {
+  ...pairDefaults,
+  zone: 'z1',
+  regionOf: () => 'r',
+  aim: 800_000,
+  tokenBytes: 18_432,
+  linkMbps: 740_000,
+  placement: { ...placementDefaults, explore: 0 },
+};
+function prompt(group: string, shared: number, own: number): Incoming {
+  return {
+    id: 'q',
+    method: 'POST',
+    target: '/',
+    host: 'h',
+    head: [],
+    body: Buffer.alloc(1000),
+    promptTokens: shared + own,
+    answerTokens: 100,
+    parts: [
+      { id: group, tokens: shared },
+      { id: 'own', tokens: own },
+    ],
+    patience: 8_000_000,
+    lastEvent: undefined,
+  };
+}
+function view(id: string, part: 'prefill' | 'decode', x: Partial<View> = {}, zone = 'z1'): View {
+  return {
+    worker: { id, service: 's', address: id, zone, slots: 64, part, leaving: false },
+    candidate: {
+      worker: id as never,
+      incarnation: 1,
+      running: 0,
+      queued: 0,
+      prefillTokens: 0,
+      decodeTokens: 0,
+      kvUsed: 0,
+      speedClass: 0,
+    },
+    wait: 15_000,
+    perToken: part === 'prefill' ? 25 : 50,
+    runs: 10,
+    pause: 60_000,
+    ...x,
+  };
+}
+function assign(q: Incoming, readers: View[], runners: View[], hits = new Map<string, number>()): Pair | undefined {
+  return assignPair(q, readers, runners, hits, undefined, terms, () => 0, seeded(3));
+}
+const readers = ['p1', 'p2', 'p3'].map((n) => view(n, 'prefill'));
+const runners = ['d1', 'd2'].map((n) => view(n, 'decode'));
+
+it('gives one reader to all prompts of a group, whichever router asks, and another when its queue is long', () => {
+  const q = prompt('g', 5000, 5000);
+  const one = assign(q, readers, runners)!.reader!.id;
+  for (let i = 0; i < 5; i += 1) expect(assign(q, [...readers].reverse(), runners)!.reader!.id).toBe(one);
+  const busy = readers.map((v) => (v.worker.id === one ? { ...v, wait: 1_500_000 } : v));
+  expect(assign(q, busy, runners)!.reader!.id).not.toBe(one);
+  expect(new Set(['a', 'b', 'c', 'd', 'e', 'f'].map((g) => assign(prompt(g, 5000, 5000), readers, runners)!.reader!.id)).size).toBe(3);
+});
+
+it('lets a worker that makes tokens read a short prompt itself when it has little to do, a long one not', () => {
+  const idle = runners.map((v) => ({ ...v, runs: 0 }));
+  expect(assign(prompt('g', 100, 100), readers, idle)!.reader).toBeUndefined();
+  expect(assign(prompt('g', 5000, 9000), readers, idle)!.reader).toBeDefined();
+  expect(assign(prompt('g', 5000, 9000), [], idle)!.reader).toBeUndefined();
+  expect(assign(prompt('g', 5000, 9000), readers, [])).toBeUndefined();
+});
+
+it('takes the runner with the shorter pauses and fewer runs, near the reader', () => {
+  const q = prompt('g', 5000, 9000);
+  expect(assign(q, readers, [view('d1', 'decode', { pause: 200_000 }), view('d2', 'decode')])!.runner.id).toBe('d2');
+  expect(assign(q, readers, [view('d1', 'decode', { runs: 40 }), view('d2', 'decode')])!.runner.id).toBe('d2');
+  expect(assign(q, readers, [view('d1', 'decode', {}, 'z2'), view('d2', 'decode')])!.runner.id).toBe('d2');
+});
