--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -2,7 +2,7 @@
 // every keeper it knows of with one small message; a keeper answers with a beat and sends only what is newer.
 // Keepers tell which machines hold the core's places now, so that a router outlives all of its seeds. Without
 // news of the workers for a while it looks at the list itself, and with nobody to tell it, it goes on with what it has.
-import { every, micros, type Address, type Message, type Micros, type World } from '@tansypost/inner-protocol';
+import { every, micros, type Address, type Message, type Micros, type NewsItem, type World } from '@tansypost/inner-protocol';
 import { fromWire, listDigest, type ListedWorker } from './listed-worker.js';
 import { createWorkerBook } from './worker-book.js';
 
@@ -29,6 +29,8 @@
   readonly changed: (what: 'document' | 'workers' | 'loads') => void;
   // Another router has sent a worker a prompt that takes so long to read, in microseconds.
   readonly elsewhere?: (worker: string, service: number) => void;
+  // A second key to be told of, with the version that is had here, and what is told of any other key.
+  readonly more?: { readonly key: string; readonly version: () => number; readonly take: (n: NewsItem) => void };
   readonly followEvery?: number;
   // How old the newest look at the list may get before the router looks itself.
   readonly listPatience?: number;
@@ -41,6 +43,8 @@
   // How many routers follow the core, as the keepers count them; 0 when none has told.
   readonly routers: () => number;
   readonly heardCore: () => boolean;
+  // The keepers heard that hold a place, in an order that is the same for all routers.
+  readonly keepers: () => readonly Address[];
   // Tells the other routers of a read; those within a moment go out together.
   readonly reading: (worker: string, service: number) => void;
   // The seeds of a settings file that has changed.
@@ -58,6 +62,7 @@
 const leastTold = 20_000;
 const tellWithin = 5_000;
 const ownLookAgain = 700_000;
+const moreEvery = 10_000_000;
 
 export function createControlFeed(w: World, o: ControlFeedOptions): ControlFeed {
   const book = createWorkerBook();
@@ -70,6 +75,7 @@
   let peersKnown = 0;
   let reads: { worker: string; service: number }[] = [];
   let doc: { version: number; value: Buffer } | undefined;
+  let moreAt = 0;
   let looking = false;
   let lookAgain = 0;
   const patience = o.listPatience ?? 1_500_000;
@@ -87,9 +93,10 @@
 
   // One keeper tells of the other routers, as what two of them know may differ for a moment.
   function teller(): Address | undefined {
-    let best: Address | undefined;
-    for (const [a, s] of sources) if (s.voting && w.now() - s.heardAt < coreSilence && (best === undefined || a < best)) best = a;
-    return best;
+    return keepers()[0];
+  }
+  function keepers(): Address[] {
+    return [...sources].flatMap(([a, s]) => (s.voting && w.now() - s.heardAt < coreSilence ? [a] : [])).sort();
   }
 
   function follow(a: Address): void {
@@ -100,9 +107,18 @@
     const to = new Set(places.length === 0 || !heardCore() ? [...places, ...seeds] : places);
     for (const a of to) follow(a);
     for (const a of sources.keys()) if (!to.has(a)) sources.delete(a);
+    followMore();
     lookYourself();
   }
 
+  // What is pushed to all may have been missed: so one keeper is asked now and then.
+  function followMore(): void {
+    const a = teller();
+    if (o.more === undefined || a === undefined || w.now() < moreAt) return;
+    moreAt = w.now() + moreEvery;
+    w.send(a, { kind: 'Follow', key: o.more.key, version: o.more.version(), gen, list: source(a).list, peers: -1 });
+  }
+
   function lookYourself(): void {
     const now = w.now();
     if (looking || now < lookAgain || now - book.newest() < patience) return;
@@ -142,7 +158,11 @@
         places = m.places.map((p) => p.address as Address);
       }
       for (const n of m.news) {
-        if (n.key !== documentKey || n.version <= (doc?.version ?? 0)) continue;
+        if (n.key !== documentKey) {
+          o.more?.take(n);
+          continue;
+        }
+        if (n.version <= (doc?.version ?? 0)) continue;
         doc = { version: n.version, value: Buffer.from(n.value) };
         o.changed('document');
       }
@@ -182,6 +202,7 @@
     routers: () =>
       Math.max(0, ...[...sources.values()].filter((s) => w.now() - s.heardAt < 3_000_000).map((s) => s.followers)),
     heardCore,
+    keepers,
     reading,
     reseed: (x) => {
       seeds = x;
--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-keeper.ts
@@ -4,7 +4,7 @@
 // keeper that the first one's place falls to looks often from then on.
 import { every, hash32, micros, rendezvous, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import type { Keeper } from '@tansypost/control-state';
-import type { WorkerLoad } from './control-feed.js';
+import { documentKey, type WorkerLoad } from './control-feed.js';
 import { listDigest, sameListed, type ListedWorker } from './listed-worker.js';
 
 export interface FeedKeeperOptions {
@@ -97,6 +97,12 @@
 
   function onFollow(m: Extract<Message, { kind: 'Follow' }>, from: Address): void {
     followers.set(from, w.now());
+    // Of any other key only what is newer is told, without a beat.
+    if (m.key !== documentKey) {
+      const k = o.keeper();
+      if (k !== undefined && k.place.row(m.key).version > 0) k.follow(m.key, m.version, m.gen, from);
+      return;
+    }
     const f = o.keeper()?.follow(m.key, m.version, m.gen, from);
     if (digest !== 0 && m.list !== digest) w.send(from, whole());
     if (m.peers >= 0) {
--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -74,7 +74,8 @@
   }
 
   function tick(): void {
-    if (holds() !== undefined) return call(epoch);
+    // A duty that is of no use now is not renewed.
+    if (holds() !== undefined) return o.willing() ? call(epoch) : undefined;
     if (!o.willing() || w.now() < nextTry || holder() !== undefined) return;
     nextTry = w.now() + 500_000 + Math.round(w.random() * 1_500_000);
     call((Math.floor(seen / 64) + 1) * 64 + o.slot);
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -78,6 +78,11 @@
     means: 'model refused: its content does not match its hash',
     remedy: 'None; the router keeps the one it has.',
   },
+  4005: {
+    level: 'warn',
+    means: 'training failed; what is live stays',
+    remedy: 'Report it with the message.',
+  },
   4101: { level: 'info', means: 'rehearsal begun', remedy: 'Approve or reject it if you wish.' },
   4102: { level: 'info', means: 'rehearsal ended', remedy: 'None.' },
   4103: { level: 'info', means: 'part of a worker ordered', remedy: 'None.' },
--- /dev/null
+++ b/packages/learning/src/keeper-learning.ts
@@ -0,0 +1,130 @@
+// What a keeper does for learning. Routers send their samples to the first keeper they hear; once it has enough, it
+// stands for the duty of training, and while a rehearsal is told of, for the duty of keeping it. Before that and between,
+// nobody stands and nothing is sent. Both go to another keeper when this one dies: samples are lost and come anew, the
+// totals of a rehearsal are at the routers.
+import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
+import type { Keeper } from '@tansypost/control-state';
+import { createCandidate } from '@tansypost/duty';
+import { encodeSamples, width } from '@tansypost/placement';
+import { readRecord, type VerdictOptions } from '@tansypost/rehearsal';
+import type { Asker } from './asking.js';
+import { createRecordWriter } from './record-writer.js';
+import { createRehearsalDuty } from './rehearsal-duty.js';
+import { learnedService, recordKey } from './router-learning.js';
+import { unpackSamples } from './sample-batch.js';
+import { createTrainingDuty, type TrainerPort } from './training-duty.js';
+
+export interface KeeperLearningOptions {
+  readonly self: Address;
+  readonly member: string;
+  readonly keeper: () => Keeper | undefined;
+  readonly asker: Pick<Asker, 'ask'>;
+  readonly trainer: TrainerPort;
+  // No longer than voters lend their votes.
+  readonly tenure: number;
+  readonly trainEvery?: number;
+  readonly slice?: number;
+  readonly rehearsalLimit?: number;
+  readonly verdict?: VerdictOptions;
+}
+export interface KeeperLearning {
+  // True when it was for learning.
+  readonly receive: (m: Message, from: Address) => boolean;
+  readonly figures: () => Record<string, unknown>;
+  readonly stop: () => void;
+}
+export const learningDefaults = { trainEvery: 1000, slice: 0.2, rehearsalLimit: 600_000_000 };
+const tickEvery = 250_000;
+const armsFresh = 4_000_000;
+
+export function createKeeperLearning(w: World, o: KeeperLearningOptions): KeeperLearning {
+  const duties = { training: candidate('training', wantsTraining), rehearsals: candidate('rehearsals', wantsRehearsal) };
+  const writer = createRecordWriter(w, learnedService, o.asker, () => undefined);
+  const training = createTrainingDuty(w, {
+    service: learnedService,
+    holds: duties.training.holds,
+    record,
+    asker: o.asker,
+    writer,
+    trainer: o.trainer,
+    every: o.trainEvery ?? learningDefaults.trainEvery,
+    slice: o.slice ?? learningDefaults.slice,
+    approval: () => 'automatic',
+  });
+  const keeping = createRehearsalDuty(w, {
+    holds: duties.rehearsals.holds,
+    record,
+    writer,
+    timeLimit: o.rehearsalLimit ?? learningDefaults.rehearsalLimit,
+    ...(o.verdict === undefined ? {} : { verdict: o.verdict }),
+  });
+  let armsAt = -Infinity;
+
+  function candidate(duty: string, willing: () => boolean): ReturnType<typeof createCandidate> {
+    return createCandidate(w, {
+      duty,
+      member: o.member,
+      self: o.self,
+      get slot() {
+        return o.keeper()?.place.slot ?? 0;
+      },
+      tenure: o.tenure,
+      places: () => o.keeper()?.place.core() ?? { gen: 0, places: [] },
+      willing: () => o.keeper()?.place.state() === 'voting' && willing(),
+      won: () => undefined,
+      lost: () => undefined,
+    });
+  }
+  // As this place holds it: good enough to begin with, as each write is on the version read.
+  function record(): Buffer | undefined {
+    const r = o.keeper()?.place.row(recordKey);
+    return r === undefined || r.version === 0 ? undefined : r.value;
+  }
+  function running(): boolean {
+    const b = record();
+    return b !== undefined && readRecord(b).running !== undefined;
+  }
+  // Nothing is trained while something is rehearsed: only one at a time can be.
+  function wantsTraining(): boolean {
+    return training.due() && !running();
+  }
+  function wantsRehearsal(): boolean {
+    return w.now() - armsAt < armsFresh && running();
+  }
+
+  function onSamples(m: Extract<Message, { kind: 'Samples' }>, from: Address): void {
+    if (m.width !== width) return;
+    const holder = duties.training.holder();
+    const routed = o.keeper()?.place.core().places.every((p) => p.address !== from) === true;
+    if (routed && holder !== undefined && holder.address !== o.self) return w.send(holder.address as Address, m);
+    const ss = unpackSamples(m.rows, m.count);
+    if (ss.length > 0) training.samples({ ...m, rows: encodeSamples(ss, width) });
+  }
+
+  function receive(m: Message, from: Address): boolean {
+    if (m.kind === 'Samples') onSamples(m, from);
+    else if (m.kind === 'Arms') {
+      armsAt = w.now();
+      keeping.arms(m);
+    } else if (m.kind === 'BallotVote') {
+      duties.training.vote(m);
+      duties.rehearsals.vote(m);
+    } else return false;
+    return true;
+  }
+
+  function tick(): void {
+    if (duties.training.holds() !== undefined && wantsTraining()) training.tick();
+    if (duties.rehearsals.holds() !== undefined) keeping.tick();
+  }
+  const stop = every(w, () => micros(tickEvery), tick);
+  return {
+    receive,
+    figures: () => ({ ...training.figures(), holds: Object.entries(duties).flatMap(([k, d]) => (d.holds() === undefined ? [] : [k])) }),
+    stop: () => {
+      stop();
+      duties.training.stop();
+      duties.rehearsals.stop();
+    },
+  };
+}
--- a/programs/router-agent/src/record-writer.ts
+++ b/packages/learning/src/record-writer.ts
@@ -3,7 +3,7 @@
 // it is dropped. One write at a time.
 import type { World } from '@tansypost/inner-protocol';
 import { readRecord, writeRecord, type RehearsalRecord } from '@tansypost/rehearsal';
-import type { Asker } from './ask.js';
+import type { Asker } from './asking.js';
 
 export type RecordChange = (r: RehearsalRecord) => RehearsalRecord | undefined;
 export interface RecordWriter {
@@ -13,7 +13,7 @@
 export function createRecordWriter(
   w: World,
   service: string,
-  a: Asker,
+  a: Pick<Asker, 'ask'>,
   wrote: (version: number, epoch: number, value: Buffer) => void,
 ): RecordWriter {
   const key = `rehearsal/${service}`;
--- /dev/null
+++ b/packages/learning/src/router-learning.ts
@@ -0,0 +1,191 @@
+// What a router does for learning: it sends samples of how long its choices took, holds the models that the rehearsal's
+// record names, decoded before a request needs them, draws for each request whether a rehearsal takes it, and tells how
+// those went as running totals. Without samples, a record or a keeper it does nothing.
+import * as E from 'fp-ts/lib/Either.js';
+import { micros, type Address, type ArmCount, type NewsItem, type World } from '@tansypost/inner-protocol';
+import type { Answered, Lot } from '@tansypost/pass-through';
+import { batchSize, decodeModel, scoreAll, width, type Model, type Sample } from '@tansypost/placement';
+import { armOf, armsOf, emptyRecord, readRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
+import type { Asker } from './asking.js';
+import { packSamples } from './sample-batch.js';
+
+export const learnedService = 'main';
+export const recordKey = `rehearsal/${learnedService}`;
+
+export interface RouterLearningOptions {
+  readonly member: string;
+  // The first is the one that learns.
+  readonly keepers: () => readonly Address[];
+  readonly asker: Pick<Asker, 'ask'>;
+}
+export interface RouterLearning {
+  readonly take: (n: NewsItem) => void;
+  readonly version: () => number;
+  readonly sample: (row: Float32Array, firstTime: number) => void;
+  readonly lot: (request: string) => Lot;
+  readonly figures: () => Record<string, unknown>;
+}
+const flushAfter = 5_000_000;
+const armsEvery = 1_000_000;
+const askAgain = 2_000_000;
+const armsKept = 64;
+const bytesKept = 2;
+
+export function createRouterLearning(w: World, o: RouterLearningOptions): RouterLearning {
+  const models = new Map<string, Model>();
+  // Model bytes that were told of, the newest of each key.
+  const bytes = new Map<string, NewsItem>();
+  const arms = new Map<string, ArmCount>();
+  let record: RehearsalRecord = emptyRecord;
+  let at: { version: number; epoch: number } = { version: 0, epoch: 0 };
+  let samples: Sample[] = [];
+  let telling = false;
+  let asking = false;
+
+  function named(): ModelRef[] {
+    const s = record.running?.subject;
+    return [record.live, s?.type === 'model' ? s.model : undefined, record.before].flatMap((x) => x ?? []);
+  }
+
+  function take(n: NewsItem): void {
+    if (n.key.startsWith(`blob/${learnedService}/`)) {
+      const had = bytes.get(n.key);
+      if (had !== undefined && had.version >= n.version) return;
+      bytes.delete(n.key);
+      bytes.set(n.key, n);
+      for (const k of bytes.keys()) if (bytes.size > bytesKept) bytes.delete(k);
+    } else if (n.key === recordKey) {
+      if (n.version < at.version || (n.version === at.version && n.epoch <= at.epoch)) return;
+      at = { version: n.version, epoch: n.epoch };
+      record = readRecord(n.value);
+      const hashes = new Set(named().map((r) => r.hash));
+      for (const h of models.keys()) if (!hashes.has(h)) models.delete(h);
+    } else return;
+    prepare();
+    if (record.running !== undefined) tell();
+  }
+
+  // Of the model before, only what a watched rehearsal holds back for its control is needed.
+  function prepare(): void {
+    const missing = named().filter((r) => !models.has(r.hash) && !learned(r, bytes.get(r.blob)?.value));
+    const first = missing.find((r) => r !== record.before || record.running?.state === 'watched');
+    if (first !== undefined) fetch(first);
+    else if (missing.length === 0) bytes.clear();
+  }
+
+  // Runs it a few times so that it is quick by the time a request needs it.
+  function learned(r: ModelRef, b: Buffer | undefined): boolean {
+    const d = b === undefined ? undefined : decodeModel(b, r.hash);
+    if (d === undefined) return false;
+    if (E.isLeft(d)) {
+      bytes.delete(r.blob);
+      w.log(4004, { version: r.version, hash: r.hash, blob: r.blob });
+      return false;
+    }
+    models.set(r.hash, d.right);
+    const rows = Array.from({ length: 12 }, () => new Float32Array(d.right.predictor.sizes[0]!));
+    for (let n = 0; n < 3; n += 1) scoreAll(d.right, rows);
+    w.log(4002, { version: r.version, hash: r.hash });
+    return true;
+  }
+
+  function fetch(r: ModelRef): void {
+    if (asking) return;
+    asking = true;
+    // What was written just now is being told to all.
+    w.after(micros(askAgain * (0.25 + 0.5 * w.random())), () => {
+      if (models.has(r.hash) || !named().some((x) => x.hash === r.hash)) return over();
+      void o.asker.ask({ op: 'read', key: r.blob, patience: 4_000_000 }).then((a) => {
+        if (a.status === 'value' && named().some((x) => x.hash === r.hash)) learned(r, a.value);
+        w.after(micros(askAgain), over);
+      });
+    });
+    function over(): void {
+      asking = false;
+      prepare();
+    }
+  }
+
+  function sample(row: Float32Array, firstTime: number): void {
+    samples.push({ x: row, y: -firstTime / 1e6 });
+    if (samples.length >= batchSize) flush();
+    else if (samples.length === 1) w.after(micros(flushAfter), flush);
+  }
+  function flush(): void {
+    const to = o.keepers()[0];
+    const ss = samples;
+    if (ss.length === 0) return;
+    samples = [];
+    if (to !== undefined)
+      w.send(to, { kind: 'Samples', from: o.member, count: ss.length, width, rows: packSamples(ss) });
+  }
+
+  function tell(): void {
+    if (telling) return;
+    telling = true;
+    w.after(micros(armsEvery), () => {
+      telling = false;
+      const to = o.keepers()[0];
+      if (record.running === undefined) return arms.clear();
+      const now = armsOf(record.running);
+      if (to !== undefined)
+        w.send(to, { kind: 'Arms', from: o.member, arms: [...arms.values()].filter((a) => a.rehearsal === now) });
+      tell();
+    });
+  }
+
+  // A router that lacks the model takes no part, in either arm, so that what is missing favours neither.
+  function lot(request: string): Lot {
+    const run = record.running;
+    const s = run?.subject.type === 'model' ? run.subject : undefined;
+    const live = record.live === undefined ? undefined : models.get(record.live.hash);
+    const before = record.before === undefined ? undefined : models.get(record.before.hash);
+    const rehearsed = s === undefined ? undefined : models.get(s.model.hash);
+    const ready = rehearsed !== undefined && (run!.state !== 'watched' || record.before === undefined || before !== undefined);
+    if (run === undefined || !ready) return { model: live, ended: () => undefined };
+    const rehearsal = armsOf(run);
+    const arm = armOf(rehearsal, request, run.slice);
+    // While a model that went live is watched, the control stays with the one before.
+    const control = run.state === 'watched' ? before : live;
+    return {
+      model: arm === 'slice' ? rehearsed : arm === 'control' ? control : live,
+      ended: (x) => {
+        if (arm !== 'none' && x.end !== 'left') count(rehearsal, arm, x);
+      },
+    };
+  }
+
+  function count(rehearsal: string, arm: string, x: Answered): void {
+    const k = `${rehearsal}/${arm}/${x.path}`;
+    const whole = x.end === 'whole';
+    // From arrival, with the waiting here; whoever failed has waited its whole patience.
+    const l = Math.log(Math.max(1, whole ? x.first : x.patience));
+    const t = whole && x.perPiece !== undefined ? Math.log(Math.max(1, x.perPiece)) : undefined;
+    const a = arms.get(k);
+    arms.set(k, {
+      rehearsal,
+      arm,
+      stratum: x.path,
+      count: (a?.count ?? 0) + 1,
+      failures: (a?.failures ?? 0) + (whole ? 0 : 1),
+      sum: (a?.sum ?? 0) + l,
+      squares: (a?.squares ?? 0) + l * l,
+      tokenCount: (a?.tokenCount ?? 0) + (t === undefined ? 0 : 1),
+      tokenSum: (a?.tokenSum ?? 0) + (t ?? 0),
+      tokenSquares: (a?.tokenSquares ?? 0) + (t ?? 0) ** 2,
+    });
+    for (const old of arms.keys()) if (arms.size > armsKept && !old.startsWith(rehearsal)) arms.delete(old);
+  }
+
+  return {
+    take,
+    version: () => at.version,
+    sample,
+    lot,
+    figures: () => ({
+      record: at.version,
+      live: record.live !== undefined && models.has(record.live.hash) ? record.live.hash.slice(0, 8) : '',
+      rehearsal: record.running === undefined ? '' : `${armsOf(record.running)} ${record.running.state}`,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/learning/src/sample-batch.test.ts
@@ -0,0 +1,22 @@
+import { expect, it } from 'vitest';
+import { seeded } from '@tansypost/inner-protocol';
+import { width, type Sample } from '@tansypost/placement';
+import { packSamples, unpackSamples } from './sample-batch.js';
+
+it('packs samples to a third of their size or less, and gives them back; what is spoilt gives none', () => {
+  const r = seeded(4);
+  const ss = Array.from({ length: 100 }, (): Sample => {
+    const x = new Float32Array(width);
+    x[0] = Math.round(400 + 9000 * r());
+    x[2] = x[0];
+    x[3] = Math.floor(4 * r());
+    x[5] = Math.floor(2 * r()) * x[0];
+    x[8] = 1;
+    return { x, y: -Math.fround(r()) };
+  });
+  const b = packSamples(ss);
+  expect(b.length).toBeLessThan((100 * (width + 1) * 4) / 3);
+  expect(unpackSamples(b, 100)).toEqual(ss);
+  expect(unpackSamples(b, 99)).toEqual([]);
+  expect(unpackSamples(b.subarray(3), 100)).toEqual([]);
+});
--- a/programs/router-agent/src/training-duty.ts
+++ b/packages/learning/src/training-duty.ts
@@ -4,7 +4,7 @@
 import { micros, type MessageOf, type World } from '@tansypost/inner-protocol';
 import { decodeSamples, modelHash, width, type ModelVersion, type Sample } from '@tansypost/placement';
 import { begin, readRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
-import type { Asker } from './ask.js';
+import type { Asker } from './asking.js';
 import type { RecordWriter } from './record-writer.js';
 
 export interface TrainerPort {
@@ -15,7 +15,7 @@
   readonly service: string;
   readonly holds: () => number | undefined;
   readonly record: () => Buffer | undefined;
-  readonly asker: Asker;
+  readonly asker: Pick<Asker, 'ask'>;
   readonly writer: RecordWriter;
   readonly trainer: TrainerPort;
   readonly every: number;
@@ -25,6 +25,8 @@
 export interface TrainingDuty {
   readonly samples: (m: MessageOf<'Samples'>) => void;
   readonly tick: () => void;
+  // There is something to train, or a model to offer.
+  readonly due: () => boolean;
   readonly figures: () => { fresh: number; trained: number };
 }
 
@@ -63,6 +65,7 @@
           waiting = { v, bytes };
           w.log(4003, { version: v, bytes: bytes.length });
         })
+        .catch((e: unknown) => w.log(4005, { version: v, why: String(e) }))
         .finally(() => {
           busy = false;
         });
@@ -103,7 +106,12 @@
     );
     if (done !== undefined && waiting === x) waiting = undefined;
   }
-  return { samples, tick, figures: () => ({ fresh, trained }) };
+  return {
+    samples,
+    tick,
+    due: () => busy || waiting !== undefined || fresh >= o.every,
+    figures: () => ({ fresh, trained }),
+  };
 }
 
 function freeSlotFits(r: RehearsalRecord, blob: string, service: string): boolean {
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -45,6 +45,9 @@
   readonly assignment: Assignment | undefined;
 }
 
+// Ours: past so many readers the dearest are left out before they are scored.
+const mostScored = 40;
+
 export function promptBlocks(q: Incoming): number[] {
   return q.parts.map((p) => hash32(p.id));
 }
@@ -150,16 +153,25 @@
     assignment: undefined,
   };
   if (readers.length === 0) return alone;
+  const few =
+    readers.length <= mostScored
+      ? readers
+      : readers
+          .map((v) => ({ v, cost: readCost(v) }))
+          .sort((x, y) => x.cost - y.cost)
+          .slice(0, mostScored)
+          .map((x) => x.v);
   const a = assignPrefill(
     {
       prompt: facts,
-      candidates: readers.map((v) => v.candidate),
+      candidates: few.map((v) => v.candidate),
+      expected: (c) => readTime(few.find((v) => v.candidate === c)!),
       hits,
       model,
       now,
       random,
       first: (cs) => {
-        const v = best(readers, readCost)!;
+        const v = best(few, readCost)!;
         return cs.find((c) => c.worker === v.worker.id)!;
       },
     },
--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -1,5 +1,6 @@
 // What the executor asks of the way to the workers and back to the requester. A port never throws. `refused` and
 // `unsent` are claimed only on proof that nothing ran: the worker said so, or no byte was sent.
+import type { Model } from '@tansypost/placement';
 import type { Incoming } from './incoming.js';
 import type { FleetWorker } from './worker-fleet.js';
 
@@ -48,6 +49,19 @@
   readonly why: string;
   readonly retryAfter?: number;
 }
+// What a request drew when it came: the model that serves it, and who is told how it ended. Times are microseconds, the
+// first piece's from arrival.
+export interface Lot {
+  readonly model: Model | undefined;
+  readonly ended: (x: Answered) => void;
+}
+export interface Answered {
+  readonly path: string;
+  readonly end: 'whole' | 'left' | 'failed';
+  readonly patience: number;
+  readonly first: number;
+  readonly perPiece: number | undefined;
+}
 export interface Reply {
   readonly head: (h: AnswerHead) => void;
   readonly chunk: (b: Buffer) => void | Promise<void>;
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -17,6 +17,7 @@
   readonly benefit: number;
   readonly k: number;
   readonly timeout: number;
+  readonly trust: number;
 }
 
 export const placementDefaults: PlacementOptions = {
@@ -29,6 +30,7 @@
   benefit: 512,
   k: 2,
   timeout: 5000,
+  trust: 3,
 };
 
 export type Reason = 'scored' | 'explored' | 'cold' | 'range' | 'timeout' | 'error' | 'only';
@@ -49,6 +51,9 @@
   readonly random: () => number;
   // The heuristic's choice where the caller knows more than loads and hits; else Algorithm 1 of the paper.
   readonly first?: (cs: readonly Candidate[]) => Candidate;
+  // The time until the first token as the caller expects it: a choice for which it is `trust` times that of the
+  // heuristic's, or more, is out of range.
+  readonly expected?: (c: Candidate) => number;
 }
 
 export function assignPrefill(i: AssignInput, o: PlacementOptions): Assignment | undefined {
@@ -80,6 +85,7 @@
   const best = Math.min(...scored.map((x) => x.y));
   const near = scored.filter((x) => x.y <= (1 + o.delta) * best);
   const one = near[Math.floor(i.random() * near.length)]!;
+  if (i.expected !== undefined && i.expected(one.c) > o.trust * i.expected(h)) return take(h, 'range', narrowed);
   return take(one.c, 'scored', narrowed, one.y);
 }
 
--- a/packages/placement/src/predictor.ts
+++ b/packages/placement/src/predictor.ts
@@ -82,10 +82,16 @@
   readonly biases: Float32Array[];
 }
 
-// `up` is the derivative of the loss by each output of the batch.
-export function backward(p: Predictor, pass: Pass, n: number, up: Float32Array): Gradients {
-  const gw = p.weights.map((w) => new Float32Array(w.length));
-  const gb = p.biases.map((b) => new Float32Array(b.length));
+export function noGradients(p: Predictor): Gradients {
+  return {
+    weights: p.weights.map((w) => new Float32Array(w.length)),
+    biases: p.biases.map((b) => new Float32Array(b.length)),
+  };
+}
+
+// `up` is the derivative of the loss by each output of the batch. What it finds is added to `into`.
+export function backward(p: Predictor, pass: Pass, n: number, up: Float32Array, into = noGradients(p)): Gradients {
+  const { weights: gw, biases: gb } = into;
   let d = up;
   for (let l = p.weights.length - 1; l >= 0; l -= 1) {
     const a = p.sizes[l]!;
@@ -111,7 +117,7 @@
     }
     d = below;
   }
-  return { weights: gw, biases: gb };
+  return into;
 }
 
 if (import.meta.vitest) {
--- a/packages/placement/src/training.ts
+++ b/packages/placement/src/training.ts
@@ -1,11 +1,11 @@
 // The training side: a FIFO of the newest samples and a replay pool of those that left it, kept by a
 // gradient-coreset rule (what the last inner layer says of a sample, weighted by how wrong the
 // prediction was, must differ from what is kept already). A round trains on both pools, starting from
-// the last model. It runs in a worker thread, away from every request.
+// the last model. It runs away from every request: in a worker thread, or in steps of a few milliseconds each.
 import { seeded } from '@tansypost/inner-protocol';
 import { width } from './features.js';
 import type { Model, ModelVersion, Scaling } from './model.js';
-import { backward, createPredictor, forward, type Predictor } from './predictor.js';
+import { backward, createPredictor, forward, noGradients, type Predictor } from './predictor.js';
 import type { Sample } from './samples.js';
 
 export interface TrainingOptions {
@@ -31,6 +31,8 @@
   readonly add: (ss: readonly Sample[]) => void;
   readonly due: () => boolean;
   readonly train: (v: ModelVersion, seed: number) => Model;
+  // The same in steps, each of which takes no more than so many rows through the net.
+  readonly steps: (v: ModelVersion, seed: number, rows: number) => Generator<undefined, Model>;
   readonly sizes: () => { fifo: number; replay: number };
 }
 
@@ -97,16 +99,25 @@
   }
 
   function train(v: ModelVersion, seed: number): Model {
+    const g = steps(v, seed, o.batch);
+    for (;;) {
+      const x = g.next();
+      if (x.done === true) return x.value;
+    }
+  }
+
+  function* steps(v: ModelVersion, seed: number, rows: number): Generator<undefined, Model> {
     fresh = 0;
     const all = [...fifo, ...replay.map((k) => k.s)];
     const scaling = measure(all);
     const p = last === undefined ? createPredictor(width, seed) : rescale(last, scaling);
-    fit(p, scaling, all, o, seeded(seed));
-    last = { version: v, samples: total, predictor: p, scaling };
-    return last;
+    yield* fit(p, scaling, all, o, seeded(seed), rows);
+    const m = { version: v, samples: total, predictor: p, scaling };
+    last = m;
+    return m;
   }
 
-  return { add, due: () => fresh >= o.every, train, sizes: () => ({ fifo: fifo.length, replay: replay.length }) };
+  return { add, due: () => fresh >= o.every, train, steps, sizes: () => ({ fifo: fifo.length, replay: replay.length }) };
 }
 
 function scale(s: Scaling, x: Float32Array): Float32Array {
@@ -160,12 +171,21 @@
 }
 
 // Adam on a Huber loss: TTFT has a long tail, and squares would let a few waits rule the fit.
-function fit(p: Predictor, s: Scaling, all: readonly Sample[], o: TrainingOptions, random: () => number): void {
+function* fit(
+  p: Predictor,
+  s: Scaling,
+  all: readonly Sample[],
+  o: TrainingOptions,
+  random: () => number,
+  rows: number,
+): Generator<undefined, void> {
   const xs = all.map((a) => scale(s, a.x));
   const ys = all.map((a) => (a.y - s.yMean) / s.ySd);
   const params = [...p.weights, ...p.biases];
   const m1 = params.map((a) => new Float32Array(a.length));
   const m2 = params.map((a) => new Float32Array(a.length));
+  const sum = noGradients(p);
+  const gs = [...sum.weights, ...sum.biases];
   const order = [...all.keys()];
   let t = 0;
   for (let e = 0; e < o.passes; e += 1) {
@@ -174,14 +194,21 @@
       [order[i], order[j]] = [order[j]!, order[i]!];
     }
     for (let at = 0; at < order.length; at += o.batch) {
-      const ids = order.slice(at, at + o.batch);
-      const n = ids.length;
-      const x = new Float32Array(n * width);
-      ids.forEach((id, i) => x.set(xs[id]!, i * width));
-      const pass = forward(p, x, n, { rate: o.dropout, random })!;
-      const up = Float32Array.from(pass.outs.at(-1)!, (v, i) => Math.max(-1, Math.min(1, v - ys[ids[i]!]!)) / n);
-      const g = backward(p, pass, n, up);
-      const gs = [...g.weights, ...g.biases];
+      const whole = order.slice(at, at + o.batch);
+      for (const g of gs) g.fill(0);
+      for (let from = 0; from < whole.length; from += rows) {
+        const ids = whole.slice(from, from + rows);
+        const n = ids.length;
+        const x = new Float32Array(n * width);
+        ids.forEach((id, i) => x.set(xs[id]!, i * width));
+        const pass = forward(p, x, n, { rate: o.dropout, random })!;
+        const up = Float32Array.from(
+          pass.outs.at(-1)!,
+          (v, i) => Math.max(-1, Math.min(1, v - ys[ids[i]!]!)) / whole.length,
+        );
+        backward(p, pass, n, up, sum);
+        yield undefined;
+      }
       t += 1;
       const c1 = 1 - 0.9 ** t;
       const c2 = 1 - 0.999 ** t;
--- a/packages/simulator/src/pass-through/ground.ts
+++ b/packages/simulator/src/pass-through/ground.ts
@@ -1,10 +1,17 @@
 // What all parts of a virtual day stand on.
+import type { Model } from '@tansypost/placement';
 import type { Engine } from '../engine.js';
 import type { Network } from '../network.js';
 import type { PassedDeployment } from './passed-deployment.js';
 import type { PassedHistory } from './passed-history.js';
 import type { Spoil } from './spoil.js';
 
+// How a day learns, where it isn't as the programs do; `spoil` does harm to each model that is trained.
+export interface LearningTerms {
+  readonly trainEvery: number;
+  readonly slice: number;
+  readonly spoil?: (m: Model) => Model;
+}
 export interface Ground {
   readonly e: Engine;
   readonly net: Network;
@@ -12,6 +19,7 @@
   readonly d: PassedDeployment;
   readonly h: PassedHistory;
   readonly spoil: Spoil | undefined;
+  readonly learning: LearningTerms | undefined;
   // Machines without power say nothing, not even that nobody listens.
   readonly silent: Set<string>;
 }
--- a/packages/simulator/src/pass-through/index.ts
+++ b/packages/simulator/src/pass-through/index.ts
@@ -1,3 +1,4 @@
+export type { LearningTerms } from './ground.js';
 export * from './passed-checks.js';
 export * from './passed-day.js';
 export * from './passed-deployment.js';
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -3,12 +3,12 @@
 import { seeded } from '@tansypost/inner-protocol';
 import { createEngine } from '../engine.js';
 import { createNetwork, type Network } from '../network.js';
-import { oneOf, sleep, type Ground } from './ground.js';
+import { oneOf, sleep, type Ground, type LearningTerms } from './ground.js';
 import { mainService, type PassedDeployment } from './passed-deployment.js';
 import { emptyHistory, type PassedHistory } from './passed-history.js';
 import type { PassedTrouble } from './passed-troubles.js';
 import type { Spoil } from './spoil.js';
-import { createVirtualCore } from './virtual-core.js';
+import { createVirtualCore, type VirtualCore } from './virtual-core.js';
 import { createVirtualOperator } from './virtual-operator.js';
 import { createVirtualRequesters } from './virtual-requesters.js';
 import { createVirtualRouter, type VirtualRouter } from './virtual-router.js';
@@ -26,6 +26,9 @@
   readonly rate?: number;
   readonly spoil?: Spoil;
   readonly net?: (n: Network) => void;
+  readonly learning?: LearningTerms;
+  // Called each second.
+  readonly look?: (s: number, core: VirtualCore, routers: readonly VirtualRouter[]) => void;
 }
 export interface PassedDay {
   readonly history: PassedHistory;
@@ -42,7 +45,7 @@
   const e = createEngine();
   const net = createNetwork(e, random);
   const h = emptyHistory();
-  const g: Ground = { e, net, random, d, h, spoil: o.spoil, silent: new Set() };
+  const g: Ground = { e, net, random, d, h, spoil: o.spoil, learning: o.learning, silent: new Set() };
   const names = Array.from({ length: o.places ?? 3 }, (_, i) => `c${i}`);
   const workers = createVirtualWorkers(g);
   const core = createVirtualCore(g, workers, names);
@@ -279,6 +282,7 @@
   const end = start + o.span + (o.closing === 'none' ? calm : afterClosing);
   requesters.begin(us(end - 3));
   for (const t of o.troubles) e.at(us(start + t.at), () => apply(t));
+  for (let s = 1; o.look !== undefined && s <= o.span; s += 1) e.at(us(start + s), () => o.look!(s, core, routers));
   if (o.closing !== 'none') e.at(us(start + o.span - 1), () => void close());
   await e.run(us(end));
   void operator.readBack().then((text) => (h.readBack = { text, at: e.now() }));
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -9,6 +9,7 @@
   type CoreAnswer,
 } from '@tansypost/control-feed';
 import { readJournal } from '@tansypost/control-state';
+import { askThrough, createKeeperLearning, createSlicedTrainer, type KeeperLearning } from '@tansypost/learning';
 import { micros, type Address, type Message } from '@tansypost/inner-protocol';
 import { createKeeperHost, type KeeperHost, type OpenDisk } from '@tansypost/state-keeper';
 import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
@@ -23,6 +24,7 @@
   readonly proc: Proc;
   readonly disk: SimDisk;
   host: KeeperHost | undefined;
+  learning: KeeperLearning | undefined;
   submit: (text: string, base: number) => Promise<SubmitAnswer>;
   read: () => Promise<CoreAnswer>;
 }
@@ -41,6 +43,7 @@
   readonly fetchList: (machine: string, proc: Proc) => () => Promise<ReturnType<VirtualWorkers['list']> | undefined>;
 }
 const patience = 850_000;
+const dutyTenure = 6_000_000;
 
 export function createVirtualCore(g: Ground, workers: VirtualWorkers, founders: readonly string[]): VirtualCore {
   const { e, net, random } = g;
@@ -67,6 +70,7 @@
       proc,
       disk: createSimDisk(e, random),
       host: undefined,
+      learning: undefined,
       submit: async () => 'not now',
       read: async () => ({ status: 'unknown', epoch: 0, version: 0, value: Buffer.alloc(0) }),
     };
@@ -105,7 +109,7 @@
       core: told,
       seeds: [],
       tenure: 10_000_000,
-      dutyTenure: 3_000_000,
+      dutyTenure,
       sweepEvery: 2_000_000,
       newDiskId: () => Math.floor(random() * 2 ** 48).toString(36),
       open,
@@ -124,6 +128,16 @@
       self,
       createPlaceList(host.core, self, () => seeds),
     );
+    const learning = createKeeperLearning(w, {
+      self,
+      member: name,
+      keeper: host.core,
+      asker: askThrough(w, asker),
+      trainer: createSlicedTrainer(w, g.learning?.spoil),
+      tenure: dutyTenure,
+      ...g.learning,
+    });
+    m.learning = learning;
     const feed = createFeedKeeper(w, {
       keeper: host.core,
       fetchList: fetchList(name, proc),
@@ -154,7 +168,7 @@
     proc.receive = (x, from) => {
       if (x.kind === 'Answer') asker.answer(x);
       else if (x.kind === 'Follow') feed.receive(x, from);
-      else host.receive(x, from);
+      else if (!learning.receive(x, from)) host.receive(x, from);
     };
     m.host = host;
     // A disk in trouble at the start is tried again.
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -1,8 +1,10 @@
 // One edge machine of a virtual day and the lives of the router on it: the course and the feed, wired as the program
 // wires them, and the way in from requesters.
-import { createControlFeed } from '@tansypost/control-feed';
+import { createControlFeed, createCoreAsker } from '@tansypost/control-feed';
+import { askThrough, createRouterLearning, recordKey, type RouterLearning } from '@tansypost/learning';
 import { micros, type Address } from '@tansypost/inner-protocol';
 import { createCourse, type Course, type FleetWorker, type Incoming, type WorkerPort } from '@tansypost/pass-through';
+import { placementDefaults } from '@tansypost/placement';
 import { faultsOf } from '@tansypost/paths';
 import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
 import type { Ground } from './ground.js';
@@ -87,6 +89,7 @@
   const self = `${name}:1` as Address;
   net.add(self, proc);
   let course: Course | undefined;
+  let learning: RouterLearning | undefined;
   let life = 0;
   let stopping = false;
   const open = new Map<TrySeen, (why: string) => void>();
@@ -120,11 +123,17 @@
       streaming: (q) => streaming.get(q.host) ?? true,
       resets,
     });
+    const asker = createCoreAsker(w, self, () => feed.keepers());
+    const l = createRouterLearning(w, { member: name, keepers: () => feed.keepers(), asker: askThrough(w, asker) });
+    learning = l;
     const c = createCourse(
       w,
       {
         zone,
         regionOf: () => 'region',
+        ...(g.learning === undefined
+          ? {}
+          : { placement: { ...placementDefaults, minSamples: g.learning.trainEvery } }),
         budget:
           g.spoil === 'budget-ignored'
             ? { share: 50, always: 5000, window: 10_000_000, routers: () => 1 }
@@ -135,7 +144,7 @@
                 routers: () => Math.max(4, feed.routers()),
               },
       },
-      { workers: spoiled(g, port), reading: (id, us) => feed.reading(id, us) },
+      { workers: spoiled(g, port), reading: (id, us) => feed.reading(id, us), sample: l.sample, lot: l.lot },
     );
     course = c;
     const known = new Map<string, FleetWorker>();
@@ -146,6 +155,7 @@
       seeds: core.seeds(),
       fetchList: core.fetchList(name, proc),
       elsewhere: c.elsewhere,
+      more: { key: recordKey, version: l.version, take: l.take },
       changed: (what) => {
         if (what === 'document') {
           const text = feed.document()!.value.toString();
@@ -177,7 +187,7 @@
             });
       },
     });
-    proc.receive = feed.receive;
+    proc.receive = (m, from) => (m.kind === 'Answer' ? asker.answer(m) : feed.receive(m, from));
   }
 
   function ended(why: string, power: boolean): void {
@@ -264,7 +274,7 @@
     roll,
     wake: () => wake(e, proc),
     ready: () => proc.alive && !proc.frozen && !stopping && course?.ready() === true,
-    figures: () => course?.figures() ?? {},
+    figures: () => ({ ...course?.figures(), learning: learning?.figures() }),
     take,
   };
 }
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -17,6 +17,13 @@
 import { checkDesiredState, needsApproval, type DesiredState, type Fault } from '@tansypost/desired-state';
 import { claimKey } from '@tansypost/control-state';
 import { createCandidate, type Candidate } from '@tansypost/duty';
+import {
+  createRecordWriter,
+  createRehearsalDuty,
+  createTrainingDuty,
+  type AskResult,
+  type TrainerPort,
+} from '@tansypost/learning';
 import { createMarks, createViews, markStates } from '@tansypost/membership';
 import {
   answerOperator,
@@ -28,13 +35,10 @@
   type VerdictOptions,
 } from '@tansypost/rehearsal';
 import * as E from 'fp-ts/lib/Either.js';
-import { createAsker, type AskResult } from './ask.js';
+import { createAsker } from './ask.js';
 import { createNews, type News } from './news.js';
 import { createPartsDuty } from './parts-duty.js';
-import { createRecordWriter } from './record-writer.js';
-import { createRehearsalDuty } from './rehearsal-duty.js';
 import { createReports, type FetchedReport } from './reports.js';
-import { createTrainingDuty, type TrainerPort } from './training-duty.js';
 
 export interface AgentOptions {
   readonly member: string;
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -2,26 +2,8 @@
 // the same change id, which the owner remembers, so repeating it is harmless; what is still open
 // when patience ends is reported as unknown, with the id to ask after.
 import { micros, type Address, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
+import type { Asker, AskRequest, AskResult, AskStatus } from '@tansypost/learning';
 
-export type AskStatus = 'done' | 'lost' | 'reused' | 'value' | 'none' | 'unknown';
-export interface AskResult {
-  readonly status: AskStatus;
-  readonly epoch: number;
-  readonly version: number;
-  readonly value: Buffer;
-}
-export interface AskRequest {
-  readonly op: 'read' | 'write' | 'lookup' | 'claim';
-  readonly key: string;
-  readonly change?: string;
-  readonly base?: number;
-  readonly value?: Buffer;
-  readonly patience: number;
-}
-export interface Asker {
-  readonly ask: (r: AskRequest) => Promise<AskResult>;
-  readonly answer: (m: MessageOf<'Answer'>) => void;
-}
 const none = Buffer.alloc(0);
 
 export function createAsker(w: World, self: Address, places: () => readonly Place[]): Asker {
--- a/programs/router-agent/src/parts-duty.ts
+++ b/programs/router-agent/src/parts-duty.ts
@@ -4,7 +4,7 @@
 // every worker, so that whatever an earlier holder still has in hand is refused.
 import { micros, type Mark, type Report, type World } from '@tansypost/inner-protocol';
 import { begin, end, readRecord, type Part, type PartEntry, type RehearsalRecord } from '@tansypost/rehearsal';
-import type { RecordWriter } from './record-writer.js';
+import type { RecordWriter } from '@tansypost/learning';
 
 export interface PartsDutyOptions {
   readonly holds: () => number | undefined;
