Back sooner after a restart: links begun anew when the other side is there, requests wait for a starting router

Cause: after a loss of power a keeper's opening packet to one not yet up was lost and the link hung for its 1 s; the key was taken over 1.0 s after a majority was up, and 191 tries in that second were refused, the clients' only further try among them. Change: an opening packet is given up after 0.3 s, or at once when the other side connects, with what waited kept; a router without the document asks every 0.12 s; a request waits up to 1.5 s (a quarter of its patience) for a router that has just started.

--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -2,7 +2,15 @@
 // every keeper it knows of with one small message; a keeper answers with a beat and sends only what is newer.
 // Keepers tell which machines hold the core's places now, so that a router outlives all of its seeds. Without
 // news of the workers for a while it looks at the list itself, and with nobody to tell it, it goes on with what it has.
-import { every, micros, type Address, type Message, type Micros, type NewsItem, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  type Address,
+  type Message,
+  type Micros,
+  type NewsItem,
+  type World,
+} from '@tansypost/inner-protocol';
 import { fromWire, listDigest, type ListedWorker } from './listed-worker.js';
 import { createWorkerBook } from './worker-book.js';
 
@@ -59,6 +67,7 @@
   list: number;
 }
 const coreSilence = 2_000_000;
+const firstFollow = 120_000;
 const leastTold = 20_000;
 const tellWithin = 5_000;
 const ownLookAgain = 700_000;
@@ -100,7 +109,14 @@
   }
 
   function follow(a: Address): void {
-    w.send(a, { kind: 'Follow', key: documentKey, version: doc?.version ?? 0, gen, list: source(a).list, peers: a === teller() ? peersKnown : -1 });
+    w.send(a, {
+      kind: 'Follow',
+      key: documentKey,
+      version: doc?.version ?? 0,
+      gen,
+      list: source(a).list,
+      peers: a === teller() ? peersKnown : -1,
+    });
   }
 
   function tick(): void {
@@ -193,7 +209,12 @@
   }
 
   tick();
-  const stop = every(w, () => micros((o.followEvery ?? 450_000) * (0.9 + 0.2 * w.random())), tick);
+  // One that has just started asks often until it has the document.
+  const stop = every(
+    w,
+    () => micros((doc === undefined ? firstFollow : (o.followEvery ?? 450_000)) * (0.9 + 0.2 * w.random())),
+    tick,
+  );
   return {
     receive,
     document: () => doc,
--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-keeper.ts
@@ -47,7 +47,9 @@
   // A follower's part of the others: all of them while they are few.
   function peersOf(from: Address): Address[] {
     const others = live().filter((a) => a !== from);
-    return rendezvous(from, others, (a) => a).slice(0, peersAtMost).sort();
+    return rendezvous(from, others, (a) => a)
+      .slice(0, peersAtMost)
+      .sort();
   }
 
   function whole(): Message {
--- a/packages/inner-protocol/src/link.test.ts
+++ b/packages/inner-protocol/src/link.test.ts
@@ -6,12 +6,14 @@
 import { createCarrier, splitAddress } from './link.js';
 import type { Message } from './messages.js';
 
-const port = 20_000 + (process.pid % 20_000);
+// Processes of other test files run beside this one; each has a loopback address of its own.
+const host = `127.${1 + ((process.pid >> 8) & 127)}.${process.pid & 255}.1`;
+const port = 20_000;
 it('closes a link on garbage, an oversized or cut frame or another protocol, logs it, and goes on with others', async () => {
   const logged: string[] = [];
   const got: Message[] = [];
   let more: (() => void) | undefined;
-  const at = `127.0.0.1:${port}` as Address;
+  const at = `${host}:${port}` as Address;
   const c = await createCarrier({
     listen: at,
     log: (n, f) => {
@@ -23,7 +25,7 @@
     },
   });
   const other = await createCarrier({
-    listen: `127.0.0.1:${port + 1}` as Address,
+    listen: `${host}:${port + 1}` as Address,
     log: () => undefined,
     receive: () => undefined,
   });
@@ -55,7 +57,7 @@
 });
 
 it('asks a sender of other schemas for them and then reads what came before', async () => {
-  const at = `127.0.0.1:${port + 2}` as Address;
+  const at = `${host}:${port + 2}` as Address;
   const got: Message[] = [];
   let more: (() => void) | undefined;
   const c = await createCarrier({
@@ -95,10 +97,10 @@
     s.on('error', () => undefined);
     held.push(s);
   });
-  const at = `127.0.0.1:${port + 3}` as Address;
+  const at = `${host}:${port + 3}` as Address;
   await new Promise<void>((ok) => swallow.listen(splitAddress(at), ok));
   const c = await createCarrier({
-    listen: `127.0.0.1:${port + 4}` as Address,
+    listen: `${host}:${port + 4}` as Address,
     stuckMs: 60,
     log: () => undefined,
     receive: () => undefined,
@@ -121,3 +123,39 @@
   await c.close();
   await new Promise<void>((ok) => swallow.close(() => ok()));
 });
+
+it('connects anew, with all that waited, when the other side shows that it is there', async () => {
+  const [a, b] = [6, 7].map((n) => `${host}:${port + n}` as Address);
+  const got: Message[] = [];
+  let more: (() => void) | undefined;
+  const told = new Promise<void>((ok) => {
+    more = ok;
+  });
+  let tries = 0;
+  const early = await createCarrier({
+    listen: a!,
+    log: () => undefined,
+    receive: () => undefined,
+    connectMs: 60_000,
+    // The first opening packet is lost for good.
+    connect: (x) => {
+      tries += 1;
+      return tries === 1 ? Object.assign(new net.Socket(), { connecting: true }) : net.connect(x);
+    },
+  });
+  early.send(b!, { kind: 'MarksDigest', from: 'a', digest: 'waited', answer: false, warm: false });
+  const late = await createCarrier({
+    listen: b!,
+    log: () => undefined,
+    receive: (m) => {
+      got.push(m);
+      more?.();
+    },
+  });
+  late.send(a!, { kind: 'MarksDigest', from: 'b', digest: 'here', answer: false, warm: false });
+  await told;
+  expect(got).toMatchObject([{ digest: 'waited' }]);
+  expect(tries).toBe(2);
+  await early.close();
+  await late.close();
+});
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -25,12 +25,16 @@
   // How long a link may hold bytes without any of them getting through.
   readonly stuckMs?: number;
   readonly idleMs?: number;
+  // How a connection is begun; `net.connect` unless a test says otherwise.
+  readonly connect?: (o: net.TcpNetConnectOpts) => net.Socket;
 }
 interface Out {
   readonly socket: net.Socket;
   sent: number;
   got: number;
   watch: NodeJS.Timeout | undefined;
+  // What waits for the connection; none once it has come about.
+  held: Buffer[] | undefined;
 }
 
 const replyReceived = 1;
@@ -58,12 +62,15 @@
   let lost = 0;
   let closed = false;
 
-  function open(to: Address): Out {
-    const s = net.connect({ ...splitAddress(to), noDelay: true });
-    const x: Out = { socket: s, sent: 0, got: 0, watch: undefined };
-    const connecting = setTimeout(() => s.destroy(), o.connectMs ?? 1000);
+  function open(to: Address, held: readonly Buffer[] = []): Out {
+    const s = (o.connect ?? net.connect)({ ...splitAddress(to), noDelay: true });
+    const x: Out = { socket: s, sent: 0, got: 0, watch: undefined, held: [] };
+    const connecting = setTimeout(() => s.destroy(), o.connectMs ?? 300);
     let replies: Buffer = Buffer.alloc(0);
-    s.on('connect', () => clearTimeout(connecting));
+    s.on('connect', () => {
+      clearTimeout(connecting);
+      x.held = undefined;
+    });
     s.on('error', () => undefined);
     s.on('close', () => {
       clearTimeout(connecting);
@@ -78,12 +85,24 @@
       }
     });
     outs.set(to, x);
-    put(x, frame(shortHello(o.advertise ?? o.listen)));
+    put(x, frame(shortHello(o.advertise ?? o.listen)), false);
+    for (const b of held) put(x, b);
     return x;
   }
 
-  function put(x: Out, b: Buffer): void {
+  // The other side is there, so an opening packet that went out before it was is not waited for.
+  function isThere(to: Address): void {
+    const x = outs.get(to);
+    if (x?.held === undefined || x.socket.destroyed) return;
+    const held = x.held;
+    outs.delete(to);
+    x.socket.destroy();
+    open(to, held);
+  }
+
+  function put(x: Out, b: Buffer, hold = true): void {
     x.sent += b.length;
+    if (hold) x.held?.push(b);
     x.socket.write(b);
     if (x.watch === undefined) watch(x);
   }
@@ -138,6 +157,7 @@
         return false;
       }
       from = h.right.from as Address;
+      if (!closed) isThere(from);
       decode = h.right.decode;
       if (decode === undefined) s.write(reply(replyWantSchemas, received));
       return true;
--- a/packages/learning/src/keeper-learning.ts
+++ b/packages/learning/src/keeper-learning.ts
@@ -38,7 +38,10 @@
 const armsFresh = 4_000_000;
 
 export function createKeeperLearning(w: World, o: KeeperLearningOptions): KeeperLearning {
-  const duties = { training: candidate('training', wantsTraining), rehearsals: candidate('rehearsals', wantsRehearsal) };
+  const duties = {
+    training: candidate('training', wantsTraining),
+    rehearsals: candidate('rehearsals', wantsRehearsal),
+  };
   const writer = createRecordWriter(w, learnedService, o.asker, () => undefined);
   const training = createTrainingDuty(w, {
     service: learnedService,
@@ -95,7 +98,11 @@
   function onSamples(m: Extract<Message, { kind: 'Samples' }>, from: Address): void {
     if (m.width !== width) return;
     const holder = duties.training.holder();
-    const routed = o.keeper()?.place.core().places.every((p) => p.address !== from) === true;
+    const routed =
+      o
+        .keeper()
+        ?.place.core()
+        .places.every((p) => p.address !== from) === true;
     if (routed && holder !== undefined && holder.address !== o.self) return w.send(holder.address as Address, m);
     const ss = unpackSamples(m.rows, m.count);
     if (ss.length > 0) training.samples({ ...m, rows: encodeSamples(ss, width) });
@@ -120,7 +127,10 @@
   const stop = every(w, () => micros(tickEvery), tick);
   return {
     receive,
-    figures: () => ({ ...training.figures(), holds: Object.entries(duties).flatMap(([k, d]) => (d.holds() === undefined ? [] : [k])) }),
+    figures: () => ({
+      ...training.figures(),
+      holds: Object.entries(duties).flatMap(([k, d]) => (d.holds() === undefined ? [] : [k])),
+    }),
     stop: () => {
       stop();
       duties.training.stop();
--- a/packages/learning/src/router-learning.ts
+++ b/packages/learning/src/router-learning.ts
@@ -62,6 +62,7 @@
       for (const h of models.keys()) if (!hashes.has(h)) models.delete(h);
     } else return;
     prepare();
+    if (n.key === recordKey && !asking) bytes.clear();
     if (record.running !== undefined) tell();
   }
 
@@ -70,7 +71,6 @@
     const missing = named().filter((r) => !models.has(r.hash) && !learned(r, bytes.get(r.blob)?.value));
     const first = missing.find((r) => r !== record.before || record.running?.state === 'watched');
     if (first !== undefined) fetch(first);
-    else if (missing.length === 0) bytes.clear();
   }
 
   // Runs it a few times so that it is quick by the time a request needs it.
@@ -141,7 +141,8 @@
     const live = record.live === undefined ? undefined : models.get(record.live.hash);
     const before = record.before === undefined ? undefined : models.get(record.before.hash);
     const rehearsed = s === undefined ? undefined : models.get(s.model.hash);
-    const ready = rehearsed !== undefined && (run!.state !== 'watched' || record.before === undefined || before !== undefined);
+    const ready =
+      rehearsed !== undefined && (run!.state !== 'watched' || record.before === undefined || before !== undefined);
     if (run === undefined || !ready) return { model: live, ended: () => undefined };
     const rehearsal = armsOf(run);
     const arm = armOf(rehearsal, request, run.slice);
--- a/packages/learning/src/sample-batch.ts
+++ b/packages/learning/src/sample-batch.ts
@@ -9,7 +9,8 @@
 function turned(b: Buffer, rows: number, columns: number): Buffer {
   const out = Buffer.alloc(b.length);
   for (let i = 0; i < rows; i += 1)
-    for (let j = 0; j < columns; j += 1) b.copy(out, 4 * (j * rows + i), 4 * (i * columns + j), 4 * (i * columns + j) + 4);
+    for (let j = 0; j < columns; j += 1)
+      b.copy(out, 4 * (j * rows + i), 4 * (i * columns + j), 4 * (i * columns + j) + 4);
   return out;
 }
 
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -2,7 +2,13 @@
 // reader is assigned as Lodestar says (heuristic first, then the model where one serves and knows the range); the
 // heuristic's cost is the expected time to the first token, to which the memory that would move is added at a rate,
 // more between zones. Coming late costs a step, so that a prompt which will be late anyway takes nobody's place.
-import { assignPrefill, type Assignment, type Model, type PlacementOptions, type PromptFacts } from '@tansypost/placement';
+import {
+  assignPrefill,
+  type Assignment,
+  type Model,
+  type PlacementOptions,
+  type PromptFacts,
+} from '@tansypost/placement';
 import { hash32, rendezvous } from '@tansypost/inner-protocol';
 import type { Incoming } from './incoming.js';
 import type { FleetWorker, View } from './worker-fleet.js';
@@ -30,7 +36,18 @@
   readonly lateFrom: number;
   readonly placement: PlacementOptions;
 }
-export const pairDefaults = { moveCost: 150, zoneCost: 400, rereadCost: 60, runCost: 3000, holdCost: 0.4, pauseCost: 1, homeCredits: [0.9, 0.4], slope: 0.3, lateCost: 500_000, lateFrom: 0.8 };
+export const pairDefaults = {
+  moveCost: 150,
+  zoneCost: 400,
+  rereadCost: 60,
+  runCost: 3000,
+  holdCost: 0.4,
+  pauseCost: 1,
+  homeCredits: [0.9, 0.4],
+  slope: 0.3,
+  lateCost: 500_000,
+  lateFrom: 0.8,
+};
 
 export interface Pair {
   readonly reader: FleetWorker | undefined;
@@ -120,7 +137,11 @@
   const paused = runners.filter((v) => v.pause > 0);
   const usualPause = paused.length === 0 ? 0 : Math.min(...paused.map((v) => v.pause));
   function runLoad(v: View): number {
-    return t.runCost * v.runs + t.pauseCost * (v.pause > 0 ? v.pause : usualPause) + Math.max(0, v.candidate.kvUsed - 0.85) * 10_000_000;
+    return (
+      t.runCost * v.runs +
+      t.pauseCost * (v.pause > 0 ? v.pause : usualPause) +
+      Math.max(0, v.candidate.kvUsed - 0.85) * 10_000_000
+    );
   }
   function direct(v: View): { time: number; cost: number } {
     const own = miss(v, runnerHomes) * v.perToken;
@@ -166,6 +187,11 @@
       prompt: facts,
       candidates: few.map((v) => v.candidate),
       expected: (c) => readTime(few.find((v) => v.candidate === c)!),
+      expectedHit: (c) =>
+        known(
+          few.find((v) => v.candidate === c)!,
+          readerHomes,
+        ) / Math.max(1, q.promptTokens),
       hits,
       model,
       now,
@@ -181,7 +207,11 @@
   function through(v: View): number {
     return score(
       readTime(r) + moveTime(v, r.worker) + 20_000,
-      send(r) + send(v) + moveCost(v, r.worker) + runLoad(v) + t.rereadCost * Math.max(0, shared - known(r, readerHomes)),
+      send(r) +
+        send(v) +
+        moveCost(v, r.worker) +
+        runLoad(v) +
+        t.rereadCost * Math.max(0, shared - known(r, readerHomes)),
     );
   }
   const d = best(runners, through)!;
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -3,12 +3,12 @@
 // time, randomness and the way to workers and requesters are passed in.
 import { micros, type World } from '@tansypost/inner-protocol';
 import { createMatcher, type Matcher, type Path, type PathTable, type Service } from '@tansypost/paths';
-import { createPaces, createRadixTree, placementDefaults, type Model, type PlacementOptions } from '@tansypost/placement';
+import { createPaces, createRadixTree, placementDefaults, type PlacementOptions, type Reason } from '@tansypost/placement';
 import { assignPair, pairDefaults, promptBlocks, type Pair, type PairTerms } from './assign-pair.js';
 import { decide, type Ledger } from './decision.js';
 import { createEventCutter, type EventCutter } from './events.js';
 import type { Incoming } from './incoming.js';
-import type { GiveUp, GiveUpKind, ReadResult, Reply, RunResult, WorkerPort } from './ports.js';
+import type { GiveUp, GiveUpKind, Lot, ReadResult, Reply, RunResult, WorkerPort } from './ports.js';
 import { createSendBudget, type SendBudgetTerms } from './send-budget.js';
 import { createWorkerFleet, type FleetWorker, type ToldLoad, type Under } from './worker-fleet.js';
 
@@ -23,8 +23,9 @@
   readonly workers: WorkerPort;
   // A read that takes so long was sent: others may want to know.
   readonly reading?: (worker: string, service: number) => void;
+  // What a reader was chosen by, and how long it then took until the first piece.
   readonly sample?: (row: Float32Array, firstTime: number) => void;
-  readonly model?: () => Model | undefined;
+  readonly lot?: (request: string) => Lot;
 }
 export interface Course {
   readonly serve: (q: Incoming, reply: Reply, gone: AbortSignal) => Promise<void>;
@@ -42,6 +43,8 @@
 const firstPatience = { least: 700_000, times: 3 };
 const pausePatience = { least: 900_000, times: 3 };
 const mostUnsent = 4;
+// Ours: how long a request waits for a router that is starting.
+const startPatience = 1_500_000;
 // Ours: what a worker read longer ago than this has given way to other prompts.
 const keptFor = 10_000_000;
 const smallRead = 60_000;
@@ -64,6 +67,12 @@
   unsent: number;
   // A read has been tried; any later one is extra.
   readTried: boolean;
+  readonly lot: Lot | undefined;
+  // The row and the moment by which its reader was chosen, until the first piece has come.
+  chosen: { readonly row: Float32Array; readonly at: number } | undefined;
+  firstAt: number;
+  pieces: number;
+  whole: boolean;
   // The last answer of a worker that failed, to be passed on where nothing better comes.
   failed: Extract<RunResult, { tag: 'failed' }> | undefined;
 }
@@ -80,18 +89,49 @@
   let services = new Map<string, Service>();
   let listed = false;
   let active = 0;
+  const waiting = new Set<() => void>();
 
   function note(k: string): void {
     counts.set(k, (counts.get(k) ?? 0) + 1);
   }
 
+  // Every choice is counted with its reason; those that were not the model's are told of now and then.
+  function fellBack(reason: Reason): void {
+    const k = `reader ${reason}`;
+    note(k);
+    const n = counts.get(k)!;
+    if (reason !== 'scored' && reason !== 'explored' && reason !== 'only' && Number.isInteger(Math.log10(n)))
+      w.log(4001, { reason, n });
+  }
+
   function paths(t: PathTable): void {
     matcher = createMatcher(t);
     services = new Map(t.services.map((s) => [s.name, s]));
+    readyNow();
   }
   function workers(ws: readonly FleetWorker[]): void {
     listed = true;
     for (const id of fleet.list(ws)) tree.forget(id);
+    readyNow();
+  }
+
+  function ready(): boolean {
+    return matcher !== undefined && listed;
+  }
+  // A router that has just started is told within moments what there is; until then a request waits rather than being
+  // sent away by each router in turn.
+  function untilReady(patience: number): Promise<void> {
+    return new Promise((done) => {
+      const cancel = w.after(micros(patience), end);
+      function end(): void {
+        cancel();
+        if (waiting.delete(end)) done();
+      }
+      waiting.add(end);
+    });
+  }
+  function readyNow(): void {
+    if (ready()) for (const f of [...waiting]) f();
   }
 
   function pickService(path: Path): Service | undefined {
@@ -107,6 +147,7 @@
   async function serve(q: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
     active += 1;
     try {
+      if (!ready()) await untilReady(Math.min(startPatience, q.patience / 4));
       if (matcher === undefined) return giveUp(reply, 'not_ready', 'no', 'No paths are known here yet.', 0.4);
       const path = matcher.find(q.host, q.target);
       if (path === undefined) return giveUp(reply, 'unknown_path', 'no', 'No path has this host and prefix.');
@@ -128,10 +169,22 @@
         tried: new Set(),
         unsent: 0,
         readTried: false,
+        lot: p.lot?.(q.id),
+        chosen: undefined,
+        firstAt: 0,
+        pieces: 0,
+        whole: false,
         failed: undefined,
       };
       budget.first(service.name);
       await run(r);
+      r.lot?.ended({
+        path: path.name,
+        end: r.whole ? 'whole' : gone.aborted ? 'left' : 'failed',
+        patience: r.limit - r.arrived,
+        first: r.firstAt - r.arrived,
+        perPiece: r.pieces > 1 ? (w.now() - r.firstAt) / (r.pieces - 1) : undefined,
+      });
     } catch (e) {
       w.log(5105, { request: q.id, why: e instanceof Error ? (e.stack ?? e.message) : String(e) });
       giveUp(reply, 'outcome_unknown', 'maybe', 'Something unforeseen went wrong inside this router.');
@@ -161,7 +214,7 @@
     const s = r.service.name;
     const runners = fleet.views(s, 'decode', r.tried);
     const readers = aloneOnly ? [] : fleet.views(s, 'prefill', r.tried);
-    return assignPair(r.q, readers, runners, tree.hits(promptBlocks(r.q), w.now() - keptFor), p.model?.(), terms(r), w.now, w.random);
+    return assignPair(r.q, readers, runners, tree.hits(promptBlocks(r.q), w.now() - keptFor), r.lot?.model, terms(r), w.now, w.random);
   }
 
   async function run(r: Running): Promise<void> {
@@ -288,8 +341,8 @@
       tree.insert(promptBlocks(r.q), reader.id, w.now());
       if (plan.assignment !== undefined) {
         paces.saw(reader.id, plan.readerTokens, w.now() - now, plan.assignment.worker.running);
-        p.sample?.(plan.assignment.row, w.now() - now);
-        note(`reader ${plan.assignment.reason}`);
+        r.chosen = { row: plan.assignment.row, at: now };
+        fellBack(plan.assignment.reason);
       }
     } else under.end(r.gone.aborted ? 'left' : got.tag !== 'refused' ? 'failed' : got.other ? 'gone' : 'refused');
     return got;
@@ -345,6 +398,10 @@
         chunk: (b) => {
           seen = true;
           heardAt = w.now();
+          r.pieces += 1;
+          if (r.pieces === 1) r.firstAt = heardAt;
+          if (r.chosen !== undefined) p.sample?.(r.chosen.row, heardAt - r.chosen.at);
+          r.chosen = undefined;
           under.progress();
           const out = r.cutter === undefined ? b : r.cutter.push(b);
           if (r.cutter?.gap() === true) stop.abort();
@@ -364,6 +421,7 @@
         const rest = r.cutter?.rest();
         if (rest !== undefined && rest.length > 0) await r.reply.chunk(rest);
         note('whole');
+        r.whole = true;
         r.reply.end();
         return true;
       }
@@ -404,7 +462,7 @@
     workers,
     told: fleet.told,
     elsewhere: fleet.elsewhere,
-    ready: () => matcher !== undefined && listed,
+    ready,
     active: () => active,
     figures: () => ({
       active,
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -189,7 +189,8 @@
         incarnation: 1,
         running: all - queued,
         queued,
-        prefillTokens: pending,
+        // Those that other routers told of are in flight too.
+        prefillTokens: Math.round(Math.max(pending, backlog(r) * r.pace)),
         decodeTokens: runs(r),
         kvUsed: told?.kvUsed ?? 0,
         speedClass: speedClass(r.w.id),
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -51,6 +51,8 @@
   readonly random: () => number;
   // The heuristic's choice where the caller knows more than loads and hits; else Algorithm 1 of the paper.
   readonly first?: (cs: readonly Candidate[]) => Candidate;
+  // The share of the prompt expected to be held there, where the caller knows more than its blocks.
+  readonly expectedHit?: (c: Candidate) => number;
   // The time until the first token as the caller expects it: a choice for which it is `trust` times that of the
   // heuristic's, or more, is out of range.
   readonly expected?: (c: Candidate) => number;
@@ -61,7 +63,7 @@
   if (cs.length === 0) return undefined;
   const whole = Math.max(1, i.prompt.blocks.length);
   function hit(c: Candidate): number {
-    return Math.min(1, (i.hits.get(c.worker) ?? 0) / whole);
+    return Math.min(1, i.expectedHit?.(c) ?? (i.hits.get(c.worker) ?? 0) / whole);
   }
   const rows = cs.map((c) => features(i.prompt, hit(c), c));
   const h = i.first?.(cs) ?? heuristic(cs, hit, o, i.random);
--- a/packages/placement/src/training.ts
+++ b/packages/placement/src/training.ts
@@ -117,7 +117,13 @@
     return m;
   }
 
-  return { add, due: () => fresh >= o.every, train, steps, sizes: () => ({ fifo: fifo.length, replay: replay.length }) };
+  return {
+    add,
+    due: () => fresh >= o.every,
+    train,
+    steps,
+    sizes: () => ({ fifo: fifo.length, replay: replay.length }),
+  };
 }
 
 function scale(s: Scaling, x: Float32Array): Float32Array {
--- a/packages/simulator/src/pass-through/ground.ts
+++ b/packages/simulator/src/pass-through/ground.ts
@@ -1,5 +1,6 @@
 // What all parts of a virtual day stand on.
 import type { Model } from '@tansypost/placement';
+import type { VerdictOptions } from '@tansypost/rehearsal';
 import type { Engine } from '../engine.js';
 import type { Network } from '../network.js';
 import type { PassedDeployment } from './passed-deployment.js';
@@ -10,6 +11,8 @@
 export interface LearningTerms {
   readonly trainEvery: number;
   readonly slice: number;
+  readonly trust?: number;
+  readonly verdict?: VerdictOptions;
   readonly spoil?: (m: Model) => Model;
 }
 export interface Ground {
--- /dev/null
+++ b/packages/simulator/src/pass-through/learned-day.test.ts
@@ -0,0 +1,103 @@
+// Days of several virtual minutes in which the fleet learns: a model is trained from what routers saw, rehearsed, and
+// goes live on all of them; one that does harm is found out by its rehearsal; the keeper that holds the duties dies.
+import { expect, it } from 'vitest';
+import { encode, type Message } from '@tansypost/inner-protocol';
+import { recordKey } from '@tansypost/learning';
+import type { Model } from '@tansypost/placement';
+import { readRecord, verdictDefaults, type RehearsalRecord } from '@tansypost/rehearsal';
+import type { LearningTerms } from './ground.js';
+import { passedDeployments } from './passed-deployment.js';
+import { playPassedOne, type PassedOne } from './passed-one.js';
+import type { PassedTrouble } from './passed-troubles.js';
+
+interface Seen {
+  readonly day: PassedOne;
+  readonly records: { readonly at: number; readonly record: RehearsalRecord }[];
+  readonly holders: { readonly at: number; readonly who: string; readonly duty: string }[];
+}
+async function play(
+  learning: LearningTerms,
+  span: number,
+  troubles: readonly PassedTrouble[] = [],
+  rate = 1.4,
+  sent?: (m: Message) => void,
+): Promise<Seen> {
+  const records: Seen['records'] = [];
+  const holders: Seen['holders'] = [];
+  const day = await playPassedOne(passedDeployments['cold-storage']!, 5, {
+    troubles,
+    closing: 'none',
+    places: 3,
+    span,
+    rate,
+    learning,
+    net: (n) =>
+      n.tamper((m) => {
+        sent?.(m);
+        return undefined;
+      }),
+    look: (at, core) => {
+      for (const m of core.running()) {
+        const r = m.host?.core()?.place.row(recordKey);
+        if (r !== undefined && r.version > 0) records.push({ at, record: readRecord(r.value) });
+        for (const duty of (m.learning?.figures()['holds'] ?? []) as string[]) holders.push({ at, who: m.name, duty });
+      }
+    },
+  });
+  return { day, records, holders };
+}
+function turned(m: Model): Model {
+  const { weights, biases } = m.predictor;
+  return {
+    ...m,
+    scaling: { ...m.scaling, low: m.scaling.low.map(() => -1e9), high: m.scaling.high.map(() => 1e9) },
+    predictor: {
+      ...m.predictor,
+      weights: weights.map((x, k) => (k === weights.length - 1 ? x.map((y) => -y) : x)),
+      biases: biases.map((x, k) => (k === biases.length - 1 ? x.map((y) => -y) : x)),
+    },
+  };
+}
+
+it('trains, rehearses and goes live on all routers, though the keeper that holds the duties dies twice', async () => {
+  const kills = [30, 100];
+  // Wide margins, as it is the way that is tried here and not how good the model is.
+  const verdict = { ...verdictDefaults, ttftMargin: 0.3, tokenMargin: 0.3 };
+  const x = await play(
+    { trainEvery: 300, slice: 0.25, verdict },
+    240,
+    kills.map((at) => ({ at, do: 'keeper-kill', for: 14, who: 0 })),
+  );
+  expect(x.day.breaches).toEqual([]);
+  for (const at of kills) {
+    const held = x.holders.filter((h) => h.duty === 'rehearsals');
+    expect(held.find((h) => h.at === at - 1)?.who).toBe('c0');
+    expect(held.find((h) => h.at > at && h.who !== 'c0')?.at).toBeLessThan(at + 12);
+  }
+  const stages = x.records.flatMap(({ record: r }) => (r.running === undefined ? [] : [r.running.state]));
+  expect(new Set(stages)).toEqual(new Set(['running', 'passed', 'watched']));
+  const live = x.records.at(-1)!.record.live!.hash;
+  for (const f of x.day.figures) {
+    expect(f['learning']).toMatchObject({ live: live.slice(0, 8) });
+    expect((f['counts'] as Record<string, number>)['reader scored']).toBeGreaterThan(100);
+  }
+});
+
+it('ends the rehearsal of a model that prefers the worst, by what was measured, and never lets it go live', async () => {
+  const x = await play({ trainEvery: 300, slice: 0.25, trust: Infinity, spoil: turned }, 150, [], 2.5);
+  expect(x.day.breaches).toEqual([]);
+  const ended = x.records.at(-1)!.record.ended;
+  expect(ended.map((e) => e.outcome)).toContain('harmful');
+  expect(x.records.every((r) => r.record.live === undefined)).toBe(true);
+});
+
+it('sends nothing but samples on a short day, and no duty is stood for', async () => {
+  const kinds = new Map<string, number>();
+  const x = await play({ trainEvery: 1000, slice: 0.2 }, 20, [], 1.4, (m) => {
+    kinds.set(m.kind, (kinds.get(m.kind) ?? 0) + encode(m).length);
+  });
+  expect(x.day.breaches).toEqual([]);
+  expect(kinds.get('Samples')).toBeGreaterThan(0);
+  expect(kinds.get('Samples')).toBeLessThan(15_000);
+  for (const k of ['Arms', 'Ballot', 'BallotVote']) expect(kinds.get(k)).toBeUndefined();
+});
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -133,7 +133,13 @@
         regionOf: () => 'region',
         ...(g.learning === undefined
           ? {}
-          : { placement: { ...placementDefaults, minSamples: g.learning.trainEvery } }),
+          : {
+              placement: {
+                ...placementDefaults,
+                minSamples: g.learning.trainEvery,
+                trust: g.learning.trust ?? placementDefaults.trust,
+              },
+            }),
         budget:
           g.spoil === 'budget-ignored'
             ? { share: 50, always: 5000, window: 10_000_000, routers: () => 1 }
