--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -4,6 +4,7 @@
 // news of the workers for a while it looks at the list itself, and with nobody to tell it, it goes on with what it has.
 import {
   every,
+  hash32,
   micros,
   type Address,
   type Message,
@@ -36,7 +37,7 @@
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
   readonly changed: (what: 'document' | 'workers' | 'loads') => void;
   // Another router has sent a worker a prompt that takes so long to read, in microseconds.
-  readonly elsewhere?: (worker: string, service: number) => void;
+  readonly elsewhere?: (worker: string, service: number, bad: boolean) => void;
   // A second key to be told of, with the version that is had here, and what is told of any other key.
   readonly more?: { readonly key: string; readonly version: () => number; readonly take: (n: NewsItem) => void };
   readonly followEvery?: number;
@@ -54,7 +55,7 @@
   // The keepers heard that hold a place, in an order that is the same for all routers.
   readonly keepers: () => readonly Address[];
   // Tells the other routers of a read; those within a moment go out together.
-  readonly reading: (worker: string, service: number) => void;
+  readonly reading: (worker: string, service: number, bad?: boolean) => void;
   // The seeds of a settings file that has changed.
   readonly reseed: (seeds: readonly Address[]) => void;
   readonly stop: () => void;
@@ -69,6 +70,7 @@
 const coreSilence = 2_000_000;
 const firstFollow = 120_000;
 const leastTold = 20_000;
+const leastRelayed = 40_000;
 const tellWithin = 5_000;
 const ownLookAgain = 700_000;
 const moreEvery = 10_000_000;
@@ -82,7 +84,9 @@
   let gen = 0;
   let peers: readonly Address[] = [];
   let peersKnown = 0;
-  let reads: { worker: string; service: number }[] = [];
+  let peersAll = true;
+  let reads: { worker: string; service: number; bad: boolean; by: number }[] = [];
+  const me = hash32(o.self);
   let doc: { version: number; value: Buffer } | undefined;
   let moreAt = 0;
   let looking = false;
@@ -185,8 +189,9 @@
     } else if (m.kind === 'Peers') {
       peersKnown = m.digest;
       peers = m.addresses as Address[];
+      peersAll = m.all;
     } else if (m.kind === 'Reading') {
-      for (const x of m.reads) o.elsewhere?.(x.worker, x.service);
+      for (const x of m.reads) if (x.by !== me) o.elsewhere?.(x.worker, x.service, x.bad);
     } else if (m.kind === 'WorkerList') onList(m, from);
     else if (m.kind === 'WorkerLoads') {
       for (const { age, ...x } of m.loads) {
@@ -198,12 +203,14 @@
     }
   }
 
-  function reading(worker: string, service: number): void {
-    if (peers.length === 0 || service < leastTold) return;
-    reads.push({ worker, service: Math.round(service) });
+  function reading(worker: string, service: number, bad = false): void {
+    if (peers.length === 0 || (!bad && service < (peersAll ? leastTold : leastRelayed))) return;
+    reads.push({ worker, service: Math.round(service), bad, by: me });
     if (reads.length > 1) return;
     w.after(micros(tellWithin), () => {
-      for (const a of peers) w.send(a, { kind: 'Reading', reads });
+      const keeper = teller();
+      const to = peersAll ? peers : keeper === undefined ? [] : [keeper];
+      for (const a of to) w.send(a, { kind: 'Reading', reads });
       reads = [];
     });
   }
--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-keeper.ts
@@ -25,6 +25,7 @@
 type Told = Omit<WorkerLoad, 'at'> & { readonly at: number };
 const followerKept = 3_000_000;
 const peersAtMost = 16;
+const relayWithin = 40_000;
 
 export function createFeedKeeper(w: World, o: FeedKeeperOptions): FeedKeeper {
   const followers = new Map<Address, number>();
@@ -34,6 +35,7 @@
   let looking = false;
   let askedAt = -Infinity;
   let asking = 0;
+  let told: Extract<Message, { kind: 'Reading' }>['reads'] = [];
 
   function age(): number {
     return Math.round((w.now() - lookedAt) / 1000);
@@ -110,7 +112,7 @@
     if (m.peers >= 0) {
       const addresses = peersOf(from);
       const d = hash32(addresses.join());
-      if (d !== m.peers) w.send(from, { kind: 'Peers', digest: d, addresses });
+      if (d !== m.peers) w.send(from, { kind: 'Peers', digest: d, addresses, all: live().length - 1 <= addresses.length });
     }
     w.send(from, {
       kind: 'Beat',
@@ -123,6 +125,18 @@
     });
   }
 
+  // What routers that are too many to tell each other say goes out to all of them together.
+  function relay(m: Extract<Message, { kind: 'Reading' }>): void {
+    const first = told.length === 0;
+    told.push(...m.reads);
+    if (!first) return;
+    w.after(micros(relayWithin), () => {
+      const reads = told;
+      told = [];
+      for (const a of live()) w.send(a, { kind: 'Reading', reads });
+    });
+  }
+
   // Each worker is asked by one of the live places, in turn.
   function askLoads(): void {
     const k = o.keeper();
@@ -157,6 +171,7 @@
   return {
     receive: (m, from) => {
       if (m.kind === 'Follow') onFollow(m, from);
+      else if (m.kind === 'Reading') relay(m);
     },
     followers: () => live().length,
     workers: () => list,
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -190,8 +190,9 @@
   WorkerList: { base: 'long', digest: 'long', age: 'long', workers: [listed], gone: ['string'] },
   WorkerLoads: { loads: [load] },
   // Other routers, for one that asked with another digest; and what one of them has just sent to be read, in time to read.
-  Peers: { digest: 'long', addresses: ['string'] },
-  Reading: { reads: [{ worker: 'string', service: 'long' }] },
+  // Where these are not all, what they tell each other goes through the keeper. `bad` says that a send failed there.
+  Peers: { digest: 'long', addresses: ['string'], all: 'boolean' },
+  Reading: { reads: [{ worker: 'string', service: 'long', bad: 'boolean', by: 'long' }] },
 } as const satisfies { [k: string]: Shape };
 
 export type Kind = keyof typeof shapes;
--- a/packages/learning/src/keeper-learning.ts
+++ b/packages/learning/src/keeper-learning.ts
@@ -33,7 +33,10 @@
   readonly figures: () => Record<string, unknown>;
   readonly stop: () => void;
 }
-export const learningDefaults = { trainEvery: 1000, slice: 0.2, rehearsalLimit: 600_000_000 };
+// Ours: a round needs 2000 new samples, so that a model isn't made of one burst, and twice as many after each model in turn
+// that did not go live, up to eight times.
+export const learningDefaults = { trainEvery: 2000, slice: 0.2, rehearsalLimit: 600_000_000 };
+const mostDoublings = 3;
 const tickEvery = 250_000;
 const armsFresh = 4_000_000;
 
@@ -42,6 +45,7 @@
     training: candidate('training', wantsTraining),
     rehearsals: candidate('rehearsals', wantsRehearsal),
   };
+  const trainEvery = o.trainEvery ?? learningDefaults.trainEvery;
   const writer = createRecordWriter(w, learnedService, o.asker, () => undefined);
   const training = createTrainingDuty(w, {
     service: learnedService,
@@ -50,7 +54,7 @@
     asker: o.asker,
     writer,
     trainer: o.trainer,
-    every: o.trainEvery ?? learningDefaults.trainEvery,
+    every: trainEvery,
     slice: o.slice ?? learningDefaults.slice,
     approval: () => 'automatic',
   });
@@ -87,9 +91,15 @@
     const b = record();
     return b !== undefined && readRecord(b).running !== undefined;
   }
-  // Nothing is trained while something is rehearsed: only one at a time can be.
+  // Enough new samples after what became of the models before.
+  function enough(): boolean {
+    const ended = readRecord(record() ?? Buffer.alloc(0)).ended;
+    const live = ended.findIndex((x) => x.outcome === 'live');
+    return training.figures().fresh >= trainEvery * 2 ** Math.min(mostDoublings, live < 0 ? ended.length : live);
+  }
+  // Nothing is trained while something is rehearsed: only one at a time can be. What has been begun is ended.
   function wantsTraining(): boolean {
-    return training.due() && !running();
+    return training.due() && !running() && (training.figures().fresh < trainEvery || enough());
   }
   function wantsRehearsal(): boolean {
     return w.now() - armsAt < armsFresh && running();
--- a/packages/pass-through/src/assign-pair.test.ts
+++ b/packages/pass-through/src/assign-pair.test.ts
@@ -49,6 +49,7 @@
     perToken: part === 'prefill' ? 25 : 50,
     runs: 10,
     pause: 60_000,
+    bad: 0,
     ...x,
   };
 }
@@ -80,4 +81,5 @@
   expect(assign(q, readers, [view('d1', 'decode', { pause: 200_000 }), view('d2', 'decode')])!.runner.id).toBe('d2');
   expect(assign(q, readers, [view('d1', 'decode', { runs: 40 }), view('d2', 'decode')])!.runner.id).toBe('d2');
   expect(assign(q, readers, [view('d1', 'decode', {}, 'z2'), view('d2', 'decode')])!.runner.id).toBe('d2');
+  expect(assign(q, readers, [view('d1', 'decode', { bad: 0.4 }), view('d2', 'decode')])!.runner.id).toBe('d2');
 });
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -30,6 +30,8 @@
   readonly pauseCost: number;
   // The part of what is shared that the first workers in the rank of its group are taken to hold.
   readonly homeCredits: readonly number[];
+  // What a send that fails costs.
+  readonly badCost: number;
   // What a microsecond until the first token is worth, what being late is, and from which part of the aim on.
   readonly slope: number;
   readonly lateCost: number;
@@ -44,7 +46,7 @@
   holdCost: 0.4,
   pauseCost: 1,
   homeCredits: [0.9, 0.4],
-  slope: 0.3,
+  badCost: 600_000, slope: 0.3,
   lateCost: 500_000,
   lateFrom: 0.8,
 };
@@ -125,7 +127,7 @@
     return v.wait + miss(v, readerHomes) * v.perToken;
   }
   function readCost(v: View): number {
-    return score(readTime(v), send(v) + t.rereadCost * Math.max(0, shared - known(v, readerHomes)));
+    return score(readTime(v), t.badCost * v.bad + send(v) + t.rereadCost * Math.max(0, shared - known(v, readerHomes)));
   }
   function moveTime(v: View, from: FleetWorker): number {
     const bytes = Math.max(0, q.promptTokens - known(v, runnerHomes)) * t.tokenBytes;
@@ -138,6 +140,7 @@
   const usualPause = paused.length === 0 ? 0 : Math.min(...paused.map((v) => v.pause));
   function runLoad(v: View): number {
     return (
+      t.badCost * v.bad +
       t.runCost * v.runs +
       t.pauseCost * (v.pause > 0 ? v.pause : usualPause) +
       Math.max(0, v.candidate.kvUsed - 0.85) * 10_000_000
@@ -208,6 +211,7 @@
     return score(
       readTime(r) + moveTime(v, r.worker) + 20_000,
       send(r) +
+        t.badCost * r.bad +
         send(v) +
         moveCost(v, r.worker) +
         runLoad(v) +
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -22,7 +22,7 @@
 export interface CoursePorts {
   readonly workers: WorkerPort;
   // A read that takes so long was sent: others may want to know.
-  readonly reading?: (worker: string, service: number) => void;
+  readonly reading?: (worker: string, service: number, bad?: boolean) => void;
   // What a reader was chosen by, and how long it then took until the first piece.
   readonly sample?: (row: Float32Array, firstTime: number) => void;
   readonly lot?: (request: string) => Lot;
@@ -32,7 +32,7 @@
   readonly paths: (t: PathTable) => void;
   readonly workers: (ws: readonly FleetWorker[]) => void;
   readonly told: (id: string, l: ToldLoad) => void;
-  readonly elsewhere: (worker: string, service: number) => void;
+  readonly elsewhere: (worker: string, service: number, bad: boolean) => void;
   readonly ready: () => boolean;
   readonly active: () => number;
   readonly figures: () => Record<string, unknown>;
@@ -344,7 +344,10 @@
         r.chosen = { row: plan.assignment.row, at: now };
         fellBack(plan.assignment.reason);
       }
-    } else under.end(r.gone.aborted ? 'left' : got.tag !== 'refused' ? 'failed' : got.other ? 'gone' : 'refused');
+      return got;
+    }
+    if (got.tag === 'refused' && !got.other) p.reading?.(reader.id, 0, true);
+    under.end(r.gone.aborted ? 'left' : got.tag !== 'refused' ? 'failed' : got.other ? 'gone' : 'refused');
     return got;
   }
 
@@ -411,6 +414,8 @@
       stop.signal,
     );
     ended = true;
+    if (got.tag === 'failed' || (got.tag === 'refused' && !got.other && from === undefined))
+      p.reading?.(runner.id, 0, true);
     cancelLimit();
     r.gone.removeEventListener('abort', left);
     if (got.tag === 'whole' || got.tag === 'failed' || seen) tree.insert(promptBlocks(r.q), runner.id, w.now());
@@ -440,7 +445,7 @@
         if (from !== undefined) p.workers.free(from.worker, from.handle);
         break;
       case 'failed':
-        under.end('done');
+        under.end('ill');
         note('run failed');
         r.ran = 'maybe';
         r.tried.add(runner.id);
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -28,8 +28,8 @@
 export interface Under {
   // Bytes came: the worker is alive. The first ones of a run also say that its prompt is read.
   readonly progress: () => void;
-  // `gone`: another worker has its address now.
-  readonly end: (how: 'done' | 'refused' | 'failed' | 'left' | 'gone') => void;
+  // `ill`: it ran and said that it failed; `gone`: another worker has its address now.
+  readonly end: (how: 'done' | 'refused' | 'ill' | 'failed' | 'left' | 'gone') => void;
 }
 export interface View {
   readonly worker: FleetWorker;
@@ -41,6 +41,8 @@
   readonly runs: number;
   // The pause between two pieces of its streams as seen lately; 0 where none was seen.
   readonly pause: number;
+  // The share of sends that failed there lately, as this router and those that tell it saw.
+  readonly bad: number;
 }
 export interface WorkerFleet {
   readonly list: (ws: readonly FleetWorker[]) => string[];
@@ -49,8 +51,8 @@
   readonly views: (service: string, part: Part, without: ReadonlySet<string>) => View[];
   // `tokens` are those expected to be read there, `expected` the time until the first answer.
   readonly began: (id: string, doing: Doing, tokens: number, expected: number) => Under;
-  // Another router has sent it a prompt that takes so long to read.
-  readonly elsewhere: (id: string, service: number) => void;
+  // Another router has sent it a prompt that takes so long to read, or saw a send fail there.
+  readonly elsewhere: (id: string, service: number, bad?: boolean) => void;
   readonly silent: (id: string) => boolean;
   readonly view: () => object[];
 }
@@ -78,6 +80,8 @@
   // What was sent there lately by this router and others, as far as they told, in time to read.
   work: { readonly at: number; readonly us: number }[];
   noted: number;
+  bad: number;
+  badAt: number;
   failures: number;
   restUntil: number;
 }
@@ -88,6 +92,7 @@
 const silentAfter = 450_000;
 const pauseKept = 2_500_000;
 const toldKept = 1_600_000;
+const badHalf = 2_500_000;
 const workKept = 6_000_000;
 const notesKept = 5_000_000;
 
@@ -115,6 +120,8 @@
           pauseAt: -Infinity,
           work: [],
           noted: -Infinity,
+          bad: 0,
+          badAt: -Infinity,
           failures: 0,
           restUntil: 0,
         });
@@ -132,6 +139,13 @@
   function off(r: Row): number {
     return r.off * 2 ** (-(now() - r.offAt) / offHalf);
   }
+  function badNow(r: Row): number {
+    return r.bad < 0.01 ? 0 : r.bad * 2 ** (-(now() - r.badAt) / badHalf);
+  }
+  function sawBad(r: Row, x: 0 | 1, weight: number): void {
+    r.bad = badNow(r) * (1 - weight) + weight * x;
+    r.badAt = now();
+  }
   function reading(r: Row): number {
     let n = 0;
     for (const s of r.sends) if (!s.read) n += s.tokens;
@@ -199,6 +213,7 @@
       perToken: 1 / r.pace,
       runs: Math.max(runs(r), r.w.part === 'decode' ? (told?.active ?? 0) : 0),
       pause: now() - r.pauseAt < pauseKept ? r.pause : 0,
+      bad: badNow(r),
     };
   }
 
@@ -246,7 +261,10 @@
       },
       end: (how) => {
         if (!r.sends.delete(s)) return;
-        if (how === 'done') {
+        // One that is silent or gone rests; one that answers, and badly, costs more.
+        if (how === 'done') sawBad(r, 0, 0.2);
+        else if (how === 'refused' || how === 'ill') sawBad(r, 1, 0.2);
+        if (how === 'done' || how === 'ill') {
           r.heardAt = now();
           r.failures = 0;
           firstSeen();
@@ -271,9 +289,10 @@
     find: (id) => rows.get(id)?.w,
     views,
     began,
-    elsewhere: (id, service) => {
+    elsewhere: (id, service, bad = false) => {
       const r = rows.get(id);
       if (r === undefined) return;
+      if (bad) return sawBad(r, 1, 0.15);
       r.noted = now();
       add(r, service);
     },
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -51,6 +51,8 @@
   readonly random: () => number;
   // The heuristic's choice where the caller knows more than loads and hits; else Algorithm 1 of the paper.
   readonly first?: (cs: readonly Candidate[]) => Candidate;
+  // What a choice costs with the time that the model predicts for it, in microseconds, where more than time counts.
+  readonly priced?: (c: Candidate, predicted: number) => number;
   // The share of the prompt expected to be held there, where the caller knows more than its blocks.
   readonly expectedHit?: (c: Candidate) => number;
   // The time until the first token as the caller expects it: a choice for which it is `trust` times that of the
@@ -83,9 +85,12 @@
   const kv = cs.reduce((a, c) => a + c.kvUsed, 0) / cs.length;
   const narrowed = kv > o.saturation && Math.max(...cs.map(hit)) * i.prompt.tokens > o.benefit;
   const set = narrowed ? rendezvous(i.prompt.group, cs, (c) => c.worker).slice(0, o.k) : cs;
-  const scored = set.map((c) => ({ c, y: Math.max(1e-4, ys[cs.indexOf(c)]!) }));
-  const best = Math.min(...scored.map((x) => x.y));
-  const near = scored.filter((x) => x.y <= (1 + o.delta) * best);
+  const scored = set.map((c) => {
+    const y = Math.max(1e-4, ys[cs.indexOf(c)]!);
+    return { c, y, cost: i.priced?.(c, Math.round(y * 1e6)) ?? y };
+  });
+  const best = Math.min(...scored.map((x) => x.cost));
+  const near = scored.filter((x) => x.cost <= (1 + o.delta) * best);
   const one = near[Math.floor(i.random() * near.length)]!;
   if (i.expected !== undefined && i.expected(one.c) > o.trust * i.expected(h)) return take(h, 'range', narrowed);
   return take(one.c, 'scored', narrowed, one.y);
