--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-keeper.ts
@@ -112,7 +112,8 @@
     if (m.peers >= 0) {
       const addresses = peersOf(from);
       const d = hash32(addresses.join());
-      if (d !== m.peers) w.send(from, { kind: 'Peers', digest: d, addresses, all: live().length - 1 <= addresses.length });
+      if (d !== m.peers)
+        w.send(from, { kind: 'Peers', digest: d, addresses, all: live().length - 1 <= addresses.length });
     }
     w.send(from, {
       kind: 'Beat',
--- a/packages/pass-through/src/assign-pair.test.ts
+++ b/packages/pass-through/src/assign-pair.test.ts
@@ -65,7 +65,10 @@
   for (let i = 0; i < 5; i += 1) expect(assign(q, [...readers].reverse(), runners)!.reader!.id).toBe(one);
   const busy = readers.map((v) => (v.worker.id === one ? { ...v, wait: 1_500_000 } : v));
   expect(assign(q, busy, runners)!.reader!.id).not.toBe(one);
-  expect(new Set(['a', 'b', 'c', 'd', 'e', 'f'].map((g) => assign(prompt(g, 5000, 5000), readers, runners)!.reader!.id)).size).toBe(3);
+  expect(
+    new Set(['a', 'b', 'c', 'd', 'e', 'f'].map((g) => assign(prompt(g, 5000, 5000), readers, runners)!.reader!.id))
+      .size,
+  ).toBe(3);
 });
 
 it('lets a worker that makes tokens read a short prompt itself when it has little to do, a long one not', () => {
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -46,7 +46,8 @@
   holdCost: 0.4,
   pauseCost: 1,
   homeCredits: [0.9, 0.4],
-  badCost: 600_000, slope: 0.3,
+  badCost: 600_000,
+  slope: 0.3,
   lateCost: 500_000,
   lateFrom: 0.8,
 };
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -3,7 +3,13 @@
 // time, randomness and the way to workers and requesters are passed in.
 import { micros, type World } from '@tansypost/inner-protocol';
 import { createMatcher, type Matcher, type Path, type PathTable, type Service } from '@tansypost/paths';
-import { createPaces, createRadixTree, placementDefaults, type PlacementOptions, type Reason } from '@tansypost/placement';
+import {
+  createPaces,
+  createRadixTree,
+  placementDefaults,
+  type PlacementOptions,
+  type Reason,
+} from '@tansypost/placement';
 import { assignPair, pairDefaults, promptBlocks, type Pair, type PairTerms } from './assign-pair.js';
 import { decide, type Ledger } from './decision.js';
 import { createEventCutter, type EventCutter } from './events.js';
@@ -214,7 +220,16 @@
     const s = r.service.name;
     const runners = fleet.views(s, 'decode', r.tried);
     const readers = aloneOnly ? [] : fleet.views(s, 'prefill', r.tried);
-    return assignPair(r.q, readers, runners, tree.hits(promptBlocks(r.q), w.now() - keptFor), r.lot?.model, terms(r), w.now, w.random);
+    return assignPair(
+      r.q,
+      readers,
+      runners,
+      tree.hits(promptBlocks(r.q), w.now() - keptFor),
+      r.lot?.model,
+      terms(r),
+      w.now,
+      w.random,
+    );
   }
 
   async function run(r: Running): Promise<void> {
@@ -239,7 +254,13 @@
       }
       if (step.step === 'giveUp') {
         if (r.failed !== undefined) return r.reply.whole(r.failed.answer);
-        return giveUp(r.reply, step.kind, step.ran, 'No worker could run it to its end.', step.ran === 'no' ? 0.3 : undefined);
+        return giveUp(
+          r.reply,
+          step.kind,
+          step.ran,
+          'No worker could run it to its end.',
+          step.ran === 'no' ? 0.3 : undefined,
+        );
       }
       if (step.step === 'resume' || !step.first) {
         budget.extra(r.service.name);
@@ -294,12 +315,23 @@
     // What was read moves whole, so only load and distance count here.
     const near = { ...t, rereadCost: 0 };
     const q = { ...r.q, promptTokens: 1, parts: [] };
-    const a = assignPair(q, [], runners.map((v) => ({ ...v, wait: v.wait + 1 })), hits, undefined, {
-      ...near,
-      zone: from.worker.zone,
-      zoneCost: t.zoneCost + ((r.q.promptTokens * t.tokenBytes) / 1_048_576) * t.moveCost,
-    }, w.now, w.random);
-    return a === undefined ? undefined : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: 60_000 };
+    const a = assignPair(
+      q,
+      [],
+      runners.map((v) => ({ ...v, wait: v.wait + 1 })),
+      hits,
+      undefined,
+      {
+        ...near,
+        zone: from.worker.zone,
+        zoneCost: t.zoneCost + ((r.q.promptTokens * t.tokenBytes) / 1_048_576) * t.moveCost,
+      },
+      w.now,
+      w.random,
+    );
+    return a === undefined
+      ? undefined
+      : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: 60_000 };
   }
 
   // Workers let in the more urgent first. Small prompts hold nobody up, so they go before the rest; of the others, what
@@ -324,7 +356,8 @@
     // A worker that answers nobody is left; one that answers others is only slow.
     function watch(): void {
       if (over) return;
-      if (w.now() - now >= Math.max(readPatience.least, readPatience.times * plan.readTime) && fleet.silent(reader.id)) stop.abort();
+      if (w.now() - now >= Math.max(readPatience.least, readPatience.times * plan.readTime) && fleet.silent(reader.id))
+        stop.abort();
       else w.after(micros(100_000), watch);
     }
     w.after(micros(readPatience.least), watch);
@@ -351,7 +384,11 @@
     return got;
   }
 
-  async function runOn(r: Running, plan: Pair, from: { worker: FleetWorker; handle: string } | undefined): Promise<boolean> {
+  async function runOn(
+    r: Running,
+    plan: Pair,
+    from: { worker: FleetWorker; handle: string } | undefined,
+  ): Promise<boolean> {
     const runner = plan.runner;
     const now = w.now();
     const stop = new AbortController();
@@ -388,7 +425,12 @@
     const got = await p.workers.run(
       runner,
       r.q,
-      { left: r.limit - now, urgency: from === undefined ? urgencyOf(r, plan.serviceTime) : urgencies.begun, ...(from === undefined ? {} : { from }), ...(lastEvent === undefined ? {} : { lastEvent }) },
+      {
+        left: r.limit - now,
+        urgency: from === undefined ? urgencyOf(r, plan.serviceTime) : urgencies.begun,
+        ...(from === undefined ? {} : { from }),
+        ...(lastEvent === undefined ? {} : { lastEvent }),
+      },
       {
         head: (h) => {
           under.progress();
--- a/packages/pass-through/src/decision.ts
+++ b/packages/pass-through/src/decision.ts
@@ -27,7 +27,11 @@
   | { readonly step: 'run'; readonly first: boolean }
   | { readonly step: 'resume' }
   | { readonly step: 'cut' }
-  | { readonly step: 'giveUp'; readonly kind: 'no_workers' | 'workers_refused' | 'outcome_unknown' | 'budget_spent'; readonly ran: 'no' | 'maybe' };
+  | {
+      readonly step: 'giveUp';
+      readonly kind: 'no_workers' | 'workers_refused' | 'outcome_unknown' | 'budget_spent';
+      readonly ran: 'no' | 'maybe';
+    };
 
 export function decide(l: Ledger, f: Facts): Step {
   if (f.gone) return { step: 'stop' };
@@ -38,7 +42,8 @@
     if ((f.repeatable || f.resumable) && again) return { step: 'run', first: false };
     return { step: 'giveUp', kind: 'outcome_unknown', ran: 'maybe' };
   }
-  if (l.sends === 0) return f.workers ? { step: 'run', first: true } : { step: 'giveUp', kind: 'no_workers', ran: 'no' };
+  if (l.sends === 0)
+    return f.workers ? { step: 'run', first: true } : { step: 'giveUp', kind: 'no_workers', ran: 'no' };
   if (again) return { step: 'run', first: false };
   return { step: 'giveUp', kind: f.workers ? 'workers_refused' : 'no_workers', ran: 'no' };
 }
--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -19,7 +19,12 @@
 export type RunResult =
   | { readonly tag: 'whole' }
   | { readonly tag: 'unsent'; readonly why: string }
-  | { readonly tag: 'refused'; readonly why: string; readonly other: boolean; readonly answer: AnswerHead & { readonly body: Buffer } }
+  | {
+      readonly tag: 'refused';
+      readonly why: string;
+      readonly other: boolean;
+      readonly answer: AnswerHead & { readonly body: Buffer };
+    }
   | { readonly tag: 'failed'; readonly answer: AnswerHead & { readonly body: Buffer } }
   | { readonly tag: 'unknown'; readonly why: string };
 
@@ -35,13 +40,20 @@
   readonly chunk: (b: Buffer) => void | Promise<void>;
 }
 export interface WorkerPort {
-  readonly read: (w: FleetWorker, q: Incoming, left: number, urgency: number | undefined, gone: AbortSignal) => Promise<ReadResult>;
+  readonly read: (
+    w: FleetWorker,
+    q: Incoming,
+    left: number,
+    urgency: number | undefined,
+    gone: AbortSignal,
+  ) => Promise<ReadResult>;
   readonly run: (w: FleetWorker, q: Incoming, t: RunTerms, sink: RunSink, gone: AbortSignal) => Promise<RunResult>;
   // Frees memory that nobody will take.
   readonly free: (w: FleetWorker, handle: string) => void;
 }
 
-export type GiveUpKind = 'unknown_path' | 'not_ready' | 'no_workers' | 'workers_refused' | 'overloaded' | 'outcome_unknown' | 'budget_spent';
+export type GiveUpKind =
+  'unknown_path' | 'not_ready' | 'no_workers' | 'workers_refused' | 'overloaded' | 'outcome_unknown' | 'budget_spent';
 // Final. `ran: no` promises that nothing ran nor will; only then is it said when to come back.
 export interface GiveUp {
   readonly kind: GiveUpKind;
--- a/packages/pass-through/src/send-budget.test.ts
+++ b/packages/pass-through/src/send-budget.test.ts
@@ -23,7 +23,10 @@
     past.push({ t, f, e });
     const w = past.filter((p) => p.t > t - terms.window);
     const before = past.filter((p) => p.t > t - 1.5 * terms.window && p.t <= t - 0.5 * terms.window);
-    const firsts = Math.max(w.reduce((a, p) => a + p.f, 0), before.reduce((a, p) => a + p.f, 0));
+    const firsts = Math.max(
+      w.reduce((a, p) => a + p.f, 0),
+      before.reduce((a, p) => a + p.f, 0),
+    );
     expect(w.reduce((a, p) => a + p.e, 0)).toBeLessThanOrEqual(terms.share * firsts + terms.always);
   }
 });
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -155,7 +155,8 @@
   function backlog(r: Row): number {
     const t = now();
     while (r.work.length > 0 && t - r.work[0]!.at > workKept) r.work.shift();
-    const idleAt = r.told !== undefined && !r.told.silent && r.told.queued + r.told.active === 0 ? r.told.at : -Infinity;
+    const idleAt =
+      r.told !== undefined && !r.told.silent && r.told.queued + r.told.active === 0 ? r.told.at : -Infinity;
     let [left, at] = [0, 0];
     for (const x of r.work) {
       if (x.at < idleAt) continue;
@@ -219,7 +220,9 @@
 
   function views(service: string, part: Part, without: ReadonlySet<string>): View[] {
     const t = now();
-    const fit = [...rows.values()].filter((r) => r.w.service === service && r.w.part === part && !r.w.leaving && !without.has(r.w.id));
+    const fit = [...rows.values()].filter(
+      (r) => r.w.service === service && r.w.part === part && !r.w.leaving && !without.has(r.w.id),
+    );
     const well = fit.filter((r) => r.restUntil <= t && !quiet(r) && !slots(r));
     return (well.length > 0 ? well : fit).map(view);
   }
