--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -69,6 +69,7 @@
 }
 const coreSilence = 2_000_000;
 const firstFollow = 120_000;
+const firstLook = 200_000;
 const leastTold = 20_000;
 const leastRelayed = 40_000;
 const tellWithin = 5_000;
@@ -90,7 +91,8 @@
   let doc: { version: number; value: Buffer } | undefined;
   let moreAt = 0;
   let looking = false;
-  let lookAgain = 0;
+  // A keeper that is up tells within moments; only then is it worth a look of its own.
+  let lookAgain = w.now() + firstLook * (1 + 2 * w.random());
   const patience = o.listPatience ?? 1_500_000;
 
   function heardCore(): boolean {
--- a/packages/control-state/src/owner.ts
+++ b/packages/control-state/src/owner.ts
@@ -208,7 +208,14 @@
   function check(done: (ok: boolean) => void): void {
     const at = row;
     const gen = o.place.core().gen;
-    o.rounds.start({ make: (id) => ({ kind: 'Check', id, from: '', key: o.key, epoch: at.epoch, gen }) }, (c) => {
+    function late(v: MessageOf<'Vote'>): void {
+      seen = Math.max(seen, v.promised);
+      if (at.version > 0 && mode === 'owned') mend(at, [v], gen);
+    }
+    function make(id: string): AskVote {
+      return { kind: 'Check', id, from: '', key: o.key, epoch: at.epoch, gen };
+    }
+    o.rounds.start({ make, late }, (c) => {
       for (const v of c.votes) seen = Math.max(seen, v.promised);
       if (!c.won || mode !== 'owned') {
         if (mode === 'owned') layDown();
@@ -219,15 +226,16 @@
     });
   }
 
+  // A place that did not answer is mended once it does: what is held may be large.
   function mend(at: Row, vs: readonly MessageOf<'Vote'>[], gen: number): void {
     if (busy || row !== at) return;
-    for (const p of o.place.core().places) {
-      const v = vs.find((x) => x.slot === p.slot);
-      if (v !== undefined && v.epoch === at.epoch && v.version >= at.version) continue;
+    for (const v of vs) {
+      const p = o.place.core().places.find((x) => x.slot === v.slot);
+      if (p === undefined || (v.epoch === at.epoch && v.version >= at.version)) continue;
       const m = accept(`mend/${o.key}`, at, gen);
       if (p.slot === o.place.slot) o.place.vote(m, () => undefined);
       else w.send(p.address as Address, m as Message);
-      if (v !== undefined) w.log(2004, { key: o.key, slot: p.slot, version: at.version });
+      w.log(2004, { key: o.key, slot: p.slot, version: at.version });
     }
   }
 
--- a/packages/control-state/src/rounds.ts
+++ b/packages/control-state/src/rounds.ts
@@ -16,6 +16,8 @@
   readonly make: (id: string) => AskVote;
   readonly without?: number;
   readonly patience?: number;
+  // Told of the votes that come after the round was won.
+  readonly late?: (v: MessageOf<'Vote'>) => void;
 }
 export interface Rounds {
   readonly start: (o: RoundOptions, done: (r: RoundResult) => void) => void;
@@ -29,9 +31,12 @@
   readonly end: (won: boolean) => void;
 }
 
+const lateFor = 1_000_000;
+
 export function createRounds(w: World, place: Place): Rounds {
   const run = Math.floor(w.random() * 2 ** 40).toString(36);
   const open = new Map<string, Round>();
+  const late = new Map<string, (v: MessageOf<'Vote'>) => void>();
   let n = 0;
 
   function start(o: RoundOptions, done: (r: RoundResult) => void): void {
@@ -45,6 +50,10 @@
     function end(won: boolean): void {
       if (!open.delete(id)) return;
       cancel?.();
+      if (won && o.late !== undefined && votes.size < place.core().places.length) {
+        late.set(id, o.late);
+        w.after(micros(lateFor), () => late.delete(id));
+      }
       done({ won, votes: [...votes.values()] });
     }
     open.set(id, { votes, o, ask, end });
@@ -63,9 +72,10 @@
 
   function vote(v: MessageOf<'Vote'>): void {
     const r = open.get(v.id);
-    if (r === undefined) return;
     const p = place.core().places.find((x) => x.slot === v.slot);
-    if (p === undefined || p.disk !== v.disk || !v.voting || v.slot === r.o.without) return;
+    if (p === undefined || p.disk !== v.disk || !v.voting) return;
+    if (r === undefined) return late.get(v.id)?.(v);
+    if (v.slot === r.o.without) return;
     r.votes.set(v.slot, v);
     const vs = [...r.votes.values()];
     const yes = vs.filter((x) => x.ok);
--- a/packages/learning/src/keeper-learning.ts
+++ b/packages/learning/src/keeper-learning.ts
@@ -38,7 +38,7 @@
 export const learningDefaults = { trainEvery: 2000, slice: 0.2, rehearsalLimit: 600_000_000 };
 const mostDoublings = 3;
 const tickEvery = 250_000;
-const armsFresh = 4_000_000;
+const armsFresh = 6_000_000;
 
 export function createKeeperLearning(w: World, o: KeeperLearningOptions): KeeperLearning {
   const duties = {
--- a/packages/learning/src/router-learning.ts
+++ b/packages/learning/src/router-learning.ts
@@ -26,7 +26,7 @@
   readonly figures: () => Record<string, unknown>;
 }
 const flushAfter = 5_000_000;
-const armsEvery = 1_000_000;
+const armsEvery = 2_000_000;
 const askAgain = 2_000_000;
 const armsKept = 64;
 const bytesKept = 2;
