--- a/packages/simulator/src/capacity-followers.ts
+++ b/packages/simulator/src/capacity-followers.ts
@@ -104,7 +104,7 @@
     slots: 64,
     leaving: false,
     coldMs: 0,
-    part: i % 100 < 34 ? 'prefill' : 'decode',
+    part: (i * 37) % 100 < 34 ? 'prefill' : 'decode',
   }));
 }
 
--- a/packages/simulator/src/capacity-report.ts
+++ b/packages/simulator/src/capacity-report.ts
@@ -285,8 +285,11 @@
     { name: 'mean', points: of(c.agents, (x) => x.knownMean) },
     { name: 'there are', points: c.agents.map((r) => ({ x: r.size.members, y: r.size.members - 1 })) },
   ]);
-  writeFileSync(
-    join(folder, 'capacity.json'),
-    `${JSON.stringify(c, (_, v: unknown) => (typeof v === 'number' ? Number(v.toPrecision(5)) : v), 1)}\n`,
-  );
+  const { partial, socketUs, ...kinds } = c;
+  const lines = Object.entries(kinds).flatMap(([measured, rs]) => rs.map((r) => ({ measured, ...r })));
+  writeFileSync(join(folder, 'figures.ndjson'), [{ partial, socketUs }, ...lines].map(figure).join(''));
+}
+
+function figure(x: object): string {
+  return `${JSON.stringify(x, (_, v: unknown) => (typeof v === 'number' ? Number(v.toPrecision(5)) : v))}\n`;
 }
