--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -57,10 +57,6 @@
   'Reports',
 ]);
 
-// These pass only where routers follow the core over paths; packages/control-feed/src/core.test.ts does the same to
-// each of them, and there each must have been met.
-const elsewhere = new Set<Kind>(['Join', 'Follow', 'Beat', 'WorkerList', 'WorkerLoads']);
-
 // These travel where traffic is passed on: between the core and its routers, and when a machine of the core asks for
 // a place. The kinds of the core itself are met there as well.
 const onlyPassed: readonly Kind[] = ['Beat', 'Follow', 'Join', 'WorkerList', 'WorkerLoads', 'Peers', 'Reading'];
@@ -74,7 +70,7 @@
 ];
 
 describe.each(['dropped', 'repeated', 'late', 'stale'] as const)('%s', (way) => {
-  it.each(kinds.filter((k) => !elsewhere.has(k)))('%s', async (kind) => {
+  it.each(kinds)('%s', async (kind) => {
     const counted = { n: 0 };
     const x = await runOne(small, 5, faults, { span: 10, calm: 16, rate: 5, breakIt: tamper(kind, way, counted) });
     expect(x.breaches).toEqual([]);
