--- a/packages/simulator/src/capacity.test.ts
+++ b/packages/simulator/src/capacity.test.ts
@@ -40,7 +40,7 @@
   expect(f.router.kinds['Follow']).toBeGreaterThan(0);
   // News may reach the last router a moment before the acknowledgement reaches the operator.
   for (const ms of [...f.changeMs, ...f.leavingMs, ...f.zoneMs, ...f.apartMs]) {
-    expect(ms).toBeGreaterThan(-500);
+    expect(ms).toBeGreaterThan(-20);
     expect(ms).toBeLessThan(5000);
   }
   expect([f.changeMs.length, f.leavingMs.length, f.zoneMs.length, f.apartMs.length]).toEqual([3, 3, 1, 1]);
