--- a/packages/boot/src/settings.ts
+++ b/packages/boot/src/settings.ts
@@ -18,7 +18,7 @@
   logLevel: Type.Optional(Type.Integer({ minimum: 0, maximum: 5 })),
 };
 
-export const KeeperBoot = Type.Object(
+export const ControlNodeSettings = Type.Object(
   {
     ...common,
     slot: Type.Integer({ minimum: 0, maximum: 2 }),
@@ -30,7 +30,7 @@
   },
   { additionalProperties: false },
 );
-export type KeeperBoot = Static<typeof KeeperBoot>;
+export type ControlNodeSettings = Static<typeof ControlNodeSettings>;
 
 export const AgentBoot = Type.Object(
   {
--- a/packages/control-feed/src/asker.ts
+++ b/packages/control-feed/src/asker.ts
@@ -1,7 +1,7 @@
 // How a machine that serves control asks the core: first the place it stands on, which sends on to whoever owns
 // the key, then that place again, to take the key over itself, then one live place after the other. A write is repeated under
 // its change id, which the owners remember, so that repeating it does no harm.
-import type { Keeper } from '@tansypost/control-state';
+import type { ControlNode } from '@tansypost/control-state';
 import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 
 export interface CoreAnswer {
@@ -29,7 +29,7 @@
 export function createCoreAsker(
   w: World,
   self: Address,
-  places: () => readonly Address[],
+  replicas: () => readonly Address[],
   perTry = 350_000,
 ): CoreAsker {
   const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
@@ -38,7 +38,7 @@
   function ask(q: CoreQuestion, done: (a: CoreAnswer) => void): void {
     let turn = 0;
     function once(): void {
-      const ps = places();
+      const ps = replicas();
       const left = q.limit - w.now();
       if (left <= 0) return done({ status: 'unknown', epoch: 0, version: 0, value: none });
       if (ps.length === 0) return void w.after(micros(Math.min(left, 50_000)), once);
@@ -79,18 +79,18 @@
 }
 
 // Where to ask: this place first if it votes, then the live ones, else those that were last known, else the seeds.
-export function createPlaceList(
-  keeper: () => Keeper | undefined,
+export function createReplicaList(
+  keeper: () => ControlNode | undefined,
   self: Address,
   seeds: () => readonly Address[],
 ): () => readonly Address[] {
   let known: readonly Address[] = [];
-  return function places() {
+  return function replicas() {
     const k = keeper();
-    const core = k?.place.core().places.map((p) => p.address as Address) ?? [];
+    const core = k?.replica.membership().replicas.map((p) => p.address as Address) ?? [];
     if (core.length > 0) known = core;
-    const mine = k?.place.state() === 'voting' ? [self] : [];
-    const live = k?.livePlaces() ?? [];
+    const mine = k?.replica.state() === 'voting' ? [self] : [];
+    const live = k?.liveReplicas() ?? [];
     const others = live.length > mine.length ? live : known.length > 0 ? known : seeds();
     return [...new Set([...mine, ...others.filter((a) => a !== self)])];
   };
--- a/packages/control-feed/src/core.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -13,10 +13,10 @@
   type Proc,
   type SimDisk,
 } from '@tansypost/simulator';
-import { createKeeperHost, type KeeperHost, type OpenDisk } from '@tansypost/state-keeper';
-import { createCoreAsker, createPlaceList, type CoreAnswer, type CoreQuestion } from './asker.js';
+import { createControlNodeHost, type ControlNodeHost, type OpenDisk } from '@tansypost/control-node';
+import { createCoreAsker, createReplicaList, type CoreAnswer, type CoreQuestion } from './asker.js';
 import { createControlFeed, documentKey, type ControlFeed } from './control-feed.js';
-import { createFeedKeeper } from './feed-keeper.js';
+import { createFeedServer } from './feed-server.js';
 import type { ListedWorker } from './listed-worker.js';
 
 type Tamper = Parameters<ReturnType<typeof createNetwork>['tamper']>[0];
@@ -25,7 +25,7 @@
   readonly address: Address;
   readonly proc: Proc;
   readonly disk: SimDisk;
-  host?: KeeperHost;
+  host?: ControlNodeHost;
   ask?: (q: Omit<CoreQuestion, 'limit'>) => Promise<CoreAnswer>;
 }
 interface Core {
@@ -43,7 +43,7 @@
   readonly get: (via: string) => Promise<string>;
   readonly router: (name: string) => ControlFeed;
   readonly voting: () => string[];
-  readonly places: (via: string) => string[];
+  readonly replicas: (via: string) => string[];
 }
 const seedNames = ['c0', 'c1', 'c2'];
 const workers: readonly ListedWorker[] = ['a', 'b'].map((id) => ({
@@ -96,7 +96,7 @@
       if (to === self) outer.after(0 as never, () => proc.receive(x, self));
       else outer.send(to, x);
     }
-    const host = createKeeperHost(w, {
+    const host = createControlNodeHost(w, {
       slot: undefined,
       foundingSlot: seeds.includes(self) ? seeds.indexOf(self) : undefined,
       founds: bootstrap,
@@ -123,9 +123,9 @@
     const asker = createCoreAsker(
       w,
       self,
-      createPlaceList(host.core, self, () => seeds),
+      createReplicaList(host.core, self, () => seeds),
     );
-    const feed = createFeedKeeper(w, { keeper: host.core, ...platform });
+    const feed = createFeedServer(w, { keeper: host.core, ...platform });
     proc.receive = (x, from) => {
       if (x.kind === 'Answer') asker.answer(x);
       else if (x.kind === 'Follow') feed.receive(x, from);
@@ -172,7 +172,7 @@
     return answered(machine(via).ask!({ op: 'write', key: documentKey, change: text, base, value: Buffer.from(text) }));
   }
   function votes(m: Machine): boolean {
-    return m.proc.alive && m.host?.core()?.place.state() === 'voting';
+    return m.proc.alive && m.host?.core()?.replica.state() === 'voting';
   }
   return {
     add,
@@ -192,7 +192,8 @@
     read: (via) => answered(machine(via).ask!({ op: 'read', key: documentKey })),
     get: async (via) => (await answered(machine(via).ask!({ op: 'read', key: documentKey }))).value.toString(),
     voting: () => [...machines.values()].filter(votes).map((m) => m.name),
-    places: (via) => (machine(via).host?.core()?.place.core().places ?? []).map((p) => p.address.split(':')[0]!).sort(),
+    replicas: (via) =>
+      (machine(via).host?.core()?.replica.membership().replicas ?? []).map((p) => p.address.split(':')[0]!).sort(),
   };
 }
 
@@ -231,7 +232,7 @@
 it('grows to five places where five machines start the system, and then bears the loss of two', async () => {
   const c = await founded(3, ['c0', 'c1', 'c2', 'c3', 'c4']);
   await c.run(3000);
-  expect(c.places('c4')).toEqual(['c0', 'c1', 'c2', 'c3', 'c4']);
+  expect(c.replicas('c4')).toEqual(['c0', 'c1', 'c2', 'c3', 'c4']);
   expect(c.voting().length).toBe(5);
   expect(await c.put('c3', 0, 'one')).toBe('done');
   c.wipe('c0');
@@ -257,7 +258,7 @@
 
 it('takes a wiped disk back though all its seeds are gone and the first word of the core is lost', async () => {
   const c = await founded(12);
-  c.net.tamper((m, _from, to) => (m.kind === 'PlaceHello' && m.places.length > 0 && to === 'c0' ? [] : undefined));
+  c.net.tamper((m, _from, to) => (m.kind === 'ReplicaHello' && m.replicas.length > 0 && to === 'c0' ? [] : undefined));
   c.wipe('c0');
   c.start('c0', false, ['x0', 'x1', 'x2']);
   await c.run(700);
@@ -293,7 +294,7 @@
     expect(c.voting().length).toBe(3);
     expect(await c.put(`n${i}`, i + 1, `v${i + 1}`)).toBe('done');
   }
-  expect(c.places('n0')).toEqual(['n0', 'n1', 'n2']);
+  expect(c.replicas('n0')).toEqual(['n0', 'n1', 'n2']);
   await c.run(500);
   expect(r.document()?.value.toString()).toBe('v3');
 });
@@ -308,7 +309,7 @@
   expect(await c.get('n')).toBe('one');
   c.machine('c1').host!.core()!.leave();
   await c.run(700);
-  expect(c.places('n')).toEqual(['c0', 'c2', 'n']);
+  expect(c.replicas('n')).toEqual(['c0', 'c2', 'n']);
   expect(c.voting()).toEqual(['c0', 'c2', 'n']);
 });
 
@@ -319,13 +320,13 @@
   c.add('n');
   c.start('n');
   await c.run(5000);
-  expect(c.places('n')).toEqual(['c0', 'c2', 'n']);
+  expect(c.replicas('n')).toEqual(['c0', 'c2', 'n']);
   expect(await c.put('n', 1, 'two')).toBe('done');
   c.wake('c1');
   await c.run(50);
   expect(await c.put('c1', 1, 'three')).not.toBe('done');
   await c.run(3000);
-  expect(c.places('c1')).toEqual(['c0', 'c2', 'n']);
+  expect(c.replicas('c1')).toEqual(['c0', 'c2', 'n']);
   expect(await c.get('c1')).toBe('two');
   c.kill('c0');
   await c.run(3000);
@@ -344,7 +345,7 @@
     c.wake(n);
     await c.run(1500);
   }
-  expect(c.places('c0')).toEqual(seedNames);
+  expect(c.replicas('c0')).toEqual(seedNames);
 });
 
 it('acknowledges one of two changes on the same version, whichever machines they reach', async () => {
@@ -533,7 +534,7 @@
   'WorkerList',
   'WorkerLoads',
   'News',
-  'PlaceHello',
+  'ReplicaHello',
   'CopyAsk',
   'CopyPage',
   'Prepare',
--- a/packages/control-feed/src/control-feed.test.ts
+++ b/packages/control-feed/src/control-feed.test.ts
@@ -2,7 +2,7 @@
 import { micros, seeded, type Address, type Message } from '@tansypost/inner-protocol';
 import { createEngine, createNetwork, createProc, die, procWorld } from '@tansypost/simulator';
 import { createControlFeed, documentKey } from './control-feed.js';
-import { createFeedKeeper } from './feed-keeper.js';
+import { createFeedServer } from './feed-server.js';
 import type { ListedWorker } from './listed-worker.js';
 
 function worker(id: string, leaving = false): ListedWorker {
@@ -21,7 +21,7 @@
     const proc = createProc(name, name);
     net.add(`${name}:1`, proc);
     proc.alive = true;
-    const k = createFeedKeeper(
+    const k = createFeedServer(
       procWorld(
         e,
         proc,
@@ -144,13 +144,13 @@
       changed: (what) => got.push(what),
     },
   );
-  function news(version: number, coreGen: number): Message {
-    const places = [{ slot: 0, address: `g${coreGen}:1`, disk: 'd' }];
+  function news(version: number, membershipEpoch: number): Message {
+    const replicas = [{ slot: 0, address: `g${membershipEpoch}:1`, disk: 'd' }];
     return {
       kind: 'News',
       news: [{ key: documentKey, epoch: 1, version, value: Buffer.from(`v${version}`) }],
-      coreGen,
-      places,
+      membershipEpoch,
+      replicas,
     };
   }
   for (const [v, g] of [
--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -81,8 +81,8 @@
   const sources = new Map<Address, Source>();
   const loads = new Map<string, WorkerLoad>();
   let seeds = o.seeds;
-  let places: readonly Address[] = [];
-  let gen = 0;
+  let replicas: readonly Address[] = [];
+  let membershipEpoch = 0;
   let peers: readonly Address[] = [];
   let peersKnown = 0;
   let peersAll = true;
@@ -119,14 +119,14 @@
       kind: 'Follow',
       key: documentKey,
       version: doc?.version ?? 0,
-      gen,
+      membershipEpoch,
       list: source(a).list,
       peers: a === teller() ? peersKnown : -1,
     });
   }
 
   function tick(): void {
-    const to = new Set(places.length === 0 || !heardCore() ? [...places, ...seeds] : places);
+    const to = new Set(replicas.length === 0 || !heardCore() ? [...replicas, ...seeds] : replicas);
     for (const a of to) follow(a);
     for (const a of sources.keys()) if (!to.has(a)) sources.delete(a);
     followMore();
@@ -138,7 +138,14 @@
     const a = teller();
     if (o.more === undefined || a === undefined || w.now() < moreAt) return;
     moreAt = w.now() + moreEvery;
-    w.send(a, { kind: 'Follow', key: o.more.key, version: o.more.version(), gen, list: source(a).list, peers: -1 });
+    w.send(a, {
+      kind: 'Follow',
+      key: o.more.key,
+      version: o.more.version(),
+      membershipEpoch,
+      list: source(a).list,
+      peers: -1,
+    });
   }
 
   function lookYourself(): void {
@@ -175,9 +182,9 @@
       Object.assign(s, { heardAt: w.now(), voting: m.voting, followers: m.followers });
       if (m.list !== 0 && m.list === s.list && book.again(from, w.now() - m.age * 1000)) o.changed('workers');
     } else if (m.kind === 'News') {
-      if (m.coreGen > gen && m.places.length > 0) {
-        gen = m.coreGen;
-        places = m.places.map((p) => p.address as Address);
+      if (m.membershipEpoch > membershipEpoch && m.replicas.length > 0) {
+        membershipEpoch = m.membershipEpoch;
+        replicas = m.replicas.map((p) => p.address as Address);
       }
       for (const n of m.news) {
         if (n.key !== documentKey) {
--- a/packages/control-feed/src/feed-keeper.ts
+++ b/packages/control-feed/src/feed-server.ts
@@ -3,12 +3,12 @@
 // followers at once what has changed. One keeper looks often, the others now and then, as each look is priced; a
 // keeper that the first one's place falls to looks often from then on.
 import { every, hash32, micros, rendezvous, type Address, type Message, type World } from '@tansypost/inner-protocol';
-import type { Keeper } from '@tansypost/control-state';
+import type { ControlNode } from '@tansypost/control-state';
 import { documentKey, type WorkerLoad } from './control-feed.js';
 import { listDigest, sameListed, type ListedWorker } from './listed-worker.js';
 
-export interface FeedKeeperOptions {
-  readonly keeper: () => Keeper | undefined;
+export interface FeedServerOptions {
+  readonly keeper: () => ControlNode | undefined;
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
   // Asks one worker for its load; without it, or with a period of 0, no worker is asked.
   readonly fetchLoad?: (x: ListedWorker) => Promise<Omit<WorkerLoad, 'at' | 'silent'> | undefined>;
@@ -16,7 +16,7 @@
   readonly lookEvery?: number;
   readonly lookSeldom?: number;
 }
-export interface FeedKeeper {
+export interface FeedServer {
   readonly receive: (m: Message, from: Address) => void;
   readonly followers: () => number;
   readonly workers: () => readonly ListedWorker[];
@@ -27,7 +27,7 @@
 const peersAtMost = 16;
 const relayWithin = 40_000;
 
-export function createFeedKeeper(w: World, o: FeedKeeperOptions): FeedKeeper {
+export function createFeedServer(w: World, o: FeedServerOptions): FeedServer {
   const followers = new Map<Address, number>();
   let list: readonly ListedWorker[] = [];
   let digest = 0;
@@ -104,10 +104,10 @@
     // Of any other key only what is newer is told, without a beat.
     if (m.key !== documentKey) {
       const k = o.keeper();
-      if (k !== undefined && k.place.row(m.key).version > 0) k.follow(m.key, m.version, m.gen, from);
+      if (k !== undefined && k.replica.row(m.key).version > 0) k.follow(m.key, m.version, m.membershipEpoch, from);
       return;
     }
-    const f = o.keeper()?.follow(m.key, m.version, m.gen, from);
+    const f = o.keeper()?.follow(m.key, m.version, m.membershipEpoch, from);
     if (digest !== 0 && m.list !== digest) w.send(from, whole());
     if (m.peers >= 0) {
       const addresses = peersOf(from);
@@ -118,7 +118,7 @@
     w.send(from, {
       kind: 'Beat',
       version: f?.version ?? 0,
-      gen: f?.gen ?? 0,
+      membershipEpoch: f?.membershipEpoch ?? 0,
       list: digest,
       age: age(),
       followers: live().length,
@@ -143,7 +143,7 @@
     const k = o.keeper();
     const fetch = o.fetchLoad;
     if (fetch === undefined || k === undefined || asking > 0) return;
-    const n = Math.max(1, k.livePlaces().length);
+    const n = Math.max(1, k.liveReplicas().length);
     const mine = list.filter((_, i) => i % n === k.rank());
     const got: Told[] = [];
     asking = mine.length;
--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -1,4 +1,4 @@
-// The core of the state-keeper: the place, the keys it owns, the news it pushes to home agents, and the
+// The core of the control-node: the place, the keys it owns, the news it pushes to home agents, and the
 // feed tenures it grants. A change of the desired state is acknowledged only when, beyond the majority,
 // every router whose tenure may be live has applied it. Whoever is granted a tenure stands in a register, a key
 // beside the desired state's, before the first grant; so a new owner knows whom its predecessor may have
@@ -15,13 +15,13 @@
   type World,
 } from '@tansypost/inner-protocol';
 import { applyClaim, type ClaimOp } from './claims.js';
-import { addTo, coreKey, encodeCore, replaceIn, type CoreRecord } from './core-record.js';
-import { createOwner, type Owner, type WriteAnswer } from './owner.js';
-import { createPlace, type Place, type PlaceOptions, type PlaceState } from './place.js';
+import { addTo, membershipKey, encodeMembership, replaceIn, type MembershipRecord } from './core-record.js';
+import { createKeyLeader, type KeyLeader, type WriteAnswer } from './owner.js';
+import { createReplica, type Replica, type ReplicaOptions, type ReplicaState } from './place.js';
 import { createRounds } from './rounds.js';
 import { merge, emptyRow, newer, nextEpoch, versionOfChange, type Row } from './row.js';
 
-export interface KeeperOptions extends PlaceOptions {
+export interface ControlNodeOptions extends ReplicaOptions {
   readonly tenure: number;
   readonly seeds: readonly Address[];
   readonly sweepEvery?: number;
@@ -30,14 +30,14 @@
   readonly note?: (what: 'committed' | 'acknowledged', key: string, version: number) => void;
 }
 
-export interface Keeper {
+export interface ControlNode {
   readonly receive: (m: Message, from: Address) => void;
-  readonly place: Place;
+  readonly replica: Replica;
   // Takes in that somebody follows a key from now on, sends what is newer than what it has, and gives what is in force.
-  readonly follow: (key: string, version: number, gen: number, from: Address) => Following;
+  readonly follow: (key: string, version: number, membershipEpoch: number, from: Address) => Following;
   // Where this place stands among the live ones (0 is the first), and how many there are.
   readonly rank: () => number;
-  readonly livePlaces: () => readonly Address[];
+  readonly liveReplicas: () => readonly Address[];
   readonly owned: () => { key: string; epoch: number; version: number }[];
   // Says that this place is about to stop, so that its keys and, if a machine asks for one, its place go to others.
   readonly leave: () => void;
@@ -48,18 +48,18 @@
   readonly voting: boolean;
   readonly fit: boolean;
   readonly leaving: boolean;
-  readonly gen: number;
+  readonly membershipEpoch: number;
   // Since when it has had an older core record than this place.
   readonly behind: number;
 }
-type CoreChange =
+type MembershipChange =
   | { readonly kind: 'finish' }
   | { readonly kind: 'add'; readonly address: string; readonly disk: string }
   | { readonly kind: 'replace'; readonly slot: number; readonly address: string; readonly disk: string };
 
 export interface Following {
   readonly version: number;
-  readonly gen: number;
+  readonly membershipEpoch: number;
   readonly voting: boolean;
 }
 
@@ -76,13 +76,13 @@
   return k.startsWith('claim/') || k.startsWith('tenures/');
 }
 
-export function createKeeper(w: World, o: KeeperOptions): Keeper {
-  const place = createPlace(w, { ...o, entered });
+export function createControlNode(w: World, o: ControlNodeOptions): ControlNode {
+  const replica = createReplica(w, { ...o, entered });
   const rounds = createRounds(
     { ...w, send: (to, m) => w.send(to, 'from' in m && m.from === '' ? ({ ...m, from: o.self } as Message) : m) },
-    place,
+    replica,
   );
-  const owners = new Map<string, Owner>();
+  const owners = new Map<string, KeyLeader>();
   const heardAt = new Map<number, Heard>();
   const disks = new Map<number, string>();
   const joiners = new Map<string, { since: number; at: number; first: boolean }>();
@@ -100,17 +100,17 @@
   // Since when it has been hearing what there was to hear: a silence of its own counts against nobody.
   let hearingSince = w.now();
 
-  function owner(k: string): Owner {
+  function owner(k: string): KeyLeader {
     let x = owners.get(k);
     if (x === undefined) {
-      x = createOwner(w, {
+      x = createKeyLeader(w, {
         key: k,
-        place,
+        replica,
         rounds,
         committed: (r) => {
           o.note?.('committed', k, r.version);
           push(k, r);
-          tellPlaces(k, r);
+          announceCommit(k, r);
         },
       });
       owners.set(k, x);
@@ -118,26 +118,26 @@
     return x;
   }
 
-  function live(): CoreRecord['places'] {
-    return place.core().places.filter((p) => {
-      if (p.slot === place.slot) return place.state() === 'voting';
+  function live(): MembershipRecord['replicas'] {
+    return replica.membership().replicas.filter((p) => {
+      if (p.slot === replica.slot) return replica.state() === 'voting';
       const h = heardAt.get(p.slot);
       return h !== undefined && h.voting && w.now() - h.at < 1_000_000;
     });
   }
 
   // Of the live places those that neither leave nor wait for their disks, if there are any.
-  function fit(): CoreRecord['places'] {
+  function fit(): MembershipRecord['replicas'] {
     const ps = live();
     const fs = ps.filter((p) =>
-      p.slot === place.slot ? !place.ill() && !place.leaving() : heardAt.get(p.slot)?.fit === true,
+      p.slot === replica.slot ? !replica.ill() && !replica.leaving() : heardAt.get(p.slot)?.fit === true,
     );
     return fs.length > 0 ? fs : ps;
   }
 
   function preferred(k: string): number {
     const ps = rendezvous(k.replace(/^tenures\//, ''), fit(), (p) => `${p.slot}`);
-    return ps[0]?.slot ?? place.slot;
+    return ps[0]?.slot ?? replica.slot;
   }
 
   function item(k: string, r: Row): NewsItem {
@@ -145,7 +145,12 @@
   }
 
   function sayNews(to: Address, news: NewsItem[]): void {
-    w.send(to, { kind: 'News', news, coreGen: place.core().gen, places: [...place.core().places] });
+    w.send(to, {
+      kind: 'News',
+      news,
+      membershipEpoch: replica.membership().membershipEpoch,
+      replicas: [...replica.membership().replicas],
+    });
   }
 
   function push(k: string, r: Row): void {
@@ -156,10 +161,10 @@
     }
   }
 
-  function tellPlaces(k: string, r: Row): void {
+  function announceCommit(k: string, r: Row): void {
     if (r.version === 0 || isPrivate(k) || isTenured(k)) return;
-    for (const p of place.core().places)
-      if (p.slot !== place.slot)
+    for (const p of replica.membership().replicas)
+      if (p.slot !== replica.slot)
         w.send(p.address as Address, { kind: 'Committed', key: k, epoch: r.epoch, version: r.version });
   }
 
@@ -168,26 +173,26 @@
     const x = owners.get(k);
     const own = x?.owns() === true ? x.row() : emptyRow;
     const c = committed.get(k);
-    const r = place.row(k);
+    const r = replica.row(k);
     return c !== undefined && r.epoch === c.epoch && r.version === c.version && newer(r, own) ? r : own;
   }
 
-  function follow(k: string, version: number, gen: number, from: Address): Following {
+  function follow(k: string, version: number, membershipEpoch: number, from: Address): Following {
     subscribers.set(from, w.now() + 3_000_000);
-    const core = place.core();
-    const voting = place.state() === 'voting';
+    const core = replica.membership();
+    const voting = replica.state() === 'voting';
     const x = owner(k);
     const settled = live().length > 1 || w.now() - hearingSince > 500_000;
-    if (voting && settled && !x.owns() && preferred(k) === place.slot) x.take();
+    if (voting && settled && !x.owns() && preferred(k) === replica.slot) x.take();
     const r = inForce(k);
     if (r.version > version) sayNews(from, [item(k, r)]);
-    else if (core.gen > gen) sayNews(from, []);
-    return { version: r.version, gen: core.gen, voting };
+    else if (core.membershipEpoch > membershipEpoch) sayNews(from, []);
+    return { version: r.version, membershipEpoch: core.membershipEpoch, voting };
   }
 
   function rank(): number {
     const ps = live();
-    const i = ps.findIndex((p) => p.slot === place.slot);
+    const i = ps.findIndex((p) => p.slot === replica.slot);
     return i < 0 ? ps.length : i;
   }
 
@@ -203,10 +208,10 @@
         value: r?.value ?? Buffer.alloc(0),
       });
     }
-    if (place.state() !== 'voting') return answer('retry');
+    if (replica.state() !== 'voting') return answer('retry');
     const p = preferred(m.key);
-    if (p !== place.slot && m.hops < 2) {
-      const to = place.core().places.find((x) => x.slot === p)!;
+    if (p !== replica.slot && m.hops < 2) {
+      const to = replica.membership().replicas.find((x) => x.slot === p)!;
       return w.send(to.address as Address, { ...m, hops: m.hops + 1 });
     }
     const x = owner(m.key);
@@ -292,12 +297,12 @@
 
   function onSubscribe(m: MessageOf<'Subscribe'>): void {
     const from = m.from as Address;
-    if (place.state() !== 'voting') return;
+    if (replica.state() !== 'voting') return;
     subscribers.set(from, w.now() + 3_000_000);
     const out: NewsItem[] = [];
     for (const h of m.have) {
       const x = owner(h.key);
-      if (!x.owns() && preferred(h.key) === place.slot) x.take();
+      if (!x.owns() && preferred(h.key) === replica.slot) x.take();
       const r = x.row();
       if (x.owns() && r.version > h.version) out.push(item(h.key, r));
       if (isTenured(h.key) && x.owns() && m.tenures.length > 0) grant(h.key, x, m);
@@ -306,12 +311,18 @@
     for (const [k, x] of owners)
       if (!named.has(k) && x.owns() && x.row().version > 0 && !isPrivate(k)) out.push(item(k, x.row()));
     if (out.length > 0 || m.have.length === 0) sayNews(from, out);
-    else w.send(from, { kind: 'News', news: [], coreGen: place.core().gen, places: [...place.core().places] });
+    else
+      w.send(from, {
+        kind: 'News',
+        news: [],
+        membershipEpoch: replica.membership().membershipEpoch,
+        replicas: [...replica.membership().replicas],
+      });
   }
 
   // A tenure is granted only for the version in force, and only after a majority has said,
   // in a round begun after the asking, that this owner's epoch still holds.
-  function grant(k: string, x: Owner, m: MessageOf<'Subscribe'>): void {
+  function grant(k: string, x: KeyLeader, m: MessageOf<'Subscribe'>): void {
     x.read((r) => {
       if (r === undefined) return;
       const t = tenures.get(k) ?? new Map<string, Holding>();
@@ -333,14 +344,14 @@
         grants.push({ router: a.router, asked: a.asked, version: r.version });
       }
       if (!known || strangers.length > 0) enrol(k, x, strangers, m);
-      if (grants.length > 0) w.send(m.from as Address, { kind: 'Tenures', grants });
+      if (grants.length > 0) w.send(m.from as Address, { kind: 'Leases', grants });
       tryAcks(k);
     });
   }
 
   // Brings the register up to date, then grants what waited for it. Routers that cannot hold a tenure any more are
   // dropped on the way.
-  function enrol(k: string, x: Owner, strangers: readonly string[], m?: MessageOf<'Subscribe'>): void {
+  function enrol(k: string, x: KeyLeader, strangers: readonly string[], m?: MessageOf<'Subscribe'>): void {
     const asked = w.now();
     const t = tenures.get(k)!;
     let after: string[] = [];
@@ -374,45 +385,67 @@
 
   // A disk new in the record has the same while to be heard as any other.
   function noticeDisks(): void {
-    for (const p of place.core().places) {
+    for (const p of replica.membership().replicas) {
       const had = disks.get(p.slot);
       disks.set(p.slot, p.disk);
       if (had !== undefined && had !== p.disk)
-        heardAt.set(p.slot, { at: w.now(), voting: false, fit: false, leaving: false, gen: 0, behind: Infinity });
+        heardAt.set(p.slot, {
+          at: w.now(),
+          voting: false,
+          fit: false,
+          leaving: false,
+          membershipEpoch: 0,
+          behind: Infinity,
+        });
     }
   }
 
-  function onHello(m: MessageOf<'PlaceHello'>): void {
+  function onHello(m: MessageOf<'ReplicaHello'>): void {
     if (o.slot === undefined) noticeDisks();
-    const p = place.core().places.find((x) => x.slot === m.slot);
+    const p = replica.membership().replicas.find((x) => x.slot === m.slot);
     const other = p !== undefined && p.disk !== m.disk;
     const known = heardAt.get(m.slot);
-    if (m.slot !== place.slot && m.slot >= 0 && (!other || o.slot !== undefined)) {
+    if (m.slot !== replica.slot && m.slot >= 0 && (!other || o.slot !== undefined)) {
       const voting = m.state === 'voting';
-      const behind = m.gen >= place.core().gen ? Infinity : Math.min(known?.behind ?? Infinity, w.now());
-      heardAt.set(m.slot, { at: w.now(), voting, fit: !m.ill && !m.leaving, leaving: m.leaving, gen: m.gen, behind });
-      if (known?.voting !== true && voting) w.send(m.from as Address, place.hello());
+      const behind =
+        m.membershipEpoch >= replica.membership().membershipEpoch
+          ? Infinity
+          : Math.min(known?.behind ?? Infinity, w.now());
+      heardAt.set(m.slot, {
+        at: w.now(),
+        voting,
+        fit: !m.ill && !m.leaving,
+        leaving: m.leaving,
+        membershipEpoch: m.membershipEpoch,
+        behind,
+      });
+      if (known?.voting !== true && voting) w.send(m.from as Address, replica.hello());
     }
-    const gen = place.core().gen;
+    const membershipEpoch = replica.membership().membershipEpoch;
     // Told slimly of a core record that it has not, as who tells it knew the disk before it was lost.
-    if (m.gen > gen && m.places.length === 0) w.send(m.from as Address, place.hello());
-    place.heard(m);
-    if (place.state() === 'blank' && place.core().gen > gen) place.copyTick();
-    if (place.state() !== 'voting' || m.slot === place.slot) return;
-    const lags = m.state === 'voting' && m.gen > 0 && m.gen < place.core().gen && !other;
+    if (m.membershipEpoch > membershipEpoch && m.replicas.length === 0) w.send(m.from as Address, replica.hello());
+    replica.heard(m);
+    if (replica.state() === 'blank' && replica.membership().membershipEpoch > membershipEpoch) replica.copyTick();
+    if (replica.state() !== 'voting' || m.slot === replica.slot) return;
+    const lags =
+      m.state === 'voting' &&
+      m.membershipEpoch > 0 &&
+      m.membershipEpoch < replica.membership().membershipEpoch &&
+      !other;
     if (lags && (o.slot !== undefined || w.now() - (heardAt.get(m.slot)?.behind ?? Infinity) > 600_000))
-      changeCore({ kind: 'finish' });
+      changeMembership({ kind: 'finish' });
     if (o.slot === undefined && (other || p === undefined)) {
-      if (m.gen < place.core().gen || m.state === 'fenced') w.send(m.from as Address, place.hello());
+      if (m.membershipEpoch < replica.membership().membershipEpoch || m.state === 'fenced')
+        w.send(m.from as Address, replica.hello());
       return;
     }
     if (m.state !== 'blank' || p === undefined) return;
-    if (p.disk === m.disk) w.send(m.from as Address, place.hello());
-    else if (o.slot !== undefined && !place.hello().founders.includes(m.disk)) replace(m.slot, m.from, m.disk);
+    if (p.disk === m.disk) w.send(m.from as Address, replica.hello());
+    else if (o.slot !== undefined && !replica.hello().founders.includes(m.disk)) replace(m.slot, m.from, m.disk);
   }
 
   function replace(slot: number, address: string, disk: string): void {
-    changeCore({ kind: 'replace', slot, address, disk });
+    changeMembership({ kind: 'replace', slot, address, disk });
   }
 
   // A machine asks for a place. It gets that of its own address, whose disk is gone with it; else one whose holder
@@ -420,24 +453,25 @@
   // added, two for two that ask, as an even number of them bears no more losses. One of the live places sees to it, or whoever
   // is asked for long.
   function onJoin(m: MessageOf<'Join'>): void {
-    if (place.state() !== 'voting' || o.slot !== undefined) return;
+    if (replica.state() !== 'voting' || o.slot !== undefined) return;
     if (w.now() - greetedAt > 900_000) hearingSince = w.now();
     noticeDisks();
-    const ps = place.core().places;
-    w.send(m.from as Address, place.hello());
+    const ps = replica.membership().replicas;
+    w.send(m.from as Address, replica.hello());
     const had = joiners.get(m.from);
     const since = had === undefined || w.now() - had.at > 1_500_000 ? w.now() : had.since;
     joiners.set(m.from, { since, at: w.now(), first: m.first });
-    const mayAct = preferred(coreKey) === place.slot || w.now() - since > 1_500_000;
+    const mayAct = preferred(membershipKey) === replica.slot || w.now() - since > 1_500_000;
     if (changing || ps.some((p) => p.disk === m.disk) || !mayAct) return;
     const mine = ps.find((p) => p.address === m.from);
-    const gone = mine ?? ps.find((p) => p.slot !== place.slot && (isLeaving(p.slot) || isMissing(p.slot)));
+    const gone = mine ?? ps.find((p) => p.slot !== replica.slot && (isLeaving(p.slot) || isMissing(p.slot)));
     if (gone !== undefined) return replace(gone.slot, m.from, m.disk);
     const asking = [...joiners].filter(
       ([a, j]) => j.first && w.now() - j.at < 1_000_000 && !ps.some((p) => p.address === a),
     );
     const enough = ps.length % 2 === 0 ? ps.length < 9 : asking.length > 1 && ps.length < 8;
-    if (m.first && enough && live().length === ps.length) changeCore({ kind: 'add', address: m.from, disk: m.disk });
+    if (m.first && enough && live().length === ps.length)
+      changeMembership({ kind: 'add', address: m.from, disk: m.disk });
   }
 
   function isLeaving(slot: number): boolean {
@@ -451,98 +485,107 @@
   // Writes a new disk into the core record: a majority of places must agree, whatever the one replaced says. To
   // finish is to write what is there again: a record that one place took and the others did not is written again
   // under a higher epoch, else they would fence each other for good.
-  function changeCore(c: CoreChange): void {
+  function changeMembership(c: MembershipChange): void {
     if (changing) return;
     changing = true;
-    const gen = place.core().gen;
-    const epoch = nextEpoch(Math.max(place.row(coreKey).promised, coreSeen), place.slot);
+    const membershipEpoch = replica.membership().membershipEpoch;
+    const epoch = nextEpoch(Math.max(replica.row(membershipKey).promised, coreSeen), replica.slot);
     const without = c.kind === 'replace' ? c.slot : undefined;
     function over(): void {
       w.after(micros(200_000 + w.random() * 400_000), () => {
         changing = false;
       });
     }
-    rounds.start({ without, make: (id) => ({ kind: 'Prepare', id, from: '', key: coreKey, epoch, gen }) }, (p) => {
-      for (const v of p.votes) coreSeen = Math.max(coreSeen, v.promised);
-      if (!p.won) return over();
-      const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
-      if (top.epoch < gen || (c.kind !== 'finish' && top.epoch !== gen)) return over();
-      const value =
-        c.kind === 'finish'
-          ? top.value
-          : encodeCore(
-              c.kind === 'add'
-                ? addTo(place.core(), c.address, c.disk)
-                : replaceIn(place.core(), { slot: c.slot, address: c.address, disk: c.disk }),
-            );
-      rounds.start(
-        {
-          without,
-          make: (id) => ({
-            kind: 'Accept',
-            id,
-            from: '',
-            key: coreKey,
-            epoch,
-            gen,
-            version: top.version + 1,
-            value,
-            changes: [],
-          }),
-        },
-        () => {
-          w.log(2006, { ...c, gen: place.core().gen });
-          over();
-          greet();
-          if (c.kind !== 'finish') w.send(c.address as Address, place.hello());
-        },
-      );
-    });
+    rounds.start(
+      { without, make: (id) => ({ kind: 'Prepare', id, from: '', key: membershipKey, epoch, membershipEpoch }) },
+      (p) => {
+        for (const v of p.votes) coreSeen = Math.max(coreSeen, v.promised);
+        if (!p.won) return over();
+        const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
+        if (top.epoch < membershipEpoch || (c.kind !== 'finish' && top.epoch !== membershipEpoch)) return over();
+        const value =
+          c.kind === 'finish'
+            ? top.value
+            : encodeMembership(
+                c.kind === 'add'
+                  ? addTo(replica.membership(), c.address, c.disk)
+                  : replaceIn(replica.membership(), { slot: c.slot, address: c.address, disk: c.disk }),
+              );
+        rounds.start(
+          {
+            without,
+            make: (id) => ({
+              kind: 'Accept',
+              id,
+              from: '',
+              key: membershipKey,
+              epoch,
+              membershipEpoch,
+              version: top.version + 1,
+              value,
+              changes: [],
+            }),
+          },
+          () => {
+            w.log(2006, { ...c, membershipEpoch: replica.membership().membershipEpoch });
+            over();
+            greet();
+            if (c.kind !== 'finish') w.send(c.address as Address, replica.hello());
+          },
+        );
+      },
+    );
   }
 
   // Places known to have the same core record are told no more than that this one is there.
   function greet(): void {
     if (w.now() - greetedAt > 900_000) hearingSince = w.now();
     greetedAt = w.now();
-    const core = place.core();
-    const same = new Set(core.places.filter((p) => heardAt.get(p.slot)?.gen === core.gen).map((p) => p.address));
-    const founding = o.slot !== undefined || core.gen === 0 ? o.core : [];
-    const to = new Set<string>([...founding, ...core.places.map((p) => p.address)]);
+    const core = replica.membership();
+    const same = new Set(
+      core.replicas.filter((p) => heardAt.get(p.slot)?.membershipEpoch === core.membershipEpoch).map((p) => p.address),
+    );
+    const founding = o.slot !== undefined || core.membershipEpoch === 0 ? o.core : [];
+    const to = new Set<string>([...founding, ...core.replicas.map((p) => p.address)]);
     to.delete(o.self);
-    const whole = place.hello();
-    const slim = place.hello(true);
-    if (place.slot >= 0 || place.state() === 'fenced') {
-      for (const a of to) w.send(a as Address, core.gen > 0 && same.has(a) ? slim : whole);
+    const whole = replica.hello();
+    const slim = replica.hello(true);
+    if (replica.slot >= 0 || replica.state() === 'fenced') {
+      for (const a of to) w.send(a as Address, core.membershipEpoch > 0 && same.has(a) ? slim : whole);
     }
-    if (o.slot === undefined && place.state() === 'blank' && !core.places.some((p) => p.disk === place.diskId())) {
-      const asked = new Set<string>([...o.core, ...core.places.map((p) => p.address)]);
+    if (
+      o.slot === undefined &&
+      replica.state() === 'blank' &&
+      !core.replicas.some((p) => p.disk === replica.diskId())
+    ) {
+      const asked = new Set<string>([...o.core, ...core.replicas.map((p) => p.address)]);
       asked.delete(o.self);
       for (const a of asked)
-        w.send(a as Address, { kind: 'Join', from: o.self, disk: place.diskId(), first: o.founds === true });
+        w.send(a as Address, { kind: 'Join', from: o.self, disk: replica.diskId(), first: o.founds === true });
     }
-    place.copyTick();
+    replica.copyTick();
   }
 
-  function entered(s: PlaceState): void {
+  function entered(s: ReplicaState): void {
     o.entered?.(s);
     if (s !== 'fenced') w.after(micros(0), greet);
   }
 
   function announce(): void {
-    if (place.core().gen > 0) for (const a of o.seeds) sayNews(a, []);
+    if (replica.membership().membershipEpoch > 0) for (const a of o.seeds) sayNews(a, []);
   }
 
   // The sweep: one key after the other that this place should own is read, which mends it, and the others hear of it.
   function sweep(): void {
-    const ks = place
+    const ks = replica
       .keys()
-      .filter((k) => k !== coreKey && !k.startsWith('~') && preferred(k) === place.slot)
+      .filter((k) => k !== membershipKey && !k.startsWith('~') && preferred(k) === replica.slot)
       .sort();
-    if (place.state() !== 'voting' || ks.length === 0) return;
+    if (replica.state() !== 'voting' || ks.length === 0) return;
     swept += 1;
     const k = ks[swept % ks.length]!;
     owner(k).read((r) => {
-      if (r !== undefined) tellPlaces(k, r);
+      if (r !== undefined) announceCommit(k, r);
     });
   }
 
@@ -553,17 +596,17 @@
       case 'Prepare':
       case 'Accept':
       case 'Check':
-        return place.vote(m, (v) => w.send(m.from as Address, v));
+        return replica.vote(m, (v) => w.send(m.from as Address, v));
       case 'Vote':
         return rounds.vote(m);
-      case 'PlaceHello':
+      case 'ReplicaHello':
         return onHello(m);
       case 'Join':
         return onJoin(m);
       case 'CopyAsk':
-        return w.send(m.from as Address, place.copyAsk(m));
+        return w.send(m.from as Address, replica.copyAsk(m));
       case 'CopyPage':
-        return place.copyPage(m);
+        return replica.copyPage(m);
       case 'Subscribe':
         return onSubscribe(m);
       case 'Committed': {
@@ -585,16 +628,16 @@
   ];
   return {
     receive,
-    place,
+    replica,
     follow,
     rank,
-    livePlaces: () => live().map((p) => p.address as Address),
+    liveReplicas: () => live().map((p) => p.address as Address),
     owned: () =>
       [...owners]
         .filter(([, x]) => x.owns())
         .map(([k, x]) => ({ key: toKey(k), epoch: x.row().epoch, version: x.row().version })),
     leave: () => {
-      place.leave();
+      replica.leave();
       greet();
     },
     stop: () => stops.forEach((s) => s()),
--- a/packages/control-state/src/owner.ts
+++ b/packages/control-state/src/owner.ts
@@ -3,7 +3,7 @@
 // synced on a majority before it is answered. A read asks a majority whether the epoch still
 // holds, and mends the copies it finds old. An owner that loses a round lays the key down.
 import { micros, type Address, type Message, type MessageOf, type World } from '@tansypost/inner-protocol';
-import type { Place } from './place.js';
+import type { Replica } from './place.js';
 import { changesKept, emptyRow, merge, nextEpoch, versionOfChange, type Row } from './row.js';
 import type { AskVote, Rounds } from './rounds.js';
 
@@ -27,7 +27,7 @@
   readonly done: (status: WriteStatus, result: string) => void;
 }
 
-export interface Owner {
+export interface KeyLeader {
   readonly mutate: (m: Mutation) => void;
   readonly owns: () => boolean;
   readonly since: () => number;
@@ -39,16 +39,16 @@
   readonly layDown: () => void;
 }
 
-export interface OwnerOptions {
+export interface KeyLeaderOptions {
   readonly key: string;
-  readonly place: Place;
+  readonly replica: Replica;
   readonly rounds: Rounds;
   readonly committed: (r: Row) => void;
 }
 
 type Mode = 'none' | 'taking' | 'owned';
 
-export function createOwner(w: World, o: OwnerOptions): Owner {
+export function createKeyLeader(w: World, o: KeyLeaderOptions): KeyLeader {
   let mode: Mode = 'none';
   let row: Row = emptyRow;
   let seen = 0;
@@ -74,17 +74,17 @@
   }
 
   function take(): void {
-    if (mode !== 'none' || o.place.state() !== 'voting') return;
+    if (mode !== 'none' || o.replica.state() !== 'voting') return;
     mode = 'taking';
-    const epoch = nextEpoch(Math.max(seen, o.place.row(o.key).promised), o.place.slot);
-    const gen = o.place.core().gen;
-    o.rounds.start({ make: (id) => ({ kind: 'Prepare', id, from: '', key: o.key, epoch, gen }) }, (p) => {
+    const epoch = nextEpoch(Math.max(seen, o.replica.row(o.key).promised), o.replica.slot);
+    const membershipEpoch = o.replica.membership().membershipEpoch;
+    o.rounds.start({ make: (id) => ({ kind: 'Prepare', id, from: '', key: o.key, epoch, membershipEpoch }) }, (p) => {
       for (const v of p.votes) seen = Math.max(seen, v.promised);
       if (!p.won) return missed();
       const top = p.votes.filter((v) => v.ok).reduce<Row>((a, v) => merge(a, v), emptyRow);
       const x: Row = { ...top, promised: epoch, epoch };
       if (top.version === 0) return taken(x);
-      o.rounds.start({ make: (id) => accept(id, x, gen) }, (a) => {
+      o.rounds.start({ make: (id) => accept(id, x, membershipEpoch) }, (a) => {
         for (const v of a.votes) seen = Math.max(seen, v.promised);
         if (a.won) taken(x);
         else missed();
@@ -92,14 +92,14 @@
     });
   }
 
-  function accept(id: string, x: Row, gen: number): AskVote {
+  function accept(id: string, x: Row, membershipEpoch: number): AskVote {
     return {
       kind: 'Accept',
       id,
       from: '',
       key: o.key,
       epoch: x.epoch,
-      gen,
+      membershipEpoch,
       version: x.version,
       value: x.value,
       changes: [...x.changes],
@@ -159,8 +159,8 @@
       changes: [`${x.change}@${row.version + 1}`, ...row.changes].slice(0, changesKept),
     };
     busy = true;
-    const gen = o.place.core().gen;
-    o.rounds.start({ make: (id) => accept(id, next, gen) }, (a) => {
+    const membershipEpoch = o.replica.membership().membershipEpoch;
+    o.rounds.start({ make: (id) => accept(id, next, membershipEpoch) }, (a) => {
       busy = false;
       for (const v of a.votes) seen = Math.max(seen, v.promised);
       if (a.won) {
@@ -193,8 +193,8 @@
     });
     const next: Row = { ...row, promised: row.epoch, version: row.version + 1, value };
     busy = true;
-    const gen = o.place.core().gen;
-    o.rounds.start({ make: (id) => accept(id, next, gen) }, (a) => {
+    const membershipEpoch = o.replica.membership().membershipEpoch;
+    o.rounds.start({ make: (id) => accept(id, next, membershipEpoch) }, (a) => {
       busy = false;
       for (const v of a.votes) seen = Math.max(seen, v.promised);
       if (a.won) row = next;
@@ -207,13 +207,13 @@
   // Asks a majority whether this epoch still holds, and mends old copies on the way.
   function check(done: (ok: boolean) => void): void {
     const at = row;
-    const gen = o.place.core().gen;
+    const membershipEpoch = o.replica.membership().membershipEpoch;
     function late(v: MessageOf<'Vote'>): void {
       seen = Math.max(seen, v.promised);
-      if (at.version > 0 && mode === 'owned') mend(at, [v], gen);
+      if (at.version > 0 && mode === 'owned') mend(at, [v], membershipEpoch);
     }
     function make(id: string): AskVote {
-      return { kind: 'Check', id, from: '', key: o.key, epoch: at.epoch, gen };
+      return { kind: 'Check', id, from: '', key: o.key, epoch: at.epoch, membershipEpoch };
     }
     o.rounds.start({ make, late }, (c) => {
       for (const v of c.votes) seen = Math.max(seen, v.promised);
@@ -221,19 +221,19 @@
         if (mode === 'owned') layDown();
         return done(false);
       }
-      if (at.version > 0) mend(at, c.votes, gen);
+      if (at.version > 0) mend(at, c.votes, membershipEpoch);
       done(true);
     });
   }
 
   // A place that did not answer is mended once it does: what is held may be large.
-  function mend(at: Row, vs: readonly MessageOf<'Vote'>[], gen: number): void {
+  function mend(at: Row, vs: readonly MessageOf<'Vote'>[], membershipEpoch: number): void {
     if (busy || row !== at) return;
     for (const v of vs) {
-      const p = o.place.core().places.find((x) => x.slot === v.slot);
+      const p = o.replica.membership().replicas.find((x) => x.slot === v.slot);
       if (p === undefined || (v.epoch === at.epoch && v.version >= at.version)) continue;
-      const m = accept(`mend/${o.key}`, at, gen);
-      if (p.slot === o.place.slot) o.place.vote(m, () => undefined);
+      const m = accept(`mend/${o.key}`, at, membershipEpoch);
+      if (p.slot === o.replica.slot) o.replica.vote(m, () => undefined);
       else w.send(p.address as Address, m as Message);
       w.log(2004, { key: o.key, slot: p.slot, version: at.version });
     }
--- a/packages/control-state/src/place.test.ts
+++ b/packages/control-state/src/place.test.ts
@@ -2,7 +2,7 @@
 import { micros, type Address, type World } from '@tansypost/inner-protocol';
 import type { Disk } from './disk.js';
 import type { JournalRecord } from './journal.js';
-import { createPlace, type Place } from './place.js';
+import { createReplica, type Replica } from './place.js';
 
 it('rewrites its file when it gets long, and comes back from it with every row', () => {
   let file: JournalRecord[] = [];
@@ -26,8 +26,8 @@
     send: () => undefined,
     log: () => undefined,
   };
-  function open(): Place {
-    return createPlace(w, {
+  function open(): Replica {
+    return createReplica(w, {
       slot: 0,
       self: 'a' as Address,
       core: [],
@@ -61,18 +61,18 @@
   };
   const file: JournalRecord[] = [];
   const disk: Disk = { append: (r, done) => done(void file.push(r)), rewrite: (_r, done) => done(), size: () => 0 };
-  const places = ['a', 'b', 'c'].map((address, slot) => ({ slot, address, disk: `d${slot}` }));
+  const replicas = ['a', 'b', 'c'].map((address, slot) => ({ slot, address, disk: `d${slot}` }));
   function record(kind: string, key: string, epoch: number, value = Buffer.alloc(0)): JournalRecord {
     return { kind, key, promised: epoch, epoch, version: epoch, value, changes: [] };
   }
   const found = [
     record('disk', 'd0', 0),
     record('state', 'voting', 0),
-    record('row', 'core', 32, Buffer.from(JSON.stringify(places))),
+    record('row', 'core', 32, Buffer.from(JSON.stringify(replicas))),
     record('row', 'k', 17),
   ];
-  function accept(o: { gen?: number; epoch?: number }, from = found): boolean {
-    const p = createPlace(w, { slot: undefined, self: 'a' as Address, core: [], disk, found: from, newDiskId: 'x' });
+  function accept(o: { membershipEpoch?: number; epoch?: number }, from = found): boolean {
+    const p = createReplica(w, { slot: undefined, self: 'a' as Address, core: [], disk, found: from, newDiskId: 'x' });
     let ok = false;
     p.vote(
       {
@@ -80,7 +80,7 @@
         id: '',
         from: '',
         key: 'k',
-        gen: 32,
+        membershipEpoch: 32,
         epoch: 17,
         version: 18,
         value: Buffer.from('v'),
@@ -94,7 +94,7 @@
     return ok;
   }
   expect(accept({})).toBe(true);
-  expect(accept({ gen: 31 })).toBe(false);
+  expect(accept({ membershipEpoch: 31 })).toBe(false);
   expect(accept({ epoch: 16 })).toBe(false);
   expect(accept({}, [found[0]!, ...found.slice(2)])).toBe(false);
   expect(accept({}, [record('disk', 'other', 0), ...found.slice(1)])).toBe(false);
--- a/packages/control-state/src/place.ts
+++ b/packages/control-state/src/place.ts
@@ -3,14 +3,22 @@
 // the core together, or it copies from a majority of the others after they have written it into the core record
 // (which fences the disk that held its place before). Which slot it has is stated, or else the record tells.
 import type { Address, Copied, MessageOf, World } from '@tansypost/inner-protocol';
-import { copiesNeeded, coreKey, decodeCore, encodeCore, majorityOf, noCore, type CoreRecord } from './core-record.js';
+import {
+  copiesNeeded,
+  membershipKey,
+  decodeMembership,
+  encodeMembership,
+  majorityOf,
+  noMembership,
+  type MembershipRecord,
+} from './core-record.js';
 import type { Disk } from './disk.js';
 import type { JournalRecord } from './journal.js';
 import { emptyRow, merge, newer, toCopied, type Row } from './row.js';
 
-export type PlaceState = 'blank' | 'voting' | 'fenced' | 'failed';
+export type ReplicaState = 'blank' | 'voting' | 'fenced' | 'failed';
 
-export interface PlaceOptions {
+export interface ReplicaOptions {
   // Undefined where the core record alone says which slot this disk has, if any.
   readonly slot: number | undefined;
   // Which slot it has when it founds a core together with the others of `core`, all blank like itself, and
@@ -18,7 +26,7 @@
   readonly foundingSlot?: number;
   readonly founds?: boolean;
   // Told whenever the state has changed.
-  readonly entered?: (s: PlaceState) => void;
+  readonly entered?: (s: ReplicaState) => void;
   readonly self: Address;
   readonly core: readonly Address[];
   readonly disk: Disk;
@@ -27,7 +35,7 @@
   readonly rewriteOver?: number;
 }
 
-export interface Place {
+export interface Replica {
   // -1 as long as it has none.
   readonly slot: number;
   // Whether its disk keeps what waits for it waiting.
@@ -37,58 +45,62 @@
   // Fenced, and a majority of those in the record that fenced it votes under it: nobody needs this copy.
   readonly superseded: () => boolean;
   readonly diskId: () => string;
-  readonly state: () => PlaceState;
-  readonly core: () => CoreRecord;
+  readonly state: () => ReplicaState;
+  readonly membership: () => MembershipRecord;
   readonly row: (k: string) => Row;
   readonly keys: () => string[];
   readonly vote: (m: MessageOf<'Prepare' | 'Accept' | 'Check'>, answer: (v: MessageOf<'Vote'>) => void) => void;
   readonly keep: (k: string, r: Row, done: (ok: boolean) => void) => void;
-  readonly hello: (slim?: boolean) => MessageOf<'PlaceHello'>;
-  readonly heard: (m: MessageOf<'PlaceHello'>) => void;
+  readonly hello: (slim?: boolean) => MessageOf<'ReplicaHello'>;
+  readonly heard: (m: MessageOf<'ReplicaHello'>) => void;
   readonly copyAsk: (m: MessageOf<'CopyAsk'>) => MessageOf<'CopyPage'>;
   readonly copyPage: (m: MessageOf<'CopyPage'>) => void;
   readonly copyTick: () => void;
   readonly votingSince: () => number;
-  readonly adoptCore: (c: CoreRecord) => void;
+  readonly adoptMembership: (c: MembershipRecord) => void;
 }
 
 const copyPageBytes = 1024 * 1024;
 const illAfter = 400_000;
 
-export function createPlace(w: World, o: PlaceOptions): Place {
+export function createReplica(w: World, o: ReplicaOptions): Replica {
   const rows = new Map<string, Row>();
   let disk = o.newDiskId;
-  let state: PlaceState = 'blank';
+  let state: ReplicaState = 'blank';
   let founders: string[] = [];
-  let core: CoreRecord = noCore;
+  let core: MembershipRecord = noMembership;
   let since = 0;
   let rewriting = false;
   let leaving = false;
-  let entering: PlaceState | undefined;
+  let entering: ReplicaState | undefined;
   const waiting: number[] = [];
   const votingUnder = new Map<string, number>();
   const blanks = new Map<number, { disk: string; address: string; at: number }>();
-  const copies = new Map<number, { after: string; done: boolean; gen: number }>();
+  const copies = new Map<number, { after: string; done: boolean; membershipEpoch: number }>();
 
   for (const r of o.found) {
     if (r.kind === 'disk') disk = r.key;
     if (r.kind === 'state') {
-      state = r.key as PlaceState;
+      state = r.key as ReplicaState;
       founders = [...r.changes];
     }
     if (r.kind === 'row')
       rows.set(r.key, { promised: r.promised, epoch: r.epoch, version: r.version, value: r.value, changes: r.changes });
   }
   if (o.found.length === 0) write(record('disk', disk, emptyRow), () => undefined);
-  refreshCore();
+  refreshMembership();
   if (state === 'voting') since = w.now();
 
   function slotNow(): number {
-    return o.slot ?? core.places.find((p) => p.disk === disk)?.slot ?? (core.gen === 0 ? (o.foundingSlot ?? -1) : -1);
+    return (
+      o.slot ??
+      core.replicas.find((p) => p.disk === disk)?.slot ??
+      (core.membershipEpoch === 0 ? (o.foundingSlot ?? -1) : -1)
+    );
   }
 
   function named(): boolean {
-    return core.places.some((p) => p.disk === disk);
+    return core.replicas.some((p) => p.disk === disk);
   }
 
   function record(kind: string, k: string, r: Row, changes: readonly string[] = r.changes): JournalRecord {
@@ -140,10 +152,10 @@
     });
   }
 
-  function refreshCore(): void {
-    const r = rows.get(coreKey);
-    if (r === undefined || r.epoch <= core.gen) return;
-    core = decodeCore(r.epoch, r.value);
+  function refreshMembership(): void {
+    const r = rows.get(membershipKey);
+    if (r === undefined || r.epoch <= core.membershipEpoch) return;
+    core = decodeMembership(r.epoch, r.value);
     refreshFence();
   }
 
@@ -151,7 +163,7 @@
     if (state === 'voting' && !named()) enter('fenced');
   }
 
-  function enter(s: PlaceState): void {
+  function enter(s: ReplicaState): void {
     if (state === s || entering === s || state === 'failed') return;
     entering = s;
     write(record('state', s, emptyRow, founders), (ok) => {
@@ -159,7 +171,7 @@
       if (!ok) return;
       state = s;
       since = w.now();
-      w.log(2001, { state: s, disk, gen: core.gen });
+      w.log(2001, { state: s, disk, membershipEpoch: core.membershipEpoch });
       o.entered?.(s);
       refreshFence();
     });
@@ -167,7 +179,7 @@
 
   function keep(k: string, r: Row, done: (ok: boolean) => void): void {
     rows.set(k, r);
-    if (k === coreKey) refreshCore();
+    if (k === membershipKey) refreshMembership();
     write(record('row', k, r), done);
   }
 
@@ -180,7 +192,7 @@
         id: m.id,
         slot: slotNow(),
         disk,
-        gen: core.gen,
+        membershipEpoch: core.membershipEpoch,
         voting: state === 'voting',
         ok: ok && state === 'voting',
         promised: x.promised,
@@ -190,7 +202,7 @@
         changes: [...x.changes],
       });
     }
-    if (m.gen < core.gen || at === 'fenced' || at === 'failed') return say(false, r);
+    if (m.membershipEpoch < core.membershipEpoch || at === 'fenced' || at === 'failed') return say(false, r);
     if (m.kind === 'Check') return say(r.promised <= m.epoch, { ...r, value: Buffer.alloc(0), changes: [] });
     if (m.kind === 'Prepare') {
       if (at !== 'voting' || m.epoch < r.promised) return say(false, r);
@@ -215,16 +227,16 @@
   }
 
   // A slim one is for those who have the same core record.
-  function hello(slim = false): MessageOf<'PlaceHello'> {
+  function hello(slim = false): MessageOf<'ReplicaHello'> {
     return {
-      kind: 'PlaceHello',
+      kind: 'ReplicaHello',
       from: o.self,
       slot: slotNow(),
       disk,
       state,
       founders: slim ? [] : [...founders],
-      gen: core.gen,
-      places: slim ? [] : [...core.places],
+      membershipEpoch: core.membershipEpoch,
+      replicas: slim ? [] : [...core.replicas],
       leaving,
       ill: ill(),
     };
@@ -236,40 +248,46 @@
 
   function superseded(): boolean {
     if (state !== 'fenced') return false;
-    const fresh = core.places.filter((p) => w.now() - (votingUnder.get(p.disk) ?? -Infinity) < 2_000_000);
-    return fresh.length >= majorityOf(core.places.length);
+    const fresh = core.replicas.filter((p) => w.now() - (votingUnder.get(p.disk) ?? -Infinity) < 2_000_000);
+    return fresh.length >= majorityOf(core.replicas.length);
   }
 
   function found(ps: { slot: number; address: string; disk: string }[]): void {
     founders = ps.map((p) => p.disk);
-    const r: Row = { promised: 1, epoch: 1, version: 1, value: encodeCore(ps), changes: [] };
-    keep(coreKey, r, (ok) => {
+    const r: Row = { promised: 1, epoch: 1, version: 1, value: encodeMembership(ps), changes: [] };
+    keep(membershipKey, r, (ok) => {
       if (ok) enter('voting');
     });
   }
 
-  function adoptCore(c: CoreRecord): void {
-    const r = rows.get(coreKey) ?? emptyRow;
-    if (c.gen <= r.epoch || c.gen < r.promised) return;
+  function adoptMembership(c: MembershipRecord): void {
+    const r = rows.get(membershipKey) ?? emptyRow;
+    if (c.membershipEpoch <= r.epoch || c.membershipEpoch < r.promised) return;
     keep(
-      coreKey,
-      { promised: c.gen, epoch: c.gen, version: r.version + 1, value: encodeCore(c.places), changes: [] },
+      membershipKey,
+      {
+        promised: c.membershipEpoch,
+        epoch: c.membershipEpoch,
+        version: r.version + 1,
+        value: encodeMembership(c.replicas),
+        changes: [],
+      },
       () => undefined,
     );
   }
 
-  function heard(m: MessageOf<'PlaceHello'>): void {
+  function heard(m: MessageOf<'ReplicaHello'>): void {
     const slot = slotNow();
-    const told = m.places.length > 0;
-    if (m.state === 'voting' && m.gen >= core.gen) votingUnder.set(m.disk, w.now());
+    const told = m.replicas.length > 0;
+    if (m.state === 'voting' && m.membershipEpoch >= core.membershipEpoch) votingUnder.set(m.disk, w.now());
     if (slot >= 0 && m.slot === slot) {
-      if (m.disk !== disk && m.gen > core.gen && state === 'voting' && told) adoptCore(m);
+      if (m.disk !== disk && m.membershipEpoch > core.membershipEpoch && state === 'voting' && told) adoptMembership(m);
       return;
     }
     if (m.state === 'blank' && m.slot >= 0) blanks.set(m.slot, { disk: m.disk, address: m.from, at: w.now() });
     else blanks.delete(m.slot);
-    if (state === 'blank' && core.gen === 0 && slot >= 0) {
-      if (m.state === 'voting' && m.founders.includes(disk) && m.gen === 1) return found(m.places);
+    if (state === 'blank' && core.membershipEpoch === 0 && slot >= 0) {
+      if (m.state === 'voting' && m.founders.includes(disk) && m.membershipEpoch === 1) return found(m.replicas);
       const fresh = [...blanks].filter(([, b]) => w.now() - b.at < 2_000_000);
       if ((o.founds ?? true) && fresh.length === o.core.length - 1) {
         return found(
@@ -280,26 +298,32 @@
         );
       }
     }
-    if (m.gen > core.gen && told) adoptCore(m);
+    if (m.membershipEpoch > core.membershipEpoch && told) adoptMembership(m);
   }
 
   // A place that is written into the core record but still blank copies from as many others as it needs.
   function copyTick(): void {
-    if (state === 'blank' && core.gen === 0 && o.founds === true && o.core.length === 1 && o.core[0] === o.self)
+    if (
+      state === 'blank' &&
+      core.membershipEpoch === 0 &&
+      o.founds === true &&
+      o.core.length === 1 &&
+      o.core[0] === o.self
+    )
       return found([{ slot: 0, address: o.self, disk }]);
     if (state !== 'blank' || !named()) return;
     if (founders.length > 0) return enter('voting');
-    for (const p of core.places.filter((x) => x.disk !== disk)) {
+    for (const p of core.replicas.filter((x) => x.disk !== disk)) {
       const c = copies.get(p.slot);
-      if (c !== undefined && c.done && c.gen === core.gen) continue;
-      const after = c !== undefined && c.gen === core.gen ? c.after : '';
-      copies.set(p.slot, { after, done: false, gen: core.gen });
-      w.send(p.address as Address, { kind: 'CopyAsk', id: `${core.gen}`, from: o.self, after, disk });
+      if (c !== undefined && c.done && c.membershipEpoch === core.membershipEpoch) continue;
+      const after = c !== undefined && c.membershipEpoch === core.membershipEpoch ? c.after : '';
+      copies.set(p.slot, { after, done: false, membershipEpoch: core.membershipEpoch });
+      w.send(p.address as Address, { kind: 'CopyAsk', id: `${core.membershipEpoch}`, from: o.self, after, disk });
     }
   }
 
   function copyAsk(m: MessageOf<'CopyAsk'>): MessageOf<'CopyPage'> {
-    const ok = state === 'voting' && core.places.some((p) => p.disk === m.disk) && `${core.gen}` === m.id;
+    const ok = state === 'voting' && core.replicas.some((p) => p.disk === m.disk) && `${core.membershipEpoch}` === m.id;
     const ks = ok ? [...rows.keys()].filter((k) => k > m.after).sort() : [];
     const records: Copied[] = [];
     let n = 0;
@@ -314,7 +338,7 @@
       id: m.id,
       slot: slotNow(),
       disk,
-      gen: core.gen,
+      membershipEpoch: core.membershipEpoch,
       ok,
       records,
       last: records.length === ks.length,
@@ -323,18 +347,26 @@
 
   function copyPage(m: MessageOf<'CopyPage'>): void {
     const c = copies.get(m.slot);
-    if (state !== 'blank' || !m.ok || c === undefined || c.done || `${c.gen}` !== m.id || c.gen !== core.gen) return;
-    if (!core.places.some((p) => p.slot === m.slot && p.disk === m.disk)) return;
+    if (
+      state !== 'blank' ||
+      !m.ok ||
+      c === undefined ||
+      c.done ||
+      `${c.membershipEpoch}` !== m.id ||
+      c.membershipEpoch !== core.membershipEpoch
+    )
+      return;
+    if (!core.replicas.some((p) => p.slot === m.slot && p.disk === m.disk)) return;
     if (m.records.length > 0 && m.records[0]!.key <= c.after) return;
     let left = m.records.length;
     const after = m.records.at(-1)?.key ?? c.after;
     function settle(): void {
-      copies.set(m.slot, { after, done: m.last, gen: c!.gen });
-      const whole = core.places.filter((p) => {
+      copies.set(m.slot, { after, done: m.last, membershipEpoch: c!.membershipEpoch });
+      const whole = core.replicas.filter((p) => {
         const x = copies.get(p.slot);
-        return p.disk !== disk && x?.done === true && x.gen === core.gen;
+        return p.disk !== disk && x?.done === true && x.membershipEpoch === core.membershipEpoch;
       });
-      if (whole.length >= copiesNeeded(core.places.length)) enter('voting');
+      if (whole.length >= copiesNeeded(core.replicas.length)) enter('voting');
       else copyTick();
     }
     if (left === 0) return settle();
@@ -359,7 +391,7 @@
     superseded,
     diskId: () => disk,
     state: () => state,
-    core: () => core,
+    membership: () => core,
     row: (k) => rows.get(k) ?? emptyRow,
     keys: () => [...rows.keys()],
     vote,
@@ -369,7 +401,7 @@
     copyAsk,
     copyPage,
     copyTick,
-    adoptCore,
+    adoptMembership,
     votingSince: () => since,
   };
 }
--- a/packages/control-state/src/rounds.ts
+++ b/packages/control-state/src/rounds.ts
@@ -5,7 +5,7 @@
 import type { Address, Cancel, Message, MessageOf, World } from '@tansypost/inner-protocol';
 import { micros } from '@tansypost/inner-protocol';
 import { majorityOf } from './core-record.js';
-import type { Place } from './place.js';
+import type { Replica } from './place.js';
 
 export type AskVote = MessageOf<'Prepare' | 'Accept' | 'Check'>;
 export interface RoundResult {
@@ -33,7 +33,7 @@
 
 const lateFor = 1_000_000;
 
-export function createRounds(w: World, place: Place): Rounds {
+export function createRounds(w: World, replica: Replica): Rounds {
   const run = Math.floor(w.random() * 2 ** 40).toString(36);
   const open = new Map<string, Round>();
   const late = new Map<string, (v: MessageOf<'Vote'>) => void>();
@@ -41,16 +41,16 @@
 
   function start(o: RoundOptions, done: (r: RoundResult) => void): void {
     n += 1;
-    const id = `${place.diskId().slice(0, 8)}/${run}/${n}`;
+    const id = `${replica.diskId().slice(0, 8)}/${run}/${n}`;
     const ask = o.make(id);
-    const gen = place.core().gen;
+    const membershipEpoch = replica.membership().membershipEpoch;
     const votes = new Map<number, MessageOf<'Vote'>>();
     const limit = w.now() + (o.patience ?? 1_500_000);
     let cancel: Cancel | undefined;
     function end(won: boolean): void {
       if (!open.delete(id)) return;
       cancel?.();
-      if (won && o.late !== undefined && votes.size < place.core().places.length) {
+      if (won && o.late !== undefined && votes.size < replica.membership().replicas.length) {
         late.set(id, o.late);
         w.after(micros(lateFor), () => late.delete(id));
       }
@@ -59,10 +59,11 @@
     open.set(id, { votes, o, ask, end });
     function beat(): void {
       if (!open.has(id)) return;
-      if (w.now() >= limit || place.core().gen !== gen || place.state() !== 'voting') return end(false);
-      for (const p of place.core().places) {
+      if (w.now() >= limit || replica.membership().membershipEpoch !== membershipEpoch || replica.state() !== 'voting')
+        return end(false);
+      for (const p of replica.membership().replicas) {
         if (votes.has(p.slot)) continue;
-        if (p.slot === place.slot) place.vote(ask, vote);
+        if (p.slot === replica.slot) replica.vote(ask, vote);
         else w.send(p.address as Address, ask as Message);
       }
       if (open.has(id)) cancel = w.after(micros(200_000), beat);
@@ -72,14 +73,14 @@
 
   function vote(v: MessageOf<'Vote'>): void {
     const r = open.get(v.id);
-    const p = place.core().places.find((x) => x.slot === v.slot);
+    const p = replica.membership().replicas.find((x) => x.slot === v.slot);
     if (p === undefined || p.disk !== v.disk || !v.voting) return;
     if (r === undefined) return late.get(v.id)?.(v);
     if (v.slot === r.o.without) return;
     r.votes.set(v.slot, v);
     const vs = [...r.votes.values()];
     const yes = vs.filter((x) => x.ok);
-    const all = place.core().places.length;
+    const all = replica.membership().replicas.length;
     if (yes.length >= majorityOf(all)) return r.end(true);
     if (vs.length - yes.length > all - majorityOf(all)) return r.end(false);
     if (r.ask.kind === 'Prepare' && vs.some((x) => !x.ok && x.promised > r.ask.epoch)) r.end(false);
--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -8,7 +8,7 @@
   type Address,
   type DutyMark,
   type MessageOf,
-  type Place,
+  type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 
@@ -18,7 +18,7 @@
   readonly self: Address;
   readonly slot: number;
   readonly tenure: number;
-  readonly places: () => { gen: number; places: readonly Place[] };
+  readonly replicas: () => { membershipEpoch: number; replicas: readonly ReplicaEntry[] };
   readonly willing: () => boolean;
   readonly won: (epoch: number) => void;
   readonly lost: () => void;
@@ -58,9 +58,9 @@
 
   function call(e: number): void {
     n += 1;
-    const c = o.places();
+    const c = o.replicas();
     round = { id: `${o.duty}/${o.member}/${n}`, at: w.now(), epoch: e, yes: new Set(), ended: false };
-    for (const p of c.places) {
+    for (const p of c.replicas) {
       w.send(p.address as Address, {
         kind: 'Ballot',
         id: round.id,
@@ -68,7 +68,7 @@
         duty: o.duty,
         candidate: o.member,
         epoch: e,
-        gen: c.gen,
+        membershipEpoch: c.membershipEpoch,
       });
     }
   }
@@ -90,9 +90,9 @@
     }
     const r = round;
     if (r === undefined || r.id !== v.id || r.ended || !v.granted) return;
-    if (!o.places().places.some((p) => p.slot === v.slot && p.disk === v.disk)) return;
+    if (!o.replicas().replicas.some((p) => p.slot === v.slot && p.disk === v.disk)) return;
     r.yes.add(v.slot);
-    if (r.yes.size <= o.places().places.length / 2) return;
+    if (r.yes.size <= o.replicas().replicas.length / 2) return;
     r.ended = true;
     if (w.now() >= r.at + o.tenure) return;
     until = r.at + o.tenure;
--- a/packages/duty/src/voter.test.ts
+++ b/packages/duty/src/voter.test.ts
@@ -18,7 +18,7 @@
       disk: () => 'd',
       voting: () => true,
       votingSince: () => 0,
-      gen: () => 1,
+      membershipEpoch: () => 1,
       tenure: 3_000_000,
       store: {
         epoch: () => kept,
@@ -31,7 +31,9 @@
   );
   function ask(candidate: string, epoch: number, from = `${candidate}:1`): boolean {
     const got: MessageOf<'BallotVote'>[] = [];
-    v.ballot({ kind: 'Ballot', id: 'x', from, duty: 'training', candidate, epoch, gen: 1 }, (x) => got.push(x));
+    v.ballot({ kind: 'Ballot', id: 'x', from, duty: 'training', candidate, epoch, membershipEpoch: 1 }, (x) =>
+      got.push(x),
+    );
     return got[0]!.granted;
   }
   expect(ask('a', 64)).toBe(true);
--- a/packages/duty/src/voter.ts
+++ b/packages/duty/src/voter.ts
@@ -12,7 +12,7 @@
   readonly disk: () => string;
   readonly voting: () => boolean;
   readonly votingSince: () => number;
-  readonly gen: () => number;
+  readonly membershipEpoch: () => number;
   readonly tenure: number;
   readonly store: EpochStore;
 }
@@ -46,7 +46,7 @@
         address: live?.address ?? '',
       });
     }
-    if (!o.voting() || m.gen !== o.gen()) return say(false, o.store.epoch(m.duty));
+    if (!o.voting() || m.membershipEpoch !== o.membershipEpoch()) return say(false, o.store.epoch(m.duty));
     if (live !== undefined && live.holder === m.candidate && live.epoch === m.epoch) {
       live.until = now + o.tenure;
       return say(true, m.epoch);
--- a/packages/inner-protocol/src/link.test.ts
+++ b/packages/inner-protocol/src/link.test.ts
@@ -86,7 +86,7 @@
   s.write(frame(Buffer.concat([Buffer.from([0, 0]), Buffer.from([2, 97, 2, 98, 2, 99, 4, 6])])));
   s.once('data', () => s.write(frame(Buffer.from(JSON.stringify({ ...all, schemas: [all.schemas[i]] })))));
   await told;
-  expect(got).toEqual([{ kind: 'Check', id: 'a', from: 'b', key: 'c', epoch: 2, gen: 3 }]);
+  expect(got).toEqual([{ kind: 'Check', id: 'a', from: 'b', key: 'c', epoch: 2, membershipEpoch: 3 }]);
   s.destroy();
   await c.close();
 });
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -11,7 +11,7 @@
   http: 'string',
   tenured: 'boolean',
 } as const;
-const place = { slot: 'long', address: 'string', disk: 'string' } as const;
+const replica = { slot: 'long', address: 'string', disk: 'string' } as const;
 const mark = { worker: 'string', incarnation: 'long', state: 'long', address: 'string' } as const;
 const duty = { duty: 'string', holder: 'string', address: 'string', epoch: 'long' } as const;
 const report = {
@@ -67,7 +67,14 @@
 } as const;
 
 export const shapes = {
-  Shuffle: { answer: 'boolean', from: 'string', entries: [entry], coreGen: 'long', places: [place], duties: [duty] },
+  Shuffle: {
+    answer: 'boolean',
+    from: 'string',
+    entries: [entry],
+    membershipEpoch: 'long',
+    replicas: [replica],
+    duties: [duty],
+  },
   Marks: { marks: [mark], whole: 'boolean', warm: 'boolean' },
   MarksDigest: { from: 'string', digest: 'string', answer: 'boolean', warm: 'boolean' },
 
@@ -86,23 +93,23 @@
   Claim: { id: 'string', op: 'string', key: 'string', holder: 'string', request: 'string', ended: 'string' },
   ClaimAnswer: { id: 'string', status: 'string', known: 'string' },
 
-  Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
+  Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', membershipEpoch: 'long' },
   Accept: {
     id: 'string',
     from: 'string',
     key: 'string',
     epoch: 'long',
-    gen: 'long',
+    membershipEpoch: 'long',
     version: 'long',
     value: 'bytes',
     changes: ['string'],
   },
-  Check: { id: 'string', from: 'string', key: 'string', epoch: 'long', gen: 'long' },
+  Check: { id: 'string', from: 'string', key: 'string', epoch: 'long', membershipEpoch: 'long' },
   Vote: {
     id: 'string',
     slot: 'long',
     disk: 'string',
-    gen: 'long',
+    membershipEpoch: 'long',
     voting: 'boolean',
     ok: 'boolean',
     promised: 'long',
@@ -111,14 +118,14 @@
     value: 'bytes',
     changes: ['string'],
   },
-  PlaceHello: {
+  ReplicaHello: {
     from: 'string',
     slot: 'long',
     disk: 'string',
     state: 'string',
     founders: ['string'],
-    gen: 'long',
-    places: [place],
+    membershipEpoch: 'long',
+    replicas: [replica],
     leaving: 'boolean',
     ill: 'boolean',
   },
@@ -127,7 +134,7 @@
     id: 'string',
     slot: 'long',
     disk: 'string',
-    gen: 'long',
+    membershipEpoch: 'long',
     ok: 'boolean',
     records: [copied],
     last: 'boolean',
@@ -139,10 +146,10 @@
     tenures: [{ router: 'string', asked: 'long', applied: 'long' }],
     relay: 'boolean',
   },
-  News: { news: [news], coreGen: 'long', places: [place] },
-  Tenures: { grants: [{ router: 'string', asked: 'long', version: 'long' }] },
+  News: { news: [news], membershipEpoch: 'long', replicas: [replica] },
+  Leases: { grants: [{ router: 'string', asked: 'long', version: 'long' }] },
 
-  Ballot: { id: 'string', from: 'string', duty: 'string', candidate: 'string', epoch: 'long', gen: 'long' },
+  Ballot: { id: 'string', from: 'string', duty: 'string', candidate: 'string', epoch: 'long', membershipEpoch: 'long' },
   BallotVote: {
     id: 'string',
     slot: 'long',
@@ -184,8 +191,8 @@
   // The owner tells the other places up to which version a key is on a majority.
   Committed: { key: 'string', epoch: 'long', version: 'long' },
   // What follows a key asks with all that it has, and each keeper answers with a beat as small.
-  Follow: { key: 'string', version: 'long', gen: 'long', list: 'long', peers: 'long' },
-  Beat: { version: 'long', gen: 'long', list: 'long', age: 'long', followers: 'long', voting: 'boolean' },
+  Follow: { key: 'string', version: 'long', membershipEpoch: 'long', list: 'long', peers: 'long' },
+  Beat: { version: 'long', membershipEpoch: 'long', list: 'long', age: 'long', followers: 'long', voting: 'boolean' },
   // A list of workers: whole where `base` is 0, else what is other than in the list with that digest.
   WorkerList: { base: 'long', digest: 'long', age: 'long', workers: [listed], gone: ['string'] },
   WorkerLoads: { loads: [load] },
@@ -200,7 +207,7 @@
 export type MessageOf<K extends Kind> = Extract<Message, { kind: K }>;
 
 export type Entry = Of<typeof entry>;
-export type Place = Of<typeof place>;
+export type ReplicaEntry = Of<typeof replica>;
 export type Mark = Of<typeof mark>;
 export type DutyMark = Of<typeof duty>;
 export type Report = Of<typeof report>;
--- a/packages/learning/src/keeper-learning.ts
+++ b/packages/learning/src/control-node-learning.ts
@@ -3,7 +3,7 @@
 // nobody stands and nothing is sent. Both go to another keeper when this one dies: samples are lost and come anew, the
 // totals of a rehearsal are at the routers.
 import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
-import type { Keeper } from '@tansypost/control-state';
+import type { ControlNode } from '@tansypost/control-state';
 import { createCandidate } from '@tansypost/duty';
 import { encodeSamples, width } from '@tansypost/placement';
 import { readRecord, type VerdictOptions } from '@tansypost/rehearsal';
@@ -14,10 +14,10 @@
 import { unpackSamples } from './sample-batch.js';
 import { createTrainingDuty, type TrainerPort } from './training-duty.js';
 
-export interface KeeperLearningOptions {
+export interface ControlNodeLearningOptions {
   readonly self: Address;
   readonly member: string;
-  readonly keeper: () => Keeper | undefined;
+  readonly keeper: () => ControlNode | undefined;
   readonly asker: Pick<Asker, 'ask'>;
   readonly trainer: TrainerPort;
   // No longer than voters lend their votes.
@@ -27,7 +27,7 @@
   readonly rehearsalLimit?: number;
   readonly verdict?: VerdictOptions;
 }
-export interface KeeperLearning {
+export interface ControlNodeLearning {
   // True when it was for learning.
   readonly receive: (m: Message, from: Address) => boolean;
   readonly figures: () => Record<string, unknown>;
@@ -40,7 +40,7 @@
 const tickEvery = 250_000;
 const armsFresh = 6_000_000;
 
-export function createKeeperLearning(w: World, o: KeeperLearningOptions): KeeperLearning {
+export function createControlNodeLearning(w: World, o: ControlNodeLearningOptions): ControlNodeLearning {
   const duties = {
     training: candidate('training', wantsTraining),
     rehearsals: candidate('rehearsals', wantsRehearsal),
@@ -73,18 +73,18 @@
       member: o.member,
       self: o.self,
       get slot() {
-        return o.keeper()?.place.slot ?? 0;
+        return o.keeper()?.replica.slot ?? 0;
       },
       tenure: o.tenure,
-      places: () => o.keeper()?.place.core() ?? { gen: 0, places: [] },
-      willing: () => o.keeper()?.place.state() === 'voting' && willing(),
+      replicas: () => o.keeper()?.replica.membership() ?? { membershipEpoch: 0, replicas: [] },
+      willing: () => o.keeper()?.replica.state() === 'voting' && willing(),
       won: () => undefined,
       lost: () => undefined,
     });
   }
   // As this place holds it: good enough to begin with, as each write is on the version read.
   function record(): Buffer | undefined {
-    const r = o.keeper()?.place.row(recordKey);
+    const r = o.keeper()?.replica.row(recordKey);
     return r === undefined || r.version === 0 ? undefined : r.value;
   }
   function running(): boolean {
@@ -111,8 +111,8 @@
     const routed =
       o
         .keeper()
-        ?.place.core()
-        .places.every((p) => p.address !== from) === true;
+        ?.replica.membership()
+        .replicas.every((p) => p.address !== from) === true;
     if (routed && holder !== undefined && holder.address !== o.self) return w.send(holder.address as Address, m);
     const ss = unpackSamples(m.rows, m.count);
     if (ss.length > 0) training.samples({ ...m, rows: encodeSamples(ss, width) });
--- a/packages/learning/src/index.ts
+++ b/packages/learning/src/index.ts
@@ -1,6 +1,6 @@
 export * from './asking.js';
 export * from './core-asking.js';
-export * from './keeper-learning.js';
+export * from './control-node-learning.js';
 export * from './record-writer.js';
 export * from './rehearsal-duty.js';
 export * from './router-learning.js';
--- a/packages/membership/src/views.ts
+++ b/packages/membership/src/views.ts
@@ -9,7 +9,7 @@
   type DutyMark,
   type Entry,
   type MessageOf,
-  type Place,
+  type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 
@@ -25,9 +25,9 @@
   readonly period: number;
   readonly forgetAfter: number;
   readonly tenured: () => boolean;
-  readonly core: () => { gen: number; places: readonly Place[] };
+  readonly core: () => { membershipEpoch: number; replicas: readonly ReplicaEntry[] };
   readonly duties: () => DutyMark[];
-  readonly heardCore: (gen: number, ps: Place[]) => void;
+  readonly heardCore: (membershipEpoch: number, ps: ReplicaEntry[]) => void;
   readonly heardDuty: (d: DutyMark) => void;
   readonly save: (es: readonly Entry[]) => void;
 }
@@ -120,8 +120,8 @@
       answer,
       from: o.self,
       entries: [me(), ...draw(live(), o.size)],
-      coreGen: c.gen,
-      places: [...c.places],
+      membershipEpoch: c.membershipEpoch,
+      replicas: [...c.replicas],
       duties: o.duties(),
     };
   }
@@ -143,7 +143,7 @@
 
   function receive(m: MessageOf<'Shuffle'>): void {
     take(m.entries);
-    if (m.coreGen > 0) o.heardCore(m.coreGen, m.places);
+    if (m.membershipEpoch > 0) o.heardCore(m.membershipEpoch, m.replicas);
     for (const d of m.duties) o.heardDuty(d);
     if (m.answer) w.send(m.from as Address, shuffle(false));
   }
@@ -181,7 +181,7 @@
         period: 300_000,
         forgetAfter: 2_500_000,
         tenured: () => true,
-        core: () => ({ gen: 1, places: [] }),
+        core: () => ({ membershipEpoch: 1, replicas: [] }),
         duties: () => [],
         heardCore: () => undefined,
         heardDuty: () => undefined,
@@ -198,7 +198,15 @@
         http: member,
         tenured: true,
       }));
-      views.receive({ kind: 'Shuffle', answer: false, from: 'b:1', entries, coreGen: 0, places: [], duties: [] });
+      views.receive({
+        kind: 'Shuffle',
+        answer: false,
+        from: 'b:1',
+        entries,
+        membershipEpoch: 0,
+        replicas: [],
+        duties: [],
+      });
     }
     tell({ b: 1, c: 5, d: 5, e: 5 });
     expect(views.contact()).toBe(true);
--- a/packages/simulator/src/capacity-agents.ts
+++ b/packages/simulator/src/capacity-agents.ts
@@ -5,7 +5,7 @@
 import type { Address } from '@tansypost/inner-protocol';
 import { deployments, templates } from '@tansypost/requester-stand-in';
 import { agentDefaults, createAgentCore, type AgentCore } from '@tansypost/router-agent';
-import { createKeeperHost } from '@tansypost/state-keeper';
+import { createControlNodeHost } from '@tansypost/control-node';
 import { createCapacityGround, zones, type RoleFigures } from './capacity-ground.js';
 import { heapNow } from './capacity-memory.js';
 import type { CapacitySize } from './capacity-sizes.js';
@@ -33,17 +33,17 @@
 export async function measureAgents(s: CapacitySize, o: { seed: number; steady: number }): Promise<AgentsFigures> {
   const g = createCapacityGround(o.seed);
   const before = heapNow();
-  const places = [0, 1, 2].map((i) => `keeper${i}:1` as Address);
+  const replicas = [0, 1, 2].map((i) => `keeper${i}:1` as Address);
   const stops: (() => void)[] = [];
-  places.forEach((self, slot) => {
+  replicas.forEach((self, slot) => {
     const m = g.add(`keeper${slot}`, 'keeper', 3 * slot);
     const proc = createProc(self, self);
     proc.alive = true;
     const disk = createSimDisk(g.e, g.random);
-    const host = createKeeperHost(g.world(m), {
+    const host = createControlNodeHost(g.world(m), {
       slot,
       self,
-      core: places,
+      core: replicas,
       seeds: [0, 1, 2].map((k) => `agent${k}:1` as Address),
       tenure: 10 * second,
       dutyTenure: 3 * second,
--- a/packages/simulator/src/capacity-followers.ts
+++ b/packages/simulator/src/capacity-followers.ts
@@ -4,8 +4,8 @@
 import {
   createControlFeed,
   createCoreAsker,
-  createFeedKeeper,
-  createPlaceList,
+  createFeedServer,
+  createReplicaList,
   documentKey,
   type ControlFeed,
   type CoreAnswer,
@@ -15,7 +15,7 @@
 import type { Address } from '@tansypost/inner-protocol';
 import { createCourse, type Course } from '@tansypost/pass-through';
 import type { PathTable } from '@tansypost/paths';
-import { createKeeperHost, type KeeperHost } from '@tansypost/state-keeper';
+import { createControlNodeHost, type ControlNodeHost } from '@tansypost/control-node';
 import { createCapacityGround, regionOf, zones, type CapacityGround, type RoleFigures } from './capacity-ground.js';
 import { heapNow } from './capacity-memory.js';
 import type { CapacitySize } from './capacity-sizes.js';
@@ -34,11 +34,11 @@
   readonly scenes: boolean;
 }
 export interface FollowersFigures {
-  readonly places: number;
+  readonly replicas: number;
   readonly router: RoleFigures;
   readonly keeper: RoleFigures;
   readonly routerHeap: number;
-  readonly keeperHeap: number;
+  readonly controlNodeHeap: number;
   // From the acknowledgement of a change until the last router has it; from the end of a lag-free list; and from the end of a cut.
   readonly changeMs: readonly number[];
   readonly ackMs: readonly number[];
@@ -52,7 +52,7 @@
   readonly changeBytes: number;
 }
 interface Core {
-  readonly host: KeeperHost;
+  readonly host: ControlNodeHost;
   readonly zone: number;
   readonly ask: (revision: number) => Promise<CoreAnswer>;
   readonly stop: () => void;
@@ -60,7 +60,7 @@
 const second = 1_000_000;
 const models = 13;
 const tenants = 200;
-const keeperZones = [0, 1, 3, 4, 6];
+const controlNodeZones = [0, 1, 3, 4, 6];
 
 export function documentOf(revision: number): PathTable {
   return {
@@ -108,19 +108,19 @@
   }));
 }
 
-function startKeeper(
+function startControlNode(
   g: CapacityGround,
   i: number,
   seeds: readonly Address[],
   list: () => ListedWorker[],
   loads: boolean,
 ): Core {
-  const m = g.add(`keeper${i}`, 'keeper', keeperZones[i]!);
+  const m = g.add(`keeper${i}`, 'keeper', controlNodeZones[i]!);
   const w = g.world(m);
   const proc = createProc(m.address, m.address);
   proc.alive = true;
   const disk = createSimDisk(g.e, g.random);
-  const host = createKeeperHost(w, {
+  const host = createControlNodeHost(w, {
     slot: undefined,
     foundingSlot: seeds.includes(m.address) ? seeds.indexOf(m.address) : undefined,
     founds: true,
@@ -142,9 +142,9 @@
   const asker = createCoreAsker(
     w,
     m.address,
-    createPlaceList(host.core, m.address, () => seeds),
+    createReplicaList(host.core, m.address, () => seeds),
   );
-  const feed = createFeedKeeper(w, {
+  const feed = createFeedServer(w, {
     keeper: host.core,
     fetchList: () => new Promise((ok) => g.later(m, 3000, () => ok(list()))),
     fetchLoad: (x) => {
@@ -254,9 +254,9 @@
   let list = listOf(s.workers);
   let reads = 0;
   const seeds = [0, 1, 2].map((i) => `keeper${i}:1` as Address);
-  const cores = keeperZones.map((_, i) => startKeeper(g, i, seeds, () => list, o.loads));
+  const cores = controlNodeZones.map((_, i) => startControlNode(g, i, seeds, () => list, o.loads));
   await g.run(6 * second);
-  const keepersOnly = heapNow();
+  const controlNodesOnly = heapNow();
   let routers = Array.from({ length: s.members }, (_, i) =>
     startRouter(
       g,
@@ -305,7 +305,7 @@
   const steady = g.end();
   reads = 0;
   const full = heapNow();
-  const places = cores[0]!.host.core()?.place.core().places.length ?? 0;
+  const replicas = cores[0]!.host.core()?.replica.membership().replicas.length ?? 0;
 
   const [changeMs, ackMs, leavingMs, zoneMs, apartMs]: [number[], number[], number[], number[], number[]] = [
     [],
@@ -364,11 +364,11 @@
   await g.run(4 * second);
   routers = [];
   return {
-    places,
+    replicas,
     router: steady['router']!,
     keeper: steady['keeper']!,
-    routerHeap: (full - keepersOnly) / s.members,
-    keeperHeap: (keepersOnly - before) / cores.length,
+    routerHeap: (full - controlNodesOnly) / s.members,
+    controlNodeHeap: (controlNodesOnly - before) / cores.length,
     changeMs,
     ackMs,
     leavingMs,
--- a/packages/simulator/src/capacity-parts.ts
+++ b/packages/simulator/src/capacity-parts.ts
@@ -151,7 +151,15 @@
   const waits: (() => void)[] = [];
   const there = await createCarrier({ listen: b, receive: () => waits.shift()?.(), log: () => undefined });
   const here = await createCarrier({ listen: a, receive: () => undefined, log: () => undefined });
-  const m: Message = { kind: 'Beat', version: 490, gen: 3, list: 2 ** 31, age: 700, followers: 420, voting: true };
+  const m: Message = {
+    kind: 'Beat',
+    version: 490,
+    membershipEpoch: 3,
+    list: 2 ** 31,
+    age: 700,
+    followers: 420,
+    voting: true,
+  };
   let spent = { user: 0, system: 0 };
   let from = process.cpuUsage();
   for (let i = 0; i < count + 200; i += 1) {
--- a/packages/simulator/src/capacity-report.ts
+++ b/packages/simulator/src/capacity-report.ts
@@ -93,7 +93,7 @@
 
 const followerRows: readonly Row<FollowersFigures>[] = [
   { name: 'heap a router, MB', of: (x) => x.routerHeap / 1e6, limit: budget.heapMb },
-  { name: 'places of the core', of: (x) => x.places },
+  { name: 'places of the core', of: (x) => x.replicas },
 ];
 const sceneRows: readonly Row<FollowersFigures>[] = [
   { name: 'a change is acknowledged, ms', of: (x) => x.ackMs, limit: 4000 },
@@ -157,7 +157,7 @@
       [
         ...roleRows<FollowersFigures>((x) => x.keeper, c.socketUs, false),
         ...kindRows(c.followers, (x) => x.keeper),
-        { name: 'heap, MB, without followers', of: (x) => x.keeperHeap / 1e6 },
+        { name: 'heap, MB, without followers', of: (x) => x.controlNodeHeap / 1e6 },
       ],
       'members',
     ) +
--- a/packages/simulator/src/capacity.test.ts
+++ b/packages/simulator/src/capacity.test.ts
@@ -35,7 +35,7 @@
     { members: 6, workers: 8 },
     { seed: 3, steady: 3, apart: 5, reads: 6.43, loads: true, scenes: true },
   );
-  expect(f.places).toBe(5);
+  expect(f.replicas).toBe(5);
   expect(f.router.bytes).toBeGreaterThan(0);
   expect(f.router.kinds['Follow']).toBeGreaterThan(0);
   // News may reach the last router a moment before the acknowledgement reaches the operator.
--- a/packages/simulator/src/checks.ts
+++ b/packages/simulator/src/checks.ts
@@ -275,11 +275,11 @@
 }
 // A place whose disk was lost copies from both others, so it is out for as long as one of these is, too.
 const diskLost = new Set(['empty', 'disk-damage', 'replace-core', 'machine-lost', 'lose-on-ack']);
-const places = ['keeper0', 'keeper1', 'keeper2'];
+const replicas = ['keeper0', 'keeper1', 'keeper2'];
 function withCopying(ds: readonly Disturbance[]): Disturbance[] {
   return ds.map((d) => {
     if (!diskLost.has(d.what)) return d;
-    const others = places.filter((k) => !harmed(d)(k));
+    const others = replicas.filter((k) => !harmed(d)(k));
     const until = ds.reduce(
       (t, x) => (x.at <= t && x.until >= d.at && others.some(harmed(x)) ? Math.max(t, x.until) : t),
       d.until,
--- a/packages/simulator/src/network.ts
+++ b/packages/simulator/src/network.ts
@@ -57,8 +57,8 @@
         if (wait === 0) last.set(link, t);
         e.at(t, () => {
           if (blocked(from.machine, p.machine)) return;
-          const gen = p.gen;
-          into(p, gen, () => {
+          const incarnation = p.incarnation;
+          into(p, incarnation, () => {
             const d = decode(b);
             if (d._tag === 'Right' && d.right.known) p.receive(d.right.message, fromAddress as Address);
           });
--- a/packages/simulator/src/pass-through/learned-day.test.ts
+++ b/packages/simulator/src/pass-through/learned-day.test.ts
@@ -27,7 +27,7 @@
   const day = await playPassedOne(passedDeployments['cold-storage']!, 5, {
     troubles,
     closing: 'none',
-    places: 3,
+    replicas: 3,
     span,
     rate,
     learning,
@@ -38,7 +38,7 @@
       }),
     look: (at, core) => {
       for (const m of core.running()) {
-        const r = m.host?.core()?.place.row(recordKey);
+        const r = m.host?.core()?.replica.row(recordKey);
         if (r !== undefined && r.version > 0) records.push({ at, record: readRecord(r.value) });
         for (const duty of (m.learning?.figures()['holds'] ?? []) as string[]) holders.push({ at, who: m.name, duty });
       }
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -22,7 +22,7 @@
   readonly span: number;
   readonly troubles: readonly PassedTrouble[];
   readonly closing: Closing;
-  readonly places?: number;
+  readonly replicas?: number;
   readonly rate?: number;
   readonly spoil?: Spoil;
   readonly net?: (n: Network) => void;
@@ -46,7 +46,7 @@
   const net = createNetwork(e, random);
   const h = emptyHistory();
   const g: Ground = { e, net, random, d, h, spoil: o.spoil, learning: o.learning, silent: new Set() };
-  const names = Array.from({ length: o.places ?? 3 }, (_, i) => `c${i}`);
+  const names = Array.from({ length: o.replicas ?? 3 }, (_, i) => `c${i}`);
   const workers = createVirtualWorkers(g);
   const core = createVirtualCore(g, workers, names);
   for (const n of names) {
--- a/packages/simulator/src/pass-through/passed-one.ts
+++ b/packages/simulator/src/pass-through/passed-one.ts
@@ -72,7 +72,7 @@
     span,
     troubles,
     closing,
-    places: random() < 0.3 ? 5 : 3,
+    replicas: random() < 0.3 ? 5 : 3,
     ...over,
   });
   const h = day.history;
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -3,15 +3,20 @@
 import * as E from 'fp-ts/lib/Either.js';
 import {
   createCoreAsker,
-  createFeedKeeper,
-  createPlaceList,
+  createFeedServer,
+  createReplicaList,
   documentKey,
   type CoreAnswer,
 } from '@tansypost/control-feed';
 import { readJournal } from '@tansypost/control-state';
-import { askThrough, createKeeperLearning, createSlicedTrainer, type KeeperLearning } from '@tansypost/learning';
+import {
+  askThrough,
+  createControlNodeLearning,
+  createSlicedTrainer,
+  type ControlNodeLearning,
+} from '@tansypost/learning';
 import { micros, type Address, type Message } from '@tansypost/inner-protocol';
-import { createKeeperHost, type KeeperHost, type OpenDisk } from '@tansypost/state-keeper';
+import { createControlNodeHost, type ControlNodeHost, type OpenDisk } from '@tansypost/control-node';
 import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
 import { createSimDisk, type SimDisk } from '../sim-disk.js';
 import type { Ground } from './ground.js';
@@ -23,8 +28,8 @@
   readonly address: Address;
   readonly proc: Proc;
   readonly disk: SimDisk;
-  host: KeeperHost | undefined;
-  learning: KeeperLearning | undefined;
+  host: ControlNodeHost | undefined;
+  learning: ControlNodeLearning | undefined;
   submit: (text: string, base: number) => Promise<SubmitAnswer>;
   read: () => Promise<CoreAnswer>;
 }
@@ -52,12 +57,12 @@
   let down = false;
 
   function fetchList(machine: string, proc: Proc): () => Promise<ReturnType<VirtualWorkers['list']> | undefined> {
-    const gen = proc.gen;
+    const incarnation = proc.incarnation;
     return function fetch() {
       return new Promise((ok) => {
         const lost = down || net.blocked(machine, 'list') || net.blocked('list', machine);
         const xs = lost ? undefined : workers.list();
-        e.at(e.now() + (lost ? 700_000 : 2000 + 4000 * random()), () => into(proc, gen, () => ok(xs)));
+        e.at(e.now() + (lost ? 700_000 : 2000 + 4000 * random()), () => into(proc, incarnation, () => ok(xs)));
       });
     };
   }
@@ -98,7 +103,7 @@
       else outer.send(to, x);
     }
     const w = { ...outer, send };
-    const host = createKeeperHost(w, {
+    const host = createControlNodeHost(w, {
       slot: undefined,
       foundingSlot: told.includes(self) ? told.indexOf(self) : undefined,
       founds: bootstrap,
@@ -126,9 +131,9 @@
     const asker = createCoreAsker(
       w,
       self,
-      createPlaceList(host.core, self, () => seeds),
+      createReplicaList(host.core, self, () => seeds),
     );
-    const learning = createKeeperLearning(w, {
+    const learning = createControlNodeLearning(w, {
       self,
       member: name,
       keeper: host.core,
@@ -138,11 +143,11 @@
       ...g.learning,
     });
     m.learning = learning;
-    const feed = createFeedKeeper(w, {
+    const feed = createFeedServer(w, {
       keeper: host.core,
       fetchList: fetchList(name, proc),
       fetchLoad: (x) => {
-        const gen = proc.gen;
+        const incarnation = proc.incarnation;
         const life = workers.lifeAt(x.address);
         const machine = workers.machineAt(x.address);
         const lost =
@@ -154,7 +159,7 @@
           net.blocked(machine, name);
         const l = lost ? undefined : { id: x.id, ...life.load(), part: life.o.part };
         return new Promise((ok) => {
-          e.at(e.now() + (lost ? 300_000 : 2000 + 2000 * random()), () => into(proc, gen, () => ok(l)));
+          e.at(e.now() + (lost ? 300_000 : 2000 + 2000 * random()), () => into(proc, incarnation, () => ok(l)));
         });
       },
       loadEvery: 1_000_000,
@@ -190,9 +195,9 @@
     const m = machines.get(name)!;
     if (!m.proc.alive) return;
     m.host?.core()?.leave();
-    const gen = m.proc.gen;
+    const incarnation = m.proc.incarnation;
     e.at(e.now() + 300_000, () => {
-      if (m.proc.gen === gen) kill(name, false);
+      if (m.proc.incarnation === incarnation) kill(name, false);
     });
   }
 
--- a/packages/simulator/src/pass-through/virtual-operator.ts
+++ b/packages/simulator/src/pass-through/virtual-operator.ts
@@ -35,9 +35,9 @@
       e.at(e.now() + silence, () => end(none));
       const there = createPipe(e, net, 'operator', m.name);
       const back = createPipe(e, net, m.name, 'operator');
-      const gen = m.proc.gen;
+      const incarnation = m.proc.incarnation;
       there(() =>
-        into(m.proc, gen, () => {
+        into(m.proc, incarnation, () => {
           void f(m).then((x) => back(() => end(x)));
         }),
       );
--- a/packages/simulator/src/pass-through/virtual-port.ts
+++ b/packages/simulator/src/pass-through/virtual-port.ts
@@ -42,7 +42,7 @@
 
 export function createVirtualPort(e: Engine, o: VirtualPortOptions): WorkerPort {
   const { proc, net, random } = o;
-  const gen = proc.gen;
+  const incarnation = proc.incarnation;
   const me = proc.machine;
   const idle = new Map<string, Connection[]>();
 
@@ -109,7 +109,7 @@
         const reset = life === undefined || !life.alive() || random() < o.resets();
         const after = silent ? connectPatience : rtt + 1000;
         e.at(e.now() + after, () =>
-          into(proc, gen, () => {
+          into(proc, incarnation, () => {
             if (over) return;
             if (silent || reset) return end({ tag: 'unsent', why: silent ? 'no connection in time' : 'reset' });
             conn = { life: life!, surplus: false };
@@ -123,7 +123,7 @@
         const there = createPipe(e, net, me, life.o.machine);
         const back = createPipe(e, net, life.o.machine, me);
         function toRouter(f: () => void | Promise<void>): void {
-          back(() => into(proc, gen, () => handle(f)));
+          back(() => into(proc, incarnation, () => handle(f)));
         }
         const wc: WorkerCall = {
           ...c,
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -212,9 +212,9 @@
   function roll(): void {
     if (!proc.alive || stopping) return;
     stopping = true;
-    const [gen, asked] = [proc.gen, e.now()];
+    const [incarnation, asked] = [proc.incarnation, e.now()];
     function look(): void {
-      if (proc.gen !== gen) return;
+      if (proc.incarnation !== incarnation) return;
       const t = e.now() - asked;
       const done = g.spoil === 'leaves-at-once' || (t > 2_600_000 && course?.active() === 0);
       if (!done && t < grace - 400_000) return void e.at(e.now() + 100_000, look);
@@ -230,7 +230,7 @@
     const there = createPipe(e, net, 'clients', name);
     const back = createPipe(e, net, name, 'clients');
     const gone = new AbortController();
-    const gen = proc.gen;
+    const incarnation = proc.incarnation;
     let over = false;
     function finish(how: TrySeen['ended'], why: string, retryAfter?: number): void {
       if (over) return;
@@ -240,7 +240,7 @@
     }
     open.set(t, (why) => finish(t.readAt === undefined ? 'unread' : 'cut', why));
     there(() =>
-      into(proc, gen, () => {
+      into(proc, incarnation, () => {
         t.readAt = e.now();
         void course!.serve(
           q,
@@ -250,7 +250,7 @@
               const copy = Buffer.from(b);
               back(() => told.bytes(copy));
               if (random() > 0.05) return undefined;
-              return new Promise((ok) => e.at(e.now() + random() * 20_000, () => into(proc, gen, () => ok())));
+              return new Promise((ok) => e.at(e.now() + random() * 20_000, () => into(proc, incarnation, () => ok())));
             },
             end: () => finish('whole', ''),
             cut: () => finish('cut', 'cut by the router'),
@@ -267,7 +267,7 @@
       }),
     );
     return function leave() {
-      there(() => into(proc, gen, () => gone.abort()));
+      there(() => into(proc, incarnation, () => gone.abort()));
     };
   }
 
--- a/packages/simulator/src/process.ts
+++ b/packages/simulator/src/process.ts
@@ -8,7 +8,7 @@
   readonly machine: string;
   alive: boolean;
   frozen: boolean;
-  gen: number;
+  incarnation: number;
   backlog: (() => void)[];
   receive: (m: Message, from: Address) => void;
   deaths: Set<() => void>;
@@ -20,15 +20,15 @@
     machine,
     alive: false,
     frozen: false,
-    gen: 0,
+    incarnation: 0,
     backlog: [],
     receive: () => undefined,
     deaths: new Set(),
   };
 }
 
-export function into(p: Proc, gen: number, f: () => void): void {
-  if (!p.alive || p.gen !== gen) return;
+export function into(p: Proc, incarnation: number, f: () => void): void {
+  if (!p.alive || p.incarnation !== incarnation) return;
   if (p.frozen) p.backlog.push(f);
   else f();
 }
@@ -37,7 +37,7 @@
   if (!p.alive) return;
   p.alive = false;
   p.frozen = false;
-  p.gen += 1;
+  p.incarnation += 1;
   p.backlog = [];
   const ds = [...p.deaths];
   p.deaths.clear();
@@ -47,18 +47,18 @@
 export function wake(e: Engine, p: Proc): void {
   if (!p.frozen) return;
   p.frozen = false;
-  const gen = p.gen;
+  const incarnation = p.incarnation;
   const b = p.backlog;
   p.backlog = [];
-  for (const f of b) e.at(e.now(), () => into(p, gen, f));
+  for (const f of b) e.at(e.now(), () => into(p, incarnation, f));
 }
 
 export function procWorld(e: Engine, p: Proc, random: () => number, send: World['send'], log: World['log']): World {
-  const gen = p.gen;
+  const incarnation = p.incarnation;
   function after(d: number, f: () => void): Cancel {
     let off = false;
     e.at(e.now() + Math.max(0, d), () =>
-      into(p, gen, () => {
+      into(p, incarnation, () => {
         if (!off) f();
       }),
     );
@@ -71,7 +71,7 @@
     random,
     after,
     send: (to, m) => {
-      if (p.alive && p.gen === gen) send(to, m);
+      if (p.alive && p.incarnation === incarnation) send(to, m);
     },
     log,
   };
--- a/packages/simulator/src/sim-disk.ts
+++ b/packages/simulator/src/sim-disk.ts
@@ -27,7 +27,7 @@
   let waiting: (() => void)[] = [];
 
   function open(p: Proc): Disk {
-    const gen = p.gen;
+    const incarnation = p.incarnation;
     const mine = era;
     let last = 0;
     function soon(f: () => void): void {
@@ -39,7 +39,7 @@
       });
     }
     function finish(done: (x?: Error) => void, err?: Error): void {
-      into(p, gen, () => done(err));
+      into(p, incarnation, () => done(err));
     }
     function append(r: JournalRecord, done: (x?: Error) => void): void {
       const b = encodeRecord(r);
@@ -47,7 +47,7 @@
       const refused = disk.full;
       const n = loose.length;
       soon(() => {
-        if (mine !== era || p.gen !== gen) return;
+        if (mine !== era || p.incarnation !== incarnation) return;
         if (refused) return finish(done, new Error('no space left on the disk'));
         const k = Math.min(n, b.length, loose.length);
         synced = Buffer.concat([synced, loose.subarray(0, k)]);
@@ -58,7 +58,7 @@
     function rewrite(rs: readonly JournalRecord[], done: (x?: Error) => void): void {
       const all = Buffer.concat(rs.map(encodeRecord));
       soon(() => {
-        if (mine !== era || p.gen !== gen) return;
+        if (mine !== era || p.incarnation !== incarnation) return;
         if (disk.full) return finish(done, new Error('no space left on the disk'));
         synced = all;
         finish(done);
--- a/packages/simulator/src/sim-fleet.ts
+++ b/packages/simulator/src/sim-fleet.ts
@@ -11,7 +11,7 @@
   trainingDefaults,
   type Model,
 } from '@tansypost/placement';
-import { createKeeperHost, type OpenDisk } from '@tansypost/state-keeper';
+import { createControlNodeHost, type OpenDisk } from '@tansypost/control-node';
 import { agentDefaults, createAgentCore, dutyNames, type AgentCore, type AgentOptions } from '@tansypost/router-agent';
 import {
   createRouterCore,
@@ -90,7 +90,7 @@
   closed: boolean;
   core: RouterCore | undefined;
 }
-interface KeeperNode extends Node {
+interface ControlNodeProcess extends Node {
   disk: SimDisk;
   address: string;
 }
@@ -204,7 +204,7 @@
   let swing = o.swing;
   const tenure = s(o.tenure ?? (o.seed % 2 === 0 ? 3 : 10));
   let crashOnAck = 0;
-  const loseOnAck: KeeperNode[] = [];
+  const loseOnAck: ControlNodeProcess[] = [];
   let traffic = createTraffic(d, o.seed, swing === undefined ? steadyMix : swingMix(swing));
   let over = false;
   let swings = 0;
@@ -224,14 +224,21 @@
   }
 
   // The core places.
-  const keepers: KeeperNode[] = coreAt.map((a, slot) => keeper(`keeper${slot}`, slot, a));
-  function keeper(name: string, slot: number, a: string): KeeperNode {
+  const keepers: ControlNodeProcess[] = coreAt.map((a, slot) => keeper(`keeper${slot}`, slot, a));
+  function keeper(name: string, slot: number, a: string): ControlNodeProcess {
     const proc = createProc(name, `m${slot}`);
-    const n: KeeperNode = { proc, disk: createSimDisk(e, r), address: a, running: false, start, stop: () => undefined };
+    const n: ControlNodeProcess = {
+      proc,
+      disk: createSimDisk(e, r),
+      address: a,
+      running: false,
+      start,
+      stop: () => undefined,
+    };
     net.add(a, proc);
     function start(): void {
       proc.alive = true;
-      const host = createKeeperHost(world(proc, a), {
+      const host = createControlNodeHost(world(proc, a), {
         slot,
         self: address(a),
         core: coreAt.map((x, i) => address(i === slot ? a : x)),
@@ -279,7 +286,7 @@
     };
     function start(): void {
       proc.alive = true;
-      const gen = proc.gen;
+      const incarnation = proc.incarnation;
       const t = createTrainer({ ...trainingDefaults, fifo: 400, replay: 100, passes: 1, ...o.trainer });
       n.core = createAgentCore(
         world(proc, n.address),
@@ -304,14 +311,14 @@
           shiftParts: o.shiftParts ?? true,
         },
         {
-          fetchReport: workers.fetchFor(proc, gen),
-          order: workers.orderFor(proc, gen),
+          fetchReport: workers.fetchFor(proc, incarnation),
+          order: workers.orderFor(proc, incarnation),
           trainer: {
             add: (ss) => t.add(ss),
             train: (v) => {
               const m = t.train(v, v.n);
               const b = encodeModel(o.sabotage === undefined ? m : spoiled(m, o.sabotage));
-              return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, gen, () => ok(b))));
+              return new Promise((ok) => e.at(e.now() + 400_000, () => into(proc, incarnation, () => ok(b))));
             },
           },
           save: (x) => {
@@ -340,14 +347,14 @@
     const n: RouterNode = { proc, core: undefined, closed: false, running: false, start, stop: () => n.core?.stop() };
     function start(): void {
       proc.alive = true;
-      const gen = proc.gen;
+      const incarnation = proc.incarnation;
       const w = world(proc, a);
       let seen = 0;
       const core = createRouterCore(
         w,
         {
           ...routerDefaults,
-          router: `router${i}#${gen}`,
+          router: `router${i}#${incarnation}`,
           http: `router${i}`,
           agent: address(agents[i]!.address),
           service: 'main',
@@ -361,9 +368,9 @@
           },
         },
         {
-          workers: workers.portFor(proc, gen),
+          workers: workers.portFor(proc, incarnation),
           digest: (p) => digest(p).slice(0, 32),
-          sendOn: (to, q, reply, gone) => sendOn(proc, gen, to, q, reply, gone),
+          sendOn: (to, q, reply, gone) => sendOn(proc, incarnation, to, q, reply, gone),
           sending: (request, worker, phase, extra, version) => {
             const decided = phase === 'prefill' || extra;
             const inc = core.table.mark(worker as never)?.incarnation ?? 0;
@@ -401,17 +408,24 @@
     return k === undefined ? 0 : Math.round((k.worth - d.kinds[0]!.worth) * 1000);
   }
 
-  function sendOn(p: Proc, gen: number, to: string, q: Incoming, reply: Reply, gone: AbortSignal): Promise<boolean> {
+  function sendOn(
+    p: Proc,
+    incarnation: number,
+    to: string,
+    q: Incoming,
+    reply: Reply,
+    gone: AbortSignal,
+  ): Promise<boolean> {
     const n = routers.find((x) => `router${routers.indexOf(x)}` === to);
     return new Promise((ok) => {
       let begun = false;
       let order = 0;
       function home(f: () => void): void {
         order = Math.max(e.now() + net.latency(n!.proc.machine, p.machine), order + 1);
-        e.at(order, () => into(p, gen, f));
+        e.at(order, () => into(p, incarnation, f));
       }
       if (n === undefined || net.blocked(p.machine, n.proc.machine))
-        return e.at(e.now() + 500_000, () => into(p, gen, () => ok(false)));
+        return e.at(e.now() + 500_000, () => into(p, incarnation, () => ok(false)));
       e.at(e.now() + net.latency(p.machine, n.proc.machine), () => {
         if (!n.proc.alive || n.closed) return home(() => ok(false));
         // The short question before it: a frozen router does not answer it.
@@ -426,7 +440,7 @@
         h.requests.find((x) => x.id === q.id)!.via.add(to);
         into(
           n.proc,
-          n.proc.gen,
+          n.proc.incarnation,
           () =>
             void n.core!.serve(
               { ...q, sentOn: true },
@@ -524,7 +538,7 @@
       });
       into(
         p,
-        p.gen,
+        p.incarnation,
         () =>
           void pick.x.core!.serve(
             {
@@ -583,7 +597,7 @@
       version: undefined as number | undefined,
     };
     h.changes.push(c);
-    const gen = at.proc.gen;
+    const incarnation = at.proc.incarnation;
     async function go(): Promise<void> {
       const b = base ?? (await at!.core!.readDesired()).version;
       const t = templates(d, (k) => k.worth + tag / 1000).templates;
@@ -609,7 +623,7 @@
         e.at(e.now() + s(0.5), () => keepers.forEach(startNode));
       }
     }
-    into(at.proc, gen, () => void go());
+    into(at.proc, incarnation, () => void go());
     return at;
   }
   function lookUp(c: History['changes'][number]): void {
@@ -655,7 +669,7 @@
     return [agents[i]!, routers[i]!, ...(i < 3 ? [keepers[i]!] : [])];
   }
   function wipe(n: Node): void {
-    if ('disk' in n) (n as KeeperNode).disk.lose();
+    if ('disk' in n) (n as ControlNodeProcess).disk.lose();
     if ('persisted' in n) (n as AgentNode).persisted = agentDefaults.persisted;
   }
   // One core machine on one side with a part of the others, routers and workers; the other two on the other.
@@ -681,7 +695,7 @@
     if (!n.proc.alive) return;
     die(n.proc);
     n.running = false;
-    if ('disk' in n) (n as KeeperNode).disk.crash();
+    if ('disk' in n) (n as ControlNodeProcess).disk.crash();
   }
   function startNode(n: Node): void {
     if (!n.proc.alive) n.start();
@@ -710,7 +724,7 @@
       case 'drain':
         return drain(node(f.who)!, end);
       case 'empty': {
-        const n = node(f.who) as KeeperNode;
+        const n = node(f.who) as ControlNodeProcess;
         killNode(n);
         n.disk.lose();
         e.at(end, () => startNode(n));
@@ -758,7 +772,7 @@
         return;
       }
       case 'disk-damage': {
-        const n = node(f.who) as KeeperNode;
+        const n = node(f.who) as ControlNodeProcess;
         killNode(n);
         n.disk.damage();
         e.at(end, () => startNode(n));
@@ -850,7 +864,7 @@
         submit();
         return;
       case 'lose-on-ack':
-        loseOnAck.push(node(f.who) as KeeperNode);
+        loseOnAck.push(node(f.who) as ControlNodeProcess);
         submit();
         return;
       case 'submit-and-die': {
@@ -904,14 +918,14 @@
     }
     const x = n as RouterNode;
     x.core!.stopTaking();
-    const gen = n.proc.gen;
+    const incarnation = n.proc.incarnation;
     function look(): void {
-      if (!n.proc.alive || n.proc.gen !== gen) return;
+      if (!n.proc.alive || n.proc.incarnation !== incarnation) return;
       if (x.core!.active() > 0) return e.at(e.now() + s(0.05), look);
       x.closed = true;
       x.core!.stop();
       e.at(e.now() + s(0.1), () => {
-        if (!n.proc.alive || n.proc.gen !== gen) return;
+        if (!n.proc.alive || n.proc.incarnation !== incarnation) return;
         killNode(n);
         e.at(e.now() + s(0.5), () => startNode(n));
       });
--- a/packages/simulator/src/sim-workers.ts
+++ b/packages/simulator/src/sim-workers.ts
@@ -20,11 +20,11 @@
 }
 export interface SimWorkers {
   readonly all: SimWorker[];
-  readonly portFor: (p: Proc, gen: number) => WorkerPort;
-  readonly fetchFor: (p: Proc, gen: number) => (m: Mark) => Promise<FetchedReport | undefined>;
+  readonly portFor: (p: Proc, incarnation: number) => WorkerPort;
+  readonly fetchFor: (p: Proc, incarnation: number) => (m: Mark) => Promise<FetchedReport | undefined>;
   readonly orderFor: (
     p: Proc,
-    gen: number,
+    incarnation: number,
   ) => (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined>;
   readonly start: (w: SimWorker) => void;
   readonly kill: (w: SimWorker) => void;
@@ -87,9 +87,9 @@
     const w = all.find((x) => x.name === m.worker);
     if (w === undefined) return lost('ECONNREFUSED');
     function arrive(): void {
-      const gen = w!.proc.gen;
+      const incarnation = w!.proc.incarnation;
       if (!w!.proc.alive) return lost('ECONNREFUSED');
-      into(w!.proc, gen, () => {
+      into(w!.proc, incarnation, () => {
         if (!w!.dark) f(w!);
       });
     }
@@ -102,14 +102,14 @@
     e.at(e.now() + net.latency(p.machine, w.proc.machine), arrive);
   }
 
-  function back(p: Proc, gen: number, w: SimWorker, f: () => void): void {
+  function back(p: Proc, incarnation: number, w: SimWorker, f: () => void): void {
     e.at(e.now() + net.latency(w.proc.machine, p.machine), () => {
-      if (net.blocked(w.proc.machine, p.machine)) net.onHeal(() => into(p, gen, f));
-      else into(p, gen, f);
+      if (net.blocked(w.proc.machine, p.machine)) net.onHeal(() => into(p, incarnation, f));
+      else into(p, incarnation, f);
     });
   }
 
-  function portFor(p: Proc, gen: number): WorkerPort {
+  function portFor(p: Proc, incarnation: number): WorkerPort {
     function prefill(m: Mark, j: WorkerJob, signal: AbortSignal): Promise<PrefillResult> {
       return new Promise((ok) => {
         let off: (() => void) | undefined;
@@ -128,19 +128,19 @@
           m,
           (w) => {
             if (m.incarnation !== w.incarnation)
-              return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+              return back(p, incarnation, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
             if (signal.aborted && random() < 0.5) return;
             function broke(): void {
-              back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
+              back(p, incarnation, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
             }
             w.proc.deaths.add(broke);
             dead = () => {
               w.proc.deaths.delete(broke);
             };
             off = w.core.prefill({ request: j.request, prompt: j.prompt, maxTokens: j.maxTokens }, (a) => {
-              if (a.tag === 'refused') return back(p, gen, w, () => done({ tag: 'notStarted', why: a.why }));
+              if (a.tag === 'refused') return back(p, incarnation, w, () => done({ tag: 'notStarted', why: a.why }));
               const x = a.handle;
-              back(p, gen, w, () =>
+              back(p, incarnation, w, () =>
                 done({
                   tag: 'done',
                   handle: {
@@ -156,7 +156,7 @@
               );
             });
           },
-          (why) => into(p, gen, () => done({ tag: 'notStarted', why })),
+          (why) => into(p, incarnation, () => done({ tag: 'notStarted', why })),
         );
       });
     }
@@ -197,15 +197,15 @@
           m,
           (w) => {
             if (m.incarnation !== w.incarnation)
-              return back(p, gen, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
+              return back(p, incarnation, w, () => done({ tag: 'notStarted', why: 'other_incarnation' }));
             const no = w.core.admit(job, hd);
             if (no !== undefined)
-              return back(p, gen, w, () =>
+              return back(p, incarnation, w, () =>
                 done(no.startsWith('memory') ? { tag: 'lapsed', why: no } : { tag: 'notStarted', why: no }),
               );
-            const wgen = w.proc.gen;
+            const wgen = w.proc.incarnation;
             function broke(): void {
-              back(p, gen, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
+              back(p, incarnation, w, () => done({ tag: 'unknown', why: 'ECONNRESET' }));
             }
             w.proc.deaths.add(broke);
             dead = () => {
@@ -213,7 +213,7 @@
             };
             takeFrom(w, hd, (why, of) =>
               into(w.proc, wgen, () => {
-                if (why !== undefined) return back(p, gen, w, () => done({ tag: 'lapsed', why }));
+                if (why !== undefined) return back(p, incarnation, w, () => done({ tag: 'lapsed', why }));
                 if (signal.aborted && random() < 0.8) return;
                 memoryOf.set(`${w.name}/${j.request}`, of!);
                 // A stream keeps its order: each piece arrives after the one before.
@@ -222,11 +222,11 @@
                   e.at(order, () => {
                     if (net.blocked(w.proc.machine, p.machine))
                       return net.onHeal(() =>
-                        into(p, gen, () => {
+                        into(p, incarnation, () => {
                           if (!over) done({ tag: 'unknown', why: 'cut' });
                         }),
                       );
-                    into(p, gen, () => {
+                    into(p, incarnation, () => {
                       if (!over) f();
                     });
                   });
@@ -239,7 +239,7 @@
               }),
             );
           },
-          (why) => into(p, gen, () => done({ tag: 'notStarted', why })),
+          (why) => into(p, incarnation, () => done({ tag: 'notStarted', why })),
         );
       });
     }
@@ -258,37 +258,40 @@
     });
   }
 
-  function fetchFor(p: Proc, gen: number): (m: Mark) => Promise<FetchedReport | undefined> {
+  function fetchFor(p: Proc, incarnation: number): (m: Mark) => Promise<FetchedReport | undefined> {
     return function fetch(m) {
       h.probes.push(e.now());
       return new Promise((ok) => {
-        e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
+        e.at(e.now() + 1_500_000, () => into(p, incarnation, () => ok(undefined)));
         reach(
           p,
           m,
           (w) => {
             const r = w.core.report();
-            back(p, gen, w, () => ok(r));
+            back(p, incarnation, w, () => ok(r));
           },
-          () => into(p, gen, () => ok(undefined)),
+          () => into(p, incarnation, () => ok(undefined)),
         );
       });
     };
   }
 
-  function orderFor(p: Proc, gen: number): (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined> {
+  function orderFor(
+    p: Proc,
+    incarnation: number,
+  ): (m: Mark, epoch: number, part: Part | '') => Promise<boolean | undefined> {
     return function order(m, epoch, part) {
       return new Promise((ok) => {
-        e.at(e.now() + 1_500_000, () => into(p, gen, () => ok(undefined)));
+        e.at(e.now() + 1_500_000, () => into(p, incarnation, () => ok(undefined)));
         reach(
           p,
           m,
           (w) => {
             const obeyed = w.core.order(epoch, part);
             h.orders.push({ at: e.now(), worker: `${w.name}/${w.incarnation}`, epoch, part, obeyed, by: p.name });
-            back(p, gen, w, () => ok(obeyed));
+            back(p, incarnation, w, () => ok(obeyed));
           },
-          () => into(p, gen, () => ok(undefined)),
+          () => into(p, incarnation, () => ok(undefined)),
         );
       });
     };
--- a/programs/state-keeper/src/keeper-host.test.ts
+++ b/programs/control-node/src/control-node-host.test.ts
@@ -2,7 +2,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import type { Disk, JournalRecord } from '@tansypost/control-state';
 import { micros, type Address, type World } from '@tansypost/inner-protocol';
-import { createKeeperHost } from './keeper-host.js';
+import { createControlNodeHost } from './control-node-host.js';
 
 it('drops the core when its disk fails, tries until the disk is well, and comes back with what was on it', async () => {
   let t = 0;
@@ -51,7 +51,7 @@
     size: () => file.length,
   };
   let ids = 0;
-  const h = createKeeperHost(w, {
+  const h = createControlNodeHost(w, {
     slot: 0,
     self: 'k0:1' as Address,
     core: ['k0:1', 'k1:1', 'k2:1'] as Address[],
@@ -65,13 +65,13 @@
     },
   });
   await h.begin();
-  h.core()!.place.keep(
+  h.core()!.replica.keep(
     'k',
     { promised: 8, epoch: 8, version: 1, value: Buffer.from('v'), changes: [] },
     () => undefined,
   );
   broken = true;
-  h.core()!.place.keep(
+  h.core()!.replica.keep(
     'k',
     { promised: 8, epoch: 8, version: 2, value: Buffer.from('w'), changes: [] },
     () => undefined,
@@ -82,8 +82,8 @@
   expect(opened.slice(1).every((x) => x)).toBe(true);
   broken = false;
   await step(10_000_000);
-  expect(h.core()!.place.state()).not.toBe('failed');
-  expect(h.core()!.place.diskId()).toBe('d1');
-  expect(h.core()!.place.row('k').version).toBe(1);
+  expect(h.core()!.replica.state()).not.toBe('failed');
+  expect(h.core()!.replica.diskId()).toBe('d1');
+  expect(h.core()!.replica.row('k').version).toBe(1);
   expect(logged).toEqual(expect.arrayContaining([2005, 2010, 2011]));
 });
--- a/programs/state-keeper/src/keeper-host.ts
+++ b/programs/control-node/src/control-node-host.ts
@@ -4,9 +4,9 @@
 // programs pass a file, the simulator its own disk. A place that was replaced, and that nobody needs any more, begins
 // anew as a blank machine that asks for a place, where it may.
 import * as E from 'fp-ts/lib/Either.js';
-import type { Disk, JournalRecord, Keeper } from '@tansypost/control-state';
+import type { Disk, JournalRecord, ControlNode } from '@tansypost/control-state';
 import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
-import { createKeeperCore, type KeeperCoreOptions } from './keeper-core.js';
+import { createVotingControlNode, type VotingControlNodeOptions } from './voting-control-node.js';
 
 export interface OpenDisk {
   readonly disk: Disk;
@@ -16,7 +16,7 @@
   readonly aside?: string;
   readonly close?: () => Promise<void>;
 }
-export interface KeeperHostOptions extends Omit<KeeperCoreOptions, 'disk' | 'found' | 'newDiskId'> {
+export interface ControlNodeHostOptions extends Omit<VotingControlNodeOptions, 'disk' | 'found' | 'newDiskId'> {
   // `afresh` asks that what is found be written to a new file and synced before it is handed over.
   // `blank` asks that what is found be thrown away.
   readonly open: (afresh: boolean, blank: boolean) => Promise<E.Either<Error, OpenDisk>>;
@@ -26,16 +26,16 @@
   readonly firstPause?: number;
   readonly longestPause?: number;
 }
-export interface KeeperHost {
+export interface ControlNodeHost {
   readonly receive: (m: Message, from: Address) => void;
-  readonly core: () => Keeper | undefined;
+  readonly core: () => ControlNode | undefined;
   readonly bytes: () => number;
   // The first opening: an error here is for the program to report, as nothing has run yet.
   readonly begin: () => Promise<E.Either<Error, void>>;
   readonly stop: () => Promise<void>;
 }
-export function createKeeperHost(w: World, o: KeeperHostOptions): KeeperHost {
-  let core: Keeper | undefined;
+export function createControlNodeHost(w: World, o: ControlNodeHostOptions): ControlNodeHost {
+  let core: ControlNode | undefined;
   let disk: OpenDisk | undefined;
   const firstPause = o.firstPause ?? 1_000_000;
   const longestPause = o.longestPause ?? 10_000_000;
@@ -51,7 +51,7 @@
     disk = d.right;
     if (disk.cut > 0) w.log(2008, { bytes: disk.cut });
     if (disk.aside !== undefined) w.log(2009, { why: disk.aside });
-    core = createKeeperCore(w, {
+    core = createVotingControlNode(w, {
       ...o,
       ...(blank ? { founds: false, foundingSlot: undefined } : {}),
       disk: disk.disk,
@@ -65,11 +65,11 @@
   }
 
   function look(): void {
-    if (core?.place.state() === 'failed') {
+    if (core?.replica.state() === 'failed') {
       void drop()?.close?.();
       retryAt = w.now() + pause;
     }
-    if (o.rejoins === true && core?.place.superseded() === true) {
+    if (o.rejoins === true && core?.replica.superseded() === true) {
       const d = drop();
       opening = true;
       void Promise.resolve(d?.close?.()).then(() => again(true));
--- a/programs/state-keeper/src/file-disk.ts
+++ b/programs/control-node/src/file-disk.ts
@@ -7,7 +7,7 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { encodeRecord, joinRecords, readJournal, type Disk, type JournalRecord } from '@tansypost/control-state';
 import { FailedDisk } from '@tansypost/inner-protocol';
-import type { OpenDisk } from './keeper-host.js';
+import type { OpenDisk } from './control-node-host.js';
 
 export type FileDisk = OpenDisk & { readonly close: () => Promise<void> };
 type Job =
--- a/programs/state-keeper/src/main.ts
+++ b/programs/control-node/src/main.ts
@@ -1,23 +1,23 @@
 #!/usr/bin/env node
-// The state-keeper as a process: one core place on its own disk.
+// The control-node as a process: one core place on its own disk.
 import { randomBytes } from 'node:crypto';
 import fastify from 'fastify';
 import * as E from 'fp-ts/lib/Either.js';
-import { KeeperBoot, runProgram } from '@tansypost/boot';
+import { ControlNodeSettings, runProgram } from '@tansypost/boot';
 import { createRealWorld, splitAddress, type Address } from '@tansypost/inner-protocol';
 import { openFileDisk } from './file-disk.js';
-import { createKeeperHost } from './keeper-host.js';
+import { createControlNodeHost } from './control-node-host.js';
 
 await runProgram({
-  name: 'state-keeper',
+  name: 'control-node',
   about: 'Holds one of the three places of the control state.',
-  schema: KeeperBoot,
-  flags: Object.keys(KeeperBoot.properties),
+  schema: ControlNodeSettings,
+  flags: Object.keys(ControlNodeSettings.properties),
   start: async (b, log) => {
     const self = (b.advertise ?? b.listen) as Address;
     const real = await createRealWorld(b.listen as Address, log, self);
     const traces: { at: number; what: string; key: string; version: number }[] = [];
-    const host = createKeeperHost(real.world, {
+    const host = createControlNodeHost(real.world, {
       slot: b.slot,
       self,
       core: b.core as Address[],
@@ -38,12 +38,12 @@
     const app = fastify();
     app.get('/vitals', async (_q, a) => {
       const core = host.core();
-      const ok = core?.place.state() === 'voting';
+      const ok = core?.replica.state() === 'voting';
       return a.code(ok ? 200 : 503).send({
         ok,
-        state: core?.place.state() ?? 'failed',
-        disk: core?.place.diskId(),
-        core: core?.place.core(),
+        state: core?.replica.state() ?? 'failed',
+        disk: core?.replica.diskId(),
+        core: core?.replica.membership(),
         owned: core?.owned(),
         bytes: host.bytes(),
       });
@@ -55,7 +55,7 @@
       a
         .type('text/plain; version=0.0.4')
         .send(
-          `tansypost_place_voting ${host.core()?.place.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${host.core()?.place.core().gen ?? 0}\ntansypost_keys_owned ${host.core()?.owned().length ?? 0}\ntansypost_file_bytes ${host.bytes()}\n`,
+          `tansypost_place_voting ${host.core()?.replica.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${host.core()?.replica.membership().membershipEpoch ?? 0}\ntansypost_keys_owned ${host.core()?.owned().length ?? 0}\ntansypost_file_bytes ${host.bytes()}\n`,
         ),
     );
     await app.listen(splitAddress(b.http));
--- /dev/null
+++ b/programs/control-node/src/voting-control-node.ts
@@ -0,0 +1,31 @@
+// The control-node without its sockets and files: the keys' core and, beside it, the voter for duties.
+// The epochs of duties live as rows of the same file that no owner writes.
+import { createControlNode, type ControlNode, type ControlNodeOptions } from '@tansypost/control-state';
+import { createVoter } from '@tansypost/duty';
+import type { Address, Message, World } from '@tansypost/inner-protocol';
+
+export interface VotingControlNodeOptions extends ControlNodeOptions {
+  readonly dutyTenure: number;
+}
+
+export function createVotingControlNode(w: World, o: VotingControlNodeOptions): ControlNode {
+  const k = createControlNode(w, o);
+  const voter = createVoter(w, {
+    slot: () => k.replica.slot,
+    disk: k.replica.diskId,
+    voting: () => k.replica.state() === 'voting',
+    votingSince: k.replica.votingSince,
+    membershipEpoch: () => k.replica.membership().membershipEpoch,
+    tenure: o.dutyTenure,
+    store: {
+      epoch: (d) => k.replica.row(`~ballot/${d}`).promised,
+      keep: (d, epoch, done) =>
+        k.replica.keep(`~ballot/${d}`, { ...k.replica.row(`~ballot/${d}`), promised: epoch }, done),
+    },
+  });
+  function receive(m: Message, from: Address): void {
+    if (m.kind === 'Ballot') voter.ballot(m, (v) => w.send(m.from as Address, v));
+    else k.receive(m, from);
+  }
+  return { ...k, receive };
+}
--- a/programs/fleet-runner/src/fleet.ts
+++ b/programs/fleet-runner/src/fleet.ts
@@ -89,7 +89,7 @@
       if (m.relay !== undefined) await relays.add(m.relay.shown, m.relay.real, m.relay.inner);
     for (const m of plan.members) ps.start(m);
     await until('the core votes', async () =>
-      (await Promise.all(of('state-keeper').map((k) => get(k.http, '/vitals')))).every((v) => v !== undefined),
+      (await Promise.all(of('control-node').map((k) => get(k.http, '/vitals')))).every((v) => v !== undefined),
     );
     await until('agents know each other', async () =>
       (await Promise.all(of('router-agent').map((a) => get<unknown[]>(a.http, '/members')))).every(
--- a/programs/fleet-runner/src/plan.ts
+++ b/programs/fleet-runner/src/plan.ts
@@ -3,7 +3,7 @@
 // first three machines are core. Each machine has a router and an agent, core machines a keeper as well.
 import type { Deployment } from '@tansypost/requester-stand-in';
 
-export type Program = 'state-keeper' | 'router-agent' | 'request-router' | 'worker-stand-in';
+export type Program = 'control-node' | 'router-agent' | 'request-router' | 'worker-stand-in';
 export interface Member {
   readonly name: string;
   readonly program: Program;
@@ -47,7 +47,7 @@
       const data = `${o.folder}/data/keeper${i}`;
       members.push({
         name: `keeper${i}`,
-        program: 'state-keeper',
+        program: 'control-node',
         machine: m.name,
         zone: m.zone,
         ip: m.ip,
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -11,7 +11,7 @@
   type Mark,
   type Message,
   type MessageOf,
-  type Place,
+  type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 import { checkDesiredState, needsApproval, type DesiredState, type Fault } from '@tansypost/desired-state';
@@ -58,8 +58,8 @@
   readonly persisted: {
     readonly entries: readonly Entry[];
     readonly marks: readonly Mark[];
-    readonly gen: number;
-    readonly places: readonly Place[];
+    readonly membershipEpoch: number;
+    readonly replicas: readonly ReplicaEntry[];
   };
   readonly verdict?: VerdictOptions;
   readonly ackPatience?: number;
@@ -72,7 +72,7 @@
   shiftParts: true,
   slice: 0.1,
   rehearsalLimit: 600_000_000,
-  persisted: { entries: [], marks: [], gen: 0, places: [] },
+  persisted: { entries: [], marks: [], membershipEpoch: 0, replicas: [] },
 };
 export interface AgentPorts {
   readonly fetchReport: (m: Mark) => Promise<FetchedReport | undefined>;
@@ -114,7 +114,10 @@
 export const dutyNames = ['parts', 'training', 'rehearsals'] as const;
 
 export function createAgentCore(w: World, o: AgentOptions, p: AgentPorts): AgentCore {
-  let core: { gen: number; places: readonly Place[] } = { gen: o.persisted.gen, places: o.persisted.places };
+  let core: { membershipEpoch: number; replicas: readonly ReplicaEntry[] } = {
+    membershipEpoch: o.persisted.membershipEpoch,
+    replicas: o.persisted.replicas,
+  };
   let router: MessageOf<'RouterState'> | undefined;
   let routerAt = -Infinity;
   let grants: { asked: number; version: number }[] = [];
@@ -128,8 +131,8 @@
   const marks = createMarks();
   marks.take(o.persisted.marks);
 
-  function heardCore(gen: number, ps: readonly Place[]): void {
-    if (gen > core.gen && ps.length === 3) core = { gen, places: ps };
+  function heardCore(membershipEpoch: number, ps: readonly ReplicaEntry[]): void {
+    if (membershipEpoch > core.membershipEpoch && ps.length === 3) core = { membershipEpoch, replicas: ps };
   }
   function tenured(): boolean {
     return w.now() - grantedAt < 5_000_000 && w.now() - routerAt < 2_000_000;
@@ -144,7 +147,7 @@
         self: o.self,
         slot: o.slot,
         tenure: o.dutyTenure,
-        places: () => core,
+        replicas: () => core,
         willing: () => w.now() - started > 1_000_000,
         won: () => {
           if (d === 'parts') parts.won();
@@ -181,15 +184,15 @@
     save,
   });
   function save(es: readonly Entry[]): void {
-    p.save({ entries: es, marks: marks.all(), gen: core.gen, places: core.places });
+    p.save({ entries: es, marks: marks.all(), membershipEpoch: core.membershipEpoch, replicas: core.replicas });
   }
-  const asker = createAsker(w, o.self, () => core.places);
+  const asker = createAsker(w, o.self, () => core.replicas);
   const news = createNews(w, {
     self: o.self,
     member: o.member,
     service: o.service,
     zone: views.zone,
-    places: () => core.places,
+    replicas: () => core.replicas,
     heardCore,
     changed: (n) => {
       note('news', n.key, n.version);
@@ -369,7 +372,7 @@
         return news.onNews(m);
       case 'Subscribe':
         return news.onSubscribe(m);
-      case 'Tenures':
+      case 'Leases':
         return news.onTenures(m);
       case 'BallotVote':
         return candidates.get(m.duty)?.vote(m);
@@ -555,7 +558,7 @@
     let t = 0;
     let timers: { at: number; f: () => void }[] = [];
     let feeds: MessageOf<'Feed'>[] = [];
-    const places = [0, 1, 2].map((slot) => ({ slot, address: `keeper${slot}:1`, disk: `d${slot}` }));
+    const replicas = [0, 1, 2].map((slot) => ({ slot, address: `keeper${slot}:1`, disk: `d${slot}` }));
     const agent = createAgentCore(
       {
         now: () => micros(t),
@@ -583,7 +586,7 @@
         seeds: [],
         slot: 1,
         born: 9,
-        persisted: { entries, marks, gen: 1, places },
+        persisted: { entries, marks, membershipEpoch: 1, replicas },
       },
       {
         fetchReport: async () => undefined,
@@ -624,7 +627,7 @@
         },
         'r1:1',
       );
-      tell({ kind: 'Tenures', grants: [{ router: 'r1#1', asked: t, version: 1 }] }, 'keeper0:1');
+      tell({ kind: 'Leases', grants: [{ router: 'r1#1', asked: t, version: 1 }] }, 'keeper0:1');
       const is = feeds.at(-1)!.grants.length > 0;
       feeds = [];
       return is;
@@ -641,8 +644,8 @@
       answer: false,
       from: 'a2:1',
       entries: [entry('a2', beat), entry('a3', beat)],
-      coreGen: 1,
-      places: [],
+      membershipEpoch: 1,
+      replicas: [],
       duties: [],
     };
   }
--- a/programs/router-agent/src/ask.ts
+++ b/programs/router-agent/src/ask.ts
@@ -1,12 +1,12 @@
 // How an agent asks the core: it sends to one place after the other until one answers. A write is repeated under
 // the same change id, which the owner remembers, so repeating it is harmless; what is still open
 // when patience ends is reported as unknown, with the id to ask after.
-import { micros, type Address, type MessageOf, type Place, type World } from '@tansypost/inner-protocol';
+import { micros, type Address, type MessageOf, type ReplicaEntry, type World } from '@tansypost/inner-protocol';
 import type { Asker, AskRequest, AskResult, AskStatus } from '@tansypost/learning';
 
 const none = Buffer.alloc(0);
 
-export function createAsker(w: World, self: Address, places: () => readonly Place[]): Asker {
+export function createAsker(w: World, self: Address, replicas: () => readonly ReplicaEntry[]): Asker {
   const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
   let n = Math.floor(w.random() * 1e9);
 
@@ -17,7 +17,7 @@
     const perTry = r.op === 'write' && r.key.startsWith('desired/') ? 2_500_000 : 600_000;
     return new Promise((done) => {
       function once(): void {
-        const ps = places();
+        const ps = replicas();
         const left = limit - w.now();
         if (left <= 0) return done({ status: 'unknown', epoch: 0, version: 0, value: none });
         if (ps.length === 0) return void w.after(micros(Math.min(left, 200_000)), once);
--- a/programs/router-agent/src/news.ts
+++ b/programs/router-agent/src/news.ts
@@ -9,7 +9,7 @@
   type Entry,
   type MessageOf,
   type NewsItem,
-  type Place,
+  type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 
@@ -18,8 +18,8 @@
   readonly member: string;
   readonly service: string;
   readonly zone: () => Entry[];
-  readonly places: () => readonly Place[];
-  readonly heardCore: (gen: number, ps: Place[]) => void;
+  readonly replicas: () => readonly ReplicaEntry[];
+  readonly heardCore: (membershipEpoch: number, ps: ReplicaEntry[]) => void;
   readonly changed: (n: NewsItem) => void;
   readonly granted: (g: { asked: number; version: number }, router: string) => void;
 }
@@ -31,7 +31,7 @@
   readonly all: () => NewsItem[];
   readonly onNews: (m: MessageOf<'News'>) => void;
   readonly onSubscribe: (m: MessageOf<'Subscribe'>) => void;
-  readonly onTenures: (m: MessageOf<'Tenures'>) => void;
+  readonly onTenures: (m: MessageOf<'Leases'>) => void;
   readonly routerAsks: (router: string, asked: number, applied: number) => void;
   readonly learn: (n: NewsItem) => void;
   readonly stop: () => void;
@@ -79,7 +79,7 @@
     const all = new Map(mine.map((t) => [t.router, t]));
     for (const [, s] of live())
       for (const t of s.tenures) if ((all.get(t.router)?.asked ?? -1) < t.asked) all.set(t.router, t);
-    for (const p of o.places()) {
+    for (const p of o.replicas()) {
       w.send(p.address as Address, {
         kind: 'Subscribe',
         from: o.self,
@@ -105,11 +105,11 @@
     held.set(n.key, n);
     if (old !== undefined && old.version === n.version) return;
     o.changed(n);
-    for (const [a] of live()) w.send(a, { kind: 'News', news: [n], coreGen: 0, places: [] });
+    for (const [a] of live()) w.send(a, { kind: 'News', news: [n], membershipEpoch: 0, replicas: [] });
   }
 
   function onNews(m: MessageOf<'News'>): void {
-    if (m.coreGen > 0) o.heardCore(m.coreGen, m.places);
+    if (m.membershipEpoch > 0) o.heardCore(m.membershipEpoch, m.replicas);
     for (const n of m.news) learn(n);
   }
 
@@ -120,17 +120,17 @@
     subs.set(from, { until: w.now() + 3_000_000, tenures: m.tenures });
     const at = new Map(m.have.map((h) => [h.key, h.version]));
     const out = [...held.values()].filter((n) => n.version > (at.get(n.key) ?? 0));
-    if (out.length > 0) w.send(from, { kind: 'News', news: out, coreGen: 0, places: [] });
+    if (out.length > 0) w.send(from, { kind: 'News', news: out, membershipEpoch: 0, replicas: [] });
     if (m.tenures.some((t) => old.find((x) => x.router === t.router)?.applied !== t.applied)) hurry();
   }
 
-  function onTenures(m: MessageOf<'Tenures'>): void {
+  function onTenures(m: MessageOf<'Leases'>): void {
     for (const g of m.grants) {
       if (own !== undefined && g.router === own.router) o.granted(g, g.router);
     }
     for (const [a, s] of live()) {
       const gs = m.grants.filter((g) => s.tenures.some((t) => t.router === g.router));
-      if (gs.length > 0) w.send(a, { kind: 'Tenures', grants: gs });
+      if (gs.length > 0) w.send(a, { kind: 'Leases', grants: gs });
     }
   }
 
--- a/programs/state-keeper/src/index.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-export * from './keeper-core.js';
-export * from './keeper-host.js';
-export * from './file-disk.js';
--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -52,7 +52,7 @@
   'CopyPage',
   'Arms',
   'Marks',
-  'Tenures',
+  'Leases',
   'Demand',
   'Reports',
 ]);
@@ -60,7 +60,7 @@
 // These travel where traffic is passed on: between the core and its routers, and when a machine of the core asks for
 // a place. The kinds of the core itself are met there as well.
 const onlyPassed: readonly Kind[] = ['Beat', 'Follow', 'Join', 'WorkerList', 'WorkerLoads', 'Peers', 'Reading'];
-const passed = new Set<Kind>([...onlyPassed, 'Committed', 'News', 'Accept', 'Vote', 'PlaceHello']);
+const passed = new Set<Kind>([...onlyPassed, 'Committed', 'News', 'Accept', 'Vote', 'ReplicaHello']);
 const troubles: PassedTrouble[] = [
   { at: 1, do: 'config-race', for: 1, who: 0 },
   { at: 2, do: 'core-replaced', for: 2, who: 0.5 },
@@ -81,7 +81,7 @@
       troubles,
       closing: 'none',
       span: 10,
-      places: 3,
+      replicas: 3,
       rate: 0.5,
       net: tamper(kind, way, counted),
     });
@@ -114,7 +114,7 @@
     from: 'b',
     key: 'desired/main',
     epoch: 9,
-    gen: 1,
+    membershipEpoch: 1,
     version: 3,
     value: Buffer.from('{}'),
     changes: ['c@3'],
--- a/tests/pass-through.test.ts
+++ b/tests/pass-through.test.ts
@@ -19,7 +19,7 @@
   return { at: seconds, do: what, for: lasting, who };
 }
 function play(troubles: readonly PassedTrouble[], over: Partial<PassedDayOptions> = {}, seed = 7): Promise<PassedOne> {
-  return playPassedOne(cold, seed, { troubles, closing: 'none', places: 3, span: 14, ...over });
+  return playPassedOne(cold, seed, { troubles, closing: 'none', replicas: 3, span: 14, ...over });
 }
 
 it.each([
