Control state in small modules; learner first, serving leases, change history, hand-over

Change: the parts hang together in one rewrite of keeper, place, owner and rounds into modules of one job. (1) A machine copies as a learner and is written into the record only when caught up; it then copies once more what is newer before it votes; those who hear a replica refuse its replacement; silence before a replacement is 2 s. (3) follow() says whether a majority confirmed within the last second, in a round begun then, that nothing newer is held. (4) A leaving replica goes on voting until a successor votes or those that stay hold all rows, bounded by grace_s. (5) A replica that was away pulls what it missed, by sequence, from each other one. A refused Accept reports only synced rows.

--- a/packages/control-feed/src/control-cluster.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -307,7 +307,7 @@
   await c.run(3000);
   expect(c.voting()).toEqual(seedNames);
   expect(await c.get('n')).toBe('one');
-  c.machine('c1').host!.core()!.leave();
+  c.machine('c1').host!.leave(5_000_000, () => undefined);
   await c.run(700);
   expect(c.replicas('n')).toEqual(['c0', 'c2', 'n']);
   expect(c.voting()).toEqual(['c0', 'c2', 'n']);
@@ -477,7 +477,7 @@
     if (pick === 'slow') m.disk.slowUs = 125_000;
     if (pick === 'cut') c.net.cut('k', (a, b) => (a === x) !== (b === x));
     if (pick === 'herd') for (const y of names) c.kill(y);
-    if (pick === 'leave') m.host?.core()?.leave();
+    if (pick === 'leave') m.host?.leave(5_000_000, () => undefined);
     if (pick === 'replace') {
       c.kill(x);
       names.splice(names.indexOf(x), 1, `s${k}`);
--- /dev/null
+++ b/packages/control-state/src/anti-entropy.ts
@@ -0,0 +1,31 @@
+/** Reads one key after the other that this node should lead, which repairs old copies, and tells the others of it. */
+import type { Cluster } from './cluster.js';
+import { isLocal } from './cluster.js';
+import { membershipKey } from './membership-record.js';
+import type { Row } from './row.js';
+
+export interface AntiEntropyOptions {
+  readonly cluster: Cluster;
+  readonly shouldLead: (key: string) => boolean;
+  readonly confirmed: (key: string, row: Row) => void;
+}
+
+/** Gives the function that reads the next key. */
+export function createAntiEntropy(options: AntiEntropyOptions): () => void {
+  const { replica, leader } = options.cluster;
+  let turn = 0;
+
+  function isSwept(key: string): boolean {
+    return key !== membershipKey && !isLocal(key) && options.shouldLead(key);
+  }
+
+  return function sweepOne(): void {
+    const keys = replica.keys().filter(isSwept).sort();
+    if (replica.state() !== 'voting' || keys.length === 0) return;
+    turn += 1;
+    const key = keys[turn % keys.length]!;
+    leader(key).read((row) => {
+      if (row !== undefined) options.confirmed(key, row);
+    });
+  };
+}
--- /dev/null
+++ b/packages/control-state/src/committed-rows.ts
@@ -0,0 +1,37 @@
+/**
+ * The newest row of each key that this node knows to be on a majority: from its own leader of the key, or from another
+ * one that told so of the very row which stands on this disk. What was committed stays so; it can only become old.
+ */
+import type { Cluster } from './cluster.js';
+import { emptyRow, newer, type Row, type Stamp } from './row.js';
+
+export interface CommittedRows {
+  readonly newest: (key: string) => Row;
+  /** Takes in that a leader has told a row to be on a majority. */
+  readonly announced: (key: string, stamp: Stamp) => void;
+  /** Takes in a row that this node's own leader has written. */
+  readonly written: (key: string, row: Row) => void;
+}
+
+export function createCommittedRows(cluster: Pick<Cluster, 'replica' | 'leaders'>): CommittedRows {
+  const announcements = new Map<string, Stamp>();
+  const rows = new Map<string, Row>();
+
+  function written(key: string, row: Row): void {
+    if (newer(row, rows.get(key) ?? emptyRow)) rows.set(key, row);
+  }
+
+  function announced(key: string, stamp: Stamp): void {
+    const known = announcements.get(key);
+    if (known === undefined || newer(stamp, known)) announcements.set(key, stamp);
+  }
+
+  function newest(key: string): Row {
+    const stamp = announcements.get(key);
+    const stored = cluster.replica.row(key);
+    if (stamp !== undefined && stored.epoch === stamp.epoch && stored.version === stamp.version) written(key, stored);
+    return rows.get(key) ?? emptyRow;
+  }
+
+  return { newest, announced, written };
+}
--- /dev/null
+++ b/packages/control-state/src/followers.ts
@@ -0,0 +1,116 @@
+/**
+ * The followers of this node: product agents that subscribe to keys and routers that follow one. They are told what is
+ * on a majority, and nothing else, so two of them that are told one version of a key are told the same bytes.
+ */
+import { micros, type Address, type MessageOf, type NewsItem } from '@tansypost/inner-protocol';
+import { isLeasedToRouters, isPrivate, type Cluster } from './cluster.js';
+import type { CommittedRows } from './committed-rows.js';
+import type { RouterLeases } from './router-leases.js';
+import type { Row } from './row.js';
+import type { ServingLeases } from './serving-lease.js';
+
+type Subscribe = MessageOf<'Subscribe'>;
+
+/** What a follower is told of a key when it asks. */
+export interface Following {
+  readonly version: number;
+  readonly membershipEpoch: number;
+  readonly voting: boolean;
+  /** Whether this node holds the lease to hand the key out as current; if not, there may be newer. */
+  readonly leased: boolean;
+}
+
+export interface FollowersOptions {
+  readonly cluster: Cluster;
+  readonly committed: CommittedRows;
+  readonly servingLeases: ServingLeases;
+  readonly routerLeases: RouterLeases;
+  readonly shouldLead: (key: string) => boolean;
+  /** Whether this node has listened long enough to know who else is there. */
+  readonly isSettled: () => boolean;
+  /** Addresses that are told the membership now and then without asking. */
+  readonly seeds: readonly Address[];
+}
+
+export interface Followers {
+  readonly subscribe: (request: Subscribe) => void;
+  /** Takes in that somebody follows a key, and sends what is newer than what it has. */
+  readonly follow: (key: string, version: number, membershipEpoch: number, from: Address) => Following;
+  /** Tells all followers of a row that is on a majority. */
+  readonly push: (key: string, row: Row) => void;
+  readonly announceMembership: () => void;
+}
+
+const followedFor = micros(3_000_000);
+
+export function createFollowers(options: FollowersOptions): Followers {
+  const { cluster, committed, servingLeases } = options;
+  const { world, replica } = cluster;
+  const followers = new Map<Address, number>();
+
+  function tell(to: Address, news: NewsItem[]): void {
+    const { membershipEpoch, replicas } = replica.membership();
+    world.send(to, { kind: 'News', news, membershipEpoch, replicas: [...replicas] });
+  }
+
+  function push(key: string, row: Row): void {
+    if (row.version === 0 || isPrivate(key)) return;
+    for (const [follower, until] of followers) {
+      if (until < world.now()) followers.delete(follower);
+      else tell(follower, [newsOf(key, row)]);
+    }
+  }
+
+  function follow(key: string, version: number, membershipEpoch: number, from: Address): Following {
+    followers.set(from, world.now() + followedFor);
+    const record = replica.membership();
+    const voting = replica.state() === 'voting';
+    const leader = cluster.leader(key);
+    if (voting && options.isSettled() && !leader.leads() && options.shouldLead(key)) leader.take();
+    servingLeases.want(key);
+    const row = committed.newest(key);
+    if (row.version > version) tell(from, [newsOf(key, row)]);
+    else if (record.membershipEpoch > membershipEpoch) tell(from, []);
+    return {
+      version: row.version,
+      membershipEpoch: record.membershipEpoch,
+      voting,
+      leased: servingLeases.holds(key),
+    };
+  }
+
+  function subscribe(request: Subscribe): void {
+    const from = request.from as Address;
+    if (replica.state() !== 'voting') return;
+    followers.set(from, world.now() + followedFor);
+    const news: NewsItem[] = [];
+    for (const had of request.have) {
+      const leader = cluster.leader(had.key);
+      if (!leader.leads() && options.shouldLead(had.key)) leader.take();
+      if (!leader.leads()) continue;
+      if (leader.row().version > had.version) news.push(newsOf(had.key, leader.row()));
+      if (isLeasedToRouters(had.key) && request.tenures.length > 0) options.routerLeases.grant(had.key, request);
+    }
+    news.push(...newsNotNamed(new Set(request.have.map((had) => had.key))));
+    tell(from, news);
+  }
+
+  function newsNotNamed(named: ReadonlySet<string>): NewsItem[] {
+    const news: NewsItem[] = [];
+    for (const [key, leader] of cluster.leaders()) {
+      const told = !named.has(key) && leader.leads() && leader.row().version > 0 && !isPrivate(key);
+      if (told) news.push(newsOf(key, leader.row()));
+    }
+    return news;
+  }
+
+  function announceMembership(): void {
+    if (replica.membership().membershipEpoch > 0) for (const seed of options.seeds) tell(seed, []);
+  }
+
+  return { subscribe, follow, push, announceMembership };
+}
+
+function newsOf(key: string, row: Row): NewsItem {
+  return { key, epoch: row.epoch, version: row.version, value: row.value };
+}
--- /dev/null
+++ b/packages/control-state/src/founding.ts
@@ -0,0 +1,62 @@
+/**
+ * How a cluster begins: the blank replicas of its first machines write one and the same membership record once each of
+ * them has heard all the others lately, so none can found a cluster without the rest.
+ */
+import type { Address, MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
+
+type ReplicaHello = MessageOf<'ReplicaHello'>;
+
+export interface FoundingOptions {
+  readonly self: Address;
+  /** The addresses of the founders, this one among them. */
+  readonly founders: readonly Address[];
+  /** Whether this replica may begin a cluster, or only follow others that do. */
+  readonly mayBegin: boolean;
+  readonly diskId: () => string;
+}
+
+export interface Founding {
+  /** Takes in what another replica says of itself; gives the members of the cluster once it is time to found it. */
+  readonly heard: (hello: ReplicaHello, slot: number) => readonly ReplicaEntry[] | undefined;
+  /** The members of a cluster that has one founder only. */
+  readonly alone: () => readonly ReplicaEntry[] | undefined;
+}
+
+interface HeardBlank {
+  readonly disk: string;
+  readonly address: string;
+  readonly at: number;
+}
+
+const heardFor = 2_000_000;
+
+export function createFounding(world: World, options: FoundingOptions): Founding {
+  const blanks = new Map<number, HeardBlank>();
+
+  function heard(hello: ReplicaHello, slot: number): readonly ReplicaEntry[] | undefined {
+    if (hello.state === 'blank' && hello.slot >= 0)
+      blanks.set(hello.slot, { disk: hello.disk, address: hello.from, at: world.now() });
+    else blanks.delete(hello.slot);
+    if (slot < 0) return undefined;
+    const foundedWithUs = hello.state === 'voting' && hello.membershipEpoch === 1;
+    if (foundedWithUs && hello.founders.includes(options.diskId())) return hello.replicas;
+    return options.mayBegin ? together(slot) : undefined;
+  }
+
+  function together(slot: number): readonly ReplicaEntry[] | undefined {
+    const fresh = [...blanks].filter(([, blank]) => world.now() - blank.at < heardFor);
+    if (fresh.length !== options.founders.length - 1) return undefined;
+    const others = fresh.map(([other, blank]) => ({ slot: other, address: blank.address, disk: blank.disk }));
+    return [{ slot, address: options.self, disk: options.diskId() }, ...others].sort(
+      (left, right) => left.slot - right.slot,
+    );
+  }
+
+  function alone(): readonly ReplicaEntry[] | undefined {
+    const { founders, self } = options;
+    if (!options.mayBegin || founders.length !== 1 || founders[0] !== self) return undefined;
+    return [{ slot: 0, address: self, disk: options.diskId() }];
+  }
+
+  return { heard, alone };
+}
--- a/packages/control-state/src/place.test.ts
+++ b/packages/control-state/src/replica.test.ts
@@ -2,7 +2,7 @@
 import { micros, type Address, type World } from '@tansypost/inner-protocol';
 import type { Disk } from './disk.js';
 import type { JournalRecord } from './journal.js';
-import { createReplica, type Replica } from './place.js';
+import { createReplica, type Replica } from './replica.js';
 
 it('rewrites its file when it gets long, and comes back from it with every row', () => {
   let file: JournalRecord[] = [];
@@ -39,16 +39,21 @@
   }
   const a = open();
   for (let n = 1; n <= 60; n += 1)
-    a.keep(
+    a.putRow(
       `k${n % 3}`,
-      { promised: n, epoch: n, version: n, value: Buffer.from(`v${n}`), changes: [`c@${n}`] },
+      { promised: n, epoch: n, version: n, value: Buffer.from(`v${n}`) },
+      [{ id: `c${n}`, version: n, epoch: n }],
       () => undefined,
     );
   expect(rewrites).toBeGreaterThan(2);
   expect(file.length).toBeLessThan(30);
   const b = open();
   expect(b.diskId()).toBe('fresh');
-  for (const k of ['k0', 'k1', 'k2']) expect(b.row(k)).toEqual(a.row(k));
+  for (const k of ['k0', 'k1', 'k2']) {
+    expect(b.row(k)).toEqual(a.row(k));
+    expect(b.history(k).list()).toEqual(a.history(k).list());
+    expect(b.history(k).list()).toHaveLength(20);
+  }
 });
 
 it('gives no vote to who knows an older core, to a lower epoch, or before it may vote', () => {
--- /dev/null
+++ b/packages/control-state/src/replica.ts
@@ -0,0 +1,272 @@
+/**
+ * One replica of the control cluster: the rows on its disk and its vote in the cluster's rounds. A blank replica does not
+ * vote: either all founders found the cluster together, or it copies from the others, first as a learner that no record
+ * names, then once more what is newer after the membership record names its disk. Which slot it holds is stated in its
+ * settings, or else the membership record tells.
+ */
+import type { Address, MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
+import { createAcceptor, type Acceptor } from './acceptor.js';
+import { createCatchUp, type CatchUp } from './catch-up.js';
+import type { AppliedChange, ChangeHistory } from './change-history.js';
+import { createFounding } from './founding.js';
+import {
+  decodeMembership,
+  encodeMembership,
+  majorityOf,
+  membershipKey,
+  noMembership,
+  type MembershipRecord,
+} from './membership-record.js';
+import {
+  createReplicaStorage,
+  type ReplicaState,
+  type ReplicaStorageOptions,
+  type Written,
+} from './replica-storage.js';
+import type { Row } from './row.js';
+
+type ReplicaHello = MessageOf<'ReplicaHello'>;
+
+export interface ReplicaOptions extends Omit<ReplicaStorageOptions, 'failed'> {
+  /** Undefined where the membership record alone says which slot this disk has, if any. */
+  readonly slot: number | undefined;
+  /** The slot it has when it founds a cluster, where no slot is stated. */
+  readonly foundingSlot?: number;
+  /** Whether it may begin a cluster. */
+  readonly founds?: boolean;
+  readonly self: Address;
+  /** The founders' addresses. */
+  readonly core: readonly Address[];
+  /** Told whenever the state has changed. */
+  readonly entered?: (state: ReplicaState) => void;
+  /** Told when a learner, which no membership record names yet, has copied enough to become a member. */
+  readonly learned?: () => void;
+}
+
+export interface Replica extends Acceptor {
+  /** -1 as long as it has none. */
+  readonly slot: number;
+  readonly diskId: () => string;
+  readonly state: () => ReplicaState;
+  readonly membership: () => MembershipRecord;
+  /** Whether the membership record names this disk. */
+  readonly isMember: () => boolean;
+  readonly votingSince: () => number;
+  readonly row: (key: string) => Row;
+  readonly keys: () => string[];
+  readonly history: (key: string) => ChangeHistory;
+  readonly putRow: (key: string, row: Row, changes: readonly AppliedChange[], done: Written) => void;
+  /** Whether its disk keeps what waits for it waiting. */
+  readonly isSlow: () => boolean;
+  readonly isLeaving: () => boolean;
+  readonly leave: () => void;
+  /** Fenced, and a majority of those in the record that fenced it votes under it: nobody needs this copy. */
+  readonly isSuperseded: () => boolean;
+  /** Fenced, and the disk that took its slot was heard to vote lately. */
+  readonly successorVotes: () => boolean;
+  /** What it says of itself; a slim one is for those who have the same membership record. */
+  readonly hello: (slim?: boolean) => ReplicaHello;
+  readonly heard: (hello: ReplicaHello) => void;
+  readonly catchUp: CatchUp;
+  /** Founds a cluster of one, or goes on copying. */
+  readonly tick: () => void;
+}
+
+const votingHeardFor = 2_000_000;
+
+export function createReplica(world: World, options: ReplicaOptions): Replica {
+  const storage = createReplicaStorage(world, { ...options, failed });
+  const diskId = storage.diskId;
+  const votingUnder = new Map<string, number>();
+  let state: ReplicaState = storage.storedState();
+  let entering: ReplicaState | undefined;
+  let membership: MembershipRecord = noMembership;
+  let votingSince = 0;
+  let leaving = false;
+  let successor: string | undefined;
+  let learnedUnder = 0;
+
+  const acceptor = createAcceptor({
+    storage,
+    slot: slotNow,
+    state: () => state,
+    membershipEpoch: () => membership.membershipEpoch,
+    putRow,
+  });
+  const catchUp = createCatchUp(world, {
+    self: options.self,
+    storage,
+    slot: slotNow,
+    state: () => state,
+    membership: () => membership,
+    putRow,
+    copied: () => {
+      if (state !== 'blank') return;
+      if (isMember()) enter('voting');
+      else noteLearned();
+    },
+  });
+  const founding = createFounding(world, {
+    self: options.self,
+    founders: options.core,
+    mayBegin: options.founds ?? true,
+    diskId,
+  });
+
+  refreshMembership();
+  if (state === 'voting') {
+    votingSince = world.now();
+    catchUp.restart();
+  }
+
+  function noteLearned(): void {
+    if (learnedUnder === membership.membershipEpoch) return;
+    learnedUnder = membership.membershipEpoch;
+    options.learned?.();
+  }
+
+  function slotNow(): number {
+    if (options.slot !== undefined) return options.slot;
+    const entry = membership.replicas.find((replica) => replica.disk === diskId());
+    if (entry !== undefined) return entry.slot;
+    return membership.membershipEpoch === 0 ? (options.foundingSlot ?? -1) : -1;
+  }
+
+  function isMember(): boolean {
+    return membership.replicas.some((replica) => replica.disk === diskId());
+  }
+
+  function failed(error: Error): void {
+    world.log(2005, { why: error.message });
+    state = 'failed';
+    options.entered?.(state);
+  }
+
+  function refreshMembership(): void {
+    const row = storage.row(membershipKey);
+    if (row.epoch <= membership.membershipEpoch) return;
+    const slot = slotNow();
+    membership = decodeMembership(row.epoch, row.value);
+    successor = membership.replicas.find((replica) => replica.slot === slot && replica.disk !== diskId())?.disk;
+    fenceIfReplaced();
+  }
+
+  function fenceIfReplaced(): void {
+    if (state === 'voting' && !isMember()) enter('fenced');
+  }
+
+  function enter(next: ReplicaState): void {
+    if (state === next || entering === next || state === 'failed') return;
+    entering = next;
+    storage.putState(next, (ok) => {
+      if (entering === next) entering = undefined;
+      if (ok) entered(next);
+    });
+  }
+
+  function entered(next: ReplicaState): void {
+    state = next;
+    votingSince = world.now();
+    world.log(2001, { state, disk: diskId(), membershipEpoch: membership.membershipEpoch });
+    options.entered?.(next);
+    fenceIfReplaced();
+  }
+
+  function putRow(key: string, row: Row, changes: readonly AppliedChange[], done: Written): void {
+    storage.putRow(key, row, changes, done);
+    if (key === membershipKey) refreshMembership();
+  }
+
+  function found(members: readonly ReplicaEntry[]): void {
+    storage.setFounders(members.map((member) => member.disk));
+    putRow(membershipKey, { promised: 1, epoch: 1, version: 1, value: encodeMembership(members) }, [], (ok) => {
+      if (ok) enter('voting');
+    });
+  }
+
+  function adoptMembership(record: MembershipRecord): void {
+    const { membershipEpoch: epoch, replicas } = record;
+    const present = storage.row(membershipKey);
+    if (epoch <= present.epoch || epoch < present.promised) return;
+    const row: Row = { promised: epoch, epoch, version: present.version + 1, value: encodeMembership(replicas) };
+    putRow(membershipKey, row, [], () => undefined);
+  }
+
+  function heard(hello: ReplicaHello): void {
+    const slot = slotNow();
+    const tellsNewer = hello.membershipEpoch > membership.membershipEpoch && hello.replicas.length > 0;
+    if (hello.state === 'voting' && hello.membershipEpoch >= membership.membershipEpoch)
+      votingUnder.set(hello.disk, world.now());
+    if (slot >= 0 && hello.slot === slot) {
+      if (hello.disk !== diskId() && state === 'voting' && tellsNewer) adoptMembership(hello);
+      return;
+    }
+    if (state === 'blank' && membership.membershipEpoch === 0) {
+      const members = founding.heard(hello, slot);
+      if (members !== undefined) return found(members);
+    }
+    if (tellsNewer) adoptMembership(hello);
+  }
+
+  function tick(): void {
+    if (state === 'blank' && membership.membershipEpoch === 0) {
+      const members = founding.alone();
+      if (members !== undefined) return found(members);
+    }
+    if (state === 'blank' && isMember() && storage.founders().length > 0) return enter('voting');
+    catchUp.tick();
+  }
+
+  function hello(slim = false): ReplicaHello {
+    return {
+      kind: 'ReplicaHello',
+      from: options.self,
+      slot: slotNow(),
+      disk: diskId(),
+      state,
+      founders: slim ? [] : [...storage.founders()],
+      membershipEpoch: membership.membershipEpoch,
+      replicas: slim ? [] : [...membership.replicas],
+      leaving,
+      ill: storage.isSlow(),
+      caughtUp: state === 'blank' && catchUp.isCaughtUp(),
+    };
+  }
+
+  function isSuperseded(): boolean {
+    if (state !== 'fenced') return false;
+    const fresh = membership.replicas.filter((replica) => votesNow(replica.disk));
+    return fresh.length >= majorityOf(membership.replicas.length);
+  }
+
+  function votesNow(disk: string): boolean {
+    return world.now() - (votingUnder.get(disk) ?? -Infinity) < votingHeardFor;
+  }
+
+  return {
+    get slot() {
+      return slotNow();
+    },
+    ...acceptor,
+    diskId,
+    state: () => state,
+    membership: () => membership,
+    isMember,
+    votingSince: () => votingSince,
+    row: storage.row,
+    keys: () => [...storage.rows().keys()],
+    history: storage.history,
+    putRow,
+    isSlow: storage.isSlow,
+    isLeaving: () => leaving,
+    leave: () => {
+      leaving = true;
+    },
+    isSuperseded,
+    successorVotes: () => state === 'fenced' && successor !== undefined && votesNow(successor),
+    hello,
+    heard,
+    catchUp,
+    tick,
+  };
+}
--- a/packages/control-state/src/row.ts
+++ b/packages/control-state/src/row.ts
@@ -1,38 +1,32 @@
-// One key of the control state as one place holds it. `promised` is the highest epoch that this place
-// has promised to an owner; `epoch` and `version` say under whom and as which version the value was
-// written. `changes` remembers the last changes by id, so that an unknown outcome can be asked after.
-import type { Copied } from '@tansypost/inner-protocol';
-
+/**
+ * One key of the control state as one replica holds it. `promised` is the highest epoch that this replica has promised
+ * to a leader; `epoch` and `version` say under which leader and as which version the value was written.
+ */
 export interface Row {
   readonly promised: number;
   readonly epoch: number;
   readonly version: number;
   readonly value: Buffer;
-  readonly changes: readonly string[];
 }
 
-export const emptyRow: Row = { promised: 0, epoch: 0, version: 0, value: Buffer.alloc(0), changes: [] };
-export const changesKept = 256;
+/** What orders two values of one key: the epoch first, then the version. */
+export type Stamp = Pick<Row, 'epoch' | 'version'>;
 
-export function newer(a: Pick<Row, 'epoch' | 'version'>, b: Pick<Row, 'epoch' | 'version'>): boolean {
-  return a.epoch > b.epoch || (a.epoch === b.epoch && a.version > b.version);
-}
+export const emptyRow: Row = { promised: 0, epoch: 0, version: 0, value: Buffer.alloc(0) };
 
-export function merge(a: Row, b: Row): Row {
-  const top = newer(b, a) ? b : a;
-  return { ...top, promised: Math.max(a.promised, b.promised) };
+export function newer(left: Stamp, right: Stamp): boolean {
+  return left.epoch > right.epoch || (left.epoch === right.epoch && left.version > right.version);
 }
 
-export function toCopied(key: string, r: Row): Copied {
-  return { key, promised: r.promised, epoch: r.epoch, version: r.version, value: r.value, changes: [...r.changes] };
+/** The newer value of two, under the higher promise of the two. */
+export function merge(left: Row, right: Row): Row {
+  const { epoch, version, value } = newer(right, left) ? right : left;
+  return { promised: Math.max(left.promised, right.promised), epoch, version, value };
 }
 
-// Epochs are drawn so that no two places ever use the same one.
-export function nextEpoch(seen: number, slot: number): number {
-  return (Math.floor(seen / 16) + 1) * 16 + slot;
-}
+const slots = 16;
 
-export function versionOfChange(changes: readonly string[], id: string): number | undefined {
-  const hit = changes.find((c) => c.startsWith(`${id}@`));
-  return hit === undefined ? undefined : Number(hit.slice(id.length + 1));
+/** The next epoch that the replica on a slot may use: above what was seen, and never the same for two slots. */
+export function nextEpoch(seen: number, slot: number): number {
+  return (Math.floor(seen / slots) + 1) * slots + slot;
 }
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -44,6 +44,12 @@
     means: 'disk still fails; the place stays out and tries again',
     remedy: 'Free or replace the disk; the place comes back by itself.',
   },
+  2012: {
+    level: 'info',
+    means:
+      'leaving replica ends: replaced by a successor that votes, copied to those that stay, or incomplete in its time',
+    remedy: 'After incomplete, replace the machine before another one is taken away.',
+  },
   2101: { level: 'info', means: 'change acknowledged', remedy: 'None.' },
   2102: {
     level: 'info',
--- a/packages/inner-protocol/src/codec.ts
+++ b/packages/inner-protocol/src/codec.ts
@@ -12,7 +12,7 @@
 
 export const protocolVersion = 1;
 export const kinds = Object.keys(shapes) as Kind[];
-const replicas = new Map(kinds.map((k, i) => [k, i]));
+const ordinals = new Map(kinds.map((k, i) => [k, i]));
 const types = new Map<Kind, avsc.Type>();
 const own: { schemas?: string; fingerprint?: string } = {};
 
@@ -55,7 +55,7 @@
 export function encode(m: Message): Buffer {
   const body = typeOf(m.kind).toBuffer(m);
   const out = Buffer.allocUnsafe(body.length + 2);
-  out.writeUInt16BE(replicas.get(m.kind)!, 0);
+  out.writeUInt16BE(ordinals.get(m.kind)!, 0);
   body.copy(out, 2);
   return out;
 }
@@ -99,7 +99,7 @@
 
 function readerFor(s: avsc.Schema & { name: string }): Reader | undefined {
   const kind = s.name as Kind;
-  if (!replicas.has(kind)) return undefined;
+  if (!ordinals.has(kind)) return undefined;
   let resolver: unknown;
   function read(b: Buffer): unknown {
     resolver ??= typeOf(kind).createResolver(avsc.Type.forSchema(s));
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -24,13 +24,15 @@
   age: 'long',
   fence: 'long',
 } as const;
+const change = { id: 'string', version: 'long', epoch: 'long' } as const;
 const copied = {
   key: 'string',
+  sequence: 'long',
   promised: 'long',
   epoch: 'long',
   version: 'long',
   value: 'bytes',
-  changes: ['string'],
+  changes: [change],
 } as const;
 const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
 const listed = {
@@ -93,7 +95,16 @@
   Claim: { id: 'string', op: 'string', key: 'string', holder: 'string', request: 'string', ended: 'string' },
   ClaimAnswer: { id: 'string', status: 'string', known: 'string' },
 
-  Prepare: { id: 'string', from: 'string', key: 'string', epoch: 'long', membershipEpoch: 'long' },
+  // `replacedDisk` and `successor` are given where the round is to agree on a replacement, and empty otherwise.
+  Prepare: {
+    id: 'string',
+    from: 'string',
+    key: 'string',
+    epoch: 'long',
+    membershipEpoch: 'long',
+    replacedDisk: 'string',
+    successor: 'string',
+  },
   Accept: {
     id: 'string',
     from: 'string',
@@ -102,7 +113,7 @@
     membershipEpoch: 'long',
     version: 'long',
     value: 'bytes',
-    changes: ['string'],
+    changes: [change],
   },
   Check: { id: 'string', from: 'string', key: 'string', epoch: 'long', membershipEpoch: 'long' },
   Vote: {
@@ -116,7 +127,7 @@
     epoch: 'long',
     version: 'long',
     value: 'bytes',
-    changes: ['string'],
+    changes: [change],
   },
   ReplicaHello: {
     from: 'string',
@@ -128,14 +139,24 @@
     replicas: [replica],
     leaving: 'boolean',
     ill: 'boolean',
+    // A blank replica has copied all that a member needs before it may vote.
+    caughtUp: 'boolean',
+  },
+  // Asks for what the source has taken in after a sequence number; `source` names the opening of its disk that it holds for.
+  CopyAsk: {
+    from: 'string',
+    disk: 'string',
+    membershipEpoch: 'long',
+    source: 'string',
+    after: 'long',
   },
-  CopyAsk: { id: 'string', from: 'string', after: 'string', disk: 'string' },
   CopyPage: {
-    id: 'string',
     slot: 'long',
     disk: 'string',
     membershipEpoch: 'long',
     ok: 'boolean',
+    source: 'string',
+    after: 'long',
     records: [copied],
     last: 'boolean',
   },
@@ -186,8 +207,8 @@
     contact: 'boolean',
   },
 
-  // A machine without a place asks to be written into the core record.
-  Join: { from: 'string', disk: 'string', first: 'boolean' },
+  // A machine without a replica asks to be written into the membership record.
+  Join: { from: 'string', disk: 'string', first: 'boolean', caughtUp: 'boolean' },
   // The owner tells the other places up to which version a key is on a majority.
   Committed: { key: 'string', epoch: 'long', version: 'long' },
   // What follows a key asks with all that it has, and each keeper answers with a beat as small.
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -50,6 +50,9 @@
 const patience = 850_000;
 const dutyTenure = 6_000_000;
 
+// A process that is asked to leave ends at the latest then.
+const longestHandOver = 6_000_000;
+
 export function createVirtualCore(g: Ground, workers: VirtualWorkers, founders: readonly string[]): VirtualCore {
   const { e, net, random } = g;
   const machines = new Map<string, CoreMachine>();
@@ -194,9 +197,8 @@
   function leave(name: string): void {
     const m = machines.get(name)!;
     if (!m.proc.alive) return;
-    m.host?.core()?.leave();
     const incarnation = m.proc.incarnation;
-    e.at(e.now() + 300_000, () => {
+    m.host?.leave(longestHandOver, () => {
       if (m.proc.incarnation === incarnation) kill(name, false);
     });
   }
--- a/programs/control-node/src/control-node-host.test.ts
+++ b/programs/control-node/src/control-node-host.test.ts
@@ -65,17 +65,9 @@
     },
   });
   await h.begin();
-  h.core()!.replica.keep(
-    'k',
-    { promised: 8, epoch: 8, version: 1, value: Buffer.from('v'), changes: [] },
-    () => undefined,
-  );
+  h.core()!.replica.putRow('k', { promised: 8, epoch: 8, version: 1, value: Buffer.from('v') }, [], () => undefined);
   broken = true;
-  h.core()!.replica.keep(
-    'k',
-    { promised: 8, epoch: 8, version: 2, value: Buffer.from('w'), changes: [] },
-    () => undefined,
-  );
+  h.core()!.replica.putRow('k', { promised: 8, epoch: 8, version: 2, value: Buffer.from('w') }, [], () => undefined);
   await step(5_000_000);
   expect(h.core()).toBeUndefined();
   expect(opened.length).toBeGreaterThan(2);
--- a/programs/control-node/src/control-node-host.ts
+++ b/programs/control-node/src/control-node-host.ts
@@ -4,7 +4,7 @@
 // programs pass a file, the simulator its own disk. A place that was replaced, and that nobody needs any more, begins
 // anew as a blank machine that asks for a place, where it may.
 import * as E from 'fp-ts/lib/Either.js';
-import type { Disk, JournalRecord, ControlNode } from '@tansypost/control-state';
+import type { ControlNode, Disk, HandOverResult, JournalRecord } from '@tansypost/control-state';
 import { every, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import { createVotingControlNode, type VotingControlNodeOptions } from './voting-control-node.js';
 
@@ -32,6 +32,8 @@
   readonly bytes: () => number;
   // The first opening: an error here is for the program to report, as nothing has run yet.
   readonly begin: () => Promise<E.Either<Error, void>>;
+  // Leaves within `limit` microseconds; without a sound disk there is nothing to hand over.
+  readonly leave: (limit: number, done: (result: HandOverResult) => void) => void;
   readonly stop: () => Promise<void>;
 }
 export function createControlNodeHost(w: World, o: ControlNodeHostOptions): ControlNodeHost {
@@ -69,7 +71,7 @@
       void drop()?.close?.();
       retryAt = w.now() + pause;
     }
-    if (o.rejoins === true && core?.replica.superseded() === true) {
+    if (o.rejoins === true && core?.replica.isSuperseded() === true && !core.replica.isLeaving()) {
       const d = drop();
       opening = true;
       void Promise.resolve(d?.close?.()).then(() => again(true));
@@ -107,6 +109,7 @@
     core: () => core,
     bytes: () => disk?.disk.size() ?? 0,
     begin: () => open(false, false),
+    leave: (limit, done) => (core === undefined ? done('incomplete') : core.leave(limit, done)),
     stop: async () => {
       stop();
       core?.stop();
--- a/programs/control-node/src/voting-control-node.ts
+++ b/programs/control-node/src/voting-control-node.ts
@@ -20,7 +20,7 @@
     store: {
       epoch: (d) => k.replica.row(`~ballot/${d}`).promised,
       keep: (d, epoch, done) =>
-        k.replica.keep(`~ballot/${d}`, { ...k.replica.row(`~ballot/${d}`), promised: epoch }, done),
+        k.replica.putRow(`~ballot/${d}`, { ...k.replica.row(`~ballot/${d}`), promised: epoch }, [], done),
     },
   });
   function receive(m: Message, from: Address): void {
