--- a/packages/control-state/src/hand-over.ts
+++ b/packages/control-state/src/hand-over.ts
@@ -4,7 +4,7 @@
  * ready to take its slot, once everything on its disk is on a majority of those that stay: then no acknowledged value
  * stands on its disk and one other alone.
  */
-import { every, micros, type Cancel } from '@tansypost/inner-protocol';
+import { every, micros } from '@tansypost/inner-protocol';
 import type { VoteRequest } from './acceptor.js';
 import { isLocal, type Cluster } from './cluster.js';
 import { newer, type Row } from './row.js';
@@ -37,9 +37,8 @@
 
   function begin(limit: number, done: (result: HandOverResult) => void): void {
     const begunAt = world.now();
-    let stop: Cancel | undefined;
     function finish(result: HandOverResult): void {
-      stop?.();
+      stop();
       world.log(2012, { result, tookMs: Math.round((world.now() - begunAt) / 1000) });
       done(result);
     }
@@ -52,7 +51,7 @@
     }
     replica.leave();
     options.announce();
-    stop = every(world, () => lookEvery, look);
+    const stop = every(world, () => lookEvery, look);
   }
 
   function keysToCopy(): string[] {
