--- a/packages/control-feed/src/control-cluster.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -1,210 +1,51 @@
 import { describe, expect, it } from 'vitest';
-import * as E from 'fp-ts/lib/Either.js';
-import { readJournal } from '@tansypost/control-state';
-import { seeded, type Address, type Message } from '@tansypost/inner-protocol';
+import type { Message } from '@tansypost/inner-protocol';
+import { seeded } from '@tansypost/inner-protocol';
 import {
-  createEngine,
-  createNetwork,
-  createProc,
-  createSimDisk,
-  die,
-  procWorld,
-  wake,
-  type Proc,
-  type SimDisk,
+  createControlCluster,
+  foundControlCluster,
+  seedNames,
+  type ControlCluster,
+  type Network,
 } from '@tansypost/simulator';
-import { createControlNodeHost, type ControlNodeHost, type OpenDisk } from '@tansypost/control-node';
-import { createCoreAsker, createReplicaList, type CoreAnswer, type CoreQuestion } from './asker.js';
-import { createControlFeed, documentKey, type ControlFeed } from './control-feed.js';
-import { createFeedServer } from './feed-server.js';
-import type { ListedWorker } from './listed-worker.js';
+import type { CoreAnswer } from './asker.js';
+import { documentKey, type ControlFeed } from './control-feed.js';
 
-type Tamper = Parameters<ReturnType<typeof createNetwork>['tamper']>[0];
-interface Machine {
-  readonly name: string;
-  readonly address: Address;
-  readonly proc: Proc;
-  readonly disk: SimDisk;
-  host?: ControlNodeHost;
-  ask?: (q: Omit<CoreQuestion, 'limit'>) => Promise<CoreAnswer>;
-}
-interface Core {
-  readonly add: (name: string) => Machine;
-  readonly start: (name: string, bootstrap?: boolean, told?: readonly string[]) => void;
-  readonly kill: (name: string) => void;
-  readonly wipe: (name: string) => void;
-  readonly machine: (name: string) => Machine;
-  readonly net: ReturnType<typeof createNetwork>;
-  readonly run: (ms: number) => Promise<void>;
-  readonly wake: (name: string) => void;
+type Tamper = Parameters<Network['tamper']>[0];
+interface Core extends ControlCluster {
   readonly write: (via: string, base: number, text: string) => Promise<CoreAnswer>;
   readonly read: (via: string) => Promise<CoreAnswer>;
   readonly put: (via: string, base: number, text: string) => Promise<string>;
   readonly get: (via: string) => Promise<string>;
   readonly router: (name: string) => ControlFeed;
-  readonly voting: () => string[];
-  readonly replicas: (via: string) => string[];
 }
-const seedNames = ['c0', 'c1', 'c2'];
-const workers: readonly ListedWorker[] = ['a', 'b'].map((id) => ({
-  id,
-  service: 's',
-  address: `${id}:1`,
-  zone: 'z',
-  slots: 1,
-  leaving: id === 'b',
-  coldMs: 0,
-  part: 'decode',
-}));
-const platform = {
-  fetchList: async () => workers,
-  fetchLoad: async (x: ListedWorker) => ({ id: x.id, queued: 1, active: 2, kvUsed: 3, kvTotal: 4, part: 'decode' }),
-  loadEvery: 500_000,
-};
-
-function createCore(seed: number): Core {
-  const r = seeded(seed);
-  const e = createEngine();
-  const net = createNetwork(e, r);
-  const machines = new Map<string, Machine>();
-  const seeds = seedNames.map((n) => `${n}:1` as Address);
 
-  function machine(name: string): Machine {
-    return machines.get(name)!;
-  }
-  function add(name: string): Machine {
-    const proc = createProc(name, name);
-    const m: Machine = { name, address: `${name}:1` as Address, proc, disk: createSimDisk(e, r) };
-    machines.set(name, m);
-    net.add(m.address, proc);
-    return m;
-  }
-  function start(name: string, bootstrap = false, told: readonly string[] = seedNames): void {
-    const seeds = told.map((n) => `${n}:1` as Address);
-    const m = machine(name);
-    const { proc, address: self } = m;
-    proc.alive = true;
-    const outer = procWorld(
-      e,
-      proc,
-      r,
-      (to, x) => net.send(proc, self, to, x),
-      () => undefined,
-    );
-    const w = { ...outer, send };
-    function send(to: Address, x: Message): void {
-      if (to === self) outer.after(0 as never, () => proc.receive(x, self));
-      else outer.send(to, x);
-    }
-    const host = createControlNodeHost(w, {
-      slot: undefined,
-      foundingSlot: seeds.includes(self) ? seeds.indexOf(self) : undefined,
-      founds: bootstrap,
-      rejoins: true,
-      firstPause: 300_000,
-      longestPause: 1_000_000,
-      self,
-      core: seeds,
-      seeds: [],
-      tenure: 10_000_000,
-      dutyTenure: 3_000_000,
-      newDiskId: () => Math.floor(r() * 2 ** 48).toString(36),
-      open,
-    });
-    async function open(afresh: boolean, blank: boolean): Promise<E.Either<Error, OpenDisk>> {
-      if (blank) m.disk.lose();
-      const f = readJournal(m.disk.bytes());
-      if (E.isRight(f)) m.disk.cut(f.right.good);
-      const found = E.isLeft(f) ? [] : f.right.records;
-      const disk = m.disk.open(proc);
-      const err = afresh ? await new Promise<Error | undefined>((ok) => disk.rewrite(found, ok)) : undefined;
-      return err === undefined ? E.right({ disk, found, cut: 0 }) : E.left(err);
-    }
-    const asker = createCoreAsker(
-      w,
-      self,
-      createReplicaList(host.core, self, () => seeds),
-    );
-    const feed = createFeedServer(w, { keeper: host.core, ...platform });
-    proc.receive = (x, from) => {
-      if (x.kind === 'Answer') asker.answer(x);
-      else if (x.kind === 'Follow') feed.receive(x, from);
-      else host.receive(x, from);
-    };
-    m.host = host;
-    m.ask = (q) => new Promise((done) => asker.ask({ ...q, limit: w.now() + 850_000 }, done));
-    void host.begin();
-  }
-  function kill(name: string): void {
-    die(machine(name).proc);
-    machine(name).disk.crash();
-  }
+// Adds calls that pass virtual time until they are answered.
+function withCalls(c: ControlCluster): Core {
   async function answered(p: Promise<CoreAnswer>): Promise<CoreAnswer> {
     const got: { a?: CoreAnswer } = {};
     void p.then((a) => (got.a = a));
-    for (let n = 0; n < 100 && got.a === undefined; n += 1) await e.run(e.now() + 10_000);
+    for (let n = 0; n < 100 && got.a === undefined; n += 1) await c.run(10);
     return got.a ?? { status: 'silent', epoch: 0, version: 0, value: Buffer.alloc(0) };
   }
-  function router(name: string): ControlFeed {
-    const proc = createProc(name, name);
-    const self = `${name}:1` as Address;
-    proc.alive = true;
-    net.add(self, proc);
-    const w = procWorld(
-      e,
-      proc,
-      r,
-      (to, x) => net.send(proc, self, to, x),
-      () => undefined,
-    );
-    const f = createControlFeed(w, {
-      self,
-      member: name,
-      zone: 'z',
-      seeds,
-      fetchList: async () => undefined,
-      changed: () => undefined,
-    });
-    proc.receive = f.receive;
-    return f;
-  }
   function write(via: string, base: number, text: string): Promise<CoreAnswer> {
-    return answered(machine(via).ask!({ op: 'write', key: documentKey, change: text, base, value: Buffer.from(text) }));
+    return answered(c.ask(via, { op: 'write', key: documentKey, change: text, base, value: Buffer.from(text) }));
   }
-  function votes(m: Machine): boolean {
-    return m.proc.alive && m.host?.core()?.replica.state() === 'voting';
+  function read(via: string): Promise<CoreAnswer> {
+    return answered(c.ask(via, { op: 'read', key: documentKey }));
   }
   return {
-    add,
-    start,
-    kill,
-    machine,
-    net,
-    router,
-    wipe: (name) => {
-      kill(name);
-      machine(name).disk.lose();
-    },
-    run: (ms) => e.run(e.now() + ms * 1000),
-    wake: (name) => wake(e, machine(name).proc),
+    ...c,
     write,
+    read,
     put: async (via, base, text) => (await write(via, base, text)).status,
-    read: (via) => answered(machine(via).ask!({ op: 'read', key: documentKey })),
-    get: async (via) => (await answered(machine(via).ask!({ op: 'read', key: documentKey }))).value.toString(),
-    voting: () => [...machines.values()].filter(votes).map((m) => m.name),
-    replicas: (via) =>
-      (machine(via).host?.core()?.replica.membership().replicas ?? []).map((p) => p.address.split(':')[0]!).sort(),
+    get: async (via) => (await read(via)).value.toString(),
+    router: (name) => c.startRouter(name).feed,
   };
 }
 
 async function founded(seed: number, names = seedNames): Promise<Core> {
-  const c = createCore(seed);
-  for (const n of names) {
-    c.add(n);
-    c.start(n, true);
-  }
-  await c.run(3000);
-  return c;
+  return withCalls(await foundControlCluster(seed, names));
 }
 
 it('founds by its seeds, and writes what is acknowledged where every router hears of it', async () => {
@@ -220,7 +61,7 @@
 });
 
 it('never founds with a blank disk where it was not told to', async () => {
-  const c = createCore(2);
+  const c = createControlCluster(2);
   for (const n of seedNames) {
     c.add(n);
     c.start(n, n !== 'c2' && false);
@@ -355,7 +196,7 @@
     const q = { op: 'write', key: documentKey, base: 1 } as const;
     const got: string[] = [];
     for (const [i, n] of seedNames.entries())
-      void c.machine(n).ask!({ ...q, change: `x${i}`, value: Buffer.from(`x${i}`) }).then((a) => got.push(a.status));
+      void c.ask(n, { ...q, change: `x${i}`, value: Buffer.from(`x${i}`) }).then((a) => got.push(a.status));
     if (seed % 2 === 0) c.kill('c0');
     await c.run(2500);
     expect(got.filter((s) => s === 'done').length).toBeLessThan(2);
--- /dev/null
+++ b/packages/simulator/src/control-runs/index.ts
@@ -0,0 +1,1 @@
+export * from './control-cluster.js';
