--- a/packages/simulator/src/capacity-plot.ts
+++ b/packages/simulator/src/capacity-plot.ts
@@ -8,6 +8,8 @@
 export interface Plot {
   readonly title: string;
   readonly x: string;
+  // The end of the axis, where it is not the usual 1000.
+  readonly xMax?: number;
   readonly y: string;
   readonly series: readonly { readonly name: string; readonly points: readonly Point[] }[];
   readonly limit?: { readonly name: string; readonly y: number };
@@ -23,7 +25,7 @@
     title: { text: partial ? `${p.title} (PARTIAL)` : p.title, left: 'center', textStyle: { fontSize: 14 } },
     legend: { top: 28 },
     grid: { left: 80, right: 40, top: 70, bottom: 50 },
-    xAxis: { type: 'log', name: p.x, nameLocation: 'middle', nameGap: 28, min: 10, max: 1000 },
+    xAxis: { type: 'log', name: p.x, nameLocation: 'middle', nameGap: 28, min: 10, max: p.xMax ?? 1000 },
     yAxis: { type: low > 0 ? 'log' : 'value', name: p.y },
     series: p.series.map((s, i) => ({
       name: s.name,
--- /dev/null
+++ b/packages/simulator/src/control-runs/catch-up-run.ts
@@ -0,0 +1,203 @@
+/**
+ * Point 4: many changes while members go away and come back and their disks are slow, full and emptied: how long each
+ * takes to catch up, what the journal takes, and that nobody serves old state.
+ */
+import { performance } from 'node:perf_hooks';
+import { documentKey } from '@tansypost/control-feed';
+import { readJournal } from '@tansypost/control-state';
+import type { ConfigService } from './config-service.js';
+import type { ControlBreach, ControlHistory } from './control-history.js';
+import { judgeControl } from './control-judge.js';
+import { createControlRun, type ControlRun } from './control-run.js';
+import { memberNames } from './cut-run.js';
+import { catchUp } from './loss-run.js';
+
+export const absences = ['killed', 'frozen', 'cut off', 'emptied', 'full disk', 'slow disk'] as const;
+export type Absence = (typeof absences)[number];
+
+export interface CatchUpRunOptions {
+  readonly seed: number;
+  readonly members: number;
+  /** How many changes are made in all. */
+  readonly changes: number;
+  /** How many changes are made while each member is away. */
+  readonly changesAway?: number;
+  /** How many bytes each configuration has beside its revision. */
+  readonly padding?: number;
+  readonly service?: ConfigService;
+}
+
+export interface CatchUpTime {
+  readonly absence: Absence;
+  readonly node: string;
+  readonly changesBefore: number;
+  /** Milliseconds from the return until the member votes and holds what was acknowledged; undefined if it did not. */
+  readonly tookMs: number | undefined;
+}
+
+/** The journal of one member after a number of changes. */
+export interface JournalSize {
+  readonly changes: number;
+  readonly bytes: number;
+  /** Bytes that each of the last changes added to the journal. */
+  readonly bytesPerChange: number;
+  /** Milliseconds of real time to read the journal; a figure of the machine, judged by nobody. */
+  readonly openMs: number;
+}
+
+export interface CatchUpRunResult {
+  readonly breaches: readonly ControlBreach[];
+  readonly history: ControlHistory;
+  readonly catchUps: readonly CatchUpTime[];
+  readonly journals: readonly JournalSize[];
+}
+
+/** By what factor the journal bytes of a change may grow from the early changes to the last ones. */
+const growthAllowed = 1.5;
+const longestCatchUp = 20_000;
+const slowSync = 40_000;
+const step = 10;
+
+/** Plays the changes with every kind of absence in turn, a member at a time. */
+export async function playCatchUpRun(o: CatchUpRunOptions): Promise<CatchUpRunResult> {
+  const names = memberNames(o.members);
+  const run = await createControlRun(o.seed, names, o.service);
+  const { cluster, history } = run;
+  await cluster.run(o.members > 3 ? 4000 : 1000);
+  const router = run.startRouter('r');
+  const catchUps: CatchUpTime[] = [];
+  const journals: JournalSize[] = [];
+  const away = o.changesAway ?? Math.max(20, Math.round(o.changes / (2 * absences.length * 2)));
+  const marks = marksUpTo(o.changes);
+  let made = 0;
+  let written = 0;
+  let size = 0;
+  let since = { changes: 0, written: 0 };
+
+  function watchJournal(): void {
+    const bytes = cluster.machine(names[0]!).disk.bytes().length;
+    if (bytes > size) written += bytes - size;
+    size = bytes;
+  }
+  async function change(): Promise<void> {
+    const state = { over: false };
+    void run.change(run.running, 4000).then((taken) => {
+      state.over = true;
+      if (!taken) run.breaches.push({ check: 'majorityTakesOrders', what: `change ${made + 1} is not taken in 4 s` });
+    });
+    while (!state.over) await cluster.run(step);
+    made += 1;
+    watchJournal();
+    if (!marks.includes(made)) return;
+    journals.push(measureJournal(run, names[0]!, made, (written - since.written) / (made - since.changes)));
+    since = { changes: made, written };
+  }
+
+  let turn = 0;
+  const rest = Math.max(1, Math.floor(o.changes / (2 * absences.length)) - away);
+  while (made < o.changes) {
+    for (let i = 0; i < rest && made < o.changes; i += 1) await change();
+    const absence = absences[turn % absences.length]!;
+    // The journal that is measured stays in place; any other member goes away.
+    const node = names[1 + (turn % (names.length - 1))]!;
+    turn += 1;
+    if (made + away > o.changes) continue;
+    goAway(run, node, absence);
+    for (let i = 0; i < away; i += 1) await change();
+    comeBack(run, node, absence);
+    catchUps.push({ absence, node, changesBefore: made, tookMs: await timeToCatchUp(run, node) });
+  }
+  await cluster.run(2500);
+  judgeCatchUps(run, catchUps);
+  judgeJournals(run, journals);
+  const document = router.document();
+  const routerHas = document === undefined ? 0 : history.views.at(-1)!.revision;
+  if (routerHas < run.newestTaken())
+    run.breaches.push({ check: 'routersCurrent', what: `the router has ${routerHas}, not ${run.newestTaken()}` });
+  return { breaches: [...run.breaches, ...judgeControl(history)], history, catchUps, journals };
+}
+
+function marksUpTo(changes: number): number[] {
+  return [10, 20, 50, 100, 200, 500, 1000, 2000, 5000].filter((n) => n <= changes);
+}
+
+function goAway(run: ControlRun, node: string, absence: Absence): void {
+  const { disk } = run.cluster.machine(node);
+  if (absence === 'killed') run.kill(node);
+  if (absence === 'emptied') run.wipe(node);
+  if (absence === 'frozen') run.freeze(node);
+  if (absence === 'cut off') run.cluster.net.cut('away', (from, to) => (from === node) !== (to === node));
+  if (absence === 'full disk') disk.full = true;
+  if (absence === 'slow disk') disk.slowUs = slowSync;
+}
+
+function comeBack(run: ControlRun, node: string, absence: Absence): void {
+  const { disk } = run.cluster.machine(node);
+  if (absence === 'killed' || absence === 'emptied') run.cluster.start(node);
+  if (absence === 'frozen') run.wake(node);
+  run.cluster.net.heal('away');
+  disk.full = false;
+  disk.slowUs = 0;
+}
+
+/** Reads through the member that is back all the time, so that old state would be seen; no change is made meanwhile. */
+async function timeToCatchUp(run: ControlRun, node: string): Promise<number | undefined> {
+  const from = run.now();
+  const wanted = run.newestTaken();
+  const state = { reading: true };
+  async function read(): Promise<void> {
+    while (state.reading) {
+      await run.get(node);
+      await run.sleep(50);
+    }
+  }
+  void read();
+  let took: number | undefined;
+  while (took === undefined && run.now() - from < longestCatchUp * 1000) {
+    await run.cluster.run(step);
+    if (heldRevision(run, node) >= wanted) took = Math.round((run.now() - from) / 1000);
+  }
+  state.reading = false;
+  await run.cluster.run(1200);
+  return took;
+}
+
+/** The revision that a member which votes has on its own disk. */
+function heldRevision(run: ControlRun, node: string): number {
+  const { host, proc } = run.cluster.machine(node);
+  const replica = host?.core()?.replica;
+  if (!proc.alive || replica === undefined || replica.state() !== 'voting') return -1;
+  const { value } = replica.row(documentKey);
+  return value.length === 0 ? 0 : (JSON.parse(value.toString()) as { revision: number }).revision;
+}
+
+function measureJournal(run: ControlRun, node: string, changes: number, bytesPerChange: number): JournalSize {
+  const bytes = run.cluster.machine(node).disk.bytes();
+  const from = performance.now();
+  readJournal(bytes);
+  return {
+    changes,
+    bytes: bytes.length,
+    bytesPerChange: Math.round(bytesPerChange),
+    openMs: Math.round((performance.now() - from) * 100) / 100,
+  };
+}
+
+function judgeCatchUps(run: ControlRun, catchUps: readonly CatchUpTime[]): void {
+  for (const c of catchUps)
+    if (c.tookMs === undefined || c.tookMs > catchUp)
+      run.breaches.push({
+        check: 'caughtUpInTime',
+        what: `${c.node}, ${c.absence}, after ${c.changesBefore} changes: ${c.tookMs ?? `more than ${longestCatchUp}`} ms`,
+      });
+}
+
+function judgeJournals(run: ControlRun, journals: readonly JournalSize[]): void {
+  const first = journals[0];
+  const last = journals.at(-1);
+  if (first === undefined || last === undefined || last.bytesPerChange <= growthAllowed * first.bytesPerChange) return;
+  run.breaches.push({
+    check: 'journalGrowsEvenly',
+    what: `a change takes ${first.bytesPerChange} B of the journal at first, ${last.bytesPerChange} B after ${last.changes}`,
+  });
+}
--- /dev/null
+++ b/packages/simulator/src/control-runs/control-report.ts
@@ -0,0 +1,218 @@
+/**
+ * The runs of the control side put together by point: what is played, and what is printed of it. The command plays them
+ * at length, the tests in short form with fixed seeds.
+ */
+import { playCatchUpRun, type CatchUpRunOptions, type JournalSize } from './catch-up-run.js';
+import type { ConfigService } from './config-service.js';
+import type { ControlBreach } from './control-history.js';
+import { cutKinds, cutTargets, playCutRun } from './cut-run.js';
+import {
+  catchUp,
+  firstLosses,
+  playLeaverRun,
+  playLossRun,
+  secondLosses,
+  type FirstLoss,
+  type LossRunOptions,
+  type SecondLoss,
+} from './loss-run.js';
+import { playRaceRun } from './race-run.js';
+
+/** What a set of runs showed. */
+export interface ControlReport {
+  readonly runs: number;
+  readonly breaches: readonly ControlBreach[];
+  /** Lines for the reader. */
+  readonly figures: readonly string[];
+}
+
+/** Which seeds a set of runs takes. */
+export interface SeedRange {
+  readonly from: number;
+  readonly count: number;
+}
+
+/** What the runs of every set share. */
+export interface ReportOptions {
+  readonly members: number;
+  readonly seeds: SeedRange;
+  readonly service?: ConfigService;
+}
+
+/** The bounds on catching up that repairs are printed against, in milliseconds. */
+export const catchUpBounds: readonly number[] = [catchUp, 6000];
+
+function* seedsOf(r: SeedRange): Generator<number> {
+  for (let i = 0; i < r.count; i += 1) yield r.from + i;
+}
+
+function percentile(xs: readonly number[], share: number): number | undefined {
+  const sorted = [...xs].sort((a, b) => a - b);
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))];
+}
+
+/** Point 1: every kind of cut of every target. */
+export async function reportCuts(o: ReportOptions): Promise<ControlReport> {
+  const breaches: ControlBreach[] = [];
+  const figures: string[] = [];
+  let runs = 0;
+  for (const kind of cutKinds)
+    for (const target of cutTargets) {
+      const taken: number[] = [];
+      const beside: number[] = [];
+      let broken = 0;
+      for (const seed of seedsOf(o.seeds)) {
+        const r = await playCutRun({ ...o, seed, kind, target });
+        runs += 1;
+        taken.push(r.takenByMajority);
+        beside.push(r.takenBesideTarget);
+        if (r.breaches.length > 0) broken += 1;
+        breaches.push(...r.breaches.map((b) => ({ ...b, what: `seed ${seed}, ${kind}, ${target}: ${b.what}` })));
+      }
+      figures.push(
+        `${o.members} members, ${kind} of the ${target}: ${taken.length} runs, ${broken} with a breach; ` +
+          `orders taken by the others ${Math.min(...taken)} to ${Math.max(...taken)}, ` +
+          `by the one ${Math.min(...beside)} to ${Math.max(...beside)}`,
+      );
+    }
+  return { runs, breaches, figures };
+}
+
+/** Point 2: races and repeated orders. */
+export async function reportRaces(o: ReportOptions & { readonly others: number }): Promise<ControlReport> {
+  const breaches: ControlBreach[] = [];
+  const answers: Record<string, number> = {};
+  let runs = 0;
+  let calls = 0;
+  for (const seed of seedsOf(o.seeds)) {
+    const r = await playRaceRun({ ...o, seed });
+    runs += 1;
+    calls += r.history.calls.length;
+    for (const [code, n] of Object.entries(r.lateAnswers)) answers[code] = (answers[code] ?? 0) + n;
+    breaches.push(...r.breaches.map((b) => ({ ...b, what: `seed ${seed}: ${b.what}` })));
+  }
+  const late = Object.entries(answers).map(([code, n]) => `${n} times ${code}`);
+  return {
+    runs,
+    breaches,
+    figures: [`${o.members} members: ${runs} runs, ${calls} calls; after ${o.others} other orders: ${late.join(', ')}`],
+  };
+}
+
+/** Every pair of losses at offsets of equal steps. */
+export function* lossJobs(
+  o: ReportOptions & { readonly step: number; readonly to: number },
+): Generator<LossRunOptions> {
+  for (const first of firstLosses)
+    for (const second of secondLosses)
+      for (const seed of seedsOf(o.seeds))
+        for (let offset = 0, i = 0; offset <= o.to; offset += o.step, i += 1)
+          yield { members: o.members, first, second, offset, seed: seed * 1000 + i };
+}
+
+/** Pairs of losses drawn by seed. */
+export function* drawnLossJobs(o: ReportOptions, random: () => number): Generator<LossRunOptions> {
+  for (const seed of seedsOf(o.seeds)) {
+    const first: FirstLoss = firstLosses[Math.floor(random() * firstLosses.length)]!;
+    const second: SecondLoss = secondLosses[Math.floor(random() * secondLosses.length)]!;
+    yield { members: o.members, first, second, offset: Math.floor(random() * 6000), seed };
+  }
+}
+
+/** What one pair of losses gave, as far as the report needs it. */
+export interface LossOutcome {
+  readonly job: LossRunOptions;
+  readonly withinBudget: boolean;
+  readonly breaches: readonly ControlBreach[];
+}
+
+/** Plays one pair. */
+export async function playLossJob(job: LossRunOptions): Promise<LossOutcome> {
+  const { withinBudget, breaches } = await playLossRun(job);
+  const { members, first, second, offset, seed, slowDisks } = job;
+  return { job: { members, first, second, offset, seed, slowDisks } as LossRunOptions, withinBudget, breaches };
+}
+
+/** Point 3: the pairs of losses, counted by their kinds. */
+export function reportLosses(outcomes: readonly LossOutcome[]): ControlReport {
+  const groups = new Map<string, LossOutcome[]>();
+  for (const x of outcomes) {
+    const key = `${x.job.members} members, first ${x.job.first}, second ${x.job.second}`;
+    groups.set(key, [...(groups.get(key) ?? []), x]);
+  }
+  const figures = [...groups].map(([key, xs]) => {
+    const broken = xs.filter((x) => x.breaches.length > 0).map((x) => x.job.offset);
+    const where = broken.length === 0 ? '' : ` at ${Math.min(...broken)} to ${Math.max(...broken)} ms`;
+    return `${key}: ${xs.length} runs, ${xs.filter((x) => x.withinBudget).length} within the budget, ${broken.length} with a breach${where}`;
+  });
+  return { runs: outcomes.length, breaches: outcomes.flatMap((x) => x.breaches), figures };
+}
+
+/** Point 3: how long each first loss leaves less redundancy than before. */
+export async function reportRepairs(o: ReportOptions & { readonly slowDisks: number }): Promise<ControlReport> {
+  const breaches: ControlBreach[] = [];
+  const figures: string[] = [];
+  let runs = 0;
+  for (const first of firstLosses) {
+    const whole: number[] = [];
+    const ahead: number[] = [];
+    let never = 0;
+    for (const seed of seedsOf(o.seeds)) {
+      const r = await playLossRun({ ...o, seed, first, offset: 0 });
+      runs += 1;
+      breaches.push(...r.breaches);
+      if (r.repair.redundantAfter === undefined) never += 1;
+      else whole.push(r.repair.redundantAfter);
+      ahead.push(r.repair.recordAheadFor);
+    }
+    const worst = Math.max(...whole);
+    const bounds = catchUpBounds.map((b) => `${worst <= b && never === 0 ? 'within' : 'NOT within'} ${b / 1000} s`);
+    figures.push(
+      `${o.members} members, syncs ${o.slowDisks} ms longer, ${first}: whole again after ${percentile(whole, 0.5)} ms in the middle, ` +
+        `${worst} at most (${bounds.join(', ')}; ${never} of ${o.seeds.count} never); ` +
+        `record ahead of the votes ${percentile(ahead, 0.5)} ms in the middle, ${Math.max(...ahead)} at most`,
+    );
+  }
+  return { runs, breaches, figures };
+}
+
+/** Point 3: leavers that hold one of two fresh copies, at several times after the third member's return. */
+export async function reportLeavers(seeds: SeedRange, step: number): Promise<ControlReport> {
+  const breaches: ControlBreach[] = [];
+  let runs = 0;
+  for (const successor of ['ready', 'after'] as const)
+    for (const seed of seedsOf(seeds))
+      for (let leaveAfter = 0; leaveAfter <= catchUp; leaveAfter += step) {
+        breaches.push(...(await playLeaverRun({ seed, leaveAfter, successor })));
+        runs += 1;
+      }
+  return { runs, breaches, figures: [`leavers: ${runs} runs, ${breaches.length} breaches`] };
+}
+
+/** Point 4: many changes with members away; the sizes of the journal are of the first seed. */
+export async function reportChanges(
+  o: ReportOptions & Pick<CatchUpRunOptions, 'changes'>,
+): Promise<ControlReport & { readonly journals: readonly JournalSize[] }> {
+  const breaches: ControlBreach[] = [];
+  const figures: string[] = [];
+  const byAbsence = new Map<string, number[]>();
+  let journals: readonly JournalSize[] = [];
+  for (const seed of seedsOf(o.seeds)) {
+    const r = await playCatchUpRun({ ...o, seed });
+    breaches.push(...r.breaches.map((b) => ({ ...b, what: `seed ${seed}: ${b.what}` })));
+    if (seed === o.seeds.from) journals = r.journals;
+    for (const c of r.catchUps) {
+      const times = byAbsence.get(c.absence) ?? [];
+      byAbsence.set(c.absence, [...times, c.tookMs ?? Infinity]);
+    }
+  }
+  for (const [absence, times] of byAbsence)
+    figures.push(
+      `${o.members} members, ${absence}: caught up after ${Math.max(...times)} ms at most in ${times.length} returns`,
+    );
+  for (const j of journals)
+    figures.push(
+      `${o.members} members, ${j.changes} changes: journal ${j.bytes} B, ${j.bytesPerChange} B a change, read in ${j.openMs} ms`,
+    );
+  return { runs: o.seeds.count, breaches, figures, journals };
+}
--- /dev/null
+++ b/packages/simulator/src/control-runs/loss-worker.ts
@@ -0,0 +1,8 @@
+/** A thread of the control command: plays the pairs of losses that it is sent, one after the other. */
+import { parentPort } from 'node:worker_threads';
+import { playLossJob } from './control-report.js';
+import type { LossRunOptions } from './loss-run.js';
+
+parentPort?.on('message', (job: LossRunOptions) => {
+  void playLossJob(job).then((outcome) => parentPort!.postMessage(outcome));
+});
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -6,6 +6,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import { deployments } from '@tansypost/requester-stand-in';
 import { Capacity } from './capacity-command.js';
+import { Control } from './control-runs/control-command.js';
 import { shrink, type SimFault } from './faults.js';
 import { loads, measureOne, policies, type Figure, type Load, type Policy } from './measure.js';
 import { runOne, type OneResult } from './one.js';
@@ -322,6 +323,7 @@
   cli.register(Parts);
   cli.register(Passed);
   cli.register(Capacity);
+  cli.register(Control);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
   parentPort!.on('message', (j: Job | MeasureJob | PassedJob) => {
