--- a/eslint-readability.js
+++ b/eslint-readability.js
@@ -8,12 +8,12 @@
 
 /** The declarations that need a doc comment where they are exported. */
 const exported = [
-  'FunctionDeclaration',
-  'VariableDeclaration',
-  'ClassDeclaration',
-  'TSInterfaceDeclaration',
-  'TSTypeAliasDeclaration',
-].map((type) => `ExportNamedDeclaration > ${type}`);
+  'ExportNamedDeclaration > FunctionDeclaration',
+  'ExportNamedDeclaration > ClassDeclaration',
+  'ExportNamedDeclaration > TSInterfaceDeclaration',
+  'ExportNamedDeclaration > TSTypeAliasDeclaration',
+  'ExportNamedDeclaration[declaration.type="VariableDeclaration"]',
+];
 
 /** Each module begins with a comment that says what it is for. */
 const moduleComment = {
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -1,13 +1,20 @@
-// The catalogue of numbered events. docs/events.md is written from it (a test keeps the two
-// alike). Numbers are never used again for something else.
+/**
+ * The catalogue of numbered events. docs/events.md is written from it (a test holds that the two are alike).
+ * A number is never used again for something else.
+ */
 
+/** How much an event matters to an operator. */
+export type EventLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/** One kind of event: what it says, and what an operator does about it. */
 export interface CatalogueEntry {
-  readonly level: 'debug' | 'info' | 'warn' | 'error';
+  readonly level: EventLevel;
   readonly means: string;
   readonly remedy: string;
 }
 
-export const catalogue: { readonly [n: number]: CatalogueEntry } = {
+/** All kinds of events by their number. */
+export const catalogue: { readonly [event: number]: CatalogueEntry } = {
   1001: { level: 'info', means: 'program started', remedy: 'None.' },
   1002: { level: 'info', means: 'graceful stop begun; answers under way go on', remedy: 'None.' },
   1003: { level: 'info', means: 'program stopped', remedy: 'None.' },
--- a/packages/event-log/src/log.ts
+++ b/packages/event-log/src/log.ts
@@ -1,18 +1,30 @@
-// Writes numbered events. Each line carries the number, the level and the meaning from the
-// catalogue, and the fields as JSON, so that a page can list all numbers and a search finds one.
-import { createConsola } from 'consola';
-import { catalogue } from './catalogue.js';
+/**
+ * Writes numbered events. Each line carries the number, the meaning from the catalogue, and the fields as
+ * JSON, so that a page can list all numbers and a search finds one.
+ */
+import { createConsola, type ConsolaInstance } from 'consola';
+import { catalogue, type EventLevel } from './catalogue.js';
 
+/** Writes one event of the catalogue with its fields. */
 export type Log = (event: number, fields: Record<string, unknown>) => void;
 
-export function createLog(program: string, member: string, level = 3): Log {
-  const c = createConsola({ level, fancy: false, formatOptions: { date: true, colors: false } });
+const defaultLevel = 3;
+
+/**
+ * Makes the log of one program.
+ * @param program name of the program, on every line
+ * @param member name of the process in the fleet, on every line
+ * @param level consola's level: 0 writes errors only, 3 all but debug, 4 everything
+ */
+export function createLog(program: string, member: string, level = defaultLevel): Log {
+  const output = createConsola({ level, fancy: false, formatOptions: { date: true, colors: false } });
   return function log(event, fields) {
-    const e = catalogue[event];
-    const line = `E${event} ${program} ${member} ${e?.means ?? 'not in the catalogue'} ${JSON.stringify(fields)}`;
-    if (e?.level === 'error') c.error(line);
-    else if (e?.level === 'warn') c.warn(line);
-    else if (e?.level === 'debug') c.debug(line);
-    else c.info(line);
+    const entry = catalogue[event];
+    const meaning = entry?.means ?? 'not in the catalogue';
+    write(output, entry?.level ?? 'info', `E${event} ${program} ${member} ${meaning} ${JSON.stringify(fields)}`);
   };
 }
+
+function write(output: ConsolaInstance, level: EventLevel, line: string): void {
+  output[level](line);
+}
--- a/packages/event-log/src/page.test.ts
+++ b/packages/event-log/src/page.test.ts
@@ -1,3 +1,4 @@
+/** Holds docs/events.md to the catalogue. */
 import { readFileSync } from 'node:fs';
 import { expect, it } from 'vitest';
 import { eventPage } from './page.js';
--- a/packages/event-log/src/page.ts
+++ b/packages/event-log/src/page.ts
@@ -1,8 +1,11 @@
-// Writes the page of event numbers from the catalogue: `npm run events`.
+/** Writes the page of event numbers from the catalogue: `npm run events`. */
 import { catalogue } from './catalogue.js';
 
+/** The whole of docs/events.md. */
 export function eventPage(): string {
-  const rows = Object.entries(catalogue).map(([n, e]) => `| ${n} | ${e.level} | ${e.means} | ${e.remedy} |`);
+  const rows = Object.entries(catalogue).map(
+    ([event, entry]) => `| ${event} | ${entry.level} | ${entry.means} | ${entry.remedy} |`,
+  );
   return [
     '# Event numbers',
     '',
--- a/packages/paths/src/faults.ts
+++ b/packages/paths/src/faults.ts
@@ -1,23 +1,37 @@
-// What is wrong with a table of paths, beyond its shape: each fault in words, none when it may go in force.
-import type { PathTable } from './path-table.js';
+/** What is wrong with a route table beyond its shape. */
+import type { Path, PathTable } from './path-table.js';
 
-export function faultsOf(t: PathTable): string[] {
-  const out: string[] = [];
-  const services = new Set(t.services.map((s) => s.name));
+/** Each fault of the table as a sentence for its author; none when the table may go into force. */
+export function faultsOf(table: PathTable): string[] {
+  const faults: string[] = [];
+  const services = new Set(table.services.map((service) => service.name));
+  if (!Number.isSafeInteger(table.revision) || table.revision < 1) {
+    faults.push('The revision must be a whole number above 0.');
+  }
+  if (services.size !== table.services.length) faults.push('Two services have one name; name each once.');
   const seen = new Set<string>();
-  if (!Number.isSafeInteger(t.revision) || t.revision < 1) out.push('The revision must be a whole number above 0.');
-  if (services.size !== t.services.length) out.push('Two services have one name; name each once.');
-  for (const p of t.paths) {
-    const at = `${p.host.toLowerCase()} ${p.prefix}`;
-    if (seen.has(at)) out.push(`Two paths have the host and prefix ${at}; keep one.`);
+  for (const path of table.paths) {
+    const at = `${path.host.toLowerCase()} ${path.prefix}`;
+    if (seen.has(at)) faults.push(`Two paths have the host and prefix ${at}; keep one.`);
     seen.add(at);
-    if (!p.prefix.startsWith('/') || !p.prefix.endsWith('/'))
-      out.push(`The prefix of ${p.name} must begin and end with a slash.`);
-    if (!(p.budget > 0)) out.push(`The budget of ${p.name} must be above 0.`);
-    if (p.shares.some((s) => !(s.weight >= 0)) || !(p.shares.reduce((a, s) => a + s.weight, 0) > 0))
-      out.push(`The weights of ${p.name} must add up to more than 0.`);
-    for (const s of p.shares)
-      if (!services.has(s.service)) out.push(`${p.name} names the service ${s.service}, which is not stated.`);
+    faults.push(...faultsOfPath(path, services));
+  }
+  return faults;
+}
+
+function faultsOfPath(path: Path, services: ReadonlySet<string>): string[] {
+  const faults: string[] = [];
+  if (!path.prefix.startsWith('/') || !path.prefix.endsWith('/')) {
+    faults.push(`The prefix of ${path.name} must begin and end with a slash.`);
+  }
+  if (!(path.budget > 0)) faults.push(`The budget of ${path.name} must be above 0.`);
+  // Written so that NaN is a fault too.
+  const negative = path.shares.some((share) => !(share.weight >= 0));
+  const total = path.shares.reduce((sum, share) => sum + share.weight, 0);
+  if (negative || !(total > 0)) faults.push(`The weights of ${path.name} must add up to more than 0.`);
+  for (const share of path.shares) {
+    if (services.has(share.service)) continue;
+    faults.push(`${path.name} names the service ${share.service}, which is not stated.`);
   }
-  return out;
+  return faults;
 }
--- a/packages/paths/src/match.test.ts
+++ b/packages/paths/src/match.test.ts
@@ -1,3 +1,4 @@
+/** Looking up the path of a request. */
 import { expect, it } from 'vitest';
 import { createMatcher } from './match.js';
 import type { Path, PathTable } from './path-table.js';
--- a/packages/paths/src/path-table.ts
+++ b/packages/paths/src/path-table.ts
@@ -1,51 +1,74 @@
-// What operators state about traffic that is passed on as it comes: which requests there are (a host and a
-// prefix), what each kind is worth and how patient it is, which service runs it, and what the services are.
-// A path is to such traffic what a template's kind is to completions: its rank orders worth, its budget is the
-// patience, its shares split it over services. Times are whole microseconds, sizes bytes.
+/**
+ * The route table for traffic that is passed through as it comes: which requests there are (a host and a
+ * prefix), how urgent and how patient each kind is, which service runs it, and what the services are.
+ * Times are whole microseconds, sizes are bytes.
+ */
 
+/** The part of a path's requests that goes to one service. */
 export interface ServiceShare {
   readonly service: string;
+  /** Relative to the other shares of the path; not negative. */
   readonly weight: number;
 }
+
+/** One kind of request, and how it is to be served. */
 export interface Path {
   readonly name: string;
   readonly host: string;
-  // Begins and ends with a slash.
+  /** Begins and ends with a slash. */
   readonly prefix: string;
-  // The longest that a request is held, and the time within which its first bytes are worth most.
+  /** The deadline: the longest that a request is held. */
   readonly budget: number;
+  /** The target: the time within which the first bytes are worth most. */
   readonly aim: number;
-  // The longest pause between events of a stream that is still in time; 0 where the answer is not a stream.
+  /** The longest gap between events of a stream that is still in time; 0 where the answer is not a stream. */
   readonly pause: number;
-  // 0 goes first.
+  /** The priority; 0 goes first. */
   readonly rank: number;
   readonly streaming: boolean;
-  // May run more than once.
+  /** May run more than once (idempotent). */
   readonly repeatable: boolean;
-  // A stream that broke may be taken up by another worker.
+  /** A stream that broke may be taken up by another worker. */
   readonly resumable: boolean;
-  // The largest number of workers that one request may go to.
+  /** The largest number of attempts: workers that one request may go to. */
   readonly sends: number;
   readonly shares: readonly ServiceShare[];
 }
+
+/** A group of workers that run the same kinds of requests. */
 export interface Service {
   readonly name: string;
+  /** HTTP path of the workers' health report. */
   readonly vitalsPath: string;
+  /** The largest number of connections to one worker. */
   readonly connections: number;
+  /** Requests that one worker runs at a time. */
   readonly slots: number;
+  /** Tokens that fit into one worker's KV memory. */
   readonly kvTokens: number;
+  /** Size of one token's KV memory. */
   readonly tokenBytes: number;
+  /** Bandwidth between workers, in megabits a second. */
   readonly linkMbps: number;
+  /** Time to live of a KV handle. */
   readonly handleTtl: number;
+  /** How long a worker takes to change between prefill and decode. */
   readonly switchTime: number;
 }
+
+/** What a client may send, and how slowly. */
 export interface RequesterLimits {
   readonly headBytes: number;
   readonly bodyBytes: number;
+  /** The longest time until the head is complete. */
   readonly headTime: number;
+  /** The longest time without a byte. */
   readonly idleTime: number;
 }
+
+/** The whole route table, taken or refused as one. */
 export interface PathTable {
+  /** Grows with every change; starts at 1. */
   readonly revision: number;
   readonly paths: readonly Path[];
   readonly services: readonly Service[];
--- a/tests/style.test.ts
+++ b/tests/style.test.ts
@@ -51,6 +51,7 @@
   const sound = '/** A module. */\nimport "x";\n\n/** Adds one. */\nexport function next(value: number): number {\n';
   expect(await rulesBroken(`${sound}  return value + 1;\n}\n`)).toEqual([]);
   expect(await rulesBroken('import "x";\n')).toEqual(['readability/module-comment']);
+  expect(await rulesBroken('/** A module. */\nimport "x";\n\n/** A limit. */\nexport const limit = 1;\n')).toEqual([]);
   expect(await rulesBroken('/** A module. */\nimport "x";\nexport const limit = 1;\n')).toEqual([
     'jsdoc/require-jsdoc',
   ]);
