--- a/packages/paths/src/match.ts
+++ b/packages/paths/src/match.ts
@@ -4,6 +4,7 @@
 /** Looks up paths of one table. */
 export interface Matcher {
   /**
+   * Finds the path that a request belongs to.
    * @param host value of the Host header, with or without a port, in any case
    * @param target request target; its query is passed over
    * @returns nothing where no path fits
