--- a/packages/simulator/src/control-runs/control-run.ts
+++ b/packages/simulator/src/control-runs/control-run.ts
@@ -211,8 +211,7 @@
     leave: (node) => {
       const { proc, host } = cluster.machine(node);
       const { incarnation } = proc;
-      host?.core()?.leave();
-      e.at(e.now() + leavingTime * 1000, () => {
+      host?.leave(leavingTime * 1000, () => {
         if (proc.incarnation !== incarnation) return;
         excuse(node);
         die(proc);
