Copying asks again after 150 ms, a member only those not copied whole; 1.5 s before a replacement

Cause: with every third CopyAsk lost a replacement took more than 5 s to vote: sources copied already were asked again in step with the loss, and the repeat hung on the greeting; 2 s of silence before a replacement left too little of the time allowed.

--- a/packages/control-state/src/catch-up.ts
+++ b/packages/control-state/src/catch-up.ts
@@ -19,6 +19,7 @@
   readonly slot: () => number;
   readonly state: () => ReplicaState;
   readonly membership: () => MembershipRecord;
+  readonly isMember: () => boolean;
   readonly putRow: ReplicaStorage['putRow'];
   /** Told when so many sources have been copied whole that a blank replica may vote once it is a member. */
   readonly copied: () => void;
@@ -53,8 +54,9 @@
 
 const pageBytes = 1024 * 1024;
 const rowOverhead = 64;
-const askAgainAfter = 250_000;
+const askAgainAfter = 150_000;
 const retryAfter = 50_000;
+const learnAgainAfter = 250_000;
 const caughtUpFor = 3_000_000;
 
 export function createCatchUp(world: World, options: CatchUpOptions): CatchUp {
@@ -80,15 +82,26 @@
     const state = options.state();
     if (state !== 'blank' && state !== 'voting') return;
     for (const entry of sources()) {
-      if (state === 'voting' && !missing.has(entry.slot)) continue;
       const asked = open.get(entry.slot);
-      if (asked === undefined || world.now() - asked.askedAt > askAgainAfter) ask(entry);
+      const isOpen = asked !== undefined && world.now() - asked.askedAt < askAgainAfter;
+      if (!isOpen && isWanted(entry, state)) ask(entry);
     }
   }
 
+  /** A learner asks all again and again; a member asks each source until it has been copied whole. */
+  function isWanted(entry: ReplicaEntry, state: ReplicaState): boolean {
+    if (state === 'voting') return missing.has(entry.slot);
+    const { wholeAt } = progressOf(entry);
+    return options.isMember() ? wholeAt === -Infinity : world.now() - wholeAt >= learnAgainAfter;
+  }
+
   function ask(entry: ReplicaEntry): void {
     const { after, source } = progressOf(entry);
-    open.set(entry.slot, { askedAt: world.now(), after });
+    const request: OpenRequest = { askedAt: world.now(), after };
+    open.set(entry.slot, request);
+    world.after(micros(askAgainAfter), () => {
+      if (open.get(entry.slot) === request) tick();
+    });
     world.send(entry.address as Address, {
       kind: 'CopyAsk',
       from: options.self,
--- a/packages/control-state/src/peer-liveness.ts
+++ b/packages/control-state/src/peer-liveness.ts
@@ -43,7 +43,7 @@
 }
 
 /** A replica that was silent this long may be replaced, where a machine stands ready to take its slot. */
-export const defaultMissingAfter = 2_000_000;
+export const defaultMissingAfter = 1_500_000;
 const liveFor = 1_000_000;
 const presentFor = 1_000_000;
 const settledAfter = 500_000;
--- a/packages/control-state/src/replica.ts
+++ b/packages/control-state/src/replica.ts
@@ -99,6 +99,7 @@
     slot: slotNow,
     state: () => state,
     membership: () => membership,
+    isMember,
     putRow,
     copied: () => {
       if (state !== 'blank') return;
