--- a/programs/fleet-runner/src/main.ts
+++ b/programs/fleet-runner/src/main.ts
@@ -5,6 +5,7 @@
 import { Builtins, Cli, Command, Option } from 'clipanion';
 import * as E from 'fp-ts/lib/Either.js';
 import { deployments } from '@tansypost/requester-stand-in';
+import { runControlScenario, scenarioFolder } from './control-scenario.js';
 import { planFleet } from './plan.js';
 import { runFleet } from './run.js';
 import { readSchedule } from './schedule.js';
@@ -74,8 +75,40 @@
       : 1;
   }
 }
+
+class ControlScenario extends Command {
+  static override paths = [['control']];
+  static override usage = Command.Usage({
+    description: 'Cut off, freeze, kill and empty control nodes under orders and reads, and print a verdict.',
+    examples: [['On real processes, in less than a minute', 'npm run fleet -- control']],
+  });
+  folder = Option.String('--folder', { description: 'where logs and data go; runs/control-<process> without it' });
+  octet = Option.String('--octet', { description: 'second number of the loopback addresses, 2 to 250' });
+  async execute(): Promise<number> {
+    const { stdout, stderr } = this.context;
+    const from = performance.now();
+    const verdict = await runControlScenario({
+      octet: Number(this.octet ?? 2 + (process.pid % 248)),
+      folder: resolve(this.folder ?? scenarioFolder()),
+      logLevel: 3,
+      feedTenureMs: shortTenure,
+      say: (s) => void stderr.write(`${s}\n`),
+    });
+    for (const figure of verdict.figures) stdout.write(`${figure}\n`);
+    for (const b of verdict.breaches) stdout.write(`breach, ${b.check}: ${b.what}\n`);
+    stdout.write(
+      `${verdict.orders} orders, ${verdict.taken} taken, ${verdict.reads} reads, ${verdict.breaches.length} breaches ` +
+        `in ${Math.round((performance.now() - from) / 1000)} s: ${verdict.breaches.length === 0 ? 'sound' : 'BROKEN'}\n`,
+    );
+    return verdict.breaches.length === 0 ? 0 : 1;
+  }
+}
+// An acknowledgement waits for the tenures of routers that are cut off.
+const shortTenure = 1000;
+
 const cli = new Cli({ binaryLabel: 'fleet-runner', binaryName: 'fleet-runner', binaryVersion: '0.1.0' });
 cli.register(Builtins.HelpCommand);
 cli.register(Builtins.VersionCommand);
 cli.register(Run);
+cli.register(ControlScenario);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
