--- a/eslint-uncleaned.js
+++ b/eslint-uncleaned.js
@@ -7,7 +7,6 @@
   'packages/control-feed',
   'packages/control-state',
   'packages/desired-state',
-  'packages/duty',
   'packages/inner-protocol',
   'packages/learning',
   'packages/membership',
--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -1,116 +1,201 @@
-// The candidate's side. While a duty seems vacant it calls a round of ballots after a short random
-// wait, under an epoch above all it has seen. It counts its tenure from before it asked, and
-// renews at a third of it. A holder asks `holds` directly before each order, so that one that was frozen
-// finds its tenure gone by the clock; the worker's fence stops what slips past that.
+/**
+ * The candidate's side of the elections for a role (duty). While a role seems vacant, the candidate calls an
+ * election after a short random wait, under an epoch above all it has seen. It counts its lease from before it
+ * asked, and renews it several times within its duration. A holder asks `holds` directly before each order, so that
+ * a process that was suspended finds its lease expired by the clock; the worker's fence stops what slips past that.
+ */
 import {
   every,
   micros,
   type Address,
   type DutyMark,
   type MessageOf,
+  type Micros,
   type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 
+/** The control cluster as a candidate knows it. */
+export interface VoterGroup {
+  readonly membershipEpoch: number;
+  readonly replicas: readonly ReplicaEntry[];
+}
+
+/** What a candidate is told when it is made. */
 export interface CandidateOptions {
+  /** Name of the role. */
   readonly duty: string;
   readonly member: string;
   readonly self: Address;
+  /** A number below 64 that no other candidate has: it keeps the epochs of two candidates apart. */
   readonly slot: number;
-  readonly tenure: number;
-  readonly replicas: () => { membershipEpoch: number; replicas: readonly ReplicaEntry[] };
+  /** In microseconds; the same for all candidates and voters. */
+  readonly leaseDuration: number;
+  /** Those whose votes count now. */
+  readonly replicas: () => VoterGroup;
+  /** Whether it wants the role now; a lease that is of no use is not renewed. */
   readonly willing: () => boolean;
   readonly won: (epoch: number) => void;
   readonly lost: () => void;
 }
+
+/** One member's candidacy for one role. */
 export interface Candidate {
+  /** The epoch under which this member holds the role, while it does. */
   readonly holds: () => number | undefined;
+  /** Who holds the role as far as is known. */
   readonly holder: () => DutyMark | undefined;
-  readonly vote: (v: MessageOf<'BallotVote'>) => void;
-  readonly heard: (d: DutyMark) => void;
+  /** Takes in a voter's answer. */
+  readonly vote: (answer: MessageOf<'BallotVote'>) => void;
+  /** Takes in what others tell of a holder. */
+  readonly heard: (told: DutyMark) => void;
   readonly stop: () => void;
 }
 
-export function createCandidate(w: World, o: CandidateOptions): Candidate {
-  let seen = 0;
-  let epoch = 0;
-  let until = 0;
-  let holding = false;
-  let known: DutyMark | undefined;
-  let knownAt = -Infinity;
-  let round: { id: string; at: number; epoch: number; yes: Set<number>; ended: boolean } | undefined;
-  let nextTry = 0;
-  let n = 0;
+/** Epochs come in blocks of this size, one number for each candidate's slot. */
+const epochsPerRound = 64;
+/** A candidate looks at the role this many times within one lease. */
+const checksPerLease = 6;
+/** Bounds of the wait between two elections of one candidate, in microseconds. */
+const retryAfter = { least: 500_000, spread: 1_500_000 } as const;
+/** A holder that only a voter told of is believed for so long, as it may be gone: in microseconds. */
+const secondHandBelief = 700_000;
 
-  function holds(): number | undefined {
-    if (holding && w.now() >= until) {
-      holding = false;
-      w.log(3102, { duty: o.duty, epoch });
-      o.lost();
-    }
-    return holding ? epoch : undefined;
-  }
+interface Election {
+  readonly id: string;
+  readonly calledAt: Micros;
+  readonly epoch: number;
+  /** Slots of the replicas that granted their vote. */
+  readonly granted: Set<number>;
+  decided: boolean;
+}
+
+interface CandidateState {
+  highestEpochSeen: number;
+  /** Of the lease that is or was held. */
+  epoch: number;
+  leaseUntil: number;
+  holding: boolean;
+  /** Another member that holds the role, and when that was last known to be so. */
+  knownHolder: DutyMark | undefined;
+  knownAt: number;
+  election: Election | undefined;
+  electionsCalled: number;
+  nextElectionAt: number;
+}
+
+/** Makes a candidate, which begins to look at the role at once. */
+export function createCandidate(world: World, options: CandidateOptions): Candidate {
+  const state: CandidateState = {
+    highestEpochSeen: 0,
+    epoch: 0,
+    leaseUntil: 0,
+    holding: false,
+    knownHolder: undefined,
+    knownAt: -Infinity,
+    election: undefined,
+    electionsCalled: 0,
+    nextElectionAt: 0,
+  };
+  return {
+    holds: () => epochHeld(state, world, options),
+    holder: () => currentHolder(state, world, options),
+    vote: (answer) => takeVote(state, world, options, answer),
+    heard: (told) => takeHolder(state, world, options, told),
+    stop: every(
+      world,
+      () => micros(options.leaseDuration / checksPerLease),
+      () => check(state, world, options),
+    ),
+  };
+}
 
-  function holder(): DutyMark | undefined {
-    if (holds() !== undefined) return { duty: o.duty, holder: o.member, address: o.self, epoch };
-    return w.now() - knownAt < o.tenure ? known : undefined;
+function epochHeld(state: CandidateState, world: World, options: CandidateOptions): number | undefined {
+  if (state.holding && world.now() >= state.leaseUntil) {
+    state.holding = false;
+    world.log(3102, { duty: options.duty, epoch: state.epoch });
+    options.lost();
   }
+  return state.holding ? state.epoch : undefined;
+}
 
-  function call(e: number): void {
-    n += 1;
-    const c = o.replicas();
-    round = { id: `${o.duty}/${o.member}/${n}`, at: w.now(), epoch: e, yes: new Set(), ended: false };
-    for (const p of c.replicas) {
-      w.send(p.address as Address, {
-        kind: 'Ballot',
-        id: round.id,
-        from: o.self,
-        duty: o.duty,
-        candidate: o.member,
-        epoch: e,
-        membershipEpoch: c.membershipEpoch,
-      });
-    }
+function currentHolder(state: CandidateState, world: World, options: CandidateOptions): DutyMark | undefined {
+  if (epochHeld(state, world, options) !== undefined) {
+    return { duty: options.duty, holder: options.member, address: options.self, epoch: state.epoch };
   }
+  return world.now() - state.knownAt < options.leaseDuration ? state.knownHolder : undefined;
+}
 
-  function tick(): void {
-    // A duty that is of no use now is not renewed.
-    if (holds() !== undefined) return o.willing() ? call(epoch) : undefined;
-    if (!o.willing() || w.now() < nextTry || holder() !== undefined) return;
-    nextTry = w.now() + 500_000 + Math.round(w.random() * 1_500_000);
-    call((Math.floor(seen / 64) + 1) * 64 + o.slot);
+/** Renews the lease that is held, or calls an election where the role seems vacant. */
+function check(state: CandidateState, world: World, options: CandidateOptions): void {
+  if (epochHeld(state, world, options) !== undefined) {
+    if (options.willing()) callElection(state, world, options, state.epoch);
+    return;
   }
+  if (!options.willing() || world.now() < state.nextElectionAt) return;
+  if (currentHolder(state, world, options) !== undefined) return;
+  state.nextElectionAt = world.now() + retryAfter.least + Math.round(world.random() * retryAfter.spread);
+  const round = Math.floor(state.highestEpochSeen / epochsPerRound) + 1;
+  callElection(state, world, options, round * epochsPerRound + options.slot);
+}
 
-  function vote(v: MessageOf<'BallotVote'>): void {
-    if (v.duty !== o.duty) return;
-    seen = Math.max(seen, v.epoch);
-    if (v.holder !== '' && v.holder !== o.member) {
-      heard({ duty: o.duty, holder: v.holder, address: v.address, epoch: v.epoch });
-      knownAt = Math.min(knownAt, w.now() - o.tenure + 700_000);
-    }
-    const r = round;
-    if (r === undefined || r.id !== v.id || r.ended || !v.granted) return;
-    if (!o.replicas().replicas.some((p) => p.slot === v.slot && p.disk === v.disk)) return;
-    r.yes.add(v.slot);
-    if (r.yes.size <= o.replicas().replicas.length / 2) return;
-    r.ended = true;
-    if (w.now() >= r.at + o.tenure) return;
-    until = r.at + o.tenure;
-    if (!holding) {
-      holding = true;
-      epoch = r.epoch;
-      w.log(3101, { duty: o.duty, epoch });
-      o.won(epoch);
-    }
+function callElection(state: CandidateState, world: World, options: CandidateOptions, epoch: number): void {
+  state.electionsCalled += 1;
+  const id = `${options.duty}/${options.member}/${state.electionsCalled}`;
+  const { membershipEpoch, replicas } = options.replicas();
+  state.election = { id, calledAt: world.now(), epoch, granted: new Set(), decided: false };
+  for (const replica of replicas) {
+    world.send(replica.address as Address, {
+      kind: 'Ballot',
+      id,
+      from: options.self,
+      duty: options.duty,
+      candidate: options.member,
+      epoch,
+      membershipEpoch,
+    });
   }
+}
 
-  function heard(d: DutyMark): void {
-    if (d.duty !== o.duty || d.holder === o.member || d.epoch < (known?.epoch ?? 0)) return;
-    seen = Math.max(seen, d.epoch);
-    known = d;
-    knownAt = w.now();
+function takeVote(
+  state: CandidateState,
+  world: World,
+  options: CandidateOptions,
+  answer: MessageOf<'BallotVote'>,
+): void {
+  if (answer.duty !== options.duty) return;
+  state.highestEpochSeen = Math.max(state.highestEpochSeen, answer.epoch);
+  if (answer.holder !== '' && answer.holder !== options.member) {
+    const { holder, address, epoch } = answer;
+    takeHolder(state, world, options, { duty: options.duty, holder, address, epoch });
+    state.knownAt = Math.min(state.knownAt, world.now() - options.leaseDuration + secondHandBelief);
   }
+  const { election } = state;
+  if (election === undefined || election.id !== answer.id || election.decided || !answer.granted) return;
+  const { replicas } = options.replicas();
+  if (!replicas.some((replica) => replica.slot === answer.slot && replica.disk === answer.disk)) return;
+  election.granted.add(answer.slot);
+  if (election.granted.size <= replicas.length / 2) return;
+  election.decided = true;
+  takeLease(state, world, options, election);
+}
+
+/** The lease counts from before the votes were asked for, so it ends before any voter's own time for it. */
+function takeLease(state: CandidateState, world: World, options: CandidateOptions, election: Election): void {
+  const until = election.calledAt + options.leaseDuration;
+  if (world.now() >= until) return;
+  state.leaseUntil = until;
+  if (state.holding) return;
+  state.holding = true;
+  state.epoch = election.epoch;
+  world.log(3101, { duty: options.duty, epoch: state.epoch });
+  options.won(state.epoch);
+}
 
-  const stop = every(w, () => micros(o.tenure / 6), tick);
-  return { holds, holder, vote, heard, stop };
+function takeHolder(state: CandidateState, world: World, options: CandidateOptions, told: DutyMark): void {
+  if (told.duty !== options.duty || told.holder === options.member) return;
+  if (told.epoch < (state.knownHolder?.epoch ?? 0)) return;
+  state.highestEpochSeen = Math.max(state.highestEpochSeen, told.epoch);
+  state.knownHolder = told;
+  state.knownAt = world.now();
 }
--- a/packages/duty/src/voter.test.ts
+++ b/packages/duty/src/voter.test.ts
@@ -1,3 +1,4 @@
+/** A voter grants its vote to one candidate at a time. */
 import { expect, it } from 'vitest';
 import { micros, type MessageOf } from '@tansypost/inner-protocol';
 import { createVoter } from './voter.js';
@@ -19,7 +20,7 @@
       voting: () => true,
       votingSince: () => 0,
       membershipEpoch: () => 1,
-      tenure: 3_000_000,
+      leaseDuration: 3_000_000,
       store: {
         epoch: () => kept,
         keep: (_duty, epoch, done) => {
--- a/packages/duty/src/voter.ts
+++ b/packages/duty/src/voter.ts
@@ -1,67 +1,99 @@
-// The voter's side of the ballots, one beside each core place. A voter lends its vote for one
-// tenure at a time. The epoch of a duty is on disk before a vote is given; who holds it is not, so a
-// voter that starts, or that has just begun to vote, keeps silent for one whole tenure.
+/**
+ * The voter's side of the elections for a role (duty), one beside each replica of the control state. A voter grants
+ * its vote to one candidate at a time, for one lease. The epoch of a role is on disk before a vote is given; who
+ * holds it is not, so a voter that starts, or that has just begun to vote, refuses for one whole lease.
+ */
 import type { MessageOf, World } from '@tansypost/inner-protocol';
 
+/** Keeps the highest epoch voted for, by role, on disk. */
 export interface EpochStore {
   readonly epoch: (duty: string) => number;
-  readonly keep: (duty: string, epoch: number, done: (ok: boolean) => void) => void;
+  /** Calls `done` when the epoch is synced to disk (true) or could not be (false). */
+  readonly keep: (duty: string, epoch: number, done: (synced: boolean) => void) => void;
 }
+
+/** What a voter is told when it is made. */
 export interface VoterOptions {
   readonly slot: () => number;
   readonly disk: () => string;
+  /** Whether the replica beside it votes now, and since when, in microseconds. */
   readonly voting: () => boolean;
   readonly votingSince: () => number;
   readonly membershipEpoch: () => number;
-  readonly tenure: number;
+  /** In microseconds; the same for all candidates and voters. */
+  readonly leaseDuration: number;
   readonly store: EpochStore;
 }
+
+/** Answers candidates. */
 export interface Voter {
-  readonly ballot: (m: MessageOf<'Ballot'>, answer: (v: MessageOf<'BallotVote'>) => void) => void;
+  readonly ballot: (ballot: MessageOf<'Ballot'>, answer: (vote: MessageOf<'BallotVote'>) => void) => void;
 }
-interface Lent {
-  holder: string;
-  address: string;
-  epoch: number;
+
+/** The vote that a voter has given for one role. */
+interface GrantedVote {
+  readonly holder: string;
+  readonly address: string;
+  readonly epoch: number;
+  /** Infinite until its epoch is on disk. */
   until: number;
 }
 
-export function createVoter(w: World, o: VoterOptions): Voter {
-  const lent = new Map<string, Lent>();
+/** Makes a voter that has granted nothing yet. */
+export function createVoter(world: World, options: VoterOptions): Voter {
+  const grantedVotes = new Map<string, GrantedVote>();
 
-  function ballot(m: MessageOf<'Ballot'>, answer: (v: MessageOf<'BallotVote'>) => void): void {
-    const l = lent.get(m.duty);
-    const now = w.now();
-    const live = l !== undefined && l.until > now ? l : undefined;
-    function say(granted: boolean, epoch: number): void {
-      answer({
-        kind: 'BallotVote',
-        id: m.id,
-        slot: o.slot(),
-        disk: o.disk(),
-        duty: m.duty,
-        granted,
-        epoch,
-        holder: live?.holder ?? '',
-        address: live?.address ?? '',
-      });
+  function ballot(ballot: MessageOf<'Ballot'>, answer: (vote: MessageOf<'BallotVote'>) => void): void {
+    const previous = grantedVotes.get(ballot.duty);
+    const current = previous !== undefined && previous.until > world.now() ? previous : undefined;
+    function reply(granted: boolean, epoch: number): void {
+      answer(voteMessage(options, ballot, current, granted, epoch));
+    }
+    if (!options.voting() || ballot.membershipEpoch !== options.membershipEpoch()) {
+      return reply(false, options.store.epoch(ballot.duty));
     }
-    if (!o.voting() || m.membershipEpoch !== o.membershipEpoch()) return say(false, o.store.epoch(m.duty));
-    if (live !== undefined && live.holder === m.candidate && live.epoch === m.epoch) {
-      live.until = now + o.tenure;
-      return say(true, m.epoch);
+    if (current !== undefined && current.holder === ballot.candidate && current.epoch === ballot.epoch) {
+      current.until = world.now() + options.leaseDuration;
+      return reply(true, ballot.epoch);
     }
-    const seen = o.store.epoch(m.duty);
-    // Who has the vote may take it again under a higher epoch: voters whose loans ran out one after the other have lent it
-    // under different ones, and none of these has a majority.
-    const other = live !== undefined && (live.holder !== m.candidate || live.address !== m.from);
-    if (now < o.votingSince() + o.tenure || other || m.epoch <= seen) return say(false, seen);
-    const next = { holder: m.candidate, address: m.from, epoch: m.epoch, until: Infinity };
-    lent.set(m.duty, next);
-    o.store.keep(m.duty, m.epoch, (ok) => {
-      next.until = w.now() + o.tenure;
-      say(ok, m.epoch);
+    const highestEpoch = options.store.epoch(ballot.duty);
+    const silent = world.now() < options.votingSince() + options.leaseDuration;
+    if (silent || isOther(current, ballot) || ballot.epoch <= highestEpoch) return reply(false, highestEpoch);
+    const next = { holder: ballot.candidate, address: ballot.from, epoch: ballot.epoch, until: Infinity };
+    grantedVotes.set(ballot.duty, next);
+    options.store.keep(ballot.duty, ballot.epoch, (synced) => {
+      next.until = world.now() + options.leaseDuration;
+      reply(synced, ballot.epoch);
     });
   }
   return { ballot };
 }
+
+/**
+ * Whether the vote is granted to someone other than this candidate. Who has the vote may take it again under a higher
+ * epoch: voters whose grants ended one after the other have granted it under different ones, and none of these has
+ * a majority.
+ */
+function isOther(current: GrantedVote | undefined, ballot: MessageOf<'Ballot'>): boolean {
+  return current !== undefined && (current.holder !== ballot.candidate || current.address !== ballot.from);
+}
+
+function voteMessage(
+  options: VoterOptions,
+  ballot: MessageOf<'Ballot'>,
+  current: GrantedVote | undefined,
+  granted: boolean,
+  epoch: number,
+): MessageOf<'BallotVote'> {
+  return {
+    kind: 'BallotVote',
+    id: ballot.id,
+    slot: options.slot(),
+    disk: options.disk(),
+    duty: ballot.duty,
+    granted,
+    epoch,
+    holder: current?.holder ?? '',
+    address: current?.address ?? '',
+  };
+}
--- a/packages/learning/src/control-node-learning.ts
+++ b/packages/learning/src/control-node-learning.ts
@@ -75,7 +75,7 @@
       get slot() {
         return o.keeper()?.replica.slot ?? 0;
       },
-      tenure: o.tenure,
+      leaseDuration: o.tenure,
       replicas: () => o.keeper()?.replica.membership() ?? { membershipEpoch: 0, replicas: [] },
       willing: () => o.keeper()?.replica.state() === 'voting' && willing(),
       won: () => undefined,
--- a/programs/control-node/src/voting-control-node.ts
+++ b/programs/control-node/src/voting-control-node.ts
@@ -16,7 +16,7 @@
     voting: () => k.replica.state() === 'voting',
     votingSince: k.replica.votingSince,
     membershipEpoch: () => k.replica.membership().membershipEpoch,
-    tenure: o.dutyTenure,
+    leaseDuration: o.dutyTenure,
     store: {
       epoch: (d) => k.replica.row(`~ballot/${d}`).promised,
       keep: (d, epoch, done) =>
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -146,7 +146,7 @@
         member: o.member,
         self: o.self,
         slot: o.slot,
-        tenure: o.dutyTenure,
+        leaseDuration: o.dutyTenure,
         replicas: () => core,
         willing: () => w.now() - started > 1_000_000,
         won: () => {
