--- a/eslint-uncleaned.js
+++ b/eslint-uncleaned.js
@@ -6,7 +6,6 @@
   'deploy',
   'packages/control-feed',
   'packages/control-state',
-  'packages/desired-state',
   'packages/inner-protocol',
   'packages/learning',
   'packages/pass-through',
