--- a/eslint-uncleaned.js
+++ b/eslint-uncleaned.js
@@ -4,14 +4,10 @@
  */
 export const uncleaned = [
   'deploy',
-  'packages/boot',
   'packages/control-feed',
   'packages/control-state',
-  'packages/desired-state',
-  'packages/duty',
   'packages/inner-protocol',
   'packages/learning',
-  'packages/membership',
   'packages/pass-through',
   'packages/placement',
   'packages/rehearsal',
