File disk: what is found is synced before it is told; a folder that was made lasts

Cause: two faults found by a new model of a folder that loses power between any two calls (any subset of the names not yet synced is kept, each write not yet synced is present, missing or torn). (1) A process killed between a write and its sync left the record in the file; the next one read it and told it to others, though a loss of power then still took it. (2) A data folder that the keeper made itself was lost with all in it, as the folder above was never synced.

Change: opening syncs the file before it gives what it found; a folder that was made is synced into the one above. The calls of the file system are passed in (`file-system.ts`), which the model needs. A folder's handle is closed also when its sync fails.

--- a/programs/control-node/src/file-disk.ts
+++ b/programs/control-node/src/file-disk.ts
@@ -2,40 +2,55 @@
 // A rewrite goes to a second file, is synced, and takes the first one's name. Any error is final for
 // this opening: what a disk did after a failed sync is not known, so the next one writes all that it finds to a new
 // file. A damaged file is put aside under another name and never served.
-import { mkdir, open, readFile, readdir, rename, rm, truncate, type FileHandle } from 'node:fs/promises';
-import { join } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
 import * as E from 'fp-ts/lib/Either.js';
 import { encodeRecord, joinRecords, readJournal, type Disk, type JournalRecord } from '@tansypost/control-state';
 import { FailedDisk } from '@tansypost/inner-protocol';
 import type { OpenDisk } from './control-node-host.js';
+import { nodeFiles, type FileSystem, type OpenFile } from './file-system.js';
 
 export type FileDisk = OpenDisk & { readonly close: () => Promise<void> };
 type Job =
   | { readonly rewrite: false; readonly b: Buffer; readonly done: (e?: Error) => void }
   | { readonly rewrite: true; readonly rs: readonly JournalRecord[]; readonly done: (e?: Error) => void };
 
-async function syncFolder(folder: string): Promise<void> {
-  const f = await open(folder, 'r');
-  await f.sync();
-  await f.close();
+async function syncFolder(files: FileSystem, folder: string): Promise<void> {
+  const f = await files.open(folder, 'r');
+  try {
+    await f.sync();
+  } finally {
+    await f.close();
+  }
+}
+
+// A folder lasts once the one above it was synced; so do those above it that were made with it.
+async function makeFolder(files: FileSystem, folder: string): Promise<void> {
+  const first = await files.mkdir(folder, { recursive: true });
+  if (first === undefined) return;
+  let made = resolve(folder);
+  await syncFolder(files, dirname(made));
+  while (made !== resolve(first) && made !== dirname(made)) {
+    made = dirname(made);
+    await syncFolder(files, dirname(made));
+  }
 }
 
 // Gives the damaged file another name; of those put aside the newest two are kept.
-async function putAside(folder: string, name: string): Promise<string> {
-  const old = (await readdir(folder))
+async function putAside(files: FileSystem, folder: string, name: string): Promise<string> {
+  const old = (await files.readdir(folder))
     .filter((f) => f.startsWith('place.journal.damaged.'))
     .map((f) => Number(f.split('.').at(-1)))
     .sort((a, b) => a - b);
   const to = `${name}.damaged.${(old.at(-1) ?? 0) + 1}`;
-  await rename(name, to);
-  for (const n of old.slice(0, -1)) await rm(`${name}.damaged.${n}`, { force: true });
-  await syncFolder(folder);
+  await files.rename(name, to);
+  for (const n of old.slice(0, -1)) await files.rm(`${name}.damaged.${n}`, { force: true });
+  await syncFolder(files, folder);
   return to;
 }
 
-async function readIfThere(name: string): Promise<Buffer> {
+async function readIfThere(files: FileSystem, name: string): Promise<Buffer> {
   try {
-    return await readFile(name);
+    return await files.readFile(name);
   } catch (e) {
     if ((e as NodeJS.ErrnoException).code === 'ENOENT') return Buffer.alloc(0);
     throw e;
@@ -43,9 +58,14 @@
 }
 
 // `afresh` writes what is found to a new file; `blank` throws it away.
-export async function openFileDisk(folder: string, afresh = false, blank = false): Promise<E.Either<Error, FileDisk>> {
+export async function openFileDisk(
+  folder: string,
+  afresh = false,
+  blank = false,
+  files: FileSystem = nodeFiles,
+): Promise<E.Either<Error, FileDisk>> {
   try {
-    return E.right(await openNow(folder, afresh, blank));
+    return E.right(await openNow(files, folder, afresh, blank));
   } catch (e) {
     return E.left(
       new FailedDisk(
@@ -55,16 +75,18 @@
   }
 }
 
-async function openNow(folder: string, afresh: boolean, blank: boolean): Promise<FileDisk> {
-  await mkdir(folder, { recursive: true });
+async function openNow(files: FileSystem, folder: string, afresh: boolean, blank: boolean): Promise<FileDisk> {
+  await makeFolder(files, folder);
   const name = join(folder, 'place.journal');
-  if (blank) await rm(name, { force: true });
-  const read = readJournal(await readIfThere(name));
-  const aside = E.isLeft(read) ? `${read.left.message} It is now ${await putAside(folder, name)}.` : undefined;
+  if (blank) await files.rm(name, { force: true });
+  const read = readJournal(await readIfThere(files, name));
+  const aside = E.isLeft(read) ? `${read.left.message} It is now ${await putAside(files, folder, name)}.` : undefined;
   const r = E.isLeft(read) ? { right: { records: [], good: 0, cut: 0 } } : read;
-  if (r.right.cut > 0) await truncate(name, r.right.good);
-  let file: FileHandle = await open(name, 'a');
-  await syncFolder(folder);
+  if (r.right.cut > 0) await files.truncate(name, r.right.good);
+  let file: OpenFile = await files.open(name, 'a');
+  // The process before may have been killed before its sync: what is found is told to others, so it must last first.
+  await file.datasync();
+  await syncFolder(files, folder);
   let size = r.right.good;
   let jobs: Job[] = [];
   let working = false;
@@ -97,14 +119,14 @@
 
   async function rewriteNow(rs: readonly JournalRecord[]): Promise<void> {
     const b = Buffer.concat(rs.map(encodeRecord));
-    const next = await open(`${name}.next`, 'w');
+    const next = await files.open(`${name}.next`, 'w');
     await next.writeFile(b);
     await next.sync();
     await next.close();
-    await rename(`${name}.next`, name);
-    await syncFolder(folder);
+    await files.rename(`${name}.next`, name);
+    await syncFolder(files, folder);
     await file.close();
-    file = await open(name, 'a');
+    file = await files.open(name, 'a');
     size = b.length;
   }
 
