Platform's programs as real processes: SIGHUP, changes, repeats, a kill and SIGTERM

Change: tests/platform-processes.test.ts starts both on loopback and plays the worker and the list.

With the handler of SIGHUP, the draining at SIGTERM, the readiness while stopping, or the answers to repeats taken away, it fails.

--- /dev/null
+++ b/tests/platform-processes.test.ts
@@ -0,0 +1,260 @@
+// The platform's two programs as real processes on loopback, with a worker and a list of workers that the test plays:
+// signals, changed settings and configurations end nothing that is under way, what was taken is taken again, and a kill
+// of the control process loses nothing. It waits on conditions; nothing in it looks at how long anything took.
+import { spawn, type ChildProcess } from 'node:child_process';
+import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { afterAll, beforeAll, expect, it } from 'vitest';
+import { stringify } from 'smol-toml';
+
+interface Answer {
+  readonly status: number;
+  readonly body: string;
+  readonly complete: boolean;
+  readonly seal: string | undefined;
+}
+interface Asked {
+  /** Once the first bytes of the answer's body are there. */
+  readonly begun: Promise<void>;
+  readonly answer: Promise<Answer>;
+}
+
+const program = fileURLToPath(new URL('../platform/dist/entry.js', import.meta.url));
+const octet = 10 + (process.pid % 200);
+const hosts = { control: `127.77.${octet}.1`, edge: `127.77.${octet}.2`, platform: `127.77.${octet}.3` };
+const ports = { front: 8161, readiness: 8167, control: 8166, inner: 7720, list: 8169, worker: 8080 };
+const folder = mkdtempSync(join(tmpdir(), 'platform-'));
+const children = new Map<string, ChildProcess>();
+const heldAnswers: http.ServerResponse[] = [];
+
+function settings(role: 'router' | 'keeper', over: Record<string, unknown> = {}): string {
+  const ip = role === 'router' ? hosts.edge : hosts.control;
+  return stringify({
+    node_name: `${role}-1`,
+    role,
+    serves: [role === 'router' ? 'edge' : 'control'],
+    ip,
+    zone: 'a',
+    region: 'r',
+    port_range: [ports.inner, ports.inner + 15],
+    seed_nodes: [`${hosts.control}:${ports.control}`],
+    bootstrap: true,
+    counts_as_loss: role === 'keeper',
+    ...(role === 'keeper' ? { data_dir: join(folder, 'data') } : {}),
+    zones: { a: 'r' },
+    bind_addrs:
+      role === 'router'
+        ? { front_http: `${ip}:${ports.front}`, readiness: `${ip}:${ports.readiness}` }
+        : { control_plane: `${ip}:${ports.control}` },
+    limits: { cpu_fraction: 1, cpu_cores: 2, memory_mb: 400, max_fds: 4096, link_mbps: 1000, disk_mb: 128 },
+    fault_budget: { machine_losses: 0, zones: 0, region_losses: 0 },
+    bounds: { grace_s: 6, drain_ms: 3000, retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 },
+    platform_api: { address: `${hosts.platform}:${ports.list}`, rate_per_s: 47, duties: [], max_lag_ms: 800 },
+    ...over,
+  });
+}
+
+function start(role: 'router' | 'keeper'): void {
+  const file = join(folder, `${role}.toml`);
+  writeFileSync(file, settings(role));
+  const log = openSync(join(folder, `${role}.log`), 'a');
+  const env = { PATH: process.env['PATH'], TANSYPOST_NODE_FILE: file };
+  children.set(role, spawn(process.execPath, [program, role], { stdio: ['ignore', log, log], env }));
+  closeSync(log);
+}
+function ended(role: string): Promise<[number | null, string | null]> {
+  return new Promise((done) => children.get(role)!.once('exit', (code, signal) => done([code, signal])));
+}
+
+function call(
+  at: { host: string; port: number; path: string; method?: string },
+  headers: Record<string, string> = {},
+  body = '',
+): Asked {
+  const kept: { begin?: () => void } = {};
+  const begun = new Promise<void>((begin) => {
+    kept.begin = begin;
+  });
+  const answer = new Promise<Answer>((done, failed) => {
+    const request = http.request({ ...at, headers, agent: false }, (a) => {
+      let text = '';
+      a.setEncoding('utf8');
+      a.on('data', (part: string) => {
+        text += part;
+        kept.begin!();
+      });
+      a.on('error', () => undefined);
+      a.on('close', () =>
+        done({ status: a.statusCode!, body: text, complete: a.complete, seal: a.headers['x-server-seal'] as string }),
+      );
+    });
+    request.on('error', failed);
+    request.end(body);
+  });
+  answer.catch(() => undefined);
+  return { begun, answer };
+}
+
+/** Asks until the answer is the one that is waited for. The test's own time limit ends what never comes. */
+async function until(ask: () => Promise<Answer>, wanted: (a: Answer) => boolean): Promise<Answer> {
+  for (;;) {
+    const answer = await ask().catch(() => undefined);
+    if (answer !== undefined && wanted(answer)) return answer;
+    await new Promise((again) => setTimeout(again, 50));
+  }
+}
+
+let requests = 0;
+function ask(path: string, hold = false): Asked {
+  requests += 1;
+  const headers = {
+    host: 'h.example',
+    'x-attempt-id': `attempt-${requests}`,
+    'x-deadline-ms': '60000',
+    'x-token-counts': '10,2',
+    ...(hold ? { 'x-hold': 'yes' } : {}),
+  };
+  return call({ host: hosts.edge, port: ports.front, path, method: 'POST' }, headers, 'body');
+}
+function ready(): Promise<Answer> {
+  return call({ host: hosts.edge, port: ports.readiness, path: '/ready' }).answer;
+}
+function put(body: string, match: string): Promise<Answer> {
+  const headers = { 'content-type': 'application/json', 'if-match': match };
+  return call({ host: hosts.control, port: ports.control, path: '/config', method: 'PUT' }, headers, body).answer;
+}
+function readBack(): Promise<Answer> {
+  return call({ host: hosts.control, port: ports.control, path: '/config' }).answer;
+}
+function configuration(revision: number, routes: readonly string[]): string {
+  return JSON.stringify({
+    revision,
+    routes: routes.map((name) => ({
+      name,
+      hostname: 'h.example',
+      path_prefix: `/${name}/`,
+      route_kind: 'streaming',
+      deadline_ms: 60_000,
+      target_ms: 800,
+      gap_target_ms: 60_000,
+      priority: 0,
+      backend: 's',
+      max_tries: 1,
+    })),
+    backends: [{ name: 's', health_path: '/health', max_conns: 64, runtime: { slots: 32 } }],
+    limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+  });
+}
+
+/** A worker that makes tokens: it streams two events, the second of a held request only when the test releases it. */
+function playWorker(q: http.IncomingMessage, a: http.ServerResponse): void {
+  if (q.method === 'GET') {
+    const report = { stage: 'decode', models: [], utilization: false, call_seq: 0, queued: 0, active: 0, kv_used: 0 };
+    return void a.end(JSON.stringify({ ...report, kv_total: 1000, prefill_handles: 0 }));
+  }
+  q.resume();
+  q.on('end', () => {
+    a.writeHead(200, {
+      'Content-Type': 'text/event-stream',
+      'X-Attempt-Id': q.headers['x-attempt-id'],
+      'X-Server-Seal': `seal of ${q.headers['x-attempt-id'] as string}`,
+    });
+    a.write('id: 1\ndata: one\n\n');
+    if (q.headers['x-hold'] === undefined) a.end('id: 2\ndata: two\n\n');
+    else heldAnswers.push(a);
+  });
+}
+function releaseHeld(): void {
+  for (const a of heldAnswers.splice(0)) a.end('id: 2\ndata: two\n\n');
+}
+function playList(_q: http.IncomingMessage, a: http.ServerResponse): void {
+  const worker = { id: 'i-1', backend: 's', address: `${hosts.platform}:${ports.worker}`, zone: 'a', revision: 'v1' };
+  const more = { slots: 32, state: 'ready', cold_left_ms: 0, stage: 'decode', models: [] };
+  a.end(JSON.stringify({ instances: [{ ...worker, ...more }], next_token: null }));
+}
+
+const servers = [http.createServer(playWorker), http.createServer(playList)];
+beforeAll(async () => {
+  for (const [n, port] of [ports.worker, ports.list].entries())
+    await new Promise<void>((up) => servers[n]!.listen(port, hosts.platform, up));
+  start('router');
+  start('keeper');
+});
+afterAll(() => {
+  for (const child of children.values()) child.kill('SIGKILL');
+  for (const server of servers) {
+    server.closeAllConnections();
+    server.close();
+  }
+  rmSync(folder, { recursive: true });
+});
+
+const whole = { status: 200, body: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n', complete: true };
+
+it('cuts nothing under SIGHUP, changed settings and changed routes, and serves 20 of 20 on a route added later', async () => {
+  const first = configuration(3, ['first']);
+  await until(
+    () => put(first, '0'),
+    (a) => a.status === 200,
+  );
+  await until(ready, (a) => a.status === 200);
+  const held = Array.from({ length: 5 }, () => ask('/first/a', true));
+  await Promise.all(held.map((h) => h.begun));
+
+  for (const role of ['router', 'keeper'] as const) {
+    writeFileSync(join(folder, `${role}.toml`), settings(role, { duties: [], new_field: 1 }));
+    children.get(role)!.kill('SIGHUP');
+  }
+  const second = configuration(7, ['later']);
+  expect((await put(second, '3')).status).toBe(200);
+  await until(
+    () => ask('/later/a').answer,
+    (a) => a.status === 200,
+  );
+  const later = await Promise.all(Array.from({ length: 20 }, () => ask('/later/a').answer));
+  expect(later.map((a) => ({ status: a.status, body: a.body, complete: a.complete }))).toEqual(Array(20).fill(whole));
+  expect((await ask('/first/a').answer).status).toBe(404);
+
+  releaseHeld();
+  const answers = await Promise.all(held.map((h) => h.answer));
+  for (const a of answers) expect(a).toMatchObject(whole);
+  expect(new Set(answers.map((a) => a.seal)).size).toBe(5);
+});
+
+it('acknowledges again what was acknowledged, and never takes a malformed If-Match', async () => {
+  const second = configuration(7, ['later']);
+  expect((await put(second, '3')).status).toBe(200);
+  expect((await put(configuration(3, ['first']), '0')).status).toBe(200);
+  for (const match of ['W/"7"', '7, 9', '-7', ''])
+    expect((await put(configuration(9, ['bad']), match)).status).toBe(400);
+  expect((await put(configuration(9, ['bad']), '3')).status).toBe(412);
+  expect(await readBack()).toMatchObject({ status: 200, body: second });
+});
+
+it('has what was acknowledged after a kill, and serves on meanwhile', async () => {
+  const gone = ended('keeper');
+  children.get('keeper')!.kill('SIGKILL');
+  expect(await gone).toEqual([null, 'SIGKILL']);
+  expect(await ask('/later/a').answer).toMatchObject(whole);
+  start('keeper');
+  const answer = await until(readBack, (a) => a.status === 200);
+  expect(answer.body).toBe(configuration(7, ['later']));
+});
+
+it('lets what is under way end whole after SIGTERM, shows that it is not ready, and ends with 0', async () => {
+  await until(ready, (a) => a.status === 200);
+  const held = ask('/later/a', true);
+  await held.begun;
+  const gone = ended('router');
+  children.get('router')!.kill('SIGTERM');
+  await until(ready, (a) => a.status === 503);
+  expect(await ask('/later/a').answer).toMatchObject(whole);
+  releaseHeld();
+  expect(await held.answer).toMatchObject(whole);
+  expect(await gone).toEqual([0, null]);
+  const log = readFileSync(join(folder, 'router.log'), 'utf8');
+  expect(log).not.toMatch(/unforeseen|Error/);
+});
