Bundle: none of our sources on the machines starts a thread or process or shares memory

Change: the test of the bundle reads its record of imports and the sources.

Measured: passes; with `node:worker_threads` imported in one source it fails.

--- a/deploy/build.test.ts
+++ b/deploy/build.test.ts
@@ -25,6 +25,22 @@
 platform_api = { address = "10.200.0.79:8169", rate_per_s = 47.0, max_lag_ms = 800 }
 `;
 
+interface BundleRecord {
+  readonly inputs: Readonly<Record<string, { readonly imports: readonly { readonly path: string }[] }>>;
+}
+
+/** Which of our own sources in the bundle start threads or processes, or share memory; a turn of theirs may end anywhere. */
+function threadsOf(record: string): string[] {
+  const { inputs } = JSON.parse(readFileSync(record, 'utf8')) as BundleRecord;
+  const ours = Object.keys(inputs).filter((file) => /^(packages|programs|platform)\//.test(file));
+  expect(ours.length).toBeGreaterThan(50);
+  return ours.filter(
+    (file) =>
+      inputs[file]!.imports.some((x) => /^(node:)?(worker_threads|child_process|cluster)$/.test(x.path)) ||
+      /\b(SharedArrayBuffer|Atomics)\b/.test(readFileSync(join(here, '..', file), 'utf8')),
+  );
+}
+
 const here = fileURLToPath(new URL('.', import.meta.url));
 
 it('builds a bundle that starts, with a code cache for each role that is taken under the flags of the deploy file', () => {
@@ -39,6 +55,7 @@
   const program = join(target, 'tansypost.cjs');
   expect(run(join(here, 'build.mjs'), target)).toEqual({ status: 0, said: '' });
   expect(readFileSync(join(target, 'bundle.cjs'), 'utf8')).not.toContain('vitest');
+  expect(threadsOf(join(target, 'bundle.json'))).toEqual([]);
   const { roles } = parse(readFileSync(join(here, 'system.toml'), 'utf8')) as {
     roles: Record<string, { run: string }>;
   };
