Send each configuration once, from one control node, as a difference; starting routers want a lease

Each change went whole from the key's owner to every router, also across zones, and a starting router took the first configuration that any control node told, current or not.

A router now names one control node as its source (leased before unleased, punctual before late, same zone before others) and asks the others only to confirm versions. A router whose source does not follow another node's beat within 100 ms fetches from that node. Beats carry whether the node holds a serving lease and echo the router's clock; a starting router takes a configuration as new as a fresh leased beat says, or after contact_ms the newest told.

--- /dev/null
+++ b/packages/control-feed/src/configuration-follower.ts
@@ -0,0 +1,109 @@
+/**
+ * The router's side of the configuration: it asks every control node, has the configuration sent by one of them, its
+ * source, and lets the others confirm versions. When another node tells a newer version and the source does not follow
+ * within moments, the router fetches from that other node and passes the source over for a while.
+ */
+import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
+import type { Configuration } from './configuration.js';
+import { createConfigurationGate } from './configuration-gate.js';
+import { applyPatch } from './configuration-patch.js';
+import type { ControlNodeTable } from './control-node-table.js';
+
+/** How a control node is asked. */
+export interface Asking {
+  /** The node is to send the configuration itself where it has a newer one, not only to confirm its version. */
+  readonly wanted: boolean;
+  /** Whether differences are taken; false after one that did not fit. */
+  readonly takesPatches: boolean;
+}
+
+export interface ConfigurationFollowerOptions {
+  readonly nodes: ControlNodeTable;
+  readonly contactTime: number;
+  readonly ask: (address: Address, asking: Asking) => void;
+  readonly adopted: () => void;
+}
+
+export interface ConfigurationFollower {
+  readonly current: () => Configuration | undefined;
+  /** The newest version known, in force or held aside; 0 if there is none. */
+  readonly newestVersion: () => number;
+  readonly take: (configuration: Configuration) => void;
+  readonly takePatch: (patch: MessageOf<'ConfigurationPatch'>, from: Address) => void;
+  /** A beat has come, and the table of nodes has taken it in. */
+  readonly heard: (beat: MessageOf<'Beat'>, from: Address, fresh: boolean) => void;
+  readonly stop: () => void;
+}
+
+/** How long the source may take to send what another node has told of. */
+const sourcePatience = micros(100_000);
+
+export function createConfigurationFollower(
+  world: World,
+  options: ConfigurationFollowerOptions,
+): ConfigurationFollower {
+  const { nodes, ask } = options;
+  const gate = createConfigurationGate(world, options);
+  let awaiting = false;
+
+  function newestVersion(): number {
+    return gate.newest()?.version ?? 0;
+  }
+
+  function take(configuration: Configuration): void {
+    gate.offer(configuration);
+  }
+
+  function takePatch(patch: MessageOf<'ConfigurationPatch'>, from: Address): void {
+    if (patch.version <= newestVersion()) return;
+    const base = gate.newest();
+    const value = base?.version === patch.base ? applyPatch(base.value, patch.steps, patch.digest) : undefined;
+    if (value === undefined) return ask(from, { wanted: true, takesPatches: false });
+    gate.offer({ version: patch.version, value });
+  }
+
+  function heard(beat: MessageOf<'Beat'>, from: Address, fresh: boolean): void {
+    if (fresh && beat.leased && beat.voting) gate.confirmCurrent(beat.version);
+    const isStarting = gate.current() === undefined;
+    if (isStarting && nodes.anyLeased()) chooseSourceAndFetch();
+    if (beat.version > newestVersion() && from !== nodes.source()) awaitSource();
+  }
+
+  /** A router that starts does not wait for its next round of questions. */
+  function chooseSourceAndFetch(): void {
+    const changed = nodes.chooseSource();
+    const source = nodes.source();
+    if (changed && source !== undefined) ask(source, { wanted: true, takesPatches: true });
+  }
+
+  function awaitSource(): void {
+    if (awaiting) return;
+    awaiting = true;
+    world.after(sourcePatience, () => {
+      awaiting = false;
+      fetchFromNewest();
+    });
+  }
+
+  function fetchFromNewest(): void {
+    const known = newestVersion();
+    const ahead = nodes
+      .voting()
+      .map(nodes.state)
+      .filter((node) => node.version > known)
+      .sort((a, b) => b.version - a.version);
+    const newest = ahead[0];
+    if (newest === undefined) return;
+    if (newest.address !== nodes.source()) nodes.markSourceLate();
+    ask(newest.address, { wanted: true, takesPatches: true });
+  }
+
+  return {
+    current: gate.current,
+    newestVersion,
+    take,
+    takePatch,
+    heard,
+    stop: gate.stop,
+  };
+}
--- a/packages/control-feed/src/control-cluster.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -15,7 +15,8 @@
 } from '@tansypost/simulator';
 import { createControlNodeHost, type ControlNodeHost, type OpenDisk } from '@tansypost/control-node';
 import { createCoreAsker, createReplicaList, type CoreAnswer, type CoreQuestion } from './asker.js';
-import { createControlFeed, documentKey, type ControlFeed } from './control-feed.js';
+import { configurationKey } from './configuration.js';
+import { createControlFeed, type ControlFeed } from './control-feed.js';
 import { createFeedServer } from './feed-server.js';
 import type { ListedWorker } from './listed-worker.js';
 
@@ -125,11 +126,10 @@
       self,
       createReplicaList(host.core, self, () => seeds),
     );
-    const feed = createFeedServer(w, { keeper: host.core, ...platform });
+    const feed = createFeedServer(w, { self, keeper: host.core, ...platform });
     proc.receive = (x, from) => {
       if (x.kind === 'Answer') asker.answer(x);
-      else if (x.kind === 'Follow') feed.receive(x, from);
-      else host.receive(x, from);
+      else if (!feed.receive(x, from)) host.receive(x, from);
     };
     m.host = host;
     m.ask = (q) => new Promise((done) => asker.ask({ ...q, limit: w.now() + 850_000 }, done));
@@ -169,7 +169,9 @@
     return f;
   }
   function write(via: string, base: number, text: string): Promise<CoreAnswer> {
-    return answered(machine(via).ask!({ op: 'write', key: documentKey, change: text, base, value: Buffer.from(text) }));
+    return answered(
+      machine(via).ask!({ op: 'write', key: configurationKey, change: text, base, value: Buffer.from(text) }),
+    );
   }
   function votes(m: Machine): boolean {
     return m.proc.alive && m.host?.core()?.replica.state() === 'voting';
@@ -189,8 +191,8 @@
     wake: (name) => wake(e, machine(name).proc),
     write,
     put: async (via, base, text) => (await write(via, base, text)).status,
-    read: (via) => answered(machine(via).ask!({ op: 'read', key: documentKey })),
-    get: async (via) => (await answered(machine(via).ask!({ op: 'read', key: documentKey }))).value.toString(),
+    read: (via) => answered(machine(via).ask!({ op: 'read', key: configurationKey })),
+    get: async (via) => (await answered(machine(via).ask!({ op: 'read', key: configurationKey }))).value.toString(),
     voting: () => [...machines.values()].filter(votes).map((m) => m.name),
     replicas: (via) =>
       (machine(via).host?.core()?.replica.membership().replicas ?? []).map((p) => p.address.split(':')[0]!).sort(),
@@ -215,7 +217,7 @@
   expect(await c.put('c2', 0, 'two')).toBe('lost');
   expect(await c.put('c0', 0, 'one')).toBe('done');
   await c.run(1000);
-  expect(r.document()).toEqual({ version: 1, value: Buffer.from('one') });
+  expect(r.configuration()).toEqual({ version: 1, value: Buffer.from('one') });
   expect([r.heardCore(), r.routers()]).toEqual([true, 1]);
 });
 
@@ -296,7 +298,7 @@
   }
   expect(c.replicas('n0')).toEqual(['n0', 'n1', 'n2']);
   await c.run(500);
-  expect(r.document()?.value.toString()).toBe('v3');
+  expect(r.configuration()?.value.toString()).toBe('v3');
 });
 
 it('hands the place of a machine that says it leaves on at once, and waits while nobody is missing', async () => {
@@ -352,7 +354,7 @@
   for (let seed = 20; seed < 30; seed += 1) {
     const c = await founded(seed);
     expect(await c.put('c0', 0, 'one')).toBe('done');
-    const q = { op: 'write', key: documentKey, base: 1 } as const;
+    const q = { op: 'write', key: configurationKey, base: 1 } as const;
     const got: string[] = [];
     for (const [i, n] of seedNames.entries())
       void c.machine(n).ask!({ ...q, change: `x${i}`, value: Buffer.from(`x${i}`) }).then((a) => got.push(a.status));
@@ -409,11 +411,11 @@
         .machine(n)
         .host!.core()!
         .owned()
-        .some((k) => k.key === documentKey),
+        .some((k) => k.key === configurationKey),
     )!;
     c.kill(owner);
     await c.run(1700);
-    for (const r of rs) expect(r.document()?.value.toString()).toBe('one');
+    for (const r of rs) expect(r.configuration()?.value.toString()).toBe('one');
   }
 });
 
@@ -456,7 +458,7 @@
       acked.set(a.version, texts[i]!);
     });
     feeds.forEach((f, i) => {
-      const d = f.document();
+      const d = f.configuration();
       if ((d?.version ?? 0) < shown[i]!) faults.push(`a router went back to ${d?.version}`);
       shown[i] = d?.version ?? 0;
       const x = acked.get(shown[i]!);
@@ -505,7 +507,8 @@
     if (c.voting().length < (seed % 3 === 0 ? 5 : 3))
       faults.push(`${k}: only ${c.voting().join()} vote after ${pick} of ${x}`);
     for (const f of feeds)
-      if ((f.document()?.version ?? 0) < Math.max(...acked.keys())) faults.push(`${k}: a router lags after ${pick}`);
+      if ((f.configuration()?.version ?? 0) < Math.max(...acked.keys()))
+        faults.push(`${k}: a router lags after ${pick}`);
     for (const f of feeds) {
       if (
         f
--- a/packages/control-feed/src/control-feed.test.ts
+++ b/packages/control-feed/src/control-feed.test.ts
@@ -1,7 +1,8 @@
 import { expect, it } from 'vitest';
 import { micros, seeded, type Address, type Message } from '@tansypost/inner-protocol';
 import { createEngine, createNetwork, createProc, die, procWorld } from '@tansypost/simulator';
-import { createControlFeed, documentKey } from './control-feed.js';
+import { configurationKey } from './configuration.js';
+import { createControlFeed } from './control-feed.js';
 import { createFeedServer } from './feed-server.js';
 import type { ListedWorker } from './listed-worker.js';
 
@@ -30,6 +31,7 @@
         () => undefined,
       ),
       {
+        self: `${name}:1` as Address,
         keeper: () => undefined,
         fetchList: async () => {
           looks.keepers += 1;
@@ -37,7 +39,7 @@
         },
       },
     );
-    proc.receive = k.receive;
+    proc.receive = (m, from) => void k.receive(m, from);
     return proc;
   });
   const proc = createProc('r', 'r');
@@ -120,19 +122,24 @@
   expect(x.looks.router).toBeLessThan(16);
 });
 
-it('never goes back to an older document or an older core', () => {
+it('never goes back to an older configuration or an older membership', () => {
   const got: string[] = [];
   const to: string[] = [];
-  const timer: { f: () => void } = { f: () => undefined };
+  let asked = 0;
+  const timers: (() => void)[] = [];
+  let now = 0;
   const f = createControlFeed(
     {
-      now: () => micros(0),
+      now: () => micros(now),
       random: () => 0.5,
       after: (_d, g) => {
-        timer.f = g;
+        timers.push(g);
         return () => undefined;
       },
-      send: (a) => to.push(a),
+      send: (a, m) => {
+        to.push(a);
+        if (m.kind === 'Follow') asked = m.asked;
+      },
       log: () => undefined,
     },
     {
@@ -148,11 +155,26 @@
     const replicas = [{ slot: 0, address: `g${membershipEpoch}:1`, disk: 'd' }];
     return {
       kind: 'News',
-      news: [{ key: documentKey, epoch: 1, version, value: Buffer.from(`v${version}`) }],
+      news: [{ key: configurationKey, epoch: 1, version, value: Buffer.from(`v${version}`) }],
       membershipEpoch,
       replicas,
     };
   }
+  f.receive(
+    {
+      kind: 'Beat',
+      version: 2,
+      membershipEpoch: 5,
+      list: 0,
+      age: 0,
+      followers: 1,
+      voting: true,
+      leased: true,
+      zone: 'z',
+      asked,
+    },
+    'k0:1' as Address,
+  );
   for (const [v, g] of [
     [2, 5],
     [1, 4],
@@ -161,9 +183,10 @@
     [3, 5],
   ] as const)
     f.receive(news(v, g), 'k0:1' as Address);
-  expect(f.document()).toEqual({ version: 4, value: Buffer.from('v4') });
-  expect(got).toEqual(['document', 'document']);
+  expect(f.configuration()).toEqual({ version: 4, value: Buffer.from('v4') });
+  expect(got).toEqual(['configuration', 'configuration']);
   to.length = 0;
-  timer.f();
+  now = 3_000_000;
+  timers[0]!();
   expect(to).toEqual(['g6:1', 'k0:1']);
 });
--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -1,249 +1,219 @@
-// What a router hears of the core: the document in force, the workers there are and their loads. It follows
-// every keeper it knows of with one small message; a keeper answers with a beat and sends only what is newer.
-// Keepers tell which machines hold the core's places now, so that a router outlives all of its seeds. Without
-// news of the workers for a while it looks at the list itself, and with nobody to tell it, it goes on with what it has.
+/**
+ * What a router hears of the control nodes: the configuration in force, the workers there are and their loads. It
+ * follows every control node it knows of with one small message; each answers with a beat, and one of them, the
+ * router's source, also sends the configuration. Control nodes tell which machines hold replicas now, so that a router
+ * outlives all of its seeds. With nobody to tell it, a router goes on with what it has.
+ */
 import {
   every,
-  hash32,
   micros,
   type Address,
   type Message,
-  type Micros,
+  type MessageOf,
   type NewsItem,
   type World,
 } from '@tansypost/inner-protocol';
-import { fromWire, listDigest, type ListedWorker } from './listed-worker.js';
-import { createWorkerBook } from './worker-book.js';
+import { configurationKey, type Configuration } from './configuration.js';
+import { createConfigurationFollower, type Asking } from './configuration-follower.js';
+import { createControlNodeTable } from './control-node-table.js';
+import type { ListedWorker } from './listed-worker.js';
+import { createReadExchange } from './read-exchange.js';
+import { createWorkerListFollower } from './worker-list-follower.js';
+import { createWorkerLoadTable, type WorkerLoad } from './worker-loads.js';
 
-export const documentKey = 'paths/main';
-
-// `at` is the local time that the figures stand for.
-export interface WorkerLoad {
-  readonly id: string;
-  readonly queued: number;
-  readonly active: number;
-  readonly kvUsed: number;
-  readonly kvTotal: number;
-  readonly part: string;
-  // It was asked and did not answer; the figures say nothing then.
-  readonly silent: boolean;
-  readonly at: Micros;
+/** A second key to be told of. */
+export interface SecondKey {
+  readonly key: string;
+  /** The version that is had here. */
+  readonly version: () => number;
+  readonly take: (item: NewsItem) => void;
 }
+
 export interface ControlFeedOptions {
   readonly self: Address;
   readonly member: string;
   readonly zone: string;
   readonly seeds: readonly Address[];
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
-  readonly changed: (what: 'document' | 'workers' | 'loads') => void;
-  // Another router has sent a worker a prompt that takes so long to read, in microseconds.
+  readonly changed: (what: 'configuration' | 'workers' | 'loads') => void;
+  /** Another router has sent a worker a prompt that takes so long to read, in microseconds. */
   readonly elsewhere?: (worker: string, service: number, bad: boolean) => void;
-  // A second key to be told of, with the version that is had here, and what is told of any other key.
-  readonly more?: { readonly key: string; readonly version: () => number; readonly take: (n: NewsItem) => void };
+  readonly more?: SecondKey;
+  /** How long a starting router holds out for an answer under a serving lease, in microseconds. */
+  readonly contactTime?: number;
   readonly followEvery?: number;
-  // How old the newest look at the list may get before the router looks itself.
+  /** How old the newest look at the list of workers may get before the router looks itself. */
   readonly listPatience?: number;
 }
+
 export interface ControlFeed {
-  readonly receive: (m: Message, from: Address) => void;
-  readonly document: () => { readonly version: number; readonly value: Buffer } | undefined;
+  readonly receive: (message: Message, from: Address) => void;
+  /** The configuration that this router works by. */
+  readonly configuration: () => Configuration | undefined;
   readonly workers: () => readonly ListedWorker[];
   readonly loads: () => ReadonlyMap<string, WorkerLoad>;
-  // How many routers follow the core, as the keepers count them; 0 when none has told.
+  /** How many routers follow the control nodes, as these count them; 0 when none has told. */
   readonly routers: () => number;
   readonly heardCore: () => boolean;
-  // The keepers heard that hold a place, in an order that is the same for all routers.
+  /** The control nodes heard that vote, in an order that is the same for all routers. */
   readonly keepers: () => readonly Address[];
-  // Tells the other routers of a read; those within a moment go out together.
+  /** The control node that sends the configuration to this router. */
+  readonly source: () => Address | undefined;
+  /** Tells the other routers of a read; those within a moment go out together. */
   readonly reading: (worker: string, service: number, bad?: boolean) => void;
-  // The seeds of a settings file that has changed.
+  /** The seeds of a settings file that has changed. */
   readonly reseed: (seeds: readonly Address[]) => void;
   readonly stop: () => void;
 }
-interface Source {
-  heardAt: number;
-  voting: boolean;
-  followers: number;
-  // The digest of the list as this keeper last told it.
-  list: number;
-}
-const coreSilence = 2_000_000;
-const firstFollow = 120_000;
-const firstLook = 200_000;
-const leastTold = 20_000;
-const leastRelayed = 40_000;
-const tellWithin = 5_000;
-const ownLookAgain = 700_000;
-const moreEvery = 10_000_000;
 
-export function createControlFeed(w: World, o: ControlFeedOptions): ControlFeed {
-  const book = createWorkerBook();
-  const sources = new Map<Address, Source>();
-  const loads = new Map<string, WorkerLoad>();
-  let seeds = o.seeds;
+const defaultContactTime = 3_000_000;
+const defaultFollowEvery = 450_000;
+const defaultListPatience = 1_500_000;
+const startingFollowEvery = 120_000;
+const secondKeyEvery = 10_000_000;
+/** A beat counts as an answer to a question asked at most so long ago. */
+const beatFreshFor = 500_000;
+/** The jitter of the rounds of questions: they come after 0.9 to 1.1 of their period. */
+const shortestPeriod = 0.9;
+const periodSpread = 0.2;
+const clockOriginRange = 2 ** 40;
+const noPeersWanted = -1;
+
+export function createControlFeed(world: World, options: ControlFeedOptions): ControlFeed {
+  const followEvery = options.followEvery ?? defaultFollowEvery;
+  // Echoed by control nodes; a random origin keeps answers to an earlier process of this address from counting.
+  const clockOrigin = 1 + Math.floor(world.random() * clockOriginRange);
+  const nodes = createControlNodeTable(world, { ...options, sourceSilence: 1.5 * followEvery });
+  const loads = createWorkerLoadTable(world);
+  const reads = createReadExchange(world, { ...options, relay: () => nodes.voting()[0] });
+  const workerList = createWorkerListFollower(world, {
+    nodes,
+    fetchList: options.fetchList,
+    changed: () => options.changed('workers'),
+    askAgain: (address) => follow(address, usualAsking(address)),
+    patience: options.listPatience ?? defaultListPatience,
+  });
+  const configuration = createConfigurationFollower(world, {
+    nodes,
+    contactTime: options.contactTime ?? defaultContactTime,
+    ask: follow,
+    adopted: () => options.changed('configuration'),
+  });
+  let seeds = options.seeds;
   let replicas: readonly Address[] = [];
   let membershipEpoch = 0;
-  let peers: readonly Address[] = [];
-  let peersKnown = 0;
-  let peersAll = true;
-  let reads: { worker: string; service: number; bad: boolean; by: number }[] = [];
-  const me = hash32(o.self);
-  let doc: { version: number; value: Buffer } | undefined;
-  let moreAt = 0;
-  let looking = false;
-  // A keeper that is up tells within moments; only then is it worth a look of its own.
-  let lookAgain = w.now() + firstLook * (1 + 2 * w.random());
-  const patience = o.listPatience ?? 1_500_000;
-
-  function heardCore(): boolean {
-    for (const s of sources.values()) if (s.voting && w.now() - s.heardAt < coreSilence) return true;
-    return false;
-  }
+  let secondKeyAt = 0;
 
-  function source(a: Address): Source {
-    let s = sources.get(a);
-    if (s === undefined) sources.set(a, (s = { heardAt: -Infinity, voting: false, followers: 0, list: 0 }));
-    return s;
+  function usualAsking(address: Address): Asking {
+    return { wanted: address === nodes.source(), takesPatches: true };
   }
 
-  // One keeper tells of the other routers, as what two of them know may differ for a moment.
-  function teller(): Address | undefined {
-    return keepers()[0];
-  }
-  function keepers(): Address[] {
-    return [...sources].flatMap(([a, s]) => (s.voting && w.now() - s.heardAt < coreSilence ? [a] : [])).sort();
-  }
-
-  function follow(a: Address): void {
-    w.send(a, {
+  function follow(address: Address, asking: Asking): void {
+    world.send(address, {
       kind: 'Follow',
-      key: documentKey,
-      version: doc?.version ?? 0,
+      key: configurationKey,
+      version: configuration.newestVersion(),
       membershipEpoch,
-      list: source(a).list,
-      peers: a === teller() ? peersKnown : -1,
+      list: nodes.state(address).list,
+      peers: address === nodes.voting()[0] ? reads.peersDigest() : noPeersWanted,
+      confirmOnly: !asking.wanted,
+      takesPatches: asking.takesPatches,
+      asked: clockOrigin + world.now(),
     });
   }
 
   function tick(): void {
-    const to = new Set(replicas.length === 0 || !heardCore() ? [...replicas, ...seeds] : replicas);
-    for (const a of to) follow(a);
-    for (const a of sources.keys()) if (!to.has(a)) sources.delete(a);
-    followMore();
-    lookYourself();
+    const targets = new Set(replicas.length > 0 && nodes.isInTouch() ? replicas : [...replicas, ...seeds]);
+    nodes.chooseSource();
+    for (const address of targets) follow(address, usualAsking(address));
+    nodes.keepOnly(targets);
+    followSecondKey();
+    workerList.lookIfStale();
   }
 
-  // What is pushed to all may have been missed: so one keeper is asked now and then.
-  function followMore(): void {
-    const a = teller();
-    if (o.more === undefined || a === undefined || w.now() < moreAt) return;
-    moreAt = w.now() + moreEvery;
-    w.send(a, {
+  /** What is pushed to all may have been missed: so one control node is asked now and then. */
+  function followSecondKey(): void {
+    const address = nodes.voting()[0];
+    const second = options.more;
+    if (second === undefined || address === undefined || world.now() < secondKeyAt) return;
+    secondKeyAt = world.now() + secondKeyEvery;
+    world.send(address, {
       kind: 'Follow',
-      key: o.more.key,
-      version: o.more.version(),
+      key: second.key,
+      version: second.version(),
       membershipEpoch,
-      list: source(a).list,
-      peers: -1,
+      list: nodes.state(address).list,
+      peers: noPeersWanted,
+      confirmOnly: false,
+      takesPatches: false,
+      asked: 0,
     });
   }
 
-  function lookYourself(): void {
-    const now = w.now();
-    if (looking || now < lookAgain || now - book.newest() < patience) return;
-    looking = true;
-    lookAgain = now + ownLookAgain + w.random() * ownLookAgain;
-    o.fetchList().then(looked, () => looked(undefined));
-    function looked(xs: readonly ListedWorker[] | undefined): void {
-      looking = false;
-      if (xs !== undefined && book.look('', { at: now, workers: xs })) o.changed('workers');
-    }
+  function onBeat(beat: MessageOf<'Beat'>, from: Address): void {
+    const age = clockOrigin + world.now() - beat.asked;
+    const fresh = age >= 0 && age <= beatFreshFor;
+    nodes.heard(beat, from, fresh);
+    workerList.confirm(beat.list, beat.age, from);
+    configuration.heard(beat, from, fresh);
   }
 
-  function onList(m: Extract<Message, { kind: 'WorkerList' }>, from: Address): void {
-    const s = source(from);
-    const had = m.base === 0 ? [] : (book.lookOf(from)?.workers ?? []);
-    if (m.base !== 0 && m.base !== s.list) return follow(from);
-    const by = new Map(had.map((x) => [x.id, x]));
-    for (const id of m.gone) by.delete(id);
-    for (const x of m.workers) by.set(x.id, fromWire(x));
-    const xs = [...by.values()];
-    if (listDigest(xs) !== m.digest) {
-      s.list = 0;
-      return;
+  function onNews(told: MessageOf<'News'>): void {
+    if (told.membershipEpoch > membershipEpoch && told.replicas.length > 0) {
+      membershipEpoch = told.membershipEpoch;
+      replicas = told.replicas.map((replica) => replica.address as Address);
+    }
+    for (const item of told.news) {
+      if (item.key !== configurationKey) options.more?.take(item);
+      else configuration.take({ version: item.version, value: Buffer.from(item.value) });
     }
-    s.list = m.digest;
-    if (book.look(from, { at: w.now() - m.age * 1000, workers: xs })) o.changed('workers');
   }
 
-  function receive(m: Message, from: Address): void {
-    if (m.kind === 'Beat') {
-      const s = source(from);
-      Object.assign(s, { heardAt: w.now(), voting: m.voting, followers: m.followers });
-      if (m.list !== 0 && m.list === s.list && book.again(from, w.now() - m.age * 1000)) o.changed('workers');
-    } else if (m.kind === 'News') {
-      if (m.membershipEpoch > membershipEpoch && m.replicas.length > 0) {
-        membershipEpoch = m.membershipEpoch;
-        replicas = m.replicas.map((p) => p.address as Address);
-      }
-      for (const n of m.news) {
-        if (n.key !== documentKey) {
-          o.more?.take(n);
-          continue;
-        }
-        if (n.version <= (doc?.version ?? 0)) continue;
-        doc = { version: n.version, value: Buffer.from(n.value) };
-        o.changed('document');
-      }
-    } else if (m.kind === 'Peers') {
-      peersKnown = m.digest;
-      peers = m.addresses as Address[];
-      peersAll = m.all;
-    } else if (m.kind === 'Reading') {
-      for (const x of m.reads) if (x.by !== me) o.elsewhere?.(x.worker, x.service, x.bad);
-    } else if (m.kind === 'WorkerList') onList(m, from);
-    else if (m.kind === 'WorkerLoads') {
-      for (const { age, ...x } of m.loads) {
-        const at = micros(w.now() - age * 1000);
-        if ((loads.get(x.id)?.at ?? -Infinity) <= at) loads.set(x.id, { ...x, at });
-      }
-      for (const [id, x] of loads) if (w.now() - x.at > 60_000_000) loads.delete(id);
-      o.changed('loads');
+  function receive(message: Message, from: Address): void {
+    switch (message.kind) {
+      case 'Beat':
+        return onBeat(message, from);
+      case 'News':
+        return onNews(message);
+      case 'ConfigurationPatch':
+        return configuration.takePatch(message, from);
+      case 'Peers':
+        return reads.takePeers(message);
+      case 'Reading':
+        return reads.take(message);
+      case 'WorkerList':
+        return workerList.take(message, from);
+      case 'WorkerLoads':
+        loads.take(message);
+        return options.changed('loads');
+      default:
+        return undefined;
     }
   }
 
-  function reading(worker: string, service: number, bad = false): void {
-    if (peers.length === 0 || (!bad && service < (peersAll ? leastTold : leastRelayed))) return;
-    reads.push({ worker, service: Math.round(service), bad, by: me });
-    if (reads.length > 1) return;
-    w.after(micros(tellWithin), () => {
-      const keeper = teller();
-      const to = peersAll ? peers : keeper === undefined ? [] : [keeper];
-      for (const a of to) w.send(a, { kind: 'Reading', reads });
-      reads = [];
-    });
+  function nextTick(): number {
+    const period = configuration.current() === undefined ? startingFollowEvery : followEvery;
+    return period * (shortestPeriod + periodSpread * world.random());
   }
 
   tick();
-  // One that has just started asks often until it has the document.
-  const stop = every(
-    w,
-    () => micros((doc === undefined ? firstFollow : (o.followEvery ?? 450_000)) * (0.9 + 0.2 * w.random())),
-    tick,
-  );
+  const stopTicking = every(world, () => micros(nextTick()), tick);
   return {
     receive,
-    document: () => doc,
-    workers: () => book.workers(w.now()),
-    loads: () => loads,
-    routers: () =>
-      Math.max(0, ...[...sources.values()].filter((s) => w.now() - s.heardAt < 3_000_000).map((s) => s.followers)),
-    heardCore,
-    keepers,
-    reading,
-    reseed: (x) => {
-      seeds = x;
+    configuration: configuration.current,
+    workers: workerList.workers,
+    loads: loads.loads,
+    routers: nodes.followers,
+    heardCore: nodes.isInTouch,
+    keepers: nodes.voting,
+    source: nodes.source,
+    reading: (worker, service, bad = false) => reads.tell(worker, service, bad),
+    reseed: (addresses) => {
+      seeds = addresses;
+    },
+    stop: () => {
+      stopTicking();
+      configuration.stop();
     },
-    stop,
   };
 }
--- a/packages/control-state/src/keeper.ts
+++ b/packages/control-state/src/keeper.ts
@@ -61,6 +61,8 @@
   readonly version: number;
   readonly membershipEpoch: number;
   readonly voting: boolean;
+  /** Whether this node may hand the key out as current; if not, there may be newer. */
+  readonly leased: boolean;
 }
 
 interface Holding {
@@ -187,7 +189,7 @@
     const r = inForce(k);
     if (r.version > version) sayNews(from, [item(k, r)]);
     else if (core.membershipEpoch > membershipEpoch) sayNews(from, []);
-    return { version: r.version, membershipEpoch: core.membershipEpoch, voting };
+    return { version: r.version, membershipEpoch: core.membershipEpoch, voting, leased: voting };
   }
 
   function rank(): number {
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -33,6 +33,7 @@
   changes: ['string'],
 } as const;
 const news = { key: 'string', epoch: 'long', version: 'long', value: 'bytes' } as const;
+const patchStep = { literal: 'bytes', offset: 'long', length: 'long' } as const;
 const listed = {
   id: 'string',
   service: 'string',
@@ -190,9 +191,32 @@
   Join: { from: 'string', disk: 'string', first: 'boolean' },
   // The owner tells the other places up to which version a key is on a majority.
   Committed: { key: 'string', epoch: 'long', version: 'long' },
-  // What follows a key asks with all that it has, and each keeper answers with a beat as small.
-  Follow: { key: 'string', version: 'long', membershipEpoch: 'long', list: 'long', peers: 'long' },
-  Beat: { version: 'long', membershipEpoch: 'long', list: 'long', age: 'long', followers: 'long', voting: 'boolean' },
+  // A router asks each control node with all that it has, and each answers with a beat as small. `confirmOnly` says that
+  // another node sends the router the configuration itself; `asked` is a number of the router's clock, which the beat
+  // echoes, 0 in a beat that nobody asked for.
+  Follow: {
+    key: 'string',
+    version: 'long',
+    membershipEpoch: 'long',
+    list: 'long',
+    peers: 'long',
+    confirmOnly: 'boolean',
+    takesPatches: 'boolean',
+    asked: 'long',
+  },
+  Beat: {
+    version: 'long',
+    membershipEpoch: 'long',
+    list: 'long',
+    age: 'long',
+    followers: 'long',
+    voting: 'boolean',
+    leased: 'boolean',
+    zone: 'string',
+    asked: 'long',
+  },
+  // The configuration as a difference from an older version: each step is a literal, then bytes copied from the older one.
+  ConfigurationPatch: { version: 'long', base: 'long', digest: 'string', steps: [patchStep] },
   // A list of workers: whole where `base` is 0, else what is other than in the list with that digest.
   WorkerList: { base: 'long', digest: 'long', age: 'long', workers: [listed], gone: ['string'] },
   WorkerLoads: { loads: [load] },
--- a/packages/simulator/src/capacity-followers.ts
+++ b/packages/simulator/src/capacity-followers.ts
@@ -6,7 +6,7 @@
   createCoreAsker,
   createFeedServer,
   createReplicaList,
-  documentKey,
+  configurationKey,
   type ControlFeed,
   type CoreAnswer,
   type ListedWorker,
@@ -145,6 +145,8 @@
     createReplicaList(host.core, m.address, () => seeds),
   );
   const feed = createFeedServer(w, {
+    self: m.address,
+    zone: `zone-${m.zone}`,
     keeper: host.core,
     fetchList: () => new Promise((ok) => g.later(m, 3000, () => ok(list()))),
     fetchLoad: (x) => {
@@ -155,8 +157,7 @@
   });
   m.receive = (x, from) => {
     if (x.kind === 'Answer') asker.answer(x);
-    else if (x.kind === 'Follow' || x.kind === 'Reading') feed.receive(x, from);
-    else host.receive(x, from);
+    else if (!feed.receive(x, from)) host.receive(x, from);
   };
   void host.begin();
   function question(q: Parameters<typeof asker.ask>[0]): Promise<CoreAnswer> {
@@ -164,10 +165,10 @@
   }
   async function ask(revision: number): Promise<CoreAnswer> {
     const limit = g.e.now() + 2 * second;
-    const was = await question({ op: 'read', key: documentKey, limit });
+    const was = await question({ op: 'read', key: configurationKey, limit });
     if (was.status !== 'value') return was;
     const value = Buffer.from(JSON.stringify(documentOf(revision)));
-    return question({ op: 'write', key: documentKey, change: `c${revision}`, base: was.version, value, limit });
+    return question({ op: 'write', key: configurationKey, change: `c${revision}`, base: was.version, value, limit });
   }
   return {
     host,
@@ -219,8 +220,8 @@
     elsewhere: course.elsewhere,
     changed: (what) => {
       if (what === 'workers') course.workers(feed.workers());
-      else if (what === 'document') {
-        const t = JSON.parse(feed.document()!.value.toString()) as PathTable;
+      else if (what === 'configuration') {
+        const t = JSON.parse(feed.configuration()!.value.toString()) as PathTable;
         course.paths(t);
         Object.assign(r, { revision: t.revision, heardAt: g.e.now() });
       } else
--- a/packages/simulator/src/capacity-parts.ts
+++ b/packages/simulator/src/capacity-parts.ts
@@ -159,6 +159,9 @@
     age: 700,
     followers: 420,
     voting: true,
+    leased: true,
+    zone: 'zone-0',
+    asked: 2 ** 40,
   };
   let spent = { user: 0, system: 0 };
   let from = process.cpuUsage();
--- a/packages/simulator/src/pass-through/submit.ts
+++ b/packages/simulator/src/pass-through/submit.ts
@@ -1,7 +1,7 @@
 // What a machine that serves control does with an operator's change: refuses what is invalid, takes a change on top of
 // the revision it names, and gives the same answer when it is sent again.
 import { createHash } from 'node:crypto';
-import { documentKey, type CoreAnswer, type CoreQuestion } from '@tansypost/control-feed';
+import { configurationKey, type CoreAnswer, type CoreQuestion } from '@tansypost/control-feed';
 import { faultsOf, type PathTable } from '@tansypost/paths';
 
 export type SubmitAnswer = 'taken' | 'refused' | 'not now';
@@ -26,7 +26,7 @@
   const t = tableOf(text);
   if (t === undefined || (o.blind !== true && faultsOf(t).length > 0)) return 'refused';
   const change = createHash('sha256').update(text).digest('hex').slice(0, 24);
-  const key = documentKey;
+  const key = configurationKey;
   for (let n = 0; n < 4; n += 1) {
     const was = await o.ask({ op: 'read', key, limit });
     if (was.status !== 'value') return 'not now';
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -5,7 +5,7 @@
   createCoreAsker,
   createFeedServer,
   createReplicaList,
-  documentKey,
+  configurationKey,
   type CoreAnswer,
 } from '@tansypost/control-feed';
 import { readJournal } from '@tansypost/control-state';
@@ -144,6 +144,7 @@
     });
     m.learning = learning;
     const feed = createFeedServer(w, {
+      self,
       keeper: host.core,
       fetchList: fetchList(name, proc),
       fetchLoad: (x) => {
@@ -169,11 +170,10 @@
     }
     m.submit = (text, base) =>
       submit({ ask, now: w.now, ...(g.spoil === 'invalid-let-through' ? { blind: true } : {}) }, text, base);
-    m.read = () => ask({ op: 'read', key: documentKey, limit: w.now() + patience });
+    m.read = () => ask({ op: 'read', key: configurationKey, limit: w.now() + patience });
     proc.receive = (x, from) => {
       if (x.kind === 'Answer') asker.answer(x);
-      else if (x.kind === 'Follow') feed.receive(x, from);
-      else if (!learning.receive(x, from)) host.receive(x, from);
+      else if (!feed.receive(x, from) && !learning.receive(x, from)) host.receive(x, from);
     };
     m.host = host;
     // A disk in trouble at the start is tried again.
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -163,8 +163,8 @@
       elsewhere: c.elsewhere,
       more: { key: recordKey, version: l.version, take: l.take },
       changed: (what) => {
-        if (what === 'document') {
-          const text = feed.document()!.value.toString();
+        if (what === 'configuration') {
+          const text = feed.configuration()!.value.toString();
           const t = tableOf(text);
           if (t === undefined || (g.spoil !== 'invalid-let-through' && faultsOf(t).length > 0))
             return void h.unforeseen.push('a document that cannot govern');
--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -59,7 +59,16 @@
 
 // These travel where traffic is passed on: between the core and its routers, and when a machine of the core asks for
 // a place. The kinds of the core itself are met there as well.
-const onlyPassed: readonly Kind[] = ['Beat', 'Follow', 'Join', 'WorkerList', 'WorkerLoads', 'Peers', 'Reading'];
+const onlyPassed: readonly Kind[] = [
+  'Beat',
+  'ConfigurationPatch',
+  'Follow',
+  'Join',
+  'WorkerList',
+  'WorkerLoads',
+  'Peers',
+  'Reading',
+];
 const passed = new Set<Kind>([...onlyPassed, 'Committed', 'News', 'Accept', 'Vote', 'ReplicaHello']);
 const troubles: PassedTrouble[] = [
   { at: 1, do: 'config-race', for: 1, who: 0 },
