Tests of the configuration's way to routers; a source is late only by what was told back then

In a storm there is always a newer version than the one had, so a router took its source to be late and fetched from others; it now waits for the version that it was told of. What a follower asks for is paced like what is pushed, and a starting router asks one control node only.

--- a/packages/control-feed/src/configuration-follower.ts
+++ b/packages/control-feed/src/configuration-follower.ts
@@ -64,36 +64,34 @@
 
   function heard(beat: MessageOf<'Beat'>, from: Address, fresh: boolean): void {
     if (fresh && beat.leased && beat.voting) gate.confirmCurrent(beat.version);
-    const isStarting = gate.current() === undefined;
-    if (isStarting && nodes.anyLeased()) chooseSourceAndFetch();
-    if (beat.version > newestVersion() && from !== nodes.source()) awaitSource();
+    if (gate.current() === undefined && nodes.source() === undefined) chooseFirstSource();
+    if (beat.version > newestVersion() && from !== nodes.source()) awaitSource(beat.version);
   }
 
-  /** A router that starts does not wait for its next round of questions. */
-  function chooseSourceAndFetch(): void {
-    const changed = nodes.chooseSource();
+  /** A router that starts fetches from the first node with a lease, without waiting for its next round of questions. */
+  function chooseFirstSource(): void {
+    if (!nodes.anyLeased()) return;
+    nodes.chooseSource();
     const source = nodes.source();
-    if (changed && source !== undefined) ask(source, { wanted: true, takesPatches: true });
+    if (source !== undefined) ask(source, { wanted: true, takesPatches: true });
   }
 
-  function awaitSource(): void {
+  /** In a storm there is always something newer; the source is late when it has not sent what was told back then. */
+  function awaitSource(version: number): void {
     if (awaiting) return;
     awaiting = true;
     world.after(sourcePatience, () => {
       awaiting = false;
-      fetchFromNewest();
+      if (newestVersion() < version) fetchFromNewest();
     });
   }
 
   function fetchFromNewest(): void {
-    const known = newestVersion();
-    const ahead = nodes
+    const [newest] = nodes
       .voting()
       .map(nodes.state)
-      .filter((node) => node.version > known)
       .sort((a, b) => b.version - a.version);
-    const newest = ahead[0];
-    if (newest === undefined) return;
+    if (newest === undefined || newest.version <= newestVersion()) return;
     if (newest.address !== nodes.source()) nodes.markSourceLate();
     ask(newest.address, { wanted: true, takesPatches: true });
   }
--- a/packages/control-feed/src/configuration-publisher.ts
+++ b/packages/control-feed/src/configuration-publisher.ts
@@ -86,7 +86,7 @@
     pace.takesPatches = question.takesPatches;
     const mayCross = pace.version > question.version && world.now() - pace.sentAt < crossing && question.takesPatches;
     if (!mayCross) pace.version = question.version;
-    if (pace.wanted && pace.version < newestVersion()) send(from, pace);
+    if (pace.wanted && pace.version < newestVersion()) push(from);
     else tellMembership(question, from);
     return following;
   }
