--- a/packages/control-feed/src/control-cluster.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -9,7 +9,8 @@
   type Network,
 } from '@tansypost/simulator';
 import type { CoreAnswer } from './asker.js';
-import { documentKey, type ControlFeed } from './control-feed.js';
+import { configurationKey } from './configuration.js';
+import type { ControlFeed } from './control-feed.js';
 
 type Tamper = Parameters<Network['tamper']>[0];
 interface Core extends ControlCluster {
@@ -29,10 +30,10 @@
     return got.a ?? { status: 'silent', epoch: 0, version: 0, value: Buffer.alloc(0) };
   }
   function write(via: string, base: number, text: string): Promise<CoreAnswer> {
-    return answered(c.ask(via, { op: 'write', key: documentKey, change: text, base, value: Buffer.from(text) }));
+    return answered(c.ask(via, { op: 'write', key: configurationKey, change: text, base, value: Buffer.from(text) }));
   }
   function read(via: string): Promise<CoreAnswer> {
-    return answered(c.ask(via, { op: 'read', key: documentKey }));
+    return answered(c.ask(via, { op: 'read', key: configurationKey }));
   }
   return {
     ...c,
@@ -56,7 +57,7 @@
   expect(await c.put('c2', 0, 'two')).toBe('lost');
   expect(await c.put('c0', 0, 'one')).toBe('done');
   await c.run(1000);
-  expect(r.document()).toEqual({ version: 1, value: Buffer.from('one') });
+  expect(r.configuration()).toEqual({ version: 1, value: Buffer.from('one') });
   expect([r.heardCore(), r.routers()]).toEqual([true, 1]);
 });
 
@@ -137,7 +138,7 @@
   }
   expect(c.replicas('n0')).toEqual(['n0', 'n1', 'n2']);
   await c.run(500);
-  expect(r.document()?.value.toString()).toBe('v3');
+  expect(r.configuration()?.value.toString()).toBe('v3');
 });
 
 it('hands the place of a machine that says it leaves on at once, and waits while nobody is missing', async () => {
@@ -193,7 +194,7 @@
   for (let seed = 20; seed < 30; seed += 1) {
     const c = await founded(seed);
     expect(await c.put('c0', 0, 'one')).toBe('done');
-    const q = { op: 'write', key: documentKey, base: 1 } as const;
+    const q = { op: 'write', key: configurationKey, base: 1 } as const;
     const got: string[] = [];
     for (const [i, n] of seedNames.entries())
       void c.ask(n, { ...q, change: `x${i}`, value: Buffer.from(`x${i}`) }).then((a) => got.push(a.status));
@@ -250,11 +251,11 @@
         .machine(n)
         .host!.core()!
         .owned()
-        .some((k) => k.key === documentKey),
+        .some((k) => k.key === configurationKey),
     )!;
     c.kill(owner);
     await c.run(1700);
-    for (const r of rs) expect(r.document()?.value.toString()).toBe('one');
+    for (const r of rs) expect(r.configuration()?.value.toString()).toBe('one');
   }
 });
 
@@ -297,7 +298,7 @@
       acked.set(a.version, texts[i]!);
     });
     feeds.forEach((f, i) => {
-      const d = f.document();
+      const d = f.configuration();
       if ((d?.version ?? 0) < shown[i]!) faults.push(`a router went back to ${d?.version}`);
       shown[i] = d?.version ?? 0;
       const x = acked.get(shown[i]!);
@@ -346,7 +347,8 @@
     if (c.voting().length < (seed % 3 === 0 ? 5 : 3))
       faults.push(`${k}: only ${c.voting().join()} vote after ${pick} of ${x}`);
     for (const f of feeds)
-      if ((f.document()?.version ?? 0) < Math.max(...acked.keys())) faults.push(`${k}: a router lags after ${pick}`);
+      if ((f.configuration()?.version ?? 0) < Math.max(...acked.keys()))
+        faults.push(`${k}: a router lags after ${pick}`);
     for (const f of feeds) {
       if (
         f
--- a/packages/simulator/src/control-runs/catch-up-run.ts
+++ b/packages/simulator/src/control-runs/catch-up-run.ts
@@ -3,7 +3,7 @@
  * takes to catch up, what the journal takes, and that nobody serves old state.
  */
 import { performance } from 'node:perf_hooks';
-import { documentKey } from '@tansypost/control-feed';
+import { configurationKey } from '@tansypost/control-feed';
 import { readJournal } from '@tansypost/control-state';
 import type { ConfigService } from './config-service.js';
 import type { ControlBreach, ControlHistory } from './control-history.js';
@@ -115,7 +115,7 @@
   await cluster.run(2500);
   judgeCatchUps(run, catchUps);
   judgeJournals(run, journals);
-  const document = router.document();
+  const document = router.configuration();
   const routerHas = document === undefined ? 0 : history.views.at(-1)!.revision;
   if (routerHas < run.newestTaken())
     run.breaches.push({ check: 'routersCurrent', what: `the router has ${routerHas}, not ${run.newestTaken()}` });
@@ -172,7 +172,7 @@
   const { host, proc } = run.cluster.machine(node);
   const replica = host?.core()?.replica;
   if (!proc.alive || replica === undefined || replica.state() !== 'voting') return -1;
-  const { value } = replica.row(documentKey);
+  const { value } = replica.row(configurationKey);
   return value.length === 0 ? 0 : (JSON.parse(value.toString()) as { revision: number }).revision;
 }
 
--- a/packages/simulator/src/control-runs/control-cluster.ts
+++ b/packages/simulator/src/control-runs/control-cluster.ts
@@ -4,7 +4,7 @@
  */
 import {
   createControlFeed,
-  documentKey,
+  configurationKey,
   type ControlFeed,
   type CoreAnswer,
   type CoreQuestion,
@@ -137,7 +137,7 @@
       seeds: seedNames.map(addressOf),
       fetchList: async () => undefined,
       changed: (what) => {
-        if (what === 'document') changed?.(feed);
+        if (what === 'configuration') changed?.(feed);
       },
     });
     proc.receive = feed.receive;
@@ -158,7 +158,7 @@
       m
         .host!.core()!
         .owned()
-        .some((k) => k.key === documentKey)
+        .some((k) => k.key === configurationKey)
     );
   }
   function namesWhere(f: (m: ClusterMachine) => boolean): string[] {
--- a/packages/simulator/src/control-runs/control-history.ts
+++ b/packages/simulator/src/control-runs/control-history.ts
@@ -2,7 +2,7 @@
  * What is recorded of a run of the control side: every call of an operator, every configuration that a router took, and
  * every round of votes as the network saw it. The judges read nothing else.
  */
-import { documentKey } from '@tansypost/control-feed';
+import { configurationKey } from '@tansypost/control-feed';
 import type { Address, Message } from '@tansypost/inner-protocol';
 import type { MessageObserver } from '../core-machine.js';
 
@@ -81,7 +81,7 @@
   function sent(m: Message, from: Address): void {
     if (m.kind !== 'Prepare' && m.kind !== 'Accept' && m.kind !== 'Check') return;
     // A repair of one replica is no round: nobody counts its votes.
-    if (m.key !== documentKey || m.id.startsWith('mend/') || h.rounds.has(m.id)) return;
+    if (m.key !== configurationKey || m.id.startsWith('mend/') || h.rounds.has(m.id)) return;
     // Nor is the renewal of a lease to serve reads one that an order may stand on.
     if (m.kind === 'Check' && m.epoch === Number.MAX_SAFE_INTEGER) return;
     const node = machineOf(from);
@@ -89,7 +89,7 @@
     h.rounds.set(m.id, { node, startedAt: now(), majority, slots: new Set() });
   }
   function received(m: Message, at: Address, from: Address): void {
-    if (m.kind === 'Answer' && m.key === documentKey && from !== at)
+    if (m.kind === 'Answer' && m.key === configurationKey && from !== at)
       h.answers.push({ from: machineOf(from), to: machineOf(at), at: now() });
     if (m.kind !== 'Vote' || !m.ok || !m.voting) return;
     const round = h.rounds.get(m.id);
--- a/packages/simulator/src/control-runs/control-run.ts
+++ b/packages/simulator/src/control-runs/control-run.ts
@@ -177,7 +177,7 @@
   function startRouter(router: string): ControlFeed {
     const startedAt = e.now();
     return cluster.startRouter(router, (feed) => {
-      const revision = revisionIn(feed.document()!.value.toString());
+      const revision = revisionIn(feed.configuration()!.value.toString());
       history.views.push({ router, startedAt, at: e.now(), revision });
     }).feed;
   }
--- a/packages/simulator/src/control-runs/cut-run.ts
+++ b/packages/simulator/src/control-runs/cut-run.ts
@@ -2,7 +2,7 @@
  * Point 1: one control node is cut off, one way or both, or frozen for twenty seconds, while operators read and order
  * and routers start again on both sides.
  */
-import { documentKey } from '@tansypost/control-feed';
+import { configurationKey } from '@tansypost/control-feed';
 import type { ConfigService } from './config-service.js';
 import type { ControlBreach, ControlHistory } from './control-history.js';
 import { judgeControl } from './control-judge.js';
@@ -122,9 +122,9 @@
   await run.cluster.run(1100);
   if ((await read) === undefined)
     run.breaches.push({ check: 'servesAfterHealing', what: `${target} gives no configuration after the fault` });
-  const held = run.cluster.machine(target).host?.core()?.replica.row(documentKey).version ?? 0;
+  const held = run.cluster.machine(target).host?.core()?.replica.row(configurationKey).version ?? 0;
   const newest = Math.max(
-    ...run.cluster.voting().map((n) => run.cluster.machine(n).host!.core()!.replica.row(documentKey).version),
+    ...run.cluster.voting().map((n) => run.cluster.machine(n).host!.core()!.replica.row(configurationKey).version),
   );
   if (held < newest)
     run.breaches.push({ check: 'caughtUp', what: `${target} holds version ${held} of ${newest} after the fault` });
--- a/packages/simulator/src/control-runs/loss-run.ts
+++ b/packages/simulator/src/control-runs/loss-run.ts
@@ -2,7 +2,7 @@
  * Point 3: a first loss with its repair or replacement, and a second loss at any moment of it. Whenever the fault budget
  * says that the two do not overlap, a majority must vote and hold what was acknowledged.
  */
-import { documentKey } from '@tansypost/control-feed';
+import { configurationKey } from '@tansypost/control-feed';
 import type { ConfigService } from './config-service.js';
 import type { ControlBreach, ControlHistory } from './control-history.js';
 import { judgeControl } from './control-judge.js';
@@ -273,11 +273,11 @@
   await cluster.run(3000);
 
   const where = `seed ${o.seed}, left ${o.leaveAfter} ms after the return, successor ${o.successor}`;
-  for (const key of [...keys, documentKey]) {
+  for (const key of [...keys, configurationKey]) {
     const via = run.running().find((n) => cluster.voting().includes(n)) ?? run.running()[0]!;
     const answer = await readKey(run, via, key);
-    const wanted = key === documentKey ? `${acknowledged}` : key;
-    const found = key === documentKey ? revisionOf(answer) : answer;
+    const wanted = key === configurationKey ? `${acknowledged}` : key;
+    const found = key === configurationKey ? revisionOf(answer) : answer;
     if (found !== wanted)
       run.breaches.push({
         check: 'acknowledgedKept',
--- a/packages/simulator/src/core-machine.ts
+++ b/packages/simulator/src/core-machine.ts
@@ -49,7 +49,7 @@
   readonly bootstrap: boolean;
   readonly dutyTenure: number;
   readonly sweepEvery?: number;
-  readonly feed: (proc: Proc) => Omit<FeedServerOptions, 'keeper'>;
+  readonly feed: (proc: Proc) => Omit<FeedServerOptions, 'keeper' | 'self'>;
   /** Builds what else runs on the machine; it gets the messages before the control node and says which it took. */
   readonly beside?: (w: World, host: ControlNodeHost, asker: CoreAsker) => (m: Message, from: Address) => boolean;
   readonly observer?: MessageObserver;
@@ -135,12 +135,11 @@
   });
   const asker = createCoreAsker(world, self, createReplicaList(host.core, self, o.seeds));
   const beside = o.beside?.(world, host, asker);
-  const feed = createFeedServer(world, { keeper: host.core, ...o.feed(proc) });
+  const feed = createFeedServer(world, { self, keeper: host.core, ...o.feed(proc) });
   proc.receive = (m, from) => {
     o.observer?.received(m, self, from);
     if (m.kind === 'Answer') asker.answer(m);
-    else if (m.kind === 'Follow') feed.receive(m, from);
-    else if (beside?.(m, from) !== true) host.receive(m, from);
+    else if (!feed.receive(m, from) && beside?.(m, from) !== true) host.receive(m, from);
   };
   machine.host = host;
   // A disk in trouble at the start is tried again.
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -1,6 +1,6 @@
 // The machines of the core in a virtual day: each a keeper on its own disk, with the feed to routers and the way for
 // operators' changes, wired as the programs wire them.
-import { documentKey, type CoreAnswer, type FeedServerOptions } from '@tansypost/control-feed';
+import { configurationKey, type CoreAnswer, type FeedServerOptions } from '@tansypost/control-feed';
 import {
   askThrough,
   createControlNodeLearning,
@@ -116,7 +116,7 @@
     }
     m.submit = (text, base) =>
       submit({ ask, now: world.now, ...(g.spoil === 'invalid-let-through' ? { blind: true } : {}) }, text, base);
-    m.read = () => ask({ op: 'read', key: documentKey, limit: world.now() + patience });
+    m.read = () => ask({ op: 'read', key: configurationKey, limit: world.now() + patience });
   }
 
   function kill(name: string, power: boolean): void {
