--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -33,6 +33,8 @@
   readonly self: Address;
   readonly member: string;
   readonly zone: string;
+  /** The region of a zone; without it each zone is a region of its own. */
+  readonly regionOf?: (zone: string) => string;
   readonly seeds: readonly Address[];
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
   readonly changed: (what: 'configuration' | 'workers' | 'loads') => void;
--- a/packages/control-feed/src/control-node-table.test.ts
+++ b/packages/control-feed/src/control-node-table.test.ts
@@ -9,7 +9,7 @@
   const clock = { now: 0 };
   const nodes = createControlNodeTable(
     { now: () => micros(clock.now) },
-    { self: self as Address, zone: 'home', sourceSilence },
+    { self: self as Address, zone: 'home', regionOf: (zone) => (zone === 'overseas' ? zone : 'land'), sourceSilence },
   );
   function beat(from: Address, fields: Partial<MessageOf<'Beat'>> = {}, fresh = true): void {
     const usual = { version: 1, membershipEpoch: 1, list: 0, age: 0, followers: 1, asked: 1 };
@@ -38,6 +38,14 @@
   expect(source()).toBeUndefined();
 });
 
+it('takes a node of its own region before one overseas', () => {
+  const { beat, source } = table();
+  beat(other!, { zone: 'overseas' });
+  expect(source()).toBe(other);
+  beat(far!);
+  expect(source()).toBe(far);
+});
+
 it('counts no lease of a beat that answers no fresh question', () => {
   const { nodes, beat, source } = table();
   beat(near!, {}, false);
--- a/packages/control-feed/src/control-node-table.ts
+++ b/packages/control-feed/src/control-node-table.ts
@@ -2,7 +2,7 @@
  * The control nodes that a router follows, what their last beats said, and which of them is its source: the one that
  * sends the configuration itself, while the others only confirm versions. The source is a node that votes and answers;
  * one with a serving lease before one without, one that has not been late before one that has, one of the router's
- * own zone before others. It is kept as long as no other is better in these terms.
+ * own zone before one of its region before others. It is kept as long as no other is better in these terms.
  */
 import { hash32, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 
@@ -25,6 +25,8 @@
 export interface ControlNodeTableOptions {
   readonly self: Address;
   readonly zone: string;
+  /** The region of a zone; without it each zone is a region of its own. */
+  readonly regionOf?: (zone: string) => string;
   /** How long a source may be silent, in microseconds. */
   readonly sourceSilence: number;
 }
@@ -109,9 +111,15 @@
   function grade(node: ControlNodeState): number | undefined {
     const now = world.now();
     if (!node.voting || now - node.heardAt > options.sourceSilence) return undefined;
-    const leased = node.leasedUntil > now ? 4 : 0;
-    const punctual = node.lateUntil <= now ? 2 : 0;
-    return leased + punctual + (node.zone === options.zone ? 1 : 0);
+    const leased = node.leasedUntil > now ? 8 : 0;
+    const punctual = node.lateUntil <= now ? 4 : 0;
+    return leased + punctual + nearness(node);
+  }
+
+  function nearness(node: ControlNodeState): number {
+    if (node.zone === options.zone) return 2;
+    const region = options.regionOf?.(options.zone);
+    return region !== undefined && node.zone !== '' && options.regionOf?.(node.zone) === region ? 1 : 0;
   }
 
   /** Spreads routers evenly over nodes of the same grade. */
--- a/packages/simulator/src/capacity-followers.ts
+++ b/packages/simulator/src/capacity-followers.ts
@@ -48,8 +48,9 @@
   // Whether a change was taken while regions were apart, by the larger side and by the smaller.
   readonly apartTaken: readonly string[];
   readonly documentBytes: number;
-  // Bytes that all machines together send for one change, beside the steady state.
+  // Bytes and messages in which all machines together send one change to routers, beside the steady state.
   readonly changeBytes: number;
+  readonly changeMessages: number;
 }
 interface Core {
   readonly host: ControlNodeHost;
@@ -205,9 +206,12 @@
   const m = g.add(`router${i}`, 'router', zone);
   const w = g.world(m);
   const budget = { share: 0.2, always: 58, window: 10 * second, routers: () => Math.max(4, feed.routers()) };
+  function regionOfName(name: string): string {
+    return `${regionOf(Number(name.slice('zone-'.length)))}`;
+  }
   const course = createCourse(
     w,
-    { zone: `zone-${zone}`, regionOf: (z) => `${regionOf(Number(z.slice(5)))}`, budget },
+    { zone: `zone-${zone}`, regionOf: regionOfName, budget },
     { workers: { read: none, run: none, free: () => undefined } },
   );
   const r: Router = { zone, course, feed: undefined as never, revision: 0, heardAt: 0, stopped: false };
@@ -215,6 +219,7 @@
     self: m.address,
     member: m.address,
     zone: `zone-${zone}`,
+    regionOf: regionOfName,
     seeds,
     fetchList: () => new Promise((ok) => g.later(m, 3000, () => ok(list()))),
     elsewhere: course.elsewhere,
@@ -317,6 +322,7 @@
   ];
   let apartTaken: readonly string[] = [];
   let changeBytes = 0;
+  let changeMessages = 0;
   if (o.scenes) await scenes();
 
   async function scenes(): Promise<void> {
@@ -327,7 +333,9 @@
       changeMs.push(await spreadMs(x.at));
       await g.run(second);
     }
-    changeBytes = g.sentOf('News').bytes / 3;
+    const carriers = (['News', 'ConfigurationPatch'] as const).map(g.sentOf);
+    changeBytes = carriers.reduce((sum, x) => sum + x.bytes, 0) / 3;
+    changeMessages = carriers.reduce((sum, x) => sum + x.messages, 0) / 3;
 
     for (let n = 0; n < 3; n += 1) {
       const { id } = list[n * 3]!;
@@ -378,5 +386,6 @@
     apartTaken,
     documentBytes: JSON.stringify(documentOf(revision)).length,
     changeBytes,
+    changeMessages,
   };
 }
--- a/packages/simulator/src/capacity-report.ts
+++ b/packages/simulator/src/capacity-report.ts
@@ -99,6 +99,7 @@
   { name: 'a change is acknowledged, ms', of: (x) => x.ackMs, limit: 4000 },
   { name: 'from there to the last router, ms', of: (x) => x.changeMs, limit: 11_000 },
   { name: 'sent in the fleet for a change, KB', of: (x) => x.changeBytes / 1000 },
+  { name: 'messages in which a change reaches the routers', of: (x) => x.changeMessages },
   { name: 'a leaving worker is known by the last router, ms', of: (x) => x.leavingMs, limit: 3000 },
   { name: 'a zone is back, its last router has what it missed, ms', of: (x) => x.zoneMs, limit: 11_000 },
   { name: 'regions are back, the same, ms', of: (x) => x.apartMs, limit: 11_000 },
--- a/packages/simulator/src/capacity.test.ts
+++ b/packages/simulator/src/capacity.test.ts
@@ -46,6 +46,10 @@
   expect([f.changeMs.length, f.leavingMs.length, f.zoneMs.length, f.apartMs.length]).toEqual([3, 3, 1, 1]);
   expect(f.apartTaken[0]).toBe('done');
   for (const ms of f.ackMs) expect(ms).toBeLessThan(2000);
+  // Each change is sent to each of the six routers once, as a difference.
+  expect(f.changeMessages).toBeGreaterThanOrEqual(6);
+  expect(f.changeMessages).toBeLessThan(12);
+  expect(f.changeBytes).toBeLessThan(0.2 * 6 * f.documentBytes);
 });
 
 it('draws a plot with each series and marks one of a run that was broken off', () => {
