Tell a second key that was asked for only to the router that asked

Since control nodes follow their own replica, a key that one router asked for would have gone to all followers again. Test: told to all when written, once each, and to a late router alone. npx vitest run configuration-feed: 13 pass.

--- a/packages/control-feed/src/configuration-feed.test.ts
+++ b/packages/control-feed/src/configuration-feed.test.ts
@@ -14,6 +14,8 @@
   readonly proc: Proc;
   version: number;
   leased: boolean;
+  /** The version of the second key. */
+  second: number;
 }
 interface Router {
   readonly name: string;
@@ -21,7 +23,10 @@
   readonly proc: Proc;
   /** Versions as they were taken, with the time in milliseconds. */
   readonly taken: { readonly version: number; readonly at: number }[];
+  /** Versions of the second key as they were told. */
+  readonly second: number[];
 }
+const secondKey = 'second/main';
 const zones = ['east', 'west', 'south'];
 const contactTime = 3_000_000;
 
@@ -63,23 +68,33 @@
 
   const addresses = zones.map((_, i) => `c${i}:1` as Address);
   const pushes = new Map<Replica, () => void>();
+  const secondPushes = new Map<Replica, () => void>();
   const replicas = zones.map((zone, i): Replica => {
     const { proc, address, world } = startProc(`c${i}`);
-    const replica: Replica = { name: `c${i}`, address, proc, version: 0, leased: true };
+    const replica: Replica = { name: `c${i}`, address, proc, version: 0, leased: true, second: 0 };
     function tell(): void {
       const news = [{ key: configurationKey, epoch: 1, version: replica.version, value: valueOf(replica.version) }];
       world.send(address, { kind: 'News', news, membershipEpoch: 1, replicas: [] });
     }
+    function tellSecond(): void {
+      const news = [{ key: secondKey, epoch: 1, version: replica.second, value: Buffer.from('second') }];
+      world.send(address, { kind: 'News', news, membershipEpoch: 1, replicas: [] });
+    }
     pushes.set(replica, tell);
+    secondPushes.set(replica, tellSecond);
     const members = addresses.map((member, slot) => ({ slot, address: member, disk: `d${slot}` }));
     const node = {
-      follow: (_key: string, version: number) => {
+      follow: (key: string, version: number) => {
+        if (key === secondKey) return followSecond(replica, version, tellSecond);
         if (replica.version > version) tell();
         return { version: replica.version, membershipEpoch: 1, voting: true, leased: replica.leased };
       },
       rank: () => i,
       liveReplicas: () => addresses,
-      replica: { membership: () => ({ membershipEpoch: 1, replicas: members }), row: () => ({ version: 0 }) },
+      replica: {
+        membership: () => ({ membershipEpoch: 1, replicas: members }),
+        row: () => ({ version: replica.second }),
+      },
     } as unknown as ControlNode;
     const server = createFeedServer(world, {
       self: address,
@@ -99,15 +114,23 @@
     }
   }
 
+  /** The leader of the second key has written it; the other replicas hold it too. */
+  function writeSecond(version: number, leader: Replica): void {
+    for (const replica of replicas) replica.second = version;
+    secondPushes.get(leader)!();
+  }
+
   function router(name: string, zone = 'east'): Router {
     const { proc, address, world } = startProc(name);
     const taken: Router['taken'] = [];
+    const second: number[] = [];
     const feed = createControlFeed(world, {
       self: address,
       member: name,
       zone,
       seeds: addresses,
       contactTime,
+      more: { key: secondKey, version: () => second.at(-1) ?? 0, take: ({ version }) => second.push(version) },
       fetchList: async () => undefined,
       changed: (what) => {
         if (what !== 'configuration') return;
@@ -117,7 +140,7 @@
       },
     });
     proc.receive = feed.receive;
-    return { name, feed, proc, taken };
+    return { name, feed, proc, taken, second };
   }
 
   /** Messages of these kinds that carry configurations to a router. */
@@ -133,6 +156,7 @@
     sent,
     replicas,
     commit,
+    writeSecond,
     router,
     carried,
     now: () => engine.now() / 1000,
@@ -142,6 +166,11 @@
   };
 }
 
+function followSecond(replica: Replica, version: number, tell: () => void) {
+  if (replica.second > version) tell();
+  return { version: replica.second, membershipEpoch: 1, voting: true, leased: replica.leased };
+}
+
 function versions(router: Router): number[] {
   return router.taken.map(({ version }) => version);
 }
@@ -310,3 +339,18 @@
     expect(unasked.length).toBeLessThan(2 * (5 * seconds + 2));
   }
 });
+
+it('tells a second key to all followers when it is written, and to one that asks otherwise', async () => {
+  const fleet = createFleet(9);
+  const routers = ['r0', 'r1', 'r2'].map((name) => fleet.router(name));
+  await fleet.run(1000);
+  fleet.sent.length = 0;
+  fleet.writeSecond(4, fleet.replicas[1]!);
+  await fleet.run(100);
+  expect(routers.map(({ second }) => second)).toEqual([[4], [4], [4]]);
+  expect(fleet.sent.filter(({ message }) => message.kind === 'News').length).toBe(3);
+  const late = fleet.router('late');
+  await fleet.run(11_000);
+  expect(late.second).toEqual([4]);
+  expect(fleet.sent.filter(({ message }) => message.kind === 'News' && message.news.length > 0).length).toBe(4);
+});
--- a/packages/control-feed/src/configuration-publisher.ts
+++ b/packages/control-feed/src/configuration-publisher.ts
@@ -55,6 +55,8 @@
 ): ConfigurationPublisher {
   const history = createConfigurationHistory();
   const others = new Map<string, NewsItem>();
+  /** Followers that wait for this node's replica to tell a key. */
+  const askers = new Map<string, Set<Address>>();
   const paces = new Map<Address, Pace>();
   let committedVersion = 0;
   let catchingUp = false;
@@ -93,11 +95,18 @@
 
   /** Of any other key only what is newer is told, without a beat. */
   function askedForOther(question: MessageOf<'Follow'>, from: Address): void {
+    const { key, version } = question;
     const node = options.controlNode();
-    if (node === undefined || node.replica.row(question.key).version === 0) return;
-    refresh(question.key);
-    const item = others.get(question.key);
-    if (item !== undefined && item.version > question.version) sendNews(from, [item]);
+    if (node === undefined || node.replica.row(key).version === 0) return;
+    const known = others.get(key);
+    const newest = refresh(key)?.version ?? 0;
+    if (newest > (known?.version ?? 0)) waitFor(key, from);
+    else if (known !== undefined && known.version > version) sendNews(from, [known]);
+  }
+
+  function waitFor(key: string, follower: Address): void {
+    const waiting = askers.get(key) ?? new Set();
+    askers.set(key, waiting.add(follower));
   }
 
   function tellMembership(question: MessageOf<'Follow'>, from: Address): void {
@@ -154,10 +163,14 @@
     for (const address of followers) push(address);
   }
 
+  /** What this node's leader has just written goes to all; what it was asked for goes to those who asked. */
   function takeOther(item: NewsItem): void {
-    if (item.version <= (others.get(item.key)?.version ?? 0)) return;
+    const isNewer = item.version > (others.get(item.key)?.version ?? 0);
+    const receivers = askers.get(item.key) ?? options.followers();
+    askers.delete(item.key);
+    if (!isNewer) return;
     others.set(item.key, item);
-    for (const address of options.followers()) sendNews(address, [item]);
+    for (const address of receivers) sendNews(address, [item]);
   }
 
   function committed(version: number): void {
