Course: leave an attempt that a worker does not answer, though it answers others

Cause: an attempt at a worker that answered others was left only once the worker was silent to all (1.35 s and more, and never while other answers came), and a run with no other worker left was given up on, which ended its answer sooner for nothing. A read that ended at the limit was followed by a run with 1 ms. Change: AnswerPatience (as RFC 6298) says when an answer is overdue; the attempt is left where an extra send is in the budget and it has waited as long as another worker is expected to take. Time that ran out in a read is answered 503 at once.

--- /dev/null
+++ b/packages/pass-through/src/course.test.ts
@@ -0,0 +1,349 @@
+// The course of single requests in virtual time, with workers that answer as drawn or as scripted: what is sent to
+// whom and when, between the failure of one attempt and the next one or the answer.
+import fc from 'fast-check';
+import { expect, it } from 'vitest';
+import type { Micros, World } from '@tansypost/inner-protocol';
+import type { Path, PathTable } from '@tansypost/paths';
+import { createCourse, type Course } from './course.js';
+import type { Incoming } from './incoming.js';
+import type { GiveUp, ReadResult, Reply, RunResult, RunSink, WorkerPort } from './ports.js';
+import type { FleetWorker } from './worker-fleet.js';
+
+const second = 1_000_000;
+const aim = 0.8 * second;
+const limit = 8 * second;
+const body = Buffer.from('x');
+
+/** A clock that jumps to the next timer once all that follows from the last one has been done. */
+interface VirtualClock {
+  readonly world: World;
+  readonly runUntil: (done: () => boolean) => Promise<void>;
+}
+function createVirtualClock(): VirtualClock {
+  let now = 0;
+  let serial = 0;
+  const timers = new Map<number, { readonly at: number; readonly run: () => void }>();
+  const world: World = {
+    now: () => now as Micros,
+    random: () => 0.5,
+    after: (delay, run) => {
+      const id = (serial += 1);
+      timers.set(id, { at: now + delay, run });
+      return () => void timers.delete(id);
+    },
+    send: () => undefined,
+    log: () => undefined,
+  };
+  async function runUntil(done: () => boolean): Promise<void> {
+    for (;;) {
+      for (let i = 0; i < 50; i += 1) await Promise.resolve();
+      if (done()) return;
+      const next = [...timers].sort(([a, x], [b, y]) => x.at - y.at || a - b)[0];
+      if (next === undefined) throw new Error('nothing is left to happen');
+      timers.delete(next[0]);
+      now = next[1].at;
+      next[1].run();
+    }
+  }
+  return { world, runUntil };
+}
+
+interface Attempt {
+  readonly kind: 'read' | 'run';
+  readonly worker: string;
+  readonly left: number;
+  readonly from: number;
+  to: number | undefined;
+  result: (ReadResult | RunResult)['tag'] | undefined;
+}
+type Answering<R> = (attempt: Attempt, gone: AbortSignal, sink: RunSink | undefined) => Promise<R>;
+interface Script {
+  readonly read: Answering<ReadResult>;
+  readonly run: Answering<RunResult>;
+}
+interface Ended {
+  readonly at: number;
+  readonly how: 'whole' | 'failed' | 'cut' | GiveUp;
+  readonly status?: number;
+  readonly seal?: string;
+}
+interface Played {
+  readonly attempts: Attempt[];
+  readonly freed: string[];
+  readonly ended: Ended | undefined;
+  readonly began: boolean;
+}
+
+function never(gone: AbortSignal): Promise<{ readonly tag: 'unknown'; readonly why: string }> {
+  return new Promise((done) => {
+    gone.addEventListener('abort', () => done({ tag: 'unknown', why: 'left' }), { once: true });
+  });
+}
+
+function fleetOf(readers: number, runners: number): FleetWorker[] {
+  return [...Array(readers + runners).keys()].map((i) => ({
+    id: i < readers ? `reader${i}` : `runner${i - readers}`,
+    service: 's',
+    address: `10.0.0.${i}:1`,
+    zone: 'z',
+    slots: 8,
+    part: i < readers ? 'prefill' : 'decode',
+    leaving: false,
+  }));
+}
+function tableOf(over: Partial<Path>): PathTable {
+  return {
+    revision: 1,
+    paths: [
+      {
+        name: 'p',
+        host: 'h',
+        prefix: '/',
+        budget: limit,
+        aim,
+        pause: 300_000,
+        rank: 0,
+        streaming: true,
+        repeatable: false,
+        resumable: true,
+        sends: 2,
+        shares: [{ service: 's', weight: 1 }],
+        ...over,
+      },
+    ],
+    services: [{ name: 's', vitalsPath: '/', connections: 10, slots: 8, tokenBytes: 1000, linkMbps: 10_000 }],
+    limits: { headBytes: 1, bodyBytes: 1, headTime: 1, idleTime: 1 },
+  } as unknown as PathTable;
+}
+const incoming: Incoming = {
+  id: 'q',
+  method: 'POST',
+  target: '/x',
+  host: 'h',
+  head: [],
+  body,
+  promptTokens: 4000,
+  answerTokens: 10,
+  parts: [
+    { id: 'a', tokens: 3000 },
+    { id: 'b', tokens: 1000 },
+  ],
+  patience: limit,
+  lastEvent: undefined,
+};
+
+interface Setting {
+  readonly path?: Partial<Path>;
+  readonly always?: number;
+  readonly readers?: number;
+  readonly runners?: number;
+}
+async function play(script: Script, setting: Setting = {}): Promise<Played> {
+  const { world, runUntil } = createVirtualClock();
+  const attempts: Attempt[] = [];
+  const freed: string[] = [];
+  const workers = fleetOf(setting.readers ?? 3, setting.runners ?? 3);
+  let ended: Ended | undefined;
+  let began = false;
+
+  async function attempt<R extends ReadResult | RunResult>(
+    kind: Attempt['kind'],
+    worker: FleetWorker,
+    left: number,
+    answer: (a: Attempt) => Promise<R>,
+  ): Promise<R> {
+    const a: Attempt = { kind, worker: worker.id, left, from: world.now(), to: undefined, result: undefined };
+    attempts.push(a);
+    const result = await answer(a);
+    a.to = world.now();
+    a.result = result.tag;
+    return result;
+  }
+  const port: WorkerPort = {
+    read: (w, _q, left, _urgency, gone) => attempt('read', w, left, (a) => script.read(a, gone, undefined)),
+    run: (w, _q, t, sink, gone) => attempt('run', w, t.left, (a) => script.run(a, gone, sink)),
+    free: (_w, handle) => void freed.push(handle),
+  };
+  function end(how: Ended['how'], more: { status?: number; seal?: string } = {}): void {
+    if (ended !== undefined) throw new Error('answered twice');
+    ended = { at: world.now(), how, ...more };
+  }
+  const reply: Reply = {
+    head: () => {
+      began = true;
+    },
+    chunk: () => undefined,
+    end: () => end('whole'),
+    cut: () => end('cut'),
+    whole: (h) => end('failed', { status: h.status, seal: h.head[1]! }),
+    giveUp: (g) => end(g),
+  };
+  const course: Course = createCourse(
+    world,
+    {
+      zone: 'z',
+      regionOf: () => 'r',
+      budget: { share: 0.2, always: setting.always ?? 50, window: 10 * second, routers: () => 1 },
+    },
+    { workers: port },
+  );
+  course.paths(tableOf(setting.path ?? {}));
+  course.workers(workers);
+  // All workers tell their load all the time: none of them is silent to everybody.
+  function tellLoads(): void {
+    for (const w of workers) course.told(w.id, { queued: 0, active: 1, kvUsed: 0.1, silent: false, at: world.now() });
+    world.after(second as Micros, tellLoads);
+  }
+  tellLoads();
+  const served = course.serve(incoming, reply, new AbortController().signal);
+  await runUntil(() => ended !== undefined);
+  await served;
+  return { attempts, freed, ended, began };
+}
+
+function readAt(a: Attempt): Promise<ReadResult> {
+  return Promise.resolve({ tag: 'read', handle: `handle of ${a.worker}`, tokens: 1 });
+}
+function wholeRun(_a: Attempt, _gone: AbortSignal, sink: RunSink | undefined): Promise<RunResult> {
+  sink!.head({ status: 200, head: ['Seal', 'seal'] });
+  void sink!.chunk(Buffer.from('id: 1\n\n'));
+  return Promise.resolve({ tag: 'whole' });
+}
+/** The first attempt of a kind is left unanswered, the later ones are answered. */
+function firstSilent<R>(later: Answering<R>): Answering<R | { readonly tag: 'unknown'; readonly why: string }> {
+  let first = true;
+  return (a, gone, sink) => {
+    if (!first) return later(a, gone, sink);
+    first = false;
+    return never(gone);
+  };
+}
+function kinds(x: Played): string {
+  return x.attempts.map((a) => `${a.kind} ${a.result}`).join(', ');
+}
+
+/** The first read ends as given, any later one is answered. */
+function firstRead(first: ReadResult): Answering<ReadResult> {
+  let begun = false;
+  return (a) => {
+    if (begun) return readAt(a);
+    begun = true;
+    return Promise.resolve(first);
+  };
+}
+const refusedRead: ReadResult = { tag: 'refused', why: 'full', other: false };
+const lostRead: ReadResult = { tag: 'unknown', why: 'reset' };
+
+it('asks another reader at once where a read was turned away, and runs what that one read', async () => {
+  const x = await play({ read: firstRead(refusedRead), run: wholeRun });
+  expect([x.ended?.how, x.ended?.at, kinds(x)]).toEqual(['whole', 0, 'read refused, read read, run whole']);
+});
+
+it('counts a lost read as a run that may have been, so that another reader is asked only within the most sends', async () => {
+  const two = await play({ read: firstRead(lostRead), run: wholeRun });
+  expect([two.ended?.how, two.ended?.at, kinds(two)]).toEqual(['whole', 0, 'read unknown, run whole']);
+  const three = await play({ read: firstRead(lostRead), run: wholeRun }, { path: { sends: 3 } });
+  expect([three.ended?.how, three.ended?.at, kinds(three)]).toEqual(['whole', 0, 'read unknown, read read, run whole']);
+  const one = await play({ read: firstRead(refusedRead), run: wholeRun }, { path: { sends: 1 } });
+  expect(kinds(one)).toBe('read refused, run whole');
+});
+
+it('leaves a read that a worker which answers others does not answer, long before the request runs out', async () => {
+  const x = await play({ read: firstSilent<ReadResult>(readAt), run: wholeRun });
+  expect([x.ended?.how, kinds(x)]).toEqual(['whole', 'read unknown, run whole']);
+  expect(x.ended!.at).toBeLessThan(aim);
+});
+
+it('leaves a run that is not answered where another worker may take it up, and only there', async () => {
+  const x = await play({ read: readAt, run: firstSilent<RunResult>(wholeRun) });
+  expect([x.ended?.how, kinds(x)]).toEqual(['whole', 'read read, run unknown, run whole']);
+  expect(x.ended!.at).toBeLessThan(1.25 * aim);
+  const once = await play({ read: readAt, run: firstSilent<RunResult>(wholeRun) }, { path: { resumable: false } });
+  expect([kinds(once), once.ended?.at]).toEqual(['read read, run unknown', limit]);
+  expect(once.ended?.how).toMatchObject({ kind: 'budget_spent', ran: 'maybe' });
+});
+
+it('leaves nobody where no extra send is in the budget, or no other worker is there', async () => {
+  for (const setting of [{ always: 0 }, { runners: 1 }]) {
+    const x = await play({ read: readAt, run: firstSilent<RunResult>(wholeRun) }, setting);
+    expect([kinds(x), x.ended?.at]).toEqual(['read read, run unknown', limit]);
+  }
+});
+
+it('answers at once when the time has run out in a read, promises that nothing ran, and begins no run', async () => {
+  const x = await play({ read: (_a, gone) => never(gone), run: wholeRun }, { always: 0, path: { budget: second } });
+  expect(x.attempts.map((a) => a.kind)).toEqual(['read']);
+  expect(x.ended).toMatchObject({ at: second, how: { kind: 'budget_spent', ran: 'no', retryAfter: 0.3 } });
+});
+
+it('frees what was read for a request that no worker is left to run', async () => {
+  const x = await play({ read: readAt, run: () => Promise.resolve({ tag: 'unsent', why: '' }) });
+  expect(x.freed.length).toBe(1);
+  expect(x.ended?.how).toMatchObject({ ran: 'no', retryAfter: 0.3 });
+});
+
+const outcomes = fc.record({
+  tag: fc.constantFrom('good', 'unsent', 'refused', 'misdirected', 'failed', 'unknown', 'broken', 'never'),
+  delay: fc.integer({ min: 0, max: 2 * second }),
+});
+
+it('leaves no hole between attempts, sends what may not be repeated once, and keeps to the most sends', async () => {
+  const ends = new Map<string, number>();
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(outcomes, { minLength: 8, maxLength: 8 }),
+      fc.record({ resumable: fc.boolean(), sends: fc.integer({ min: 1, max: 4 }) }),
+      fc.constantFrom(0, 50),
+      async (drawn, path, always) => {
+        let turn = 0;
+        const statuses = new Map<string, number>();
+        function answering(good: Answering<ReadResult | RunResult>): Answering<ReadResult | RunResult> {
+          return async (a, gone, sink) => {
+            const { tag, delay } = drawn[(turn += 1) % drawn.length]!;
+            // Answers take no time here but where a worker is silent: what passes else would be a hole.
+            if (tag === 'never' || delay > 1.9 * second) return never(gone);
+            const failure = { status: 500 + turn, head: ['Seal', `seal of ${a.worker} ${500 + turn}`], body };
+            statuses.set(failure.head[1]!, failure.status);
+            if (tag === 'good') return good(a, gone, sink);
+            if (tag === 'unsent') return { tag, why: '' };
+            if (tag === 'refused' || tag === 'misdirected')
+              return { tag: 'refused', why: '', other: tag === 'misdirected', answer: failure };
+            if (tag === 'failed' && a.kind === 'run') return { tag, answer: failure };
+            if (tag === 'broken' && a.kind === 'run') {
+              sink!.head({ status: 200, head: ['Seal', 'seal'] });
+              void sink!.chunk(Buffer.from('id: 1\n\n'));
+            }
+            return { tag: 'unknown', why: '' };
+          };
+        }
+        const x = await play(
+          {
+            read: answering(readAt as Answering<ReadResult>) as Answering<ReadResult>,
+            run: answering(wholeRun as Answering<RunResult>) as Answering<RunResult>,
+          },
+          { path, always },
+        );
+        const how = x.ended!.how;
+        const name = typeof how === 'string' ? how : `${how.kind} ${how.ran}`;
+        ends.set(name, (ends.get(name) ?? 0) + 1);
+
+        x.attempts.forEach((a, i) => expect((x.attempts[i + 1]?.from ?? x.ended!.at) - a.to!).toBe(0));
+        for (const a of x.attempts) expect(a.left).toBeGreaterThan(0);
+        const runs = x.attempts.filter((a) => a.kind === 'run' && a.result !== 'unsent');
+        const mayHaveRun = runs.filter((a) => a.result !== 'refused');
+        expect(runs.length).toBeLessThanOrEqual(path.sends);
+        const reads = x.attempts.filter((a) => a.kind === 'read' && a.result !== 'unsent');
+        if (reads.length > 1) expect(reads.length + runs.length).toBeLessThanOrEqual(path.sends + 1);
+        if (!path.resumable) expect(mayHaveRun.length).toBeLessThanOrEqual(1);
+        if (typeof how === 'object') {
+          if (mayHaveRun.length > 0) expect(how.ran).toBe('maybe');
+          if (how.ran === 'no') expect(how.retryAfter).toBeGreaterThan(0);
+        }
+        if (how === 'failed') expect(x.ended!.status).toBe(statuses.get(x.ended!.seal!));
+      },
+    ),
+    { seed: 517, numRuns: 1000 },
+  );
+  for (const end of ['whole', 'failed', 'cut', 'outcome_unknown maybe', 'workers_refused no', 'no_workers no'])
+    expect([end, (ends.get(end) ?? 0) > 3]).toEqual([end, true]);
+});
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -10,6 +10,7 @@
   type PlacementOptions,
   type Reason,
 } from '@tansypost/placement';
+import { createAnswerPatience, type AttemptKind } from './answer-patience.js';
 import { assignPair, pairDefaults, promptBlocks, type Pair, type PairTerms } from './assign-pair.js';
 import { decide, type Ledger } from './decision.js';
 import { createEventCutter, type EventCutter } from './events.js';
@@ -48,7 +49,16 @@
 const readPatience = { least: 450_000, times: 2.5 };
 const firstPatience = { least: 700_000, times: 3 };
 const pausePatience = { least: 900_000, times: 3 };
+// Ours: a run from memory waits for nobody, so a silent one is noticed sooner.
+const memoryPatience = { least: 400_000, times: 3 };
+const watchInterval = 50_000;
+// So high that nothing is explored by it.
+const noDraw = 0.999999;
+// Ours: one that was lost is read by one more reader at most.
+const mostReads = 2;
 const mostUnsent = 4;
+// Ours: a run from memory that was read elsewhere has its first token after so long.
+const firstFromMemory = 60_000;
 // Ours: how long a request waits for a router that is starting.
 const startPatience = 1_500_000;
 // Ours: what a worker read longer ago than this has given way to other prompts.
@@ -71,8 +81,10 @@
   lastRefused: boolean;
   readonly tried: Set<string>;
   unsent: number;
-  // A read has been tried; any later one is extra.
-  readTried: boolean;
+  // Reads begun; any after the first that was taken up is extra.
+  reads: number;
+  // Reads that were sent and neither answered nor turned away.
+  readsLost: number;
   readonly lot: Lot | undefined;
   // The row and the moment by which its reader was chosen, until the first piece has come.
   chosen: { readonly row: Float32Array; readonly at: number } | undefined;
@@ -88,6 +100,7 @@
   const fleet = createWorkerFleet(w.now, paces.speedClass);
   const tree = createRadixTree();
   const budget = createSendBudget(w.now, o.budget);
+  const patience = createAnswerPatience();
   const placement = o.placement ?? placementDefaults;
   const pair = { ...pairDefaults, ...o.pair };
   const counts = new Map<string, number>();
@@ -126,9 +139,9 @@
   }
   // A router that has just started is told within moments what there is; until then a request waits rather than being
   // sent away by each router in turn.
-  function untilReady(patience: number): Promise<void> {
+  function untilReady(longest: number): Promise<void> {
     return new Promise((done) => {
-      const cancel = w.after(micros(patience), end);
+      const cancel = w.after(micros(longest), end);
       function end(): void {
         cancel();
         if (waiting.delete(end)) done();
@@ -174,7 +187,8 @@
         lastRefused: false,
         tried: new Set(),
         unsent: 0,
-        readTried: false,
+        reads: 0,
+        readsLost: 0,
         lot: p.lot?.(q.id),
         chosen: undefined,
         firstAt: 0,
@@ -217,10 +231,20 @@
     };
   }
 
-  function assign(r: Running, aloneOnly: boolean): Pair | undefined {
+  // What would be assigned if this worker were left now; nothing is drawn for it.
+  function alternative(r: Running, aloneOnly: boolean, worker: string): Pair | undefined {
+    return assign(r, aloneOnly, new Set([...r.tried, worker]), () => noDraw);
+  }
+
+  function assign(
+    r: Running,
+    aloneOnly: boolean,
+    tried: ReadonlySet<string> = r.tried,
+    random: () => number = w.random,
+  ): Pair | undefined {
     const s = r.service.name;
-    const runners = fleet.views(s, 'decode', r.tried);
-    const readers = aloneOnly ? [] : fleet.views(s, 'prefill', r.tried);
+    const runners = fleet.views(s, 'decode', tried);
+    const readers = aloneOnly ? [] : fleet.views(s, 'prefill', tried);
     return assignPair(
       r.q,
       readers,
@@ -229,14 +253,14 @@
       r.lot?.model,
       terms(r),
       w.now,
-      w.random,
+      random,
     );
   }
 
   async function run(r: Running): Promise<void> {
     for (;;) {
       const now = w.now();
-      const again = r.sends > 0 || r.ran === 'maybe' || r.readTried;
+      const again = r.sends > 0 || r.ran === 'maybe' || r.reads > 0;
       const plan = r.unsent > mostUnsent ? undefined : assign(r, again);
       const ledger: Ledger = { sends: r.sends, ran: r.ran, begun: r.begun, lastRefused: r.lastRefused };
       const step = decide(ledger, {
@@ -271,46 +295,61 @@
     }
   }
 
-  // One run, with the read before it where the pair has a reader. True when the course has ended.
+  // One run, with the reads before it where the pair has a reader. True when the course has ended.
   async function oneRun(r: Running, plan: Pair): Promise<boolean> {
     let pairNow = plan;
-    let from: { worker: FleetWorker; handle: string } | undefined;
-    if (pairNow.reader !== undefined && !r.begun) {
-      r.readTried = true;
+    while (pairNow.reader !== undefined && !r.begun) {
       const got = await oneRead(r, pairNow);
+      const reader = pairNow.reader;
+      const from = got.tag === 'read' ? { worker: reader, handle: got.handle } : undefined;
+      const next = r.gone.aborted || r.limit <= w.now() ? undefined : assignAfterRead(r, from);
+      if (from !== undefined) {
+        if (next !== undefined) return runOn(r, next, from);
+        p.workers.free(reader, from.handle);
+      } else {
+        r.tried.add(reader.id);
+        if (got.tag === 'unknown') r.readsLost += 1;
+        note(`read ${got.tag}`);
+      }
       if (r.gone.aborted) {
-        if (got.tag === 'read') p.workers.free(pairNow.reader, got.handle);
         note('requester left');
         return true;
       }
-      if (got.tag === 'read') from = { worker: pairNow.reader, handle: got.handle };
-      else {
-        r.tried.add(pairNow.reader.id);
-        note(`read ${got.tag}`);
-        if (got.tag !== 'unsent') {
-          // Turned away or lost: what follows counts as an extra send.
-          if (!budget.room(r.service.name)) {
-            giveUp(r.reply, 'workers_refused', 'no', 'The worker asked to read it did not, and no send is left.', 0.5);
-            return true;
-          }
-          budget.extra(r.service.name);
-        }
+      if (r.limit <= w.now()) {
+        giveUp(r.reply, 'budget_spent', 'no', 'It was not read within the time that it has.', 0.3);
+        return true;
       }
-      const next = assignAfterRead(r, from);
-      if (next === undefined) {
-        if (from !== undefined) p.workers.free(from.worker, from.handle);
+      // Turned away or lost: what follows counts as an extra send.
+      const extra = from === undefined && got.tag !== 'unsent';
+      if (extra && !budget.room(r.service.name)) {
+        giveUp(r.reply, 'workers_refused', 'no', 'The worker asked to read it did not, and no send is left.', 0.5);
+        return true;
+      }
+      const other = from === undefined ? assign(r, !mayReadAgain(r)) : undefined;
+      if (other === undefined) {
         giveUp(r.reply, 'no_workers', 'no', 'No worker is left to run it.', 0.3);
         return true;
       }
-      pairNow = next;
+      if (extra) budget.extra(r.service.name);
+      // A read after the first counts among the workers that a request may go to, if it is taken up or not.
+      if (other.reader !== undefined) r.sends += 1;
+      pairNow = other;
     }
-    return runOn(r, pairNow, from);
+    return runOn(r, pairNow, undefined);
+  }
+
+  /**
+   * A worker that was asked to read may have run the request instead, so each read without an answer, the one that
+   * would follow and the run after it all count among the workers that the request may go to.
+   */
+  function mayReadAgain(r: Running, lost = r.readsLost): boolean {
+    return r.reads < mostReads && lost + r.sends + 2 <= r.path.sends;
   }
 
   // The runner is assigned anew after the read: a second may have passed, and one that left meanwhile is no candidate.
   function assignAfterRead(r: Running, from: { worker: FleetWorker } | undefined): Pair | undefined {
+    if (from === undefined) return undefined;
     const runners = fleet.views(r.service.name, 'decode', r.tried);
-    if (from === undefined) return assign(r, true);
     const t = terms(r);
     const hits = tree.hits(promptBlocks(r.q), w.now() - keptFor);
     // What was read moves whole, so only load and distance count here.
@@ -332,7 +371,7 @@
     );
     return a === undefined
       ? undefined
-      : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: 60_000 };
+      : { ...a, reader: from.worker as FleetWorker, runnerTokens: 1, firstTime: firstFromMemory };
   }
 
   // Workers let in the more urgent first. Small prompts hold nobody up, so they go before the rest; of the others, what
@@ -346,6 +385,16 @@
     return slack < 0.6 * r.path.aim ? urgencies.near : urgencies.ample;
   }
 
+  /**
+   * Whether a worker that may still answer is left for another: an extra send is in the budget, and the worker has been
+   * silent for as long as another one is expected to take, so that a wrong guess at most doubles the wait.
+   */
+  function worthLeaving(r: Running, worker: string, waited: number, aloneOnly: boolean): boolean {
+    if (!budget.room(r.service.name)) return false;
+    const other = alternative(r, aloneOnly, worker);
+    return other !== undefined && waited >= other.firstTime && r.limit - w.now() > other.firstTime;
+  }
+
   async function oneRead(r: Running, plan: Pair): Promise<ReadResult> {
     const reader = plan.reader!;
     const now = w.now();
@@ -353,15 +402,19 @@
     p.reading?.(reader.id, plan.serviceTime);
     const under = fleet.began(reader.id, 'read', plan.readerTokens, plan.readTime);
     const limit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
-    let over = false;
-    // A worker that answers nobody is left; one that answers others is only slow.
+    const quietAfter = Math.max(readPatience.least, readPatience.times * plan.readTime);
+    const overdueAfter = patience.of('read', plan.readTime, quietAfter);
+    let [over, overdue] = [false, false];
+    r.reads += 1;
+    // A worker that answers nobody is left; one that answers others, where another may be asked instead.
     function watch(): void {
       if (over) return;
-      if (w.now() - now >= Math.max(readPatience.least, readPatience.times * plan.readTime) && fleet.silent(reader.id))
-        stop.abort();
-      else w.after(micros(100_000), watch);
+      const waited = w.now() - now;
+      overdue = waited >= overdueAfter && worthLeaving(r, reader.id, waited, !mayReadAgain(r, r.readsLost + 1));
+      if (overdue || (waited >= quietAfter && fleet.silent(reader.id))) stop.abort();
+      else w.after(micros(watchInterval), watch);
     }
-    w.after(micros(readPatience.least), watch);
+    w.after(micros(quietAfter), watch);
     function left(): void {
       stop.abort();
     }
@@ -370,6 +423,7 @@
     over = true;
     limit();
     r.gone.removeEventListener('abort', left);
+    if (got.tag === 'read' || overdue) patience.observe('read', plan.readTime, w.now() - now);
     if (got.tag === 'read') {
       under.end('done');
       tree.insert(promptBlocks(r.q), reader.id, w.now());
@@ -380,7 +434,12 @@
       }
       return got;
     }
-    if (got.tag === 'refused' && !got.other) p.reading?.(reader.id, 0, true);
+    if (overdue || (got.tag === 'refused' && !got.other)) p.reading?.(reader.id, 0, true);
+    if (overdue) {
+      note('left an overdue read');
+      under.end('overdue');
+      return got;
+    }
     under.end(r.gone.aborted ? 'left' : got.tag !== 'refused' ? 'failed' : got.other ? 'gone' : 'refused');
     return got;
   }
@@ -394,26 +453,35 @@
     const now = w.now();
     const stop = new AbortController();
     const mayMove = r.path.resumable || r.path.repeatable;
-    const under: Under = fleet.began(runner.id, 'run', plan.runnerTokens, from === undefined ? plan.firstTime : 60_000);
+    const kind: AttemptKind = from === undefined ? 'run alone' : 'run from memory';
+    const expected = from === undefined ? plan.firstTime : firstFromMemory;
+    const under: Under = fleet.began(runner.id, 'run', plan.runnerTokens, expected);
+    const shortest = from === undefined ? firstPatience : memoryPatience;
+    const overdueAfter = patience.of(kind, expected, Math.max(shortest.least, shortest.times * expected));
     const resumed = r.begun;
     if (resumed) r.cutter?.again();
     let seen = false;
     let heardAt = now;
-    let ended = false;
+    let [ended, overdue] = [false, false];
     // Where another worker may take it up, one that has been silent for too long is left.
     function watch(): void {
       if (ended || !mayMove) return;
-      const t = w.now();
-      const most = seen
+      const waited = w.now() - heardAt;
+      const quietAfter = seen
         ? Math.max(pausePatience.least, pausePatience.times * r.path.pause)
         : Math.max(firstPatience.least, firstPatience.times * plan.firstTime);
-      const due = heardAt + most;
-      if (t >= due && (seen || fleet.silent(runner.id)) && budget.room(r.service.name) && r.sends < r.path.sends) {
-        note('left a silent worker');
+      const quiet = waited >= quietAfter && (seen || fleet.silent(runner.id));
+      const sendLeft = r.sends < r.path.sends;
+      overdue = !seen && sendLeft && waited >= overdueAfter && worthLeaving(r, runner.id, waited, true);
+      if (
+        overdue ||
+        (quiet && sendLeft && budget.room(r.service.name) && alternative(r, true, runner.id) !== undefined)
+      ) {
+        note(overdue ? 'left an overdue run' : 'left a silent worker');
         stop.abort();
-      } else w.after(micros(Math.max(50_000, due - t)), watch);
+      } else w.after(micros(watchInterval), watch);
     }
-    if (mayMove) w.after(micros(firstPatience.least), watch);
+    if (mayMove) w.after(micros(Math.min(overdueAfter, firstPatience.least)), watch);
     const cancelLimit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
     function left(): void {
       stop.abort();
@@ -442,8 +510,9 @@
           r.reply.head(h);
         },
         chunk: (b) => {
-          seen = true;
           heardAt = w.now();
+          if (!seen) patience.observe(kind, expected, heardAt - now);
+          seen = true;
           r.pieces += 1;
           if (r.pieces === 1) r.firstAt = heardAt;
           if (r.chosen !== undefined) p.sample?.(r.chosen.row, heardAt - r.chosen.at);
@@ -457,7 +526,8 @@
       stop.signal,
     );
     ended = true;
-    if (got.tag === 'failed' || (got.tag === 'refused' && !got.other && from === undefined))
+    if (overdue) patience.observe(kind, expected, w.now() - now);
+    if (overdue || got.tag === 'failed' || (got.tag === 'refused' && !got.other && from === undefined))
       p.reading?.(runner.id, 0, true);
     cancelLimit();
     r.gone.removeEventListener('abort', left);
@@ -495,7 +565,7 @@
         if (!r.begun) r.failed = got;
         break;
       case 'unknown':
-        under.end(r.gone.aborted ? 'left' : 'failed');
+        under.end(r.gone.aborted ? 'left' : overdue ? 'overdue' : 'failed');
         if (!r.gone.aborted) note(seen ? 'stream broke' : 'run unknown');
         r.ran = 'maybe';
         r.tried.add(runner.id);
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -28,8 +28,9 @@
 export interface Under {
   // Bytes came: the worker is alive. The first ones of a run also say that its prompt is read.
   readonly progress: () => void;
-  // `ill`: it ran and said that it failed; `gone`: another worker has its address now.
-  readonly end: (how: 'done' | 'refused' | 'ill' | 'failed' | 'left' | 'gone') => void;
+  // `ill`: it ran and said that it failed; `gone`: another worker has its address now; `overdue`: it may still answer
+  // others, but did not answer this in time.
+  readonly end: (how: 'done' | 'refused' | 'ill' | 'failed' | 'left' | 'gone' | 'overdue') => void;
 }
 export interface View {
   readonly worker: FleetWorker;
@@ -266,7 +267,7 @@
         if (!r.sends.delete(s)) return;
         // One that is silent or gone rests; one that answers, and badly, costs more.
         if (how === 'done') sawBad(r, 0, 0.2);
-        else if (how === 'refused' || how === 'ill') sawBad(r, 1, 0.2);
+        else if (how === 'refused' || how === 'ill' || how === 'overdue') sawBad(r, 1, 0.2);
         if (how === 'done' || how === 'ill') {
           r.heardAt = now();
           r.failures = 0;
