Course: leave a read, or a run that reads, only once its aim has passed

Change: a run from memory, which waits for no prompt, is left after 0.4 s; a read and a run that reads after the aim and five times what was expected.

--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -49,8 +49,10 @@
 const readPatience = { least: 450_000, times: 2.5 };
 const firstPatience = { least: 700_000, times: 3 };
 const pausePatience = { least: 900_000, times: 3 };
-// Ours: a run from memory waits for nobody, so a silent one is noticed sooner.
+// Ours: how long a worker that answers others may leave one request unanswered. A run from memory waits for no prompt; a
+// prompt to be read may be behind others for long, and is left only when it is late for its aim anyway.
 const memoryPatience = { least: 400_000, times: 3 };
+const promptPatience = { times: 5 };
 const watchInterval = 50_000;
 // So high that nothing is explored by it.
 const noDraw = 0.999999;
@@ -395,6 +397,10 @@
     return other !== undefined && waited >= other.firstTime && r.limit - w.now() > other.firstTime;
   }
 
+  function promptLeast(r: Running, expected: number): number {
+    return Math.max(r.path.aim, promptPatience.times * expected);
+  }
+
   async function oneRead(r: Running, plan: Pair): Promise<ReadResult> {
     const reader = plan.reader!;
     const now = w.now();
@@ -403,7 +409,7 @@
     const under = fleet.began(reader.id, 'read', plan.readerTokens, plan.readTime);
     const limit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
     const quietAfter = Math.max(readPatience.least, readPatience.times * plan.readTime);
-    const overdueAfter = patience.of('read', plan.readTime, quietAfter);
+    const overdueAfter = patience.of('read', plan.readTime, promptLeast(r, plan.readTime));
     let [over, overdue] = [false, false];
     r.reads += 1;
     // A worker that answers nobody is left; one that answers others, where another may be asked instead.
@@ -456,8 +462,9 @@
     const kind: AttemptKind = from === undefined ? 'run alone' : 'run from memory';
     const expected = from === undefined ? plan.firstTime : firstFromMemory;
     const under: Under = fleet.began(runner.id, 'run', plan.runnerTokens, expected);
-    const shortest = from === undefined ? firstPatience : memoryPatience;
-    const overdueAfter = patience.of(kind, expected, Math.max(shortest.least, shortest.times * expected));
+    const least =
+      from === undefined ? promptLeast(r, expected) : Math.max(memoryPatience.least, memoryPatience.times * expected);
+    const overdueAfter = patience.of(kind, expected, least);
     const resumed = r.begun;
     if (resumed) r.cutter?.again();
     let seen = false;
