--- a/packages/inner-protocol/src/frame.ts
+++ b/packages/inner-protocol/src/frame.ts
@@ -1,58 +1,68 @@
-// Frames on a TCP stream: four bytes of length, then the body. A length over the limit is an error
-// at once, before any of the body is held.
+/**
+ * Frames on a TCP stream: four bytes of length, then the body. A length over the limit is an error at once, before any
+ * of the body is held.
+ */
 import * as E from 'fp-ts/lib/Either.js';
 import { BadFrame } from './errors.js';
 
+/** The longest body, in bytes. */
 export const frameLimit = 48 * 1024 * 1024;
 
-export function frame(b: Buffer): Buffer {
-  const h = Buffer.allocUnsafe(4);
-  h.writeUInt32BE(b.length, 0);
-  return Buffer.concat([h, b]);
+const headerSize = 4;
+
+/** A body with its length before it. */
+export function frame(body: Buffer): Buffer {
+  const header = Buffer.allocUnsafe(headerSize);
+  header.writeUInt32BE(body.length, 0);
+  return Buffer.concat([header, body]);
 }
 
+/** Cuts one stream into frames. */
 export interface Unframer {
+  /** The bodies that the chunk completes, or a `BadFrame`. */
   readonly push: (chunk: Buffer) => E.Either<Error, Buffer[]>;
 }
 
+/** Makes the unframer of one stream. */
 export function createUnframer(limit = frameLimit): Unframer {
   let held: Buffer[] = [];
   let size = 0;
   function push(chunk: Buffer): E.Either<Error, Buffer[]> {
     held.push(chunk);
     size += chunk.length;
-    const out: Buffer[] = [];
-    while (size >= 4) {
-      let all = held.length === 1 ? held[0]! : Buffer.concat(held);
-      held = [all];
-      const n = all.readUInt32BE(0);
-      if (n > limit)
-        return E.left(
-          new BadFrame(
-            `A frame of ${n} bytes is over the limit of ${limit}; the link is closed. Check that the other side is a tansypost process.`,
-          ),
-        );
-      if (size < 4 + n) break;
-      out.push(all.subarray(4, 4 + n));
-      all = all.subarray(4 + n);
-      held = all.length > 0 ? [all] : [];
-      size -= 4 + n;
+    const bodies: Buffer[] = [];
+    while (size >= headerSize) {
+      const bytes = held.length === 1 ? held[0]! : Buffer.concat(held);
+      held = [bytes];
+      const length = bytes.readUInt32BE(0);
+      if (length > limit) return E.left(tooLong(length, limit));
+      const end = headerSize + length;
+      if (size < end) break;
+      bodies.push(bytes.subarray(headerSize, end));
+      held = bytes.length > end ? [bytes.subarray(end)] : [];
+      size -= end;
     }
-    return E.right(out);
+    return E.right(bodies);
   }
   return { push };
 }
 
+function tooLong(length: number, limit: number): Error {
+  return new BadFrame(
+    `A frame of ${length} bytes is over the limit of ${limit}; the link is closed. Check that the other side is a tansypost process.`,
+  );
+}
+
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
   it('gives whole frames whatever the chunks are, and refuses an oversized one from its length alone', () => {
-    const all = Buffer.concat([frame(Buffer.from('one')), frame(Buffer.alloc(0)), frame(Buffer.from('three'))]);
-    for (let n = 1; n <= all.length; n += 1) {
-      const u = createUnframer();
+    const stream = Buffer.concat([frame(Buffer.from('one')), frame(Buffer.alloc(0)), frame(Buffer.from('three'))]);
+    for (let size = 1; size <= stream.length; size += 1) {
+      const unframer = createUnframer();
       const got: string[] = [];
-      for (let i = 0; i < all.length; i += n) {
-        const r = u.push(all.subarray(i, i + n));
-        if (E.isRight(r)) got.push(...r.right.map(String));
+      for (let i = 0; i < stream.length; i += size) {
+        const bodies = unframer.push(stream.subarray(i, i + size));
+        if (E.isRight(bodies)) got.push(...bodies.right.map(String));
       }
       expect(got).toEqual(['one', '', 'three']);
     }
--- a/packages/inner-protocol/src/index.ts
+++ b/packages/inner-protocol/src/index.ts
@@ -8,4 +8,5 @@
 export * from './queue.js';
 export * from './real-world.js';
 export * from './shape.js';
+export * from './socket-address.js';
 export * from './world.js';
--- a/packages/inner-protocol/src/link.test.ts
+++ b/packages/inner-protocol/src/link.test.ts
@@ -1,10 +1,12 @@
+/** Links between processes: bad peers, other schemas, paths on which nothing gets through. */
 import net from 'node:net';
 import { expect, it } from 'vitest';
 import type { Address } from './brands.js';
 import { hello, shortHello } from './codec.js';
 import { frame } from './frame.js';
-import { createCarrier, splitAddress } from './link.js';
+import { createCarrier } from './link.js';
 import type { Message } from './messages.js';
+import { splitAddress } from './socket-address.js';
 
 // Processes of other test files run beside this one; each has a loopback address of its own.
 const host = `127.${1 + ((process.pid >> 8) & 127)}.${process.pid & 255}.1`;
--- a/packages/inner-protocol/src/queue.ts
+++ b/packages/inner-protocol/src/queue.ts
@@ -1,19 +1,23 @@
-// The command queue of a table's one owner. Commands are handled one after the other and each runs
-// to its end; a command posted from inside a handler waits for its turn.
+/**
+ * The command queue of a table's one owner. Commands are handled one after the other and each runs to its end; a
+ * command posted from inside a handler waits for its turn.
+ */
 
-export interface Queue<C> {
-  readonly post: (c: C) => void;
+/** Takes commands. */
+export interface Queue<Command> {
+  readonly post: (command: Command) => void;
 }
 
-export function createQueue<C>(handle: (c: C) => void): Queue<C> {
-  const waiting: C[] = [];
+/** Makes a queue whose commands go to `handle`. An error thrown by it reaches whoever posted. */
+export function createQueue<Command>(handle: (command: Command) => void): Queue<Command> {
+  const waiting: Command[] = [];
   let busy = false;
-  function post(c: C): void {
-    waiting.push(c);
+  function post(command: Command): void {
+    waiting.push(command);
     if (busy) return;
     busy = true;
     try {
-      for (let n = waiting.shift(); n !== undefined; n = waiting.shift()) handle(n);
+      for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) handle(next);
     } finally {
       busy = false;
     }
@@ -25,11 +29,11 @@
   const { it, expect } = import.meta.vitest;
   it('handles a command posted from inside a handler after the one that posted it', () => {
     const seen: string[] = [];
-    const q = createQueue<string>((c) => {
-      if (c === 'a') q.post('b');
-      seen.push(c);
+    const queue = createQueue<string>((command) => {
+      if (command === 'a') queue.post('b');
+      seen.push(command);
     });
-    q.post('a');
+    queue.post('a');
     expect(seen).toEqual(['a', 'b']);
   });
 }
--- a/packages/inner-protocol/src/real-world.ts
+++ b/packages/inner-protocol/src/real-world.ts
@@ -1,44 +1,69 @@
-// The world of a real process: the monotonic clock, timers that do not keep the process alive, and
-// the links. A machine that was suspended counts the time only as far as its clock does.
+/**
+ * The world of a real process: the monotonic clock, timers that don't keep the process alive, and the links. A
+ * machine that was suspended counts the time only as far as its clock does.
+ */
 import { randomInt } from 'node:crypto';
 import { micros, type Address, type Micros } from './brands.js';
 import { createCarrier, type Carrier } from './link.js';
 import type { Message } from './messages.js';
 import type { Cancel, World } from './world.js';
 
+const nanosPerMicro = 1000n;
+const microsPerMillisecond = 1000;
+const randomSteps = 2 ** 32;
+
+/** The clock of this machine since some moment before its processes began. */
 export function monotonic(): Micros {
-  return micros(Number(process.hrtime.bigint() / 1000n));
+  return micros(Number(process.hrtime.bigint() / nanosPerMicro));
 }
 
-export function afterReal(d: Micros, f: () => void): Cancel {
-  const t = setTimeout(f, Math.max(0, d / 1000));
-  t.unref();
-  return () => clearTimeout(t);
+/** A timer that doesn't keep the process alive. */
+export function afterReal(delay: Micros, run: () => void): Cancel {
+  const timer = setTimeout(run, Math.max(0, delay / microsPerMillisecond));
+  timer.unref();
+  return () => clearTimeout(timer);
 }
 
+/** From the system's generator; at least 0 and below 1. */
 export function randomReal(): number {
-  return randomInt(0, 2 ** 32) / 2 ** 32;
+  return randomInt(0, randomSteps) / randomSteps;
 }
 
+/** Takes a message and the address of its sender. */
+export type MessageHandler = (message: Message, from: Address) => void;
+
+/** A world with the links behind it. */
 export interface RealWorld {
   readonly world: World;
   readonly carrier: Carrier;
-  readonly onMessage: (f: (m: Message, from: Address) => void) => void;
+  /** Sets who takes messages; until then they are dropped. */
+  readonly onMessage: (handler: MessageHandler) => void;
 }
 
+/**
+ * Listens for links and makes the world of this process. Rejects when the address can't be listened on.
+ * @param listen address of the listening socket
+ * @param log writes events
+ * @param advertise address under which others reach it, where that differs
+ */
 export async function createRealWorld(
   listen: Address,
   log: World['log'],
   advertise: Address = listen,
 ): Promise<RealWorld> {
-  const to: { f: (m: Message, from: Address) => void } = { f: () => undefined };
-  const carrier = await createCarrier({ listen, advertise, log, receive: (m, from) => to.f(m, from) });
+  let handle: MessageHandler | undefined;
+  const carrier = await createCarrier({
+    listen,
+    advertise,
+    log,
+    receive: (message, from) => handle?.(message, from),
+  });
   const world: World = { now: monotonic, random: randomReal, after: afterReal, send: carrier.send, log };
   return {
     world,
     carrier,
-    onMessage: (f) => {
-      to.f = f;
+    onMessage: (handler) => {
+      handle = handler;
     },
   };
 }
--- a/packages/inner-protocol/src/shape.ts
+++ b/packages/inner-protocol/src/shape.ts
@@ -1,11 +1,17 @@
-// A small notation for message shapes. One literal gives both the TypeScript type and the avsc
-// schema, so the two cannot drift. Every field has a default: a reader that knows a newer field
-// takes the default from an older writer, and drops a field it does not know.
+/**
+ * A small notation for message shapes. One literal gives both the TypeScript type and the avsc schema, so the two
+ * can't drift. Every field has a default: a reader that knows a newer field takes the default from an older writer,
+ * and drops a field that it does not know.
+ */
 import avsc from 'avsc';
 
+/** The types of single values. */
 export type Prim = 'long' | 'double' | 'string' | 'boolean' | 'bytes';
-export type Shape = Prim | readonly [Shape] | { readonly [k: string]: Shape };
 
+/** A value, a list of one shape, or a record. */
+export type Shape = Prim | readonly [Shape] | { readonly [field: string]: Shape };
+
+/** The TypeScript type of a shape. */
 export type Of<S> = S extends 'long' | 'double'
   ? number
   : S extends 'string'
@@ -14,27 +20,30 @@
       ? boolean
       : S extends 'bytes'
         ? Buffer
-        : S extends readonly [infer E]
-          ? Of<E>[]
+        : S extends readonly [infer Item]
+          ? Of<Item>[]
           : S extends object
             ? { -readonly [K in keyof S]: Of<S[K]> }
             : never;
 
-function zero(s: Shape): unknown {
-  if (s === 'long' || s === 'double') return 0;
-  if (s === 'string' || s === 'bytes') return '';
-  if (s === 'boolean') return false;
-  if (Array.isArray(s)) return [];
-  return Object.fromEntries(Object.entries(s).map(([k, v]) => [k, zero(v)]));
+function defaultOf(shape: Shape): unknown {
+  if (shape === 'long' || shape === 'double') return 0;
+  if (shape === 'string' || shape === 'bytes') return '';
+  if (shape === 'boolean') return false;
+  if (Array.isArray(shape)) return [];
+  return Object.fromEntries(Object.entries(shape).map(([field, inner]) => [field, defaultOf(inner)]));
 }
 
-export function toSchema(name: string, s: Shape): avsc.Schema {
-  if (typeof s === 'string') return s as avsc.Schema;
-  if (Array.isArray(s)) return { type: 'array', items: toSchema(`${name}Item`, s[0] as Shape) } as avsc.Schema;
-  const fields = Object.entries(s as { [k: string]: Shape }).map(([k, v]) => ({
-    name: k,
-    type: toSchema(`${name}_${k}`, v),
-    default: zero(v),
+/** The avsc schema of a shape; names of inner records are made from the name and the field. */
+export function toSchema(name: string, shape: Shape): avsc.Schema {
+  if (typeof shape === 'string') return shape as avsc.Schema;
+  if (Array.isArray(shape)) {
+    return { type: 'array', items: toSchema(`${name}Item`, shape[0] as Shape) } as avsc.Schema;
+  }
+  const fields = Object.entries(shape as { [field: string]: Shape }).map(([field, inner]) => ({
+    name: field,
+    type: toSchema(`${name}_${field}`, inner),
+    default: defaultOf(inner),
   }));
   return { type: 'record', name, fields } as avsc.Schema;
 }
