--- a/packages/rehearsal/src/arm.ts
+++ b/packages/rehearsal/src/arm.ts
@@ -1,22 +1,34 @@
-// Which requests a rehearsal takes. The hash of the request's id and the rehearsal's decides, so every
-// router draws the same lot; the control arm is up to three times the slice, drawn beside it at the
-// same time, and everything else is not counted.
+/**
+ * Which requests a rehearsal takes. The hash of the request's id and the rehearsal's decides, so every router assigns
+ * the same cohort; the control is up to three times the slice, drawn beside it at the same time, and everything else
+ * is not counted.
+ */
 import { hash32 } from '@tansypost/inner-protocol';
 
+/** The cohort of a request: treatment (slice), control, or neither. */
 export type Arm = 'slice' | 'control' | 'none';
 
+const hashRange = 2 ** 32;
+const controlPerSlice = 3;
+
+/**
+ * The cohort of a request.
+ * @param rehearsal name of the rehearsal's stage, see `armsOf`
+ * @param request id of the request
+ * @param slice share of the requests that take the change, 0 to 1
+ */
 export function armOf(rehearsal: string, request: string, slice: number): Arm {
-  const u = hash32(`${rehearsal}\u0000${request}`) / 4294967296;
-  if (u < slice) return 'slice';
-  return u >= 1 - Math.min(1 - slice, 3 * slice) ? 'control' : 'none';
+  const position = hash32(`${rehearsal}\u0000${request}`) / hashRange;
+  if (position < slice) return 'slice';
+  return position >= 1 - Math.min(1 - slice, controlPerSlice * slice) ? 'control' : 'none';
 }
 
 if (import.meta.vitest) {
   const { it, expect } = import.meta.vitest;
   it('draws two separate arms, the control thrice the slice', () => {
-    const n = { slice: 0, control: 0, none: 0 };
-    for (let i = 0; i < 20000; i += 1) n[armOf('r', `q${i}`, 0.1)] += 1;
-    expect(Math.abs(n.slice - 2000)).toBeLessThan(200);
-    expect(Math.abs(n.control - 6000)).toBeLessThan(300);
+    const counts = { slice: 0, control: 0, none: 0 };
+    for (let i = 0; i < 20000; i += 1) counts[armOf('r', `q${i}`, 0.1)] += 1;
+    expect(Math.abs(counts.slice - 2000)).toBeLessThan(200);
+    expect(Math.abs(counts.control - 6000)).toBeLessThan(300);
   });
 }
--- a/packages/rehearsal/src/index.ts
+++ b/packages/rehearsal/src/index.ts
@@ -1,3 +1,5 @@
 export * from './arm.js';
-export * from './rehearsal.js';
+export * from './operator-answer.js';
+export * from './record.js';
+export * from './transitions.js';
 export * from './verdict.js';
--- a/packages/rehearsal/src/verdict.ts
+++ b/packages/rehearsal/src/verdict.ts
@@ -10,7 +10,7 @@
 // requests more, but holds however the answers depend on each other. Nothing is decided between the looks. The last
 // look, when time is up, spends what is left.
 import type { ArmCount } from '@tansypost/inner-protocol';
-import type { ArmFigures, Measured } from './rehearsal.js';
+import type { ArmFigures, Measured } from './record.js';
 
 export interface VerdictOptions {
   readonly minCount: number;
