--- a/eslint-uncleaned.js
+++ b/eslint-uncleaned.js
@@ -10,7 +10,6 @@
   'packages/learning',
   'packages/pass-through',
   'packages/placement',
-  'packages/rehearsal',
   'packages/simulator',
   'platform',
   'programs/change-tracer',
