--- a/packages/control-state/src/acceptor.ts
+++ b/packages/control-state/src/acceptor.ts
@@ -27,6 +27,7 @@
 }
 
 const noBytes = Buffer.alloc(0);
+const mayNotVote: ReadonlySet<ReplicaState> = new Set(['fenced', 'failed', 'unusable']);
 
 export function createAcceptor(options: AcceptorOptions): Acceptor {
   const { storage } = options;
@@ -53,7 +54,7 @@
     const row = storage.row(request.key);
     const state = options.state();
     const outdated = request.membershipEpoch < options.membershipEpoch();
-    if (outdated || state === 'fenced' || state === 'failed') return answer(voteFor(request, false, withoutValue(row)));
+    if (outdated || mayNotVote.has(state)) return answer(voteFor(request, false, withoutValue(row)));
     if (request.kind === 'Check') return answer(voteFor(request, row.promised <= request.epoch, withoutValue(row)));
     if (request.kind === 'Prepare') return prepare(request, row, answer);
     accept(request, row, answer);
--- a/packages/control-state/src/control-node.ts
+++ b/packages/control-state/src/control-node.ts
@@ -154,6 +154,7 @@
   }
 
   function onHello(hello: MessageOf<'ReplicaHello'>): void {
+    if (replica.isForeign(hello)) return;
     if (!slotsAreStated) peers.noticeNewDisks();
     const from = hello.from as Address;
     const entry = replica.membership().replicas.find((member) => member.slot === hello.slot);
--- a/packages/control-state/src/journal.test.ts
+++ b/packages/control-state/src/journal.test.ts
@@ -1,19 +1,20 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { expect, it } from 'vitest';
-import { encodeRecord, joinRecords, readJournal } from './journal.js';
+import { encodeRecord, encodeSnapshot, joinRecords, readJournal, type JournalRecord } from './journal.js';
 
+function records(n: number): JournalRecord[] {
+  return Array.from({ length: n }, (_, i) => ({
+    kind: 'row',
+    key: `k${i}`,
+    promised: i,
+    epoch: i,
+    version: i,
+    value: Buffer.from(`v${i}`),
+    changes: [`c@${i}`],
+  }));
+}
 function some(n: number): Buffer[] {
-  return Array.from({ length: n }, (_, i) =>
-    encodeRecord({
-      kind: 'row',
-      key: `k${i}`,
-      promised: i,
-      epoch: i,
-      version: i,
-      value: Buffer.from(`v${i}`),
-      changes: [`c@${i}`],
-    }),
-  );
+  return records(n).map(encodeRecord);
 }
 it('cuts a tail torn at any byte and keeps all before it', () => {
   const rs = some(3);
@@ -45,3 +46,12 @@
     expect(E.isLeft(readJournal(Buffer.concat([rs[0]!, torn, rs[0]!])))).toBe(true);
   }
 });
+it('refuses a snapshot that was cut anywhere, and takes a whole one with what was appended to it', () => {
+  const snapshot = encodeSnapshot(records(3));
+  const whole = readJournal(Buffer.concat([snapshot, some(1)[0]!]));
+  expect(E.isRight(whole) && whole.right.records.map((r) => r.key)).toEqual(['k0', 'k1', 'k2', 'k0']);
+  const headSize = encodeSnapshot([]).length;
+  const first = encodeSnapshot(records(3)).subarray(0, headSize);
+  expect(E.isRight(readJournal(first.subarray(0, headSize - 1)))).toBe(true);
+  for (let n = headSize; n < snapshot.length; n += 1) expect(E.isLeft(readJournal(snapshot.subarray(0, n)))).toBe(true);
+});
--- a/packages/control-state/src/journal.ts
+++ b/packages/control-state/src/journal.ts
@@ -1,7 +1,10 @@
-// The format of the append-only file: a magic, a length, a checksum, then one record. Records that are
-// written together stand under one checksum, as what was not synced may be torn anywhere. A record that
-// is cut or damaged at the very end was never answered for and is cut away; a damaged one with
-// whole records behind it means the disk lost something it had promised, and the file is refused.
+/**
+ * The format of a replica's append-only file: a magic, a length, a checksum, then one record. Records that are written
+ * together stand under one checksum, as what was not synced may be torn anywhere. A record that is cut or damaged at the
+ * very end was never answered for and is cut away; a damaged one with whole records behind it means that the disk lost
+ * something it had promised, and the file is refused. A file that was rewritten begins with a snapshot, whose head says
+ * how many records belong to it: one of which any is missing is refused as well.
+ */
 import { crc32 } from 'node:zlib';
 import avsc from 'avsc';
 import * as E from 'fp-ts/lib/Either.js';
@@ -44,6 +47,23 @@
   return withHead(magicOfMany, Buffer.concat(parts));
 }
 
+/** The kind of the record that begins a snapshot; its version is the number of records that belong to it. */
+const snapshotKind = 'snapshot';
+
+/** Encodes the records of a snapshot, with the head that tells how many they are. */
+export function encodeSnapshot(records: readonly JournalRecord[]): Buffer {
+  const head: JournalRecord = {
+    kind: snapshotKind,
+    key: '',
+    promised: 0,
+    epoch: 0,
+    version: records.length,
+    value: Buffer.alloc(0),
+    changes: [],
+  };
+  return Buffer.concat([head, ...records].map(encodeRecord));
+}
+
 function withHead(m: Buffer, b: Buffer): Buffer {
   const h = Buffer.allocUnsafe(headSize);
   m.copy(h);
@@ -93,7 +113,7 @@
       if (wholeBehind(all, at)) {
         return E.left(
           new DamagedFile(
-            `The data file is damaged at byte ${at} with whole records behind it. It is not served; the place copies from the others.`,
+            `The data file is damaged at byte ${at} with whole records behind it. It is not served; the replica copies from the others.`,
           ),
         );
       }
@@ -102,5 +122,14 @@
     for (const b of r.bodies) records.push(codec().fromBuffer(b) as JournalRecord);
     at = r.next;
   }
-  return E.right({ records, good: at, cut: all.length - at });
+  const [first, ...others] = records;
+  if (first?.kind !== snapshotKind) return E.right({ records, good: at, cut: all.length - at });
+  if (others.length < first.version) return E.left(cutShort(first.version, others.length));
+  return E.right({ records: others, good: at, cut: all.length - at });
+}
+
+function cutShort(expected: number, found: number): Error {
+  return new DamagedFile(
+    `The snapshot in the data file is cut short: ${found} of its ${expected} records are there. It is not served; the replica copies from the others.`,
+  );
 }
--- a/packages/control-state/src/membership-changes.ts
+++ b/packages/control-state/src/membership-changes.ts
@@ -139,8 +139,8 @@
     if (newest.epoch !== membershipEpoch) return undefined;
     const record = replica.membership();
     const { address, disk } = wanted;
-    if (wanted.kind === 'add') return encodeMembership(withAdded(record, address, disk));
-    return encodeMembership(withReplaced(record, { slot: wanted.slot, address, disk }));
+    if (wanted.kind === 'add') return encodeMembership(record.cluster, withAdded(record, address, disk));
+    return encodeMembership(record.cluster, withReplaced(record, { slot: wanted.slot, address, disk }));
   }
 
   function write(row: Row, membershipEpoch: number, wanted: MembershipChange): void {
--- a/packages/control-state/src/replica-storage.ts
+++ b/packages/control-state/src/replica-storage.ts
@@ -20,9 +20,9 @@
 
 /**
  * `blank`: holds no complete copy and does not vote; `voting`: a full member; `fenced`: replaced by another disk;
- * `failed`: its disk refused a write, or holds what this release cannot read.
+ * `failed`: its disk refused a write; `unusable`: its membership record cannot be read, or is that of another cluster.
  */
-export type ReplicaState = 'blank' | 'voting' | 'fenced' | 'failed';
+export type ReplicaState = 'blank' | 'voting' | 'fenced' | 'failed' | 'unusable';
 
 export interface ReplicaStorageOptions {
   readonly disk: Disk;
--- a/packages/control-state/src/replica.ts
+++ b/packages/control-state/src/replica.ts
@@ -4,6 +4,7 @@
  * names, then once more what is newer after the membership record names its disk. Which slot it holds is stated in its
  * settings, or else the membership record tells.
  */
+import * as E from 'fp-ts/lib/Either.js';
 import type { Address, MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
 import { createAcceptor, type Acceptor } from './acceptor.js';
 import { createCatchUp, type CatchUp } from './catch-up.js';
@@ -66,6 +67,8 @@
   readonly successorVotes: () => boolean;
   /** What it says of itself; a slim one is for those who have the same membership record. */
   readonly hello: (slim?: boolean) => ReplicaHello;
+  /** Whether a hello comes from another cluster; it is then not to be heard. */
+  readonly isForeign: (hello: ReplicaHello) => boolean;
   readonly heard: (hello: ReplicaHello) => void;
   readonly catchUp: CatchUp;
   /** Founds a cluster of one, or goes on copying. */
@@ -73,11 +76,14 @@
 }
 
 const votingHeardFor = 2_000_000;
+const wrongCluster =
+  'Most machines of the membership record on this disk belong to another cluster. The replica does not vote; bring the disk back to its cluster, or empty the data folder to let the machine join this one.';
 
 export function createReplica(world: World, options: ReplicaOptions): Replica {
   const storage = createReplicaStorage(world, { ...options, failed });
   const diskId = storage.diskId;
   const votingUnder = new Map<string, number>();
+  const foreign = new Set<string>();
   let state: ReplicaState = storage.storedState();
   let entering: ReplicaState | undefined;
   let membership: MembershipRecord = noMembership;
@@ -147,17 +153,36 @@
     const row = storage.row(membershipKey);
     if (row.epoch <= membership.membershipEpoch) return;
     const slot = slotNow();
-    membership = decodeMembership(row.epoch, row.value);
+    const decoded = decodeMembership(row.epoch, row.value);
+    if (E.isLeft(decoded)) return becomeUnusable(decoded.left.message);
+    membership = decoded.right;
     successor = membership.replicas.find((replica) => replica.slot === slot && replica.disk !== diskId())?.disk;
     fenceIfReplaced();
   }
 
+  /** Not written to the disk: a release that can read it, or the right machine, finds it as it was. */
+  function becomeUnusable(why: string): void {
+    if (state === 'unusable') return;
+    world.log(2013, { why });
+    state = 'unusable';
+  }
+
+  /** A replica that hears another cluster at most of the addresses of its own record has come to the wrong place. */
+  function isForeign(hello: ReplicaHello): boolean {
+    const known = membership.cluster;
+    if (known === '' || hello.cluster === '' || hello.cluster === known) return false;
+    foreign.add(hello.from);
+    const there = membership.replicas.filter((entry) => foreign.has(entry.address)).length;
+    if (there >= majorityOf(membership.replicas.length)) becomeUnusable(wrongCluster);
+    return true;
+  }
+
   function fenceIfReplaced(): void {
     if (state === 'voting' && !isMember()) enter('fenced');
   }
 
   function enter(next: ReplicaState): void {
-    if (state === next || entering === next || state === 'failed') return;
+    if (state === next || entering === next || state === 'failed' || state === 'unusable') return;
     entering = next;
     storage.putState(next, (ok) => {
       if (entering === next) entering = undefined;
@@ -166,6 +191,7 @@
   }
 
   function entered(next: ReplicaState): void {
+    if (state === 'unusable') return;
     state = next;
     votingSince = world.now();
     world.log(2001, { state, disk: diskId(), membershipEpoch: membership.membershipEpoch });
@@ -180,20 +206,27 @@
 
   function found(members: readonly ReplicaEntry[]): void {
     storage.setFounders(members.map((member) => member.disk));
-    putRow(membershipKey, { promised: 1, epoch: 1, version: 1, value: encodeMembership(members) }, [], (ok) => {
+    const value = encodeMembership(clusterOf(members), members);
+    putRow(membershipKey, { promised: 1, epoch: 1, version: 1, value }, [], (ok) => {
       if (ok) enter('voting');
     });
   }
 
   function adoptMembership(record: MembershipRecord): void {
-    const { membershipEpoch: epoch, replicas } = record;
+    const { membershipEpoch: epoch, cluster, replicas } = record;
     const present = storage.row(membershipKey);
     if (epoch <= present.epoch || epoch < present.promised) return;
-    const row: Row = { promised: epoch, epoch, version: present.version + 1, value: encodeMembership(replicas) };
+    const row: Row = {
+      promised: epoch,
+      epoch,
+      version: present.version + 1,
+      value: encodeMembership(cluster, replicas),
+    };
     putRow(membershipKey, row, [], () => undefined);
   }
 
   function heard(hello: ReplicaHello): void {
+    if (state === 'unusable') return;
     const slot = slotNow();
     const tellsNewer = hello.membershipEpoch > membership.membershipEpoch && hello.replicas.length > 0;
     if (hello.state === 'voting' && hello.membershipEpoch >= membership.membershipEpoch)
@@ -227,6 +260,7 @@
       state,
       founders: slim ? [] : [...storage.founders()],
       membershipEpoch: membership.membershipEpoch,
+      cluster: membership.cluster,
       replicas: slim ? [] : [...membership.replicas],
       leaving,
       ill: storage.isSlow(),
@@ -266,8 +300,14 @@
     isSuperseded,
     successorVotes: () => state === 'fenced' && successor !== undefined && votesNow(successor),
     hello,
+    isForeign,
     heard,
     catchUp,
     tick,
   };
 }
+
+/** The name of a cluster that these replicas found; each of them finds the same. */
+function clusterOf(founders: readonly ReplicaEntry[]): string {
+  return founders.map((founder) => founder.disk.slice(0, 8)).join('-');
+}
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -57,6 +57,12 @@
       'leaving replica ends: replaced by a successor that votes, copied to those that stay, or incomplete in its time',
     remedy: 'After incomplete, replace the machine before another one is taken away.',
   },
+  2013: {
+    level: 'error',
+    means:
+      'disk not used: its membership record cannot be read, or is that of another cluster; the replica does not vote',
+    remedy: 'Do as the message says; the other replicas go on without this one.',
+  },
   2101: { level: 'info', means: 'change acknowledged', remedy: 'None.' },
   2102: {
     level: 'info',
--- a/packages/inner-protocol/src/errors.ts
+++ b/packages/inner-protocol/src/errors.ts
@@ -15,3 +15,5 @@
 export const BadSchedule = TansypostError.subclass('BadScheduleError');
 /** A disk that failed a write. */
 export const FailedDisk = TansypostError.subclass('FailedDiskError');
+/** A membership record that this release cannot read. */
+export const UnreadableMembership = TansypostError.subclass('UnreadableMembershipError');
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -137,6 +137,8 @@
     state: 'string',
     founders: ['string'],
     membershipEpoch: 'long',
+    // The cluster that it belongs to; empty as long as it knows none.
+    cluster: 'string',
     replicas: [replica],
     leaving: 'boolean',
     ill: 'boolean',
--- a/packages/simulator/src/sim-disk.ts
+++ b/packages/simulator/src/sim-disk.ts
@@ -1,7 +1,7 @@
 // A simulated disk: bytes that are synced, and bytes that are not yet. A crash keeps any prefix of what was not
 // synced, cut anywhere. It can be slow, stall, fill up, or be lost whole.
 import type { Disk, JournalRecord } from '@tansypost/control-state';
-import { encodeRecord } from '@tansypost/control-state';
+import { encodeRecord, encodeSnapshot } from '@tansypost/control-state';
 import type { Engine } from './engine.js';
 import { into, type Proc } from './process.js';
 
@@ -56,7 +56,7 @@
       });
     }
     function rewrite(rs: readonly JournalRecord[], done: (x?: Error) => void): void {
-      const all = Buffer.concat(rs.map(encodeRecord));
+      const all = encodeSnapshot(rs);
       soon(() => {
         if (mine !== era || p.incarnation !== incarnation) return;
         if (disk.full) return finish(done, new Error('no space left on the disk'));
--- a/programs/control-node/src/file-disk.ts
+++ b/programs/control-node/src/file-disk.ts
@@ -4,7 +4,14 @@
 // file. A damaged file is put aside under another name and never served.
 import { dirname, join, resolve } from 'node:path';
 import * as E from 'fp-ts/lib/Either.js';
-import { encodeRecord, joinRecords, readJournal, type Disk, type JournalRecord } from '@tansypost/control-state';
+import {
+  encodeRecord,
+  encodeSnapshot,
+  joinRecords,
+  readJournal,
+  type Disk,
+  type JournalRecord,
+} from '@tansypost/control-state';
 import { FailedDisk } from '@tansypost/inner-protocol';
 import type { OpenDisk } from './control-node-host.js';
 import { nodeFiles, type FileSystem, type OpenFile } from './file-system.js';
@@ -118,7 +125,7 @@
   }
 
   async function rewriteNow(rs: readonly JournalRecord[]): Promise<void> {
-    const b = Buffer.concat(rs.map(encodeRecord));
+    const b = encodeSnapshot(rs);
     const next = await files.open(`${name}.next`, 'w');
     await next.writeFile(b);
     await next.sync();
