--- a/packages/control-feed/src/asker.ts
+++ b/packages/control-feed/src/asker.ts
@@ -1,6 +1,8 @@
-// How a machine that serves control asks the core: first the place it stands on, which sends on to whoever owns
-// the key, then that place again, to take the key over itself, then one live place after the other. A write is repeated under
-// its change id, which the owners remember, so that repeating it does no harm.
+/**
+ * How a machine reads and writes keys of the control state: it asks one control node after the other, beginning with the
+ * nearest, and each sends the question on to the leader of the key. A write is repeated under its change id, which
+ * leaders remember, so that repeating it does no harm.
+ */
 import type { ControlNode } from '@tansypost/control-state';
 import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 
@@ -10,88 +12,124 @@
   readonly version: number;
   readonly value: Buffer;
 }
+
 export interface CoreQuestion {
   readonly op: 'read' | 'write' | 'lookup';
   readonly key: string;
   readonly change?: string;
   readonly base?: number;
   readonly value?: Buffer;
-  // The time by which it must be answered; what is still open then is `unknown`.
+  /** The time by which it must be answered; what is still open then is `unknown`. */
   readonly limit: number;
 }
+
 export interface CoreAsker {
-  readonly ask: (q: CoreQuestion, done: (a: CoreAnswer) => void) => void;
-  readonly answer: (m: MessageOf<'Answer'>) => void;
+  readonly ask: (question: CoreQuestion, done: (answer: CoreAnswer) => void) => void;
+  readonly answer: (message: MessageOf<'Answer'>) => void;
 }
-const none = Buffer.alloc(0);
 
-// `places` gives where to ask, the best first.
+const noBytes = Buffer.alloc(0);
+const unanswered: CoreAnswer = { status: 'unknown', epoch: 0, version: 0, value: noBytes };
+const defaultPerTry = 350_000;
+/** How long to wait where no control node is known. */
+const noNodePause = 50_000;
+/** A node that could not answer is followed by the next after so long, and up to so much longer. */
+const retryPause = 20_000;
+const retrySpread = 40_000;
+const idRange = 1e9;
+/** From the second try on the node that is asked takes the key over if need be, and sends the question on to nobody. */
+const hopsUsedUp = 2;
+
+/** `replicas` gives where to ask, the best first. */
 export function createCoreAsker(
-  w: World,
+  world: World,
   self: Address,
   replicas: () => readonly Address[],
-  perTry = 350_000,
+  perTry = defaultPerTry,
 ): CoreAsker {
-  const open = new Map<string, (m: MessageOf<'Answer'>) => void>();
-  let n = Math.floor(w.random() * 1e9);
-
-  function ask(q: CoreQuestion, done: (a: CoreAnswer) => void): void {
-    let turn = 0;
-    function once(): void {
-      const ps = replicas();
-      const left = q.limit - w.now();
-      if (left <= 0) return done({ status: 'unknown', epoch: 0, version: 0, value: none });
-      if (ps.length === 0) return void w.after(micros(Math.min(left, 50_000)), once);
-      n += 1;
-      const id = `${self}/${n}`;
-      let cancel = w.after(micros(Math.min(left, perTry)), again);
-      function again(): void {
+  const open = new Map<string, (message: MessageOf<'Answer'>) => void>();
+  let lastId = Math.floor(world.random() * idRange);
+
+  function ask(question: CoreQuestion, done: (answer: CoreAnswer) => void): void {
+    let tries = 0;
+
+    function timeLeft(): number {
+      return Math.max(0, question.limit - world.now());
+    }
+
+    function tryOnce(): void {
+      const addresses = replicas();
+      if (timeLeft() === 0) return done(unanswered);
+      if (addresses.length === 0) return void world.after(micros(Math.min(timeLeft(), noNodePause)), tryOnce);
+      const address = addressFor(addresses);
+      tries += 1;
+      lastId += 1;
+      const id = `${self}/${lastId}`;
+      expectAnswer(id);
+      send(address, id);
+    }
+
+    /** This machine's own replica is asked twice: first to send the question on, then to answer it. */
+    function addressFor(addresses: readonly Address[]): Address {
+      const index = addresses[0] === self ? Math.max(0, tries - 1) : tries;
+      return addresses[index % addresses.length]!;
+    }
+
+    function expectAnswer(id: string): void {
+      const cancel = world.after(micros(Math.min(timeLeft(), perTry)), () => {
         open.delete(id);
-        cancel();
-        once();
-      }
-      open.set(id, (m) => {
+        tryOnce();
+      });
+      open.set(id, (message) => {
         cancel();
         open.delete(id);
-        if (m.status === 'retry' || m.status === 'unknown') {
-          cancel = w.after(micros(Math.min(Math.max(0, q.limit - w.now()), 20_000 + w.random() * 40_000)), once);
-          return;
-        }
-        done({ status: m.status, epoch: m.epoch, version: m.version, value: m.value });
+        if (message.status === 'retry' || message.status === 'unknown') return tryLater();
+        const { status, epoch, version, value } = message;
+        done({ status, epoch, version, value });
       });
-      const to = ps[(ps[0] === self ? Math.max(0, turn - 1) : turn) % ps.length]!;
-      turn += 1;
-      w.send(to, {
+    }
+
+    function tryLater(): void {
+      const pause = retryPause + world.random() * retrySpread;
+      world.after(micros(Math.min(timeLeft(), pause)), tryOnce);
+    }
+
+    function send(address: Address, id: string): void {
+      world.send(address, {
         kind: 'Ask',
         id,
         origin: self,
-        key: q.key,
-        op: q.op,
-        change: q.change ?? '',
-        base: q.base ?? 0,
-        value: q.value ?? none,
-        hops: turn === 1 ? 0 : 2,
+        key: question.key,
+        op: question.op,
+        change: question.change ?? '',
+        base: question.base ?? 0,
+        value: question.value ?? noBytes,
+        hops: tries === 1 ? 0 : hopsUsedUp,
       });
     }
-    once();
+
+    tryOnce();
   }
-  return { ask, answer: (m) => open.get(m.id)?.(m) };
+
+  return { ask, answer: (message) => open.get(message.id)?.(message) };
 }
 
-// Where to ask: this place first if it votes, then the live ones, else those that were last known, else the seeds.
+/** Where to ask: this machine's replica first if it votes, then the live ones, else those last known, else the seeds. */
 export function createReplicaList(
-  keeper: () => ControlNode | undefined,
+  controlNode: () => ControlNode | undefined,
   self: Address,
   seeds: () => readonly Address[],
 ): () => readonly Address[] {
-  let known: readonly Address[] = [];
+  let lastKnown: readonly Address[] = [];
+
   return function replicas() {
-    const k = keeper();
-    const core = k?.replica.membership().replicas.map((p) => p.address as Address) ?? [];
-    if (core.length > 0) known = core;
-    const mine = k?.replica.state() === 'voting' ? [self] : [];
-    const live = k?.liveReplicas() ?? [];
-    const others = live.length > mine.length ? live : known.length > 0 ? known : seeds();
-    return [...new Set([...mine, ...others.filter((a) => a !== self)])];
+    const node = controlNode();
+    const members = node?.replica.membership().replicas.map((entry) => entry.address as Address) ?? [];
+    if (members.length > 0) lastKnown = members;
+    const own = node?.replica.state() === 'voting' ? [self] : [];
+    const live = node?.liveReplicas() ?? [];
+    const fallback = lastKnown.length > 0 ? lastKnown : seeds();
+    const others = live.length > own.length ? live : fallback;
+    return [...new Set([...own, ...others.filter((address) => address !== self)])];
   };
 }
