Counting of a rehearsal's answers in one module with its test, in place of four

request-router's core, routers' learning, the simulator's verdicts and the test of the verdict each added up sums and squares for themselves. packages/rehearsal/src/arm-counts.ts does it for all.

--- a/packages/learning/src/router-learning.ts
+++ b/packages/learning/src/router-learning.ts
@@ -5,7 +5,16 @@
 import { micros, type Address, type ArmCount, type NewsItem, type World } from '@tansypost/inner-protocol';
 import type { Answered, Lot } from '@tansypost/pass-through';
 import { batchSize, decodeModel, scoreAll, width, type Model, type Sample } from '@tansypost/placement';
-import { armOf, armsOf, emptyRecord, readRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
+import {
+  armOf,
+  armsOf,
+  countAnswer,
+  emptyCounts,
+  emptyRecord,
+  readRecord,
+  type ModelRef,
+  type RehearsalRecord,
+} from '@tansypost/rehearsal';
 import type { Asker } from './asking.js';
 import { packSamples } from './sample-batch.js';
 
@@ -162,19 +171,9 @@
     // From arrival, with the waiting here; whoever failed has waited its whole patience.
     const l = Math.log(Math.max(1, whole ? x.first : x.patience));
     const t = whole && x.perPiece !== undefined ? Math.log(Math.max(1, x.perPiece)) : undefined;
-    const a = arms.get(k);
-    arms.set(k, {
-      rehearsal,
-      arm,
-      stratum: x.path,
-      count: (a?.count ?? 0) + 1,
-      failures: (a?.failures ?? 0) + (whole ? 0 : 1),
-      sum: (a?.sum ?? 0) + l,
-      squares: (a?.squares ?? 0) + l * l,
-      tokenCount: (a?.tokenCount ?? 0) + (t === undefined ? 0 : 1),
-      tokenSum: (a?.tokenSum ?? 0) + (t ?? 0),
-      tokenSquares: (a?.tokenSquares ?? 0) + (t ?? 0) ** 2,
-    });
+    const counts = { ...(arms.get(k) ?? { rehearsal, ...emptyCounts(arm, x.path) }) };
+    countAnswer(counts, { failed: !whole, logTtft: l, logTokenTime: t });
+    arms.set(k, counts);
     for (const old of arms.keys()) if (arms.size > armsKept && !old.startsWith(rehearsal)) arms.delete(old);
   }
 
--- /dev/null
+++ b/packages/rehearsal/src/arm-counts.test.ts
@@ -0,0 +1,13 @@
+/** Answers are counted into the sums that a verdict reads. */
+import { expect, it } from 'vitest';
+import { countAnswer, emptyCounts } from './arm-counts.js';
+
+it('counts every answer with its TTFT, and a time per token only where there is one', () => {
+  const counts = emptyCounts('slice', 'tenant/kind');
+  countAnswer(counts, { failed: false, logTtft: 2, logTokenTime: 3 });
+  countAnswer(counts, { failed: true, logTtft: 5, logTokenTime: undefined });
+  expect(counts).toEqual({
+    ...{ arm: 'slice', stratum: 'tenant/kind', count: 2, failures: 1, sum: 7, squares: 29 },
+    ...{ tokenCount: 1, tokenSum: 3, tokenSquares: 9 },
+  });
+});
--- a/packages/rehearsal/src/index.ts
+++ b/packages/rehearsal/src/index.ts
@@ -1,4 +1,5 @@
 export * from './arm.js';
+export * from './arm-counts.js';
 export * from './error-spending.js';
 export * from './operator-answer.js';
 export * from './record.js';
--- a/packages/rehearsal/src/verdict.test.ts
+++ b/packages/rehearsal/src/verdict.test.ts
@@ -1,6 +1,7 @@
 /** The verdict holds its level over all looks, on drawn answers with heavy tails. */
 import { expect, it } from 'vitest';
 import { seeded } from '@tansypost/inner-protocol';
+import { countAnswer, emptyCounts } from './arm-counts.js';
 import { lookAt, spendOf } from './error-spending.js';
 import { quantile } from './statistics.js';
 import { verdict, verdictDefaults, type Verdict, type VerdictCounts } from './verdict.js';
@@ -16,19 +17,7 @@
   slice: number,
   truth: Truth,
 ): { step: (n: number) => void; counts: () => VerdictCounts[] } {
-  const cs = ['slice', 'control'].flatMap((a) =>
-    ['long', 'short'].map((s) => ({
-      arm: a,
-      stratum: s,
-      count: 0,
-      failures: 0,
-      sum: 0,
-      squares: 0,
-      tokenCount: 0,
-      tokenSum: 0,
-      tokenSquares: 0,
-    })),
-  );
+  const cs = ['slice', 'control'].flatMap((a) => ['long', 'short'].map((s) => emptyCounts(a, s)));
   let spell = 0;
   function normal(): number {
     return Math.sqrt(-2 * Math.log(r() + 1e-12)) * Math.cos(2 * Math.PI * r());
@@ -51,15 +40,8 @@
       const c = cs[(harmed ? 0 : 2) + (r() < 0.3 ? 0 : 1)]!;
       const failed = r() < 0.002 + (harmed ? (truth.fail ?? 0) : 0);
       const l = failed ? Math.log(8) : drawTime(c.stratum, harmed);
-      c.count += 1;
-      c.failures += failed ? 1 : 0;
-      c.sum += l;
-      c.squares += l * l;
-      if (failed) continue;
-      const k = Math.log(0.012) + 0.25 * normal() + (harmed ? Math.log(truth.thicker ?? 1) : 0);
-      c.tokenCount += 1;
-      c.tokenSum += k;
-      c.tokenSquares += k * k;
+      const k = failed ? undefined : Math.log(0.012) + 0.25 * normal() + (harmed ? Math.log(truth.thicker ?? 1) : 0);
+      countAnswer(c, { failed, logTtft: l, logTokenTime: k });
     }
   }
   return { step, counts: () => cs };
--- a/packages/simulator/src/verdicts.ts
+++ b/packages/simulator/src/verdicts.ts
@@ -2,7 +2,15 @@
 // run, in their order and so with their spells and tails, dealt to the arms at random, with a known harm done to the slice.
 import { seeded } from '@tansypost/inner-protocol';
 import type { Deployment } from '@tansypost/requester-stand-in';
-import { lookAt, spendOf, verdict, verdictDefaults, type VerdictCounts } from '@tansypost/rehearsal';
+import {
+  countAnswer,
+  emptyCounts,
+  lookAt,
+  spendOf,
+  verdict,
+  verdictDefaults,
+  type VerdictCounts,
+} from '@tansypost/rehearsal';
 import { agentDefaults } from '@tansypost/router-agent';
 import { createSim } from './sim-fleet.js';
 
@@ -68,17 +76,9 @@
   harm: Harm,
 ): { verdict: string; seconds: number } {
   const strata = 1 + Math.max(...seen.map((x) => x.stratum));
-  const cs: VerdictCounts[] = Array.from({ length: 2 * strata }, (_, i) => ({
-    arm: i < strata ? 'slice' : 'control',
-    stratum: `${i % strata}`,
-    count: 0,
-    failures: 0,
-    sum: 0,
-    squares: 0,
-    tokenCount: 0,
-    tokenSum: 0,
-    tokenSquares: 0,
-  }));
+  const cs: VerdictCounts[] = Array.from({ length: 2 * strata }, (_, i) =>
+    emptyCounts(i < strata ? 'slice' : 'control', `${i % strata}`),
+  );
   const n = { slice: 0, control: 0 };
   const logs = [Math.log(harm.ttft), Math.log(harm.token)] as const;
   let at = Math.floor(r() * seen.length);
@@ -93,19 +93,8 @@
       n[harmed ? 'slice' : 'control'] += 1;
       const failed = x.failed || (harmed && harm.fail > 0 && r() < harm.fail);
       const l = failed ? x.patience : x.ttft + (harmed ? logs[0] : 0);
-      const k = x.token + (harmed ? logs[1] : 0);
-      Object.assign(c, {
-        count: c.count + 1,
-        failures: c.failures + (failed ? 1 : 0),
-        sum: c.sum + l,
-        squares: c.squares + l * l,
-      });
-      if (!failed)
-        Object.assign(c, {
-          tokenCount: c.tokenCount + 1,
-          tokenSum: c.tokenSum + k,
-          tokenSquares: c.tokenSquares + k * k,
-        });
+      const k = failed ? undefined : x.token + (harmed ? logs[1] : 0);
+      countAnswer(c, { failed, logTtft: l, logTokenTime: k });
     }
     const last = s === limitSeconds;
     if (!last && Math.min(n.slice, n.control) < lookAt(looks, verdictDefaults)) continue;
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -20,7 +20,7 @@
   type PromptFacts,
   type Sample,
 } from '@tansypost/placement';
-import { armOf, armsOf, type Arm, type Part } from '@tansypost/rehearsal';
+import { armOf, armsOf, countAnswer, emptyCounts, type Arm, type Part } from '@tansypost/rehearsal';
 import type { ArmCount, Mark, WorkerId } from '@tansypost/inner-protocol';
 import { createAdmission, type Claimant } from './admission.js';
 import { createClaims } from './claims.js';
@@ -595,30 +595,16 @@
   function count(rehearsal: string, c: Course, end: FailureKind | 'whole'): void {
     const stratum = `${c.r.tenant}/${c.r.kind}`;
     const k = `${rehearsal}/${c.arm}/${stratum}`;
-    const a = arms.get(k) ?? {
-      rehearsal,
-      arm: c.arm,
-      stratum,
-      count: 0,
-      failures: 0,
-      sum: 0,
-      squares: 0,
-      tokenCount: 0,
-      tokenSum: 0,
-      tokenSquares: 0,
-    };
-    a.count += 1;
-    if (end !== 'whole') a.failures += 1;
+    const a = arms.get(k) ?? { rehearsal, ...emptyCounts(c.arm, stratum) };
+    const failed = end !== 'whole';
     // From arrival, with the waiting here; whoever failed has waited its whole patience.
-    const l = Math.log(Math.max(1, end === 'whole' ? c.firstAt - c.arrived : c.kind.patienceMs * 1000));
-    a.sum += l;
-    a.squares += l * l;
-    if (end === 'whole' && c.chunks > 1) {
-      const k = Math.log(Math.max(1, (w.now() - c.firstAt) / (c.chunks - 1)));
-      a.tokenCount += 1;
-      a.tokenSum += k;
-      a.tokenSquares += k * k;
-    }
+    const ttft = failed ? c.kind.patienceMs * 1000 : c.firstAt - c.arrived;
+    const tokenTime = failed || c.chunks <= 1 ? undefined : (w.now() - c.firstAt) / (c.chunks - 1);
+    countAnswer(a, {
+      failed,
+      logTtft: Math.log(Math.max(1, ttft)),
+      logTokenTime: tokenTime === undefined ? undefined : Math.log(Math.max(1, tokenTime)),
+    });
     arms.set(k, a);
     for (const old of arms.keys()) if (arms.size > 64 && !old.startsWith(rehearsal)) arms.delete(old);
   }
