--- a/packages/control-feed/src/control-cluster.test.ts
+++ b/packages/control-feed/src/control-cluster.test.ts
@@ -415,3 +415,23 @@
     expect(counted.n).toBeGreaterThan(0);
   });
 });
+
+it('gives a starting router nothing old from a control node that is cut off, and the newest once it is back', async () => {
+  const c = await founded(21);
+  expect(await c.put('c0', 0, 'one')).toBe('done');
+  await c.run(500);
+  for (const cut of seedNames) {
+    const [via] = seedNames.filter((name) => name !== cut);
+    const r = `r-${cut}`;
+    c.net.cut('apart', (a, b) => [cut, r].includes(a) !== [cut, r].includes(b));
+    await c.run(2500);
+    const version = 1 + seedNames.indexOf(cut);
+    expect(await c.put(via!, version, `after ${cut}`)).toBe('done');
+    const router = c.router(r);
+    await c.run(2000);
+    expect(router.configuration()).toBeUndefined();
+    c.net.heal('apart');
+    await c.run(1000);
+    expect(router.configuration()).toEqual({ version: version + 1, value: Buffer.from(`after ${cut}`) });
+  }
+});
