A checker that runs the shipped control state under a scheduler of its own

Change: packages/model-checker runs control nodes, askers, feeds and operators with messages lost, doubled and late, drifting clocks, crashes that keep any prefix of unsynced writes, lost disks, cuts, freezes, leaving and joining members; bounded search with states merged by their inputs, guided walks, checks after each step, linearizability (Wing and Gong, Lowe), shrinking, and mutations applied at bundling. Commands model, walk and mutants of npm run simulate.

--- /dev/null
+++ b/packages/model-checker/src/commands.ts
@@ -0,0 +1,149 @@
+/** The commands of the checker, to be registered with the simulator's. */
+import { Command, Option } from 'clipanion';
+import { breakingSeeds, usualHunt } from './finder.js';
+import { mutations, type Mutation } from './mutations.js';
+import { runMutant, type MutantResult } from './mutants.js';
+import { describeCounterexample, shrinkCounterexample, type Counterexample } from './report.js';
+import { searchScope, walkScope } from './scopes.js';
+import { search } from './search.js';
+import { walk } from './walk.js';
+
+const brokenExit = 1;
+const usageExit = 2;
+
+function perSecond(steps: number, startedMs: number): string {
+  return ((1000 * steps) / Math.max(1, Date.now() - startedMs)).toFixed(0);
+}
+
+async function explain(x: Counterexample): Promise<string> {
+  return describeCounterexample(await shrinkCounterexample(x));
+}
+
+function isSize(places: number): boolean {
+  return places === 3 || places === 5;
+}
+
+/** Bounded exhaustive search. */
+export class ModelCommand extends Command {
+  static override paths = [['model']];
+  static override usage = Command.Usage({
+    description: 'Search all schedules of the control state up to a depth. Ends with 1 when a rule is broken.',
+  });
+  places = Option.String('--places', '3', { description: '3 or 5' });
+  depth = Option.String('--depth', '40', { description: 'steps of each schedule' });
+  deviations = Option.String('--deviations', '2', {
+    description: 'choices beside the default order; as many as the depth for the full search',
+  });
+  seed = Option.String('--seed', '1');
+  limit = Option.String('--seconds', '60', { description: 'ends the search early' });
+
+  async execute(): Promise<number> {
+    const { stdout, stderr } = this.context;
+    if (!isSize(Number(this.places))) {
+      stderr.write('simulator: --places is 3 or 5\n');
+      return usageExit;
+    }
+    const started = Date.now();
+    const scope = searchScope(Number(this.places));
+    const seed = Number(this.seed);
+    const r = await search({
+      scope,
+      seed,
+      depth: Number(this.depth),
+      deviations: Number(this.deviations),
+      goesOn: () => Date.now() - started < 1000 * Number(this.limit),
+    });
+    stdout.write(
+      `${r.schedules} schedules, ${r.steps} steps (${perSecond(r.steps, started)} a second), ${r.states} states, ${r.situations} situations; ` +
+        `all schedules of ${this.depth} steps with up to ${Math.max(0, r.completeTo)} deviations were played\n`,
+    );
+    if (r.violation === undefined) return 0;
+    stdout.write(await explain({ scope, seed, moves: r.moves, untilUs: Infinity, maxSteps: r.steps }));
+    return brokenExit;
+  }
+}
+
+/** Guided random walks. */
+export class WalkCommand extends Command {
+  static override paths = [['walk']];
+  static override usage = Command.Usage({
+    description: 'Walk at random through faults of the control state. Ends with 1 when a rule is broken.',
+  });
+  places = Option.String('--places', '3', { description: '3 or 5' });
+  from = Option.String('--from', '1', { description: 'the first seed' });
+  count = Option.String('--seeds', '20', { description: 'how many seeds' });
+  length = Option.String('--length', '30', { description: 'virtual seconds of each walk' });
+  limit = Option.String('--seconds', '600', { description: 'ends after the walk under way' });
+
+  async execute(): Promise<number> {
+    const { stdout, stderr } = this.context;
+    const places = Number(this.places);
+    if (!isSize(places)) {
+      stderr.write('simulator: --places is 3 or 5\n');
+      return usageExit;
+    }
+    const started = Date.now();
+    const situations = new Set<string>();
+    const lengthUs = 1e6 * Number(this.length);
+    const first = Number(this.from);
+    let [walks, steps, broken] = [0, 0, 0];
+    while (walks < Number(this.count) && Date.now() - started < 1000 * Number(this.limit)) {
+      const seed = first + walks;
+      const scope = walkScope(places, seed);
+      const outcome = await walk({ scope, seed, lengthUs, situations });
+      walks += 1;
+      steps += outcome.steps;
+      if (outcome.violation === undefined) continue;
+      broken += 1;
+      stdout.write(await explain({ scope, seed, moves: outcome.moves, untilUs: lengthUs }));
+    }
+    stdout.write(
+      `${walks} walks from seed ${first}, ${broken} broke a rule; ${steps} steps (${perSecond(steps, started)} a second), ${situations.size} situations\n`,
+    );
+    return broken > 0 ? brokenExit : 0;
+  }
+}
+
+function rowOf({ mutation, hunt }: MutantResult): string {
+  const where = `${mutation.name} | \`${mutation.file}\``;
+  if ('error' in hunt) return `| ${where} | error: ${hunt.error} | |\n`;
+  const { finding, steps } = hunt;
+  if (finding === undefined) return `| ${where} | **nothing** | ${steps} |\n`;
+  const { violation, by, seed } = finding;
+  return `| ${where} | ${violation.rule} (${by}, seed ${seed}): ${violation.what} | ${steps} |\n`;
+}
+
+/** Takes mechanisms away and shows what finds that. */
+export class MutantsCommand extends Command {
+  static override paths = [['mutants']];
+  static override usage = Command.Usage({
+    description: 'Remove mechanisms of the control state one by one; ends with 1 when a removal is not found.',
+  });
+  only = Option.String('--only', '', { description: 'mutations whose name contains this text' });
+  walks = Option.String('--walks', `${usualHunt.walks}`, { description: 'walks at most, for each' });
+  threads = Option.String('--threads', '3');
+  limit = Option.String('--seconds', '300', { description: 'at most, for each' });
+
+  async execute(): Promise<number> {
+    const { stdout } = this.context;
+    const hunt = { ...usualHunt, walks: Number(this.walks) };
+    const without = await breakingSeeds(hunt);
+    stdout.write(
+      `with every mechanism in place these seeds break a rule and are left out: ${without.join() || 'none'}\n`,
+    );
+    stdout.write('| mechanism | file | found by | steps |\n|---|---|---|---|\n');
+    const left = mutations.filter((m) => m.name.includes(this.only));
+    const results: MutantResult[] = [];
+    const limitMs = 1000 * Number(this.limit);
+    async function work(): Promise<void> {
+      for (let m: Mutation | undefined = left.shift(); m !== undefined; m = left.shift()) {
+        const name = `mutant-${mutations.indexOf(m)}`;
+        const result = { mutation: m, hunt: await runMutant(process.cwd(), name, m, { ...hunt, without }, limitMs) };
+        results.push(result);
+        stdout.write(rowOf(result));
+      }
+    }
+    await Promise.all(Array.from({ length: Number(this.threads) }, work));
+    return results.some((r) => 'error' in r.hunt || r.hunt.finding === undefined) ? brokenExit : 0;
+  }
+}
--- /dev/null
+++ b/packages/model-checker/src/model-checker.test.ts
@@ -0,0 +1,80 @@
+import { readFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+import { expect, it } from 'vitest';
+import { usualHunt } from './finder.js';
+import { mutations } from './mutations.js';
+import { applyEdits, runMutant } from './mutants.js';
+import { replay, shrinkCounterexample } from './report.js';
+import { searchScope, walkScope } from './scopes.js';
+import { search } from './search.js';
+import { shrinkMoves } from './shrink.js';
+import { walk } from './walk.js';
+
+const root = fileURLToPath(new URL('../../..', import.meta.url));
+
+it('finds nothing in all schedules of 12 steps with one deviation', async () => {
+  const r = await search({ scope: searchScope(3), seed: 1, depth: 12, deviations: 1, goesOn: () => true });
+  expect(r.violation).toBeUndefined();
+  expect(r.completeTo).toBe(1);
+  expect(r.states).toBeGreaterThan(500);
+});
+
+it.each([
+  [3, 1],
+  [3, 2],
+  [3, 4],
+  [5, 3],
+])('finds nothing on a walk of %d places with seed %d', async (places, seed) => {
+  const situations = new Set<string>();
+  const r = await walk({ scope: walkScope(places, seed), seed, lengthUs: 30_000_000, situations });
+  expect(r.violation).toBeUndefined();
+  expect(r.moves.length).toBeGreaterThan(20);
+  expect(situations.size).toBeGreaterThan(20);
+});
+
+it('replays a walk from its moves alone, to the same state', async () => {
+  const scope = walkScope(3, 5);
+  const lengthUs = 15_000_000;
+  const walked = await walk({ scope, seed: 5, lengthUs });
+  const replayed = await replay({ scope, seed: 5, moves: walked.moves, untilUs: lengthUs });
+  expect(replayed.moves).toEqual(walked.moves);
+  expect([replayed.steps, replayed.history]).toEqual([walked.steps, walked.history]);
+});
+
+it('shrinks a list to the moves that are needed', async () => {
+  const moves = Array.from({ length: 40 }, (_, i) => ({
+    at: { timeUs: i, order: 0 },
+    move: { do: 'join', spare: `s${i}` } as const,
+  }));
+  const needed = [moves[7]!, moves[31]!];
+  async function breaks(some: readonly unknown[]): Promise<boolean> {
+    return needed.every((m) => some.includes(m));
+  }
+  expect(await shrinkMoves(moves, { breaks, runs: 200 })).toEqual(needed);
+});
+
+it('keeps a run without a violation as it is', async () => {
+  const scope = walkScope(3, 1);
+  const x = { scope, seed: 1, moves: [], untilUs: 2_000_000 };
+  expect((await shrinkCounterexample(x)).moves).toEqual([]);
+});
+
+it('has mutations that fit the code, of which it refuses one that does not', async () => {
+  expect(mutations.length).toBeGreaterThanOrEqual(16);
+  for (const m of mutations) {
+    const source = await readFile(`${root}/${m.file}`, 'utf8');
+    expect(applyEdits(m, source)).not.toBe(source);
+  }
+  expect(() => applyEdits({ ...mutations[0]!, edits: [{ from: 'no such text', to: '' }] }, 'source')).toThrow(
+    /0 times/,
+  );
+});
+
+it.each(['a vote is answered after the sync', 'a majority is asked before a read or a refusal'])(
+  'finds that this is missing: %s',
+  async (name) => {
+    const m = mutations.find((x) => x.name === name)!;
+    const found = await runMutant(root, `test-${mutations.indexOf(m)}`, m, { ...usualHunt, searchDepth: 3 }, 30_000);
+    expect('finding' in found ? found.finding?.violation.rule : found).toMatch(/durable before promised|linearizable/);
+  },
+);
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -4,6 +4,7 @@
 import { availableParallelism } from 'node:os';
 import { Worker, isMainThread, parentPort } from 'node:worker_threads';
 import { Builtins, Cli, Command, Option } from 'clipanion';
+import { ModelCommand, MutantsCommand, WalkCommand } from '@tansypost/model-checker';
 import { deployments } from '@tansypost/requester-stand-in';
 import { Capacity } from './capacity-command.js';
 import { Control } from './control-runs/control-command.js';
@@ -324,6 +325,9 @@
   cli.register(Passed);
   cli.register(Capacity);
   cli.register(Control);
+  cli.register(ModelCommand);
+  cli.register(WalkCommand);
+  cli.register(MutantsCommand);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
   parentPort!.on('message', (j: Job | MeasureJob | PassedJob) => {
