--- /dev/null
+++ b/packages/model-checker/src/mutations.ts
@@ -0,0 +1,204 @@
+/**
+ * Mechanisms of the shipped code, each with the edit that takes it away. An edit whose text is not found exactly once
+ * is an error: then the code has moved on and the list must follow.
+ */
+export interface Edit {
+  readonly from: string;
+  readonly to: string;
+}
+export interface Mutation {
+  /** The mechanism that the edits take away. */
+  readonly name: string;
+  readonly file: string;
+  readonly edits: readonly Edit[];
+}
+
+const controlState = 'packages/control-state/src';
+const acceptor = `${controlState}/acceptor.ts`;
+const catchUp = `${controlState}/catch-up.ts`;
+const changeHistory = `${controlState}/change-history.ts`;
+const committedRows = `${controlState}/committed-rows.ts`;
+const handOver = `${controlState}/hand-over.ts`;
+const keyLeader = `${controlState}/key-leader.ts`;
+const membershipChanges = `${controlState}/membership-changes.ts`;
+const membershipRecord = `${controlState}/membership-record.ts`;
+const quorumRound = `${controlState}/quorum-round.ts`;
+const replica = `${controlState}/replica.ts`;
+const replicaStorage = `${controlState}/replica-storage.ts`;
+const row = `${controlState}/row.ts`;
+const servingLease = `${controlState}/serving-lease.ts`;
+
+function removed(name: string, file: string, from: string, to: string): Mutation {
+  return { name, file, edits: [{ from, to }] };
+}
+
+export const mutations: readonly Mutation[] = [
+  removed(
+    'a majority is asked before a read or a refusal',
+    keyLeader,
+    'const checked = row;\n',
+    "if (role === 'leader') return done(true);\n    const checked = row;\n",
+  ),
+  removed(
+    'a blank member copies before it votes',
+    replica,
+    "storage.founders().length > 0) return enter('voting');",
+    "storage.founders().length >= 0) return enter('voting');",
+  ),
+  removed(
+    'a vote is answered after the sync',
+    replicaStorage,
+    'append(rowRecord(key, row, changes), done);',
+    'append(rowRecord(key, row, changes), () => undefined);\n    done(true);',
+  ),
+  removed('epochs differ by slot', row, '* slots + slot', '* slots + 0 * slot'),
+  removed(
+    'a promise is kept on disk',
+    acceptor,
+    'options.putRow(request.key, promised, [], (ok) => answer(voteFor(request, ok, promised, changes)));',
+    'answer(voteFor(request, true, promised, changes));',
+  ),
+  removed(
+    'nothing is accepted below the promise',
+    acceptor,
+    'if (request.epoch < row.promised) return answer(voteFor(request, false, withoutValue(row)));\n    if (!newer',
+    'if (!newer',
+  ),
+  removed('a takeover rewrites the newest value', keyLeader, 'if (newest.version === 0) return', 'return'),
+  removed(
+    'a takeover takes the newest value of its votes',
+    keyLeader,
+    'const newest = promises.reduce<Row>(',
+    'const newest = promises.slice(0, 1).reduce<Row>(',
+  ),
+  {
+    name: 'a replacement is agreed without the member that it replaces',
+    file: membershipChanges,
+    edits: [
+      {
+        from: "const without = wanted.kind === 'replace' ? wanted.slot : undefined;\n    const replacement",
+        to: 'const without = undefined;\n    const replacement',
+      },
+      {
+        from: "const without = wanted.kind === 'replace' ? wanted.slot : undefined;\n    const { epoch",
+        to: 'const without = undefined;\n    const { epoch',
+      },
+    ],
+  },
+  removed(
+    'asks under an old membership are refused',
+    acceptor,
+    'const outdated = request.membershipEpoch < options.membershipEpoch();',
+    'const outdated = false;',
+  ),
+  removed(
+    'the ids of applied changes outlive a takeover',
+    keyLeader,
+    'const known = historyOf(promises, newest.version);',
+    'const known = historyOf([], newest.version);',
+  ),
+  removed(
+    'a write names the version that it builds on',
+    keyLeader,
+    'if (taken !== undefined || next.base !== row.version) return',
+    'if (taken !== undefined) return',
+  ),
+  removed(
+    'a vote counts only from the disk that the membership names',
+    quorumRound,
+    'member.disk === vote.disk',
+    'member.disk !== undefined',
+  ),
+  removed(
+    'a replica that starts again names its rounds anew',
+    quorumRound,
+    '/${run}/${count}',
+    '/${0 * run.length}/${count}',
+  ),
+  {
+    name: 'a replaced replica is fenced',
+    file: replica,
+    edits: [{ from: "if (state === 'voting' && !isMember()) enter('fenced');", to: '' }],
+  },
+  removed(
+    'a replacement copies from as many as every majority meets',
+    membershipRecord,
+    'return replicas - majorityOf(replicas) + 1;',
+    'return 1;',
+  ),
+  removed(
+    'a repeated vote waits for the sync of the first',
+    acceptor,
+    'return storage.syncRow(request.key, (ok) => answer(voteFor(request, ok, row, changes)));',
+    'return answer(voteFor(request, true, row, changes));',
+  ),
+  removed(
+    'a restart finds its promises',
+    replicaStorage,
+    'takeIn(record.key, { promised, epoch, version, value },',
+    'takeIn(record.key, { promised: Math.min(promised, epoch), epoch, version, value },',
+  ),
+  removed(
+    'a majority is more than half',
+    membershipRecord,
+    'return Math.floor(replicas / 2) + 1;',
+    'return Math.floor(replicas / 2);',
+  ),
+  {
+    name: 'a learner does not count in a round',
+    file: acceptor,
+    edits: [
+      { from: 'voting,\n      ok: ok && voting,', to: 'voting: true,\n      ok,' },
+      { from: "options.state() !== 'voting' || ", to: '' },
+    ],
+  },
+  removed(
+    'a lease is renewed only by a majority',
+    servingLease,
+    'rounds.start({ make, patience: roundPatience }, (confirmed) => {',
+    'void make;\n    const local = { won: true, votes: [] as Vote[] };\n    void rounds;\n    void ((done: (confirmed: typeof local) => void) => done(local))((confirmed) => {',
+  ),
+  removed(
+    'a lease shows what a majority may hold newer',
+    servingLease,
+    'confirmed.won && newestOf(confirmed.votes).version <= committed.newest(key).version',
+    'confirmed.won',
+  ),
+  removed('a lease ends', servingLease, 'world.now() < (leases.get(key)?.validUntil ?? -Infinity)', 'leases.has(key)'),
+  removed(
+    'followers are told only what is on a majority',
+    committedRows,
+    'if (stamp !== undefined && stored.epoch === stamp.epoch && stored.version === stamp.version) written(key, stored);',
+    'if (stored.version > 0) written(key, stored);',
+  ),
+  removed(
+    'catching up keeps to the promises',
+    catchUp,
+    'newer(copied, present) && epoch >= present.promised ? { ...copied, promised: epoch } : present',
+    'newer(copied, present) ? { ...copied, promised: epoch } : present',
+  ),
+  removed(
+    'a copy counts under one membership only',
+    catchUp,
+    'return present.membershipEpoch === membershipEpoch ? present :',
+    'return present.membershipEpoch <= membershipEpoch ? { ...present, membershipEpoch } :',
+  ),
+  removed(
+    'a leaver ends only once those that stay hold all',
+    handOver,
+    'return known !== undefined && !newer(replica.row(key), known);',
+    'return key !== undefined || known !== undefined;',
+  ),
+  removed(
+    'a change that was never chosen gives way to the chosen one',
+    changeHistory,
+    'present.epoch >= change.epoch',
+    'present.epoch >= 0',
+  ),
+  removed(
+    'a change that was chosen stays known in the copies',
+    catchUp,
+    'options.putRow(key, merge(present, copied), changes, done)',
+    'options.putRow(key, merge(present, copied), [], done)',
+  ),
+];
