--- a/packages/simulator/src/control-runs/catch-up-run.ts
+++ b/packages/simulator/src/control-runs/catch-up-run.ts
@@ -76,6 +76,8 @@
     const absence = absences[turn % absences.length]!;
     // The journal that is measured stays in place; any other member goes away.
     const node = names[1 + (turn % (names.length - 1))]!;
+    // Reads repair old copies on their way, so half of the returns are measured without any.
+    const withReads = Math.floor(turn / absences.length) % 2 === 0;
     turn += 1;
     if (made + away > o.changes) continue;
     goAway(run, node, absence);
@@ -83,7 +85,7 @@
     for (let i = 0; i < away; i += 1) await change();
     comeBack(run, node, absence);
     unreachable = undefined;
-    catchUps.push({ absence, node, changesBefore: made, tookMs: await timeToCatchUp(run, node) });
+    catchUps.push({ absence, node, changesBefore: made, tookMs: await timeToCatchUp(run, node, withReads) });
   }
   await cluster.run(2500);
   judgeCatchUps(run, catchUps);
@@ -114,11 +116,11 @@
   disk.slowUs = 0;
 }
 
-/** Reads through the member that is back all the time, so that old state would be seen; no change is made meanwhile. */
-async function timeToCatchUp(run: ControlRun, node: string): Promise<number | undefined> {
+/** No change is made meanwhile. With reads, they go through the member that is back, so that old state would be seen. */
+async function timeToCatchUp(run: ControlRun, node: string, withReads: boolean): Promise<number | undefined> {
   const from = run.now();
   const wanted = run.newestTaken();
-  const state = { reading: true };
+  const state = { reading: withReads };
   async function read(): Promise<void> {
     while (state.reading) {
       await run.get(node);
--- a/packages/simulator/src/control-runs/control-report.ts
+++ b/packages/simulator/src/control-runs/control-report.ts
@@ -2,6 +2,7 @@
  * The runs of the control side put together by point: what is played, and what is printed of it. The command plays them
  * at length, the tests in short form with fixed seeds.
  */
+import { playBlankRun } from './blank-run.js';
 import { playCatchUpRun, type CatchUpRunOptions } from './catch-up-run.js';
 import type { ConfigService } from './config-service.js';
 import type { ControlBreach } from './control-history.js';
@@ -10,13 +11,13 @@
 import {
   catchUp,
   firstLosses,
-  playLeaverRun,
   playLossRun,
   secondLosses,
   type FirstLoss,
   type LossRunOptions,
   type SecondLoss,
 } from './loss-run.js';
+import { playLeaverRun } from './leaver-run.js';
 import { playRaceRun } from './race-run.js';
 
 /** What a set of runs showed. */
@@ -187,7 +188,19 @@
         breaches.push(...(await playLeaverRun({ seed, leaveAfter, successor })));
         runs += 1;
       }
-  return { runs, breaches, figures: [`leavers: ${runs} runs, ${breaches.length} breaches`] };
+  return { runs, breaches, figures: [] };
+}
+
+/** Point 3: an empty disk beside a member that is behind, while the only complete copy is frozen. */
+export async function reportBlanks(seeds: SeedRange): Promise<ControlReport> {
+  const breaches: ControlBreach[] = [];
+  let runs = 0;
+  for (const returned of ['same address', 'successor'] as const)
+    for (const seed of seedsOf(seeds)) {
+      breaches.push(...(await playBlankRun({ seed, returned })));
+      runs += 1;
+    }
+  return { runs, breaches, figures: [] };
 }
 
 /** Point 4: many changes with members away. */
--- a/packages/simulator/src/control-runs/index.ts
+++ b/packages/simulator/src/control-runs/index.ts
@@ -1,3 +1,4 @@
+export * from './blank-run.js';
 export * from './catch-up-run.js';
 export * from './config-service.js';
 export * from './control-cluster.js';
@@ -7,5 +8,6 @@
 export * from './control-run.js';
 export * from './cut-run.js';
 export * from './journal-run.js';
+export * from './leaver-run.js';
 export * from './loss-run.js';
 export * from './race-run.js';
