--- a/packages/model-checker/src/invariants.ts
+++ b/packages/model-checker/src/invariants.ts
@@ -2,6 +2,7 @@
  * What must hold after every step. Each check looks at what is durable, at what processes say, and at what operators
  * were told; none looks into the state of a core that a restart would not find, but for the roles that cores report.
  */
+import * as E from 'fp-ts/lib/Either.js';
 import { configurationKey, type ControlFeed } from '@tansypost/control-feed';
 import { decodeMembership, leaseLength, majorityOf, membershipKey } from '@tansypost/control-state';
 import type { Message, ReplicaEntry } from '@tansypost/inner-protocol';
@@ -46,7 +47,9 @@
   if (row === undefined || row.value.length === 0) return undefined;
   let membership = decoded.get(row);
   if (membership === undefined) {
-    membership = { epoch: row.epoch, replicas: decodeMembership(row.epoch, row.value).replicas };
+    const record = decodeMembership(row.epoch, row.value);
+    if (E.isLeft(record)) throw record.left;
+    membership = { epoch: row.epoch, replicas: record.right.replicas };
     decoded.set(row, membership);
   }
   return membership;
