--- a/packages/control-state/src/replica-storage.ts
+++ b/packages/control-state/src/replica-storage.ts
@@ -103,11 +103,14 @@
     }
   }
 
-  function takeIn(key: string, row: Row, changes: readonly AppliedChange[]): void {
+  /** Gives those of the changes that were not known yet. */
+  function takeIn(key: string, row: Row, changes: readonly AppliedChange[]): AppliedChange[] {
     sequence += 1;
     rows.set(key, row);
     rowSequence.set(key, sequence);
-    for (const change of changes) if (history(key).add(change)) noteChange(key, change.version);
+    const added = changes.filter((change) => history(key).add(change));
+    for (const change of added) noteChange(key, change.version);
+    return added;
   }
 
   function noteChange(key: string, version: number): void {
@@ -181,8 +184,7 @@
   }
 
   function putRow(key: string, row: Row, changes: readonly AppliedChange[], done: Written): void {
-    takeIn(key, row, changes);
-    append(rowRecord(key, row, changes), done);
+    append(rowRecord(key, row, takeIn(key, row, changes)), done);
   }
 
   function putState(next: ReplicaState, done: Written): void {
