--- a/programs/control-node/src/main.ts
+++ b/programs/control-node/src/main.ts
@@ -8,6 +8,9 @@
 import { openFileDisk } from './file-disk.js';
 import { createControlNodeHost } from './control-node-host.js';
 
+/** How long a stopping node may take to hand over what it holds, in microseconds. */
+const longestHandOver = 3_000_000;
+
 await runProgram({
   name: 'control-node',
   about: 'Holds one of the three places of the control state.',
@@ -60,6 +63,7 @@
     );
     await app.listen(splitAddress(b.http));
     async function stop(): Promise<void> {
+      await new Promise((done) => host.leave(longestHandOver, done));
       await Promise.all([app.close(), real.carrier.close()]);
       await host.stop();
     }
