--- a/packages/model-checker/src/index.ts
+++ b/packages/model-checker/src/index.ts
@@ -1,5 +1,4 @@
 export * from './cluster.js';
-export * from './commands.js';
 export * from './finder.js';
 export * from './linearizability.js';
 export * from './moves.js';
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -4,7 +4,7 @@
 import { availableParallelism } from 'node:os';
 import { Worker, isMainThread, parentPort } from 'node:worker_threads';
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { ModelCommand, MutantsCommand, WalkCommand } from '@tansypost/model-checker';
+import { ModelCommand, MutantsCommand, WalkCommand } from '@tansypost/model-checker/commands';
 import { deployments } from '@tansypost/requester-stand-in';
 import { Capacity } from './capacity-command.js';
 import { Control } from './control-runs/control-command.js';
