--- a/packages/model-checker/src/vote-checks.ts
+++ b/packages/model-checker/src/vote-checks.ts
@@ -1,6 +1,7 @@
 /** What a vote says must be true of the disk of who gives it. */
+import { membershipKey } from '@tansypost/control-state';
 import type { Message } from '@tansypost/inner-protocol';
-import type { DurableRow, DurableState } from './durable-state.js';
+import { membershipOf, type DurableRow, type DurableState } from './durable-state.js';
 import type { Violation } from './quorum-checks.js';
 
 type VoteRequest = Extract<Message, { kind: 'Prepare' | 'Accept' }>;
@@ -11,6 +12,8 @@
 /** Remembers what was asked, and looks at the votes for it. */
 export class VoteChecks {
   private readonly requests = new Map<string, VoteRequest>();
+  /** The highest epoch that each disk has promised for each key by a vote. */
+  private readonly promises = new Map<string, number>();
 
   /** Takes in a request that was sent. */
   asked(request: VoteRequest): void {
@@ -24,14 +27,33 @@
       return { rule: 'who votes', what: `${voter} voted though its disk says ${state.state}` };
     const request = this.requests.get(vote.id);
     if (request === undefined) return undefined;
-    const row = state.rows.get(request.key);
-    const promised = row?.promised ?? 0;
-    if (promised < request.epoch) {
-      const what = `${voter} voted for epoch ${request.epoch} of ${request.key}, ${promised} synced`;
-      return { rule: notDurable, what };
-    }
-    return request.kind === 'Accept' ? findMissingValue(voter, request, row) : undefined;
+    return this.findBroken(voter, request, state) ?? findUnsynced(voter, request, state);
   }
+
+  /** A disk that has promised an epoch votes for none below it, and one that knows a membership for no older one. */
+  private findBroken(voter: string, request: VoteRequest, state: DurableState): Violation | undefined {
+    const { key, epoch } = request;
+    const promised = this.promises.get(`${state.disk}/${key}`) ?? 0;
+    if (epoch < promised)
+      return { rule: 'keeps its promise', what: `${voter} voted for epoch ${epoch} of ${key} after ${promised}` };
+    if (request.kind === 'Prepare') this.promises.set(`${state.disk}/${key}`, epoch);
+    const known = membershipOf(state)?.epoch ?? 0;
+    if (key === membershipKey || known <= request.membershipEpoch) return undefined;
+    return {
+      rule: 'refuses old memberships',
+      what: `${voter} voted under ${request.membershipEpoch}, knowing ${known}`,
+    };
+  }
+}
+
+function findUnsynced(voter: string, request: VoteRequest, state: DurableState): Violation | undefined {
+  const row = state.rows.get(request.key);
+  const promised = row?.promised ?? 0;
+  if (promised < request.epoch) {
+    const what = `${voter} voted for epoch ${request.epoch} of ${request.key}, ${promised} synced`;
+    return { rule: notDurable, what };
+  }
+  return request.kind === 'Accept' ? findMissingValue(voter, request, row) : undefined;
 }
 
 function findMissingValue(
