--- a/packages/model-checker/src/mutations.ts
+++ b/packages/model-checker/src/mutations.ts
@@ -50,8 +50,8 @@
   removed(
     'a vote is answered after the sync',
     replicaStorage,
-    'append(rowRecord(key, row, changes), done);',
-    'append(rowRecord(key, row, changes), () => undefined);\n    done(true);',
+    'append(rowRecord(key, row, takeIn(key, row, changes)), done);',
+    'append(rowRecord(key, row, takeIn(key, row, changes)), () => undefined);\n    done(true);',
   ),
   removed('epochs differ by slot', row, '* slots + slot', '* slots + 0 * slot'),
   removed(
@@ -176,8 +176,8 @@
   removed(
     'catching up keeps to the promises',
     catchUp,
-    'newer(copied, present) && epoch >= present.promised ? { ...copied, promised: epoch } : present',
-    'newer(copied, present) ? { ...copied, promised: epoch } : present',
+    'const isNewer = newer(copied, present) && epoch >= present.promised;',
+    'const isNewer = newer(copied, present);',
   ),
   removed(
     'a copy counts under one membership only',
