--- a/packages/control-feed/src/control-safety.test.ts
+++ b/packages/control-feed/src/control-safety.test.ts
@@ -2,7 +2,7 @@
 // in virtual time. Each of these fails when its mechanism is taken out; the page says how.
 import { describe, expect, it } from 'vitest';
 import * as E from 'fp-ts/lib/Either.js';
-import { encodeMembership, leaseLength, chosenMembershipKey, readJournal } from '@tansypost/control-state';
+import { encodeMembership, leaseLength, membershipKey, readJournal } from '@tansypost/control-state';
 import type { Address } from '@tansypost/inner-protocol';
 import { foundControlCluster, seedNames, type ClusterMachine, type ControlCluster } from '@tansypost/simulator';
 import type { CoreAnswer } from './asker.js';
@@ -273,8 +273,8 @@
     const cluster = await foundControlCluster(seed);
     expect((await put(cluster, 'c0', 0, 'one')).status).toBe('done');
     const replica = replicaOf(cluster.machine('c2'));
-    const row = replica.row(chosenMembershipKey);
-    replica.putRow(chosenMembershipKey, { ...row, promised: 800, epoch: 800, version: 9, value }, [], () => undefined);
+    const row = replica.row(membershipKey);
+    replica.putRow(membershipKey, { ...row, promised: 800, epoch: 800, version: 9, value }, [], () => undefined);
     await cluster.run(100);
     cluster.kill('c2');
     cluster.start('c2');
--- a/packages/control-state/src/acceptor.ts
+++ b/packages/control-state/src/acceptor.ts
@@ -3,7 +3,7 @@
  * the disk before the vote is given. Only a voting replica's answers count, and only while the asker does not know an
  * older membership than this replica.
  */
-import { micros, type MessageOf, type Micros } from '@tansypost/inner-protocol';
+import type { MessageOf } from '@tansypost/inner-protocol';
 import type { ReplicaState, ReplicaStorage } from './replica-storage.js';
 import type { AppliedChange } from './change-history.js';
 import { newer, type Row } from './row.js';
@@ -16,24 +16,16 @@
   readonly slot: () => number;
   readonly state: () => ReplicaState;
   readonly membershipEpoch: () => number;
-  readonly after: (delay: Micros, run: () => void) => void;
   /** Takes a row in and calls back once it is synced. */
   readonly putRow: (key: string, row: Row, changes: readonly AppliedChange[], done: (ok: boolean) => void) => void;
 }
 
 export interface Acceptor {
   readonly vote: (request: VoteRequest, answer: (vote: Vote) => void) => void;
-  /**
-   * Syncs this replica's own promise before any other is asked, so that a process that ends in between never draws the
-   * same epoch again. Calls back with false when the promise cannot be given, or not in time.
-   */
-  readonly promiseFirst: (request: VoteRequest, done: (promised: boolean) => void) => void;
   /** A vote against, whatever the row says. */
   readonly refuse: (request: VoteRequest, answer: (vote: Vote) => void) => void;
 }
 
-/** How long a replica waits for its own disk before it gives a candidacy up. */
-const promiseAtMost = micros(1_500_000);
 const noBytes = Buffer.alloc(0);
 const mayNotVote: ReadonlySet<ReplicaState> = new Set(['fenced', 'failed', 'unusable']);
 
@@ -93,20 +85,8 @@
     options.putRow(request.key, accepted, changes, (ok) => answer(voteFor(request, ok, withoutValue(accepted))));
   }
 
-  function promiseFirst(request: VoteRequest, done: (promised: boolean) => void): void {
-    let open = true;
-    function finish(promised: boolean): void {
-      if (!open) return;
-      open = false;
-      done(promised);
-    }
-    options.after(promiseAtMost, () => finish(false));
-    vote(request, (own) => finish(own.ok));
-  }
-
   return {
     vote,
-    promiseFirst,
     refuse: (request, answer) => answer(voteFor(request, false, withoutValue(storage.row(request.key)))),
   };
 }
--- a/packages/control-state/src/catch-up.ts
+++ b/packages/control-state/src/catch-up.ts
@@ -56,7 +56,6 @@
 const rowOverhead = 64;
 const askAgainAfter = 150_000;
 const retryAfter = 50_000;
-const retryVotingAfter = 300_000;
 const learnAgainAfter = 250_000;
 const caughtUpFor = 3_000_000;
 
@@ -119,10 +118,7 @@
     if (entry === undefined || asked === undefined || received.after !== asked.after) return;
     open.delete(received.slot);
     const same = received.membershipEpoch === options.membership().membershipEpoch;
-    if (!received.ok || !same) {
-      const pause = options.state() === 'blank' ? retryAfter : retryVotingAfter;
-      return void world.after(micros(pause), tick);
-    }
+    if (!received.ok || !same) return void world.after(micros(retryAfter), tick);
     takeIn(received, (ok) => {
       if (ok) settle(entry, received, asked.askedAt);
     });
--- a/packages/control-state/src/control-node.ts
+++ b/packages/control-state/src/control-node.ts
@@ -66,6 +66,7 @@
 const announceEvery = micros(1_000_000);
 const pruneEvery = micros(1_000_000);
 const defaultSweepEvery = 500_000;
+const behindAtMost = 600_000;
 
 export function createControlNode(world: World, options: ControlNodeOptions): ControlNode {
   const replica = createReplica(world, { ...options, entered, learned });
@@ -94,7 +95,7 @@
     peers,
     slotsAreStated,
     isCoordinator: () => shouldLead(membershipKey),
-    changed: greet,
+    tried: greet,
   });
   const request = createKeyRequests({
     cluster,
@@ -165,6 +166,7 @@
     replica.heard(hello);
     if (replica.state() === 'blank' && replica.membership().membershipEpoch > membershipEpoch) replica.tick();
     if (replica.state() !== 'voting' || hello.slot === replica.slot) return;
+    if (!isOtherDisk) finishMembershipIfBehind(hello);
     if (!slotsAreStated && (isOtherDisk || entry === undefined)) return answerStranger(hello, from);
     if (hello.state === 'blank' && entry !== undefined) onBlankMember(hello, isOtherDisk);
   }
@@ -175,6 +177,14 @@
     if (!didVote && hello.state === 'voting') world.send(from, replica.hello());
   }
 
+  /** A record that one replica took and the others did not is written again, else they would fence each other for good. */
+  function finishMembershipIfBehind(hello: MessageOf<'ReplicaHello'>): void {
+    const behind = hello.membershipEpoch > 0 && hello.membershipEpoch < replica.membership().membershipEpoch;
+    if (hello.state !== 'voting' || !behind) return;
+    if (slotsAreStated || world.now() - peers.behindSince(hello.slot) > behindAtMost)
+      membershipChanges.change({ kind: 'finish' });
+  }
+
   function answerStranger(hello: MessageOf<'ReplicaHello'>, from: Address): void {
     const outdated = hello.membershipEpoch < replica.membership().membershipEpoch;
     if (outdated || hello.state === 'fenced') world.send(from, replica.hello());
@@ -191,7 +201,6 @@
   /** Replicas known to have the same membership record are told no more than that this one is there. */
   function greet(): void {
     peers.noticeOwnSilence();
-    membershipChanges.finishPending();
     if (replica.slot >= 0 || replica.state() === 'fenced') greetReplicas();
     if (!slotsAreStated && replica.state() === 'blank' && !replica.isMember()) askToJoin();
     replica.tick();
--- a/packages/control-state/src/key-leader.ts
+++ b/packages/control-state/src/key-leader.ts
@@ -103,17 +103,14 @@
     role = 'candidate';
     const epoch = nextEpoch(Math.max(seenEpoch, replica.row(key).promised), replica.slot);
     const { membershipEpoch } = replica.membership();
-    function make(id: string): VoteRequest {
-      return { kind: 'Prepare', id, from: '', key, epoch, membershipEpoch, ...noReplacement };
-    }
-    replica.promiseFirst(make(''), (promised) => {
-      if (!promised) return missed();
-      rounds.start({ make }, (prepared) => {
+    rounds.start(
+      { make: (id) => ({ kind: 'Prepare', id, from: '', key, epoch, membershipEpoch, ...noReplacement }) },
+      (prepared) => {
         noteEpochs(prepared.votes);
         if (!prepared.won) return missed();
         rewriteNewest(prepared, epoch, membershipEpoch);
-      });
-    });
+      },
+    );
   }
 
   function rewriteNewest(prepared: RoundResult, epoch: number, membershipEpoch: number): void {
--- a/packages/control-state/src/membership-changes.ts
+++ b/packages/control-state/src/membership-changes.ts
@@ -4,11 +4,10 @@
  * agreed by a majority of the old members without the one replaced, so no majority of the old members is left that does
  * not know of it, and each of them refuses while it hears the one that is to be replaced.
  */
-import * as E from 'fp-ts/lib/Either.js';
 import { micros, type Address, type MessageOf, type ReplicaEntry } from '@tansypost/inner-protocol';
 import type { Vote, VoteRequest } from './acceptor.js';
 import type { Cluster } from './cluster.js';
-import { decodeMembership, encodeMembership, membershipKey, withAdded, withReplaced } from './membership-record.js';
+import { encodeMembership, membershipKey, withAdded, withReplaced } from './membership-record.js';
 import type { PeerLiveness } from './peer-liveness.js';
 import { emptyRow, merge, nextEpoch, type Row } from './row.js';
 
@@ -28,27 +27,19 @@
   readonly slotsAreStated: boolean;
   /** Whether this node is the one that sees to changes of the membership. */
   readonly isCoordinator: () => boolean;
-  /** Told after each change, so that the others hear of the record. */
-  readonly changed: () => void;
+  /** Told after each try, so that the others hear of the record. */
+  readonly tried: () => void;
 }
 
 export interface MembershipChanges {
   readonly join: (request: MessageOf<'Join'>) => void;
   readonly change: (change: MembershipChange) => void;
-  /** Writes a record again that has stood here undecided for long; to be called at every greeting. */
-  readonly finishPending: () => void;
   /** Whether this node must refuse a Prepare, as it hears the replica that is to be replaced. */
   readonly mustRefuse: (request: MessageOf<'Prepare'>) => boolean;
   /** Whether a machine that could take a slot has asked for one lately. */
   readonly hasCandidate: () => boolean;
 }
 
-interface Proposal {
-  readonly without: number | undefined;
-  readonly epoch: number;
-  readonly membershipEpoch: number;
-}
-
 interface Candidate {
   readonly since: number;
   readonly at: number;
@@ -59,7 +50,6 @@
 const askingFor = 1_000_000;
 const forgottenAfter = 1_500_000;
 const takesOverAfter = 1_500_000;
-const pendingAtMost = 600_000;
 const leastPause = 200_000;
 const pauseSpread = 400_000;
 
@@ -68,7 +58,6 @@
   const { world, replica, rounds } = cluster;
   const candidates = new Map<string, Candidate>();
   let changing = false;
-  let pendingSince: number | undefined;
   let seenEpoch = 0;
 
   function join(request: MessageOf<'Join'>): void {
@@ -125,14 +114,6 @@
     function make(id: string): VoteRequest {
       return { kind: 'Prepare', id, from: '', key: membershipKey, epoch, membershipEpoch, ...replacement };
     }
-    replica.promiseFirst(make(''), (promised) => {
-      if (!promised) return pause();
-      propose(make, { without, epoch, membershipEpoch }, wanted);
-    });
-  }
-
-  function propose(make: (id: string) => VoteRequest, proposal: Proposal, wanted: MembershipChange): void {
-    const { without, epoch, membershipEpoch } = proposal;
     rounds.start({ without, make }, (prepared) => {
       for (const vote of prepared.votes) seenEpoch = Math.max(seenEpoch, vote.promised);
       const newest = newestOf(prepared.votes);
@@ -168,27 +149,14 @@
     function make(id: string): VoteRequest {
       return { kind: 'Accept', id, from: '', key: membershipKey, epoch, membershipEpoch, version, value, changes: [] };
     }
-    rounds.start({ without, make }, (accepted) => {
+    rounds.start({ without, make }, () => {
+      world.log(2006, { ...wanted, membershipEpoch: replica.membership().membershipEpoch });
       pause();
-      if (!accepted.won) return;
-      const record = decodeMembership(epoch, value);
-      if (E.isRight(record)) replica.adoptMembership(record.right);
-      world.log(2006, { ...wanted, membershipEpoch: epoch });
-      options.changed();
+      options.tried();
       if (wanted.kind !== 'finish') world.send(wanted.address as Address, replica.hello());
     });
   }
 
-  /** A record that was accepted here, by a proposer that has told nothing since, may have been chosen: it is written again. */
-  function finishPending(): void {
-    if (replica.state() !== 'voting' || !replica.hasPendingMembership()) {
-      pendingSince = undefined;
-      return;
-    }
-    pendingSince ??= world.now();
-    if (world.now() - pendingSince > pendingAtMost) change({ kind: 'finish' });
-  }
-
   function pause(): void {
     world.after(micros(leastPause + world.random() * pauseSpread), () => {
       changing = false;
@@ -205,7 +173,6 @@
   return {
     join,
     change,
-    finishPending,
     mustRefuse,
     hasCandidate: () => [...candidates.values()].some(isAsking),
   };
--- a/packages/control-state/src/membership-record.ts
+++ b/packages/control-state/src/membership-record.ts
@@ -6,12 +6,9 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { UnreadableMembership, type ReplicaEntry } from '@tansypost/inner-protocol';
 
-/** The key under which replicas agree on the membership record. */
+/** The key under which the membership record is kept. */
 export const membershipKey = 'core';
 
-/** The row, of this disk only, that keeps the newest record which this replica knows to be chosen. */
-export const chosenMembershipKey = '~membership';
-
 export interface MembershipRecord {
   /** 0 as long as no record is known. */
   readonly membershipEpoch: number;
--- a/packages/control-state/src/peer-liveness.ts
+++ b/packages/control-state/src/peer-liveness.ts
@@ -1,6 +1,6 @@
 /**
  * What this control node knows of the other replicas from their hellos: who is alive and votes, who is leaving, whose
- * disk keeps it waiting and who has been silent so long that it may be replaced.
+ * disk keeps it waiting, who has been silent so long that it may be replaced, and who has an older membership record.
  */
 import type { MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
 import type { Replica } from './replica.js';
@@ -29,6 +29,8 @@
   /** Whether a disk of the membership record was heard so lately that it must not be replaced. */
   readonly isPresent: (disk: string) => boolean;
   readonly hasSameMembership: (slot: number) => boolean;
+  /** Since when a voting replica has had an older membership record than this one; Infinity if it has not. */
+  readonly behindSince: (slot: number) => number;
 }
 
 interface Heard {
@@ -37,6 +39,7 @@
   readonly fit: boolean;
   readonly leaving: boolean;
   readonly membershipEpoch: number;
+  readonly behindSince: number;
 }
 
 /** A replica that was silent this long may be replaced, where a machine stands ready to take its slot. */
@@ -56,12 +59,15 @@
 
   function heard(hello: MessageOf<'ReplicaHello'>): void {
     const known = peers.get(hello.slot);
+    const { membershipEpoch } = replica.membership();
+    const behind = hello.membershipEpoch < membershipEpoch;
     peers.set(hello.slot, {
       at: world.now(),
       voting: hello.state === 'voting',
       fit: !hello.ill && !hello.leaving,
       leaving: hello.leaving,
       membershipEpoch: hello.membershipEpoch,
+      behindSince: behind ? Math.min(known?.behindSince ?? Infinity, world.now()) : Infinity,
     });
     if (known !== undefined && world.now() - known.at > reunionAfter) options.reunited();
   }
@@ -120,9 +126,10 @@
     isMissing: (slot) => world.now() - Math.max(peers.get(slot)?.at ?? 0, hearingSince) > missingAfter,
     isPresent,
     hasSameMembership: (slot) => peers.get(slot)?.membershipEpoch === replica.membership().membershipEpoch,
+    behindSince: (slot) => peers.get(slot)?.behindSince ?? Infinity,
   };
 }
 
 function notHeard(now: number): Heard {
-  return { at: now, voting: false, fit: false, leaving: false, membershipEpoch: 0 };
+  return { at: now, voting: false, fit: false, leaving: false, membershipEpoch: 0, behindSince: Infinity };
 }
--- a/packages/control-state/src/replica.ts
+++ b/packages/control-state/src/replica.ts
@@ -11,7 +11,6 @@
 import type { AppliedChange, ChangeHistory } from './change-history.js';
 import { createFounding } from './founding.js';
 import {
-  chosenMembershipKey,
   decodeMembership,
   encodeMembership,
   majorityOf,
@@ -51,10 +50,6 @@
   readonly diskId: () => string;
   readonly state: () => ReplicaState;
   readonly membership: () => MembershipRecord;
-  /** Takes a record as the one in force; only one that a majority chose may be given, or one that was told as such. */
-  readonly adoptMembership: (record: MembershipRecord) => void;
-  /** Whether this replica has accepted a record of which it does not know whether it was chosen. */
-  readonly hasPendingMembership: () => boolean;
   /** Whether the membership record names this disk. */
   readonly isMember: () => boolean;
   readonly votingSince: () => number;
@@ -102,7 +97,6 @@
     slot: slotNow,
     state: () => state,
     membershipEpoch: () => membership.membershipEpoch,
-    after: (delay, run) => void world.after(delay, run),
     putRow,
   });
   const catchUp = createCatchUp(world, {
@@ -126,7 +120,7 @@
     diskId,
   });
 
-  refreshMembership(storedMembership());
+  refreshMembership();
   if (state === 'voting') {
     votingSince = world.now();
     catchUp.restart();
@@ -155,13 +149,8 @@
     options.entered?.(state);
   }
 
-  /** Earlier releases took what they had accepted for chosen and kept no row of its own for it. */
-  function storedMembership(): Row {
-    const chosen = storage.row(chosenMembershipKey);
-    return chosen.version > 0 ? chosen : storage.row(membershipKey);
-  }
-
-  function refreshMembership(row: Row): void {
+  function refreshMembership(): void {
+    const row = storage.row(membershipKey);
     if (row.epoch <= membership.membershipEpoch) return;
     const slot = slotNow();
     const decoded = decodeMembership(row.epoch, row.value);
@@ -212,31 +201,28 @@
 
   function putRow(key: string, row: Row, changes: readonly AppliedChange[], done: Written): void {
     storage.putRow(key, row, changes, done);
-    if (key === chosenMembershipKey) refreshMembership(row);
+    if (key === membershipKey) refreshMembership();
   }
 
   function found(members: readonly ReplicaEntry[]): void {
     storage.setFounders(members.map((member) => member.disk));
     const value = encodeMembership(clusterOf(members), members);
-    const row: Row = { promised: 1, epoch: 1, version: 1, value };
-    putRow(membershipKey, row, [], () => undefined);
-    putRow(chosenMembershipKey, row, [], (ok) => {
+    putRow(membershipKey, { promised: 1, epoch: 1, version: 1, value }, [], (ok) => {
       if (ok) enter('voting');
     });
   }
 
   function adoptMembership(record: MembershipRecord): void {
     const { membershipEpoch: epoch, cluster, replicas } = record;
-    if (epoch <= membership.membershipEpoch) return;
-    const value = encodeMembership(cluster, replicas);
-    const agreed = storage.row(membershipKey);
-    // What was chosen may be taken in below a promise: whoever was promised the higher epoch finds it on a majority.
-    if (epoch > agreed.epoch) {
-      const promised = Math.max(agreed.promised, epoch);
-      putRow(membershipKey, { promised, epoch, version: agreed.version + 1, value }, [], () => undefined);
-    }
-    const { version } = storage.row(chosenMembershipKey);
-    putRow(chosenMembershipKey, { promised: epoch, epoch, version: version + 1, value }, [], () => undefined);
+    const present = storage.row(membershipKey);
+    if (epoch <= present.epoch || epoch < present.promised) return;
+    const row: Row = {
+      promised: epoch,
+      epoch,
+      version: present.version + 1,
+      value: encodeMembership(cluster, replicas),
+    };
+    putRow(membershipKey, row, [], () => undefined);
   }
 
   function heard(hello: ReplicaHello): void {
@@ -300,8 +286,6 @@
     diskId,
     state: () => state,
     membership: () => membership,
-    adoptMembership,
-    hasPendingMembership: () => storage.row(membershipKey).epoch > membership.membershipEpoch,
     isMember,
     votingSince: () => votingSince,
     row: storage.row,
--- a/packages/model-checker/src/durable-state.ts
+++ b/packages/model-checker/src/durable-state.ts
@@ -1,6 +1,6 @@
 /** What a restart would find on a disk, read from the journal's records. */
 import * as E from 'fp-ts/lib/Either.js';
-import { decodeMembership, chosenMembershipKey, type JournalRecord } from '@tansypost/control-state';
+import { decodeMembership, membershipKey, type JournalRecord } from '@tansypost/control-state';
 import type { ReplicaEntry } from '@tansypost/inner-protocol';
 
 /** One key as the synced part of a disk holds it. */
@@ -42,7 +42,7 @@
 
 /** The membership record on a disk; one that cannot be read ends the run. */
 export function membershipOf(state: DurableState): Membership | undefined {
-  const row = state.rows.get(chosenMembershipKey);
+  const row = state.rows.get(membershipKey);
   if (row === undefined || row.value.length === 0) return undefined;
   let membership = decoded.get(row);
   if (membership === undefined) {
--- a/packages/model-checker/src/situation.ts
+++ b/packages/model-checker/src/situation.ts
@@ -4,7 +4,7 @@
  * machines is in which state.
  */
 import { configurationKey } from '@tansypost/control-feed';
-import { chosenMembershipKey } from '@tansypost/control-state';
+import { membershipKey } from '@tansypost/control-state';
 import type { Cluster } from './cluster.js';
 import type { ControlMachine } from './control-machine.js';
 
@@ -30,7 +30,7 @@
   const rows = machines.map((machine) => machine.disk.durable().rows);
   const versions = ranksOf(rows.map((each) => each.get(configurationKey)?.version ?? 0));
   const promises = ranksOf(rows.map((each) => each.get(configurationKey)?.promised ?? 0));
-  const epochs = ranksOf(rows.map((each) => each.get(chosenMembershipKey)?.epoch ?? 0));
+  const epochs = ranksOf(rows.map((each) => each.get(membershipKey)?.epoch ?? 0));
   const roles = machines.map((machine, index) =>
     [roleOf(machine), versions[index], promises[index], epochs[index]].join(),
   );
