Course: count a route's time from arrival, and wait for readiness a quarter of its aim

Cause: arrival and limit were set after the wait for routes and workers, up to 1.5 s, so a route with 1.0 s was held until 2.4 s (trial in virtual time), and a request without a route or worker was refused after up to 1.5 s. Change: the wait is a module of its own (readiness.ts); it ends after a quarter of the route's aim, or 0.2 s while the route is unknown, with 503, Retry-After and nothing run. Time counts from arrival.

--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -133,6 +133,9 @@
 };
 
 interface Setting {
+  /** When the router is told its routes and its workers, if not before the request. */
+  readonly pathsAt?: number;
+  readonly workersAt?: number;
   readonly path?: Partial<Path>;
   readonly always?: number;
   readonly readers?: number;
@@ -187,8 +190,12 @@
     },
     { workers: port },
   );
-  course.paths(tableOf(setting.path ?? {}));
-  course.workers(workers);
+  at(setting.pathsAt, () => course.paths(tableOf(setting.path ?? {})));
+  at(setting.workersAt, () => course.workers(workers));
+  function at(when: number | undefined, run: () => void): void {
+    if (when === undefined) run();
+    else world.after(when as Micros, run);
+  }
   // All workers tell their load all the time: none of them is silent to everybody.
   function tellLoads(): void {
     for (const w of workers) course.told(w.id, { queued: 0, active: 1, kvUsed: 0.1, silent: false, at: world.now() });
@@ -231,6 +238,31 @@
     return Promise.resolve(first);
   };
 }
+it('counts the wait for a starting router within the time that the route allows', async () => {
+  const budget = second;
+  const pathsAt = 0.15 * second;
+  const x = await play({ read: readAt, run: (_a, gone) => never(gone) }, { pathsAt, path: { budget, sends: 1 } });
+  expect(x.attempts.map((a) => a.from)).toEqual([pathsAt, pathsAt]);
+  expect(x.attempts.map((a) => a.left)).toEqual([budget - pathsAt, budget - pathsAt]);
+  expect(x.ended).toMatchObject({ at: budget, how: { kind: 'budget_spent', ran: 'maybe' } });
+});
+
+it('refuses, unrun, what waited a quarter of its aim for the workers, or as long as is usual for the routes', async () => {
+  const noWorkers = await play({ read: readAt, run: wholeRun }, { workersAt: second });
+  expect(noWorkers.ended).toMatchObject({ at: aim / 4, how: { kind: 'no_workers', ran: 'no', retryAfter: 0.3 } });
+  const later = { path: { aim: 2 * aim }, pathsAt: aim / 8, workersAt: second };
+  const late = await play({ read: readAt, run: wholeRun }, later);
+  expect(late.ended).toMatchObject({ at: aim / 2, how: { kind: 'no_workers', ran: 'no' } });
+  const noPaths = await play({ read: readAt, run: wholeRun }, { pathsAt: second });
+  expect(noPaths.ended).toMatchObject({ at: 200_000, how: { kind: 'not_ready', ran: 'no', retryAfter: 0.4 } });
+  for (const x of [noWorkers, late, noPaths]) expect(x.attempts).toEqual([]);
+});
+
+it('serves what waited as soon as routes and workers are known', async () => {
+  const x = await play({ read: readAt, run: wholeRun }, { pathsAt: 0.05 * second, workersAt: 0.1 * second });
+  expect([x.ended?.how, x.ended?.at]).toEqual(['whole', 0.1 * second]);
+});
+
 const refusedRead: ReadResult = { tag: 'refused', why: 'full', other: false };
 const lostRead: ReadResult = { tag: 'unknown', why: 'reset' };
 
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -16,6 +16,7 @@
 import { createEventCutter, type EventCutter } from './events.js';
 import type { Incoming } from './incoming.js';
 import type { GiveUp, GiveUpKind, Lot, ReadResult, Reply, RunResult, WorkerPort } from './ports.js';
+import { createReadiness } from './readiness.js';
 import { createSendBudget, type SendBudgetTerms } from './send-budget.js';
 import { createWorkerFleet, type FleetWorker, type ToldLoad, type Under } from './worker-fleet.js';
 
@@ -61,8 +62,8 @@
 const mostUnsent = 4;
 // Ours: a run from memory that was read elsewhere has its first token after so long.
 const firstFromMemory = 60_000;
-// Ours: how long a request waits for a router that is starting.
-const startPatience = 1_500_000;
+// Ours: seconds after which a router that is starting is asked again.
+const retryAfterStart = 0.4;
 // Ours: what a worker read longer ago than this has given way to other prompts.
 const keptFor = 10_000_000;
 const smallRead = 60_000;
@@ -110,7 +111,7 @@
   let services = new Map<string, Service>();
   let listed = false;
   let active = 0;
-  const waiting = new Set<() => void>();
+  const readiness = createReadiness(w, ready);
 
   function note(k: string): void {
     counts.set(k, (counts.get(k) ?? 0) + 1);
@@ -128,33 +129,17 @@
   function paths(t: PathTable): void {
     matcher = createMatcher(t);
     services = new Map(t.services.map((s) => [s.name, s]));
-    readyNow();
+    readiness.changed();
   }
   function workers(ws: readonly FleetWorker[]): void {
     listed = true;
     for (const id of fleet.list(ws)) tree.forget(id);
-    readyNow();
+    readiness.changed();
   }
 
   function ready(): boolean {
     return matcher !== undefined && listed;
   }
-  // A router that has just started is told within moments what there is; until then a request waits rather than being
-  // sent away by each router in turn.
-  function untilReady(longest: number): Promise<void> {
-    return new Promise((done) => {
-      const cancel = w.after(micros(longest), end);
-      function end(): void {
-        cancel();
-        if (waiting.delete(end)) done();
-      }
-      waiting.add(end);
-    });
-  }
-  function readyNow(): void {
-    if (ready()) for (const f of [...waiting]) f();
-  }
-
   function pickService(path: Path): Service | undefined {
     const whole = path.shares.reduce((a, s) => a + s.weight, 0);
     let at = w.random() * whole;
@@ -168,8 +153,11 @@
   async function serve(q: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
     active += 1;
     try {
-      if (!ready()) await untilReady(Math.min(startPatience, q.patience / 4));
-      if (matcher === undefined) return giveUp(reply, 'not_ready', 'no', 'No paths are known here yet.', 0.4);
+      const arrived = w.now();
+      await readiness.wait(arrived, q.patience, () => matcher?.find(q.host, q.target)?.aim);
+      if (gone.aborted) return note('requester left');
+      if (matcher === undefined)
+        return giveUp(reply, 'not_ready', 'no', 'No paths are known here yet.', retryAfterStart);
       const path = matcher.find(q.host, q.target);
       if (path === undefined) return giveUp(reply, 'unknown_path', 'no', 'No path has this host and prefix.');
       const service = pickService(path);
@@ -180,8 +168,8 @@
         service,
         reply,
         gone,
-        arrived: w.now(),
-        limit: w.now() + Math.min(q.patience, path.budget),
+        arrived,
+        limit: arrived + Math.min(q.patience, path.budget),
         sends: 0,
         ran: 'no',
         begun: false,
