Course: leave a silent run only for a worker that is available to go on with it

Cause: another worker counted as one that could go on with a stream although it was silent, resting after a failure or had more waiting than it runs, which the table gives where nobody better is left; and an answer that had begun on a route that may be repeated but not resumed was left and then cut. Change: an alternative must be available; what has begun is left only on routes that may be resumed.

--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -7,7 +7,7 @@
 import { createCourse, type Course } from './course.js';
 import type { Incoming } from './incoming.js';
 import type { GiveUp, ReadResult, Reply, RunResult, RunSink, WorkerPort } from './ports.js';
-import type { FleetWorker } from './worker-fleet.js';
+import type { FleetWorker, ToldLoad } from './worker-fleet.js';
 
 const second = 1_000_000;
 const aim = 0.8 * second;
@@ -136,6 +136,8 @@
   /** When the router is told its routes and its workers, if not before the request. */
   readonly pathsAt?: number;
   readonly workersAt?: number;
+  /** What each worker tells of its load, where it is not one run. */
+  readonly load?: (id: string) => Partial<ToldLoad>;
   readonly path?: Partial<Path>;
   readonly always?: number;
   readonly readers?: number;
@@ -198,7 +200,8 @@
   }
   // All workers tell their load all the time: none of them is silent to everybody.
   function tellLoads(): void {
-    for (const w of workers) course.told(w.id, { queued: 0, active: 1, kvUsed: 0.1, silent: false, at: world.now() });
+    const usual = { queued: 0, active: 1, kvUsed: 0.1, silent: false, at: world.now() };
+    for (const w of workers) course.told(w.id, { ...usual, ...setting.load?.(w.id) });
     world.after(second as Micros, tellLoads);
   }
   tellLoads();
@@ -302,6 +305,45 @@
   }
 });
 
+/** A run that sends its first event and then nothing more. */
+function silentMidway(_a: Attempt, gone: AbortSignal, sink: RunSink | undefined): Promise<RunResult> {
+  sink!.head({ status: 200, head: ['Seal', 'seal'] });
+  void sink!.chunk(Buffer.from('id: 1\n\n'));
+  return never(gone);
+}
+function silentMidwayFirst(): Answering<RunResult> {
+  let first = true;
+  return (a, gone, sink) => {
+    const answer = first ? silentMidway : wholeRun;
+    first = false;
+    return answer(a, gone, sink);
+  };
+}
+
+it('leaves a stream that falls silent where another worker is available to go on with it', async () => {
+  const x = await play({ read: readAt, run: silentMidwayFirst() });
+  expect([x.ended?.how, kinds(x)]).toEqual(['whole', 'read read, run unknown, run whole']);
+  expect(x.ended!.at).toBeLessThan(1.1 * second);
+});
+
+it('waits for a stream that falls silent to the end of its time where no other worker is available', async () => {
+  const others = /^runner[12]$/;
+  const full = { load: (id: string) => (others.test(id) ? { queued: 9 } : {}) };
+  const silent = { load: (id: string) => (others.test(id) ? { silent: true } : {}) };
+  for (const setting of [{ runners: 1 }, { always: 0 }, { path: { sends: 1 } }, full, silent]) {
+    const x = await play({ read: readAt, run: silentMidwayFirst() }, setting);
+    expect([kinds(x), x.ended?.how, x.ended?.at]).toEqual(['read read, run unknown', 'cut', limit]);
+  }
+});
+
+it('waits for an answer that has begun and may be repeated, but not be resumed', async () => {
+  const path = { repeatable: true, resumable: false };
+  const begun = await play({ read: readAt, run: silentMidwayFirst() }, { path });
+  expect([kinds(begun), begun.ended?.how, begun.ended?.at]).toEqual(['read read, run unknown', 'cut', limit]);
+  const unbegun = await play({ read: readAt, run: firstSilent<RunResult>(wholeRun) }, { path });
+  expect([kinds(unbegun), unbegun.ended?.how]).toEqual(['read read, run unknown, run whole', 'whole']);
+});
+
 it('answers at once when the time has run out in a read, promises that nothing ran, and begins no run', async () => {
   const x = await play({ read: (_a, gone) => never(gone), run: wholeRun }, { always: 0, path: { budget: second } });
   expect(x.attempts.map((a) => a.kind)).toEqual(['read']);
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -221,9 +221,16 @@
     };
   }
 
-  // What would be assigned if this worker were left now; nothing is drawn for it.
+  /** What would be assigned if this worker were left now, if it is available; nothing is drawn for it. */
   function alternative(r: Running, aloneOnly: boolean, worker: string): Pair | undefined {
-    return assign(r, aloneOnly, new Set([...r.tried, worker]), () => noDraw);
+    const other = assign(r, aloneOnly, new Set([...r.tried, worker]), () => noDraw);
+    if (other === undefined || !fleet.available(other.runner.id)) return undefined;
+    return other.reader === undefined || fleet.available(other.reader.id) ? other : undefined;
+  }
+
+  /** Whether another worker may run it or go on with it, though the present one has it. */
+  function mayMove(r: Running): boolean {
+    return r.path.resumable || (r.path.repeatable && !r.begun);
   }
 
   function assign(
@@ -446,7 +453,6 @@
     const runner = plan.runner;
     const now = w.now();
     const stop = new AbortController();
-    const mayMove = r.path.resumable || r.path.repeatable;
     const kind: AttemptKind = from === undefined ? 'run alone' : 'run from memory';
     const expected = from === undefined ? plan.firstTime : firstFromMemory;
     const under: Under = fleet.began(runner.id, 'run', plan.runnerTokens, expected);
@@ -460,7 +466,7 @@
     let [ended, overdue] = [false, false];
     // Where another worker may take it up, one that has been silent for too long is left.
     function watch(): void {
-      if (ended || !mayMove) return;
+      if (ended || !mayMove(r)) return;
       const waited = w.now() - heardAt;
       const quietAfter = seen
         ? Math.max(pausePatience.least, pausePatience.times * r.path.pause)
@@ -476,7 +482,7 @@
         stop.abort();
       } else w.after(micros(watchInterval), watch);
     }
-    if (mayMove) w.after(micros(Math.min(overdueAfter, firstPatience.least)), watch);
+    if (mayMove(r)) w.after(micros(Math.min(overdueAfter, firstPatience.least)), watch);
     const cancelLimit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
     function left(): void {
       stop.abort();
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -55,6 +55,8 @@
   // Another router has sent it a prompt that takes so long to read, or saw a send fail there.
   readonly elsewhere: (id: string, service: number, bad?: boolean) => void;
   readonly silent: (id: string) => boolean;
+  /** Whether it could take up a request now: `views` gives others too where nobody better is left. */
+  readonly available: (id: string) => boolean;
   readonly view: () => object[];
 }
 
@@ -219,13 +221,17 @@
     };
   }
 
+  /** Neither resting after a failure, nor silent, nor with more waiting than it runs at once. */
+  function well(r: Row): boolean {
+    return r.restUntil <= now() && !quiet(r) && !slots(r);
+  }
+
   function views(service: string, part: Part, without: ReadonlySet<string>): View[] {
-    const t = now();
     const fit = [...rows.values()].filter(
       (r) => r.w.service === service && r.w.part === part && !r.w.leaving && !without.has(r.w.id),
     );
-    const well = fit.filter((r) => r.restUntil <= t && !quiet(r) && !slots(r));
-    return (well.length > 0 ? well : fit).map(view);
+    const best = fit.filter(well);
+    return (best.length > 0 ? best : fit).map(view);
   }
 
   function began(id: string, doing: Doing, tokens: number, expected: number): Under {
@@ -304,6 +310,10 @@
       const r = rows.get(id);
       return r === undefined || quiet(r);
     },
+    available: (id) => {
+      const r = rows.get(id);
+      return r !== undefined && !r.w.leaving && well(r);
+    },
     view: () =>
       [...rows.values()].map((r) => ({
         ...r.w,
