Course: leave a read or run alone of a short prompt after 0.4 s

Cause: every read without an answer was left at the aim only, and so was always late. That bound is needed for long prompts, which may be behind others for long; short ones are let in first.

--- a/packages/pass-through/src/answer-patience.ts
+++ b/packages/pass-through/src/answer-patience.ts
@@ -4,9 +4,10 @@
  * A worker may answer everybody else and still never answer one request, so its load reports and its other answers
  * say nothing about that request. The only evidence is the time that has passed against the time expected. As in
  * RFC 6298, the patience is the expected time plus the usual error of that estimate plus four times its mean
- * deviation: it is short while estimates hold and grows by itself when all workers answer late.
+ * deviation: it is short while estimates hold and grows by itself when all workers answer late. Short prompts are let
+ * in before others, so the errors of their estimates are small and are kept apart.
  */
-export type AttemptKind = 'read' | 'run from memory' | 'run alone';
+export type AttemptKind = 'read' | 'short read' | 'run from memory' | 'run alone' | 'short run alone';
 
 export interface AnswerPatience {
   /** The first answer came, or was given up on, after `took`; all times are microseconds. */
--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -138,6 +138,7 @@
   readonly workersAt?: number;
   /** What each worker tells of its load, where it is not one run. */
   readonly load?: (id: string) => Partial<ToldLoad>;
+  readonly request?: Partial<Incoming>;
   readonly path?: Partial<Path>;
   readonly always?: number;
   readonly readers?: number;
@@ -205,7 +206,7 @@
     world.after(second as Micros, tellLoads);
   }
   tellLoads();
-  const served = course.serve(incoming, reply, new AbortController().signal);
+  const served = course.serve({ ...incoming, ...setting.request }, reply, new AbortController().signal);
   await runUntil(() => ended !== undefined);
   await served;
   return { attempts, freed, ended, began };
@@ -289,6 +290,22 @@
   expect(x.ended!.at).toBeLessThanOrEqual(aim);
 });
 
+it('leaves a read of a short prompt, which waits behind no others, in time for another worker to be within the aim', async () => {
+  const request = { promptTokens: 600, parts: [{ id: 'a', tokens: 600 }] };
+  // Runners have enough to do for a short prompt to be read apart.
+  function load(id: string): Partial<ToldLoad> {
+    return id.startsWith('runner') ? { active: 8 } : {};
+  }
+  function script(): Script {
+    return { read: firstSilent<ReadResult>(readAt), run: wholeRun };
+  }
+  const x = await play(script(), { request, load, path: { sends: 1, repeatable: false, resumable: false } });
+  expect([x.ended?.how, kinds(x)]).toEqual(['whole', 'read unknown, run whole']);
+  expect(x.ended!.at).toBeLessThanOrEqual(0.6 * aim);
+  const long = await play(script(), { request: { promptTokens: 40_000, parts: [] } });
+  expect(long.ended!.at).toBeGreaterThanOrEqual(aim);
+});
+
 it('leaves a run that is not answered where another worker may take it up, and only there', async () => {
   const x = await play({ read: readAt, run: firstSilent<RunResult>(wholeRun) });
   expect([x.ended?.how, kinds(x)]).toEqual(['whole', 'read read, run unknown, run whole']);
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -50,10 +50,11 @@
 const readPatience = { least: 450_000, times: 2.5 };
 const firstPatience = { least: 700_000, times: 3 };
 const pausePatience = { least: 900_000, times: 3 };
-// Ours: how long a worker that answers others may leave one request unanswered. A run from memory waits for no prompt; a
-// prompt to be read may be behind others for long, and is left only when it is late for its aim anyway.
+// Ours: how long a worker that answers others may leave one request unanswered. A run from memory waits for no prompt,
+// and a short prompt goes before others; a longer prompt may be behind others for long, and is left only when it is late
+// for its aim anyway.
 const memoryPatience = { least: 400_000, times: 3 };
-const promptPatience = { times: 5 };
+const promptPatience = { leastShort: 400_000, times: 5 };
 const watchInterval = 50_000;
 // So high that nothing is explored by it.
 const noDraw = 0.999999;
@@ -392,8 +393,8 @@
     return other !== undefined && waited >= other.firstTime && r.limit - w.now() > other.firstTime;
   }
 
-  function promptLeast(r: Running, expected: number): number {
-    return Math.max(r.path.aim, promptPatience.times * expected);
+  function promptLeast(r: Running, expected: number, short: boolean): number {
+    return Math.max(short ? promptPatience.leastShort : r.path.aim, promptPatience.times * expected);
   }
 
   async function oneRead(r: Running, plan: Pair): Promise<ReadResult> {
@@ -404,7 +405,9 @@
     const under = fleet.began(reader.id, 'read', plan.readerTokens, plan.readTime);
     const limit = w.after(micros(Math.max(0, r.limit - now)), () => stop.abort());
     const quietAfter = Math.max(readPatience.least, readPatience.times * plan.readTime);
-    const overdueAfter = patience.of('read', plan.readTime, promptLeast(r, plan.readTime));
+    const short = plan.serviceTime < smallRead;
+    const kind: AttemptKind = short ? 'short read' : 'read';
+    const overdueAfter = patience.of(kind, plan.readTime, promptLeast(r, plan.readTime, short));
     let [over, overdue] = [false, false];
     r.reads += 1;
     // A worker that answers nobody is left; one that answers others, where another may be asked instead.
@@ -415,7 +418,7 @@
       if (overdue || (waited >= quietAfter && fleet.silent(reader.id))) stop.abort();
       else w.after(micros(watchInterval), watch);
     }
-    w.after(micros(quietAfter), watch);
+    w.after(micros(Math.min(quietAfter, overdueAfter)), watch);
     function left(): void {
       stop.abort();
     }
@@ -424,7 +427,7 @@
     over = true;
     limit();
     r.gone.removeEventListener('abort', left);
-    if (got.tag === 'read' || overdue) patience.observe('read', plan.readTime, w.now() - now);
+    if (got.tag === 'read' || overdue) patience.observe(kind, plan.readTime, w.now() - now);
     if (got.tag === 'read') {
       under.end('done');
       tree.insert(promptBlocks(r.q), reader.id, w.now());
@@ -453,11 +456,15 @@
     const runner = plan.runner;
     const now = w.now();
     const stop = new AbortController();
-    const kind: AttemptKind = from === undefined ? 'run alone' : 'run from memory';
+    const short = plan.serviceTime < smallRead;
+    const alone: AttemptKind = short ? 'short run alone' : 'run alone';
+    const kind = from === undefined ? alone : 'run from memory';
     const expected = from === undefined ? plan.firstTime : firstFromMemory;
     const under: Under = fleet.began(runner.id, 'run', plan.runnerTokens, expected);
     const least =
-      from === undefined ? promptLeast(r, expected) : Math.max(memoryPatience.least, memoryPatience.times * expected);
+      from === undefined
+        ? promptLeast(r, expected, short)
+        : Math.max(memoryPatience.least, memoryPatience.times * expected);
     const overdueAfter = patience.of(kind, expected, least);
     const resumed = r.begun;
     if (resumed) r.cutter?.again();
