Course: a lost read is no run; another reader is asked within max_tries

So on routes with max_tries 2 each lost read was followed by a slow run alone on a decode worker. Tests: 'counts a lost read as a run that may have been' asserted the former rule; its three cases are kept with the new counts and joined by reads that are all lost, a run that fails after two reads, and a request without a prompt. 4 of them fail on the course before; 28 tests of packages/pass-through pass.

--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -87,8 +87,6 @@
   unsent: number;
   // Reads begun; any after the first that was taken up is extra.
   reads: number;
-  // Reads that were sent and neither answered nor turned away.
-  readsLost: number;
   readonly lot: Lot | undefined;
   // The row and the moment by which its reader was chosen, until the first piece has come.
   chosen: { readonly row: Float32Array; readonly at: number } | undefined;
@@ -179,7 +177,6 @@
         tried: new Set(),
         unsent: 0,
         reads: 0,
-        readsLost: 0,
         lot: p.lot?.(q.id),
         chosen: undefined,
         firstAt: 0,
@@ -242,7 +239,8 @@
   ): Pair | undefined {
     const s = r.service.name;
     const runners = fleet.views(s, 'decode', tried);
-    const readers = aloneOnly ? [] : fleet.views(s, 'prefill', tried);
+    // Without a prompt there is nothing to read, and a reader would run the request instead.
+    const readers = aloneOnly || r.q.promptTokens === 0 ? [] : fleet.views(s, 'prefill', tried);
     return assignPair(
       r.q,
       readers,
@@ -306,7 +304,6 @@
         p.workers.free(reader, from.handle);
       } else {
         r.tried.add(reader.id);
-        if (got.tag === 'unknown') r.readsLost += 1;
         note(`read ${got.tag}`);
       }
       if (r.gone.aborted) {
@@ -336,12 +333,9 @@
     return runOn(r, pairNow, undefined);
   }
 
-  /**
-   * A worker that was asked to read may have run the request instead, so each read without an answer, the one that
-   * would follow and the run after it all count among the workers that the request may go to.
-   */
-  function mayReadAgain(r: Running, lost = r.readsLost): boolean {
-    return r.reads < mostReads && lost + r.sends + 2 <= r.path.sends;
+  /** Whether one more worker may be asked to read: that and the run after it count among those a request may go to. */
+  function mayReadAgain(r: Running): boolean {
+    return r.reads < mostReads && r.sends + 2 <= r.path.sends;
   }
 
   // The runner is assigned anew after the read: a second may have passed, and one that left meanwhile is no candidate.
@@ -414,7 +408,7 @@
     function watch(): void {
       if (over) return;
       const waited = w.now() - now;
-      overdue = waited >= overdueAfter && worthLeaving(r, reader.id, waited, !mayReadAgain(r, r.readsLost + 1));
+      overdue = waited >= overdueAfter && worthLeaving(r, reader.id, waited, !mayReadAgain(r));
       if (overdue || (waited >= quietAfter && fleet.silent(reader.id))) stop.abort();
       else w.after(micros(watchInterval), watch);
     }
