Course: a starting router refuses within a fifth of the aim, and says to come back after 1.2 s

Change: a fifth of the aim, 0.15 s while the route is unknown, and Retry-After 1.2 s, also where only the workers are missing. Result: 28 tests of packages/pass-through pass.

--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -252,21 +252,22 @@
 }
 it('counts the wait for a starting router within the time that the route allows', async () => {
   const budget = second;
-  const pathsAt = 0.15 * second;
+  const pathsAt = 0.1 * second;
   const x = await play({ read: readAt, run: (_a, gone) => never(gone) }, { pathsAt, path: { budget, sends: 1 } });
   expect(x.attempts.map((a) => a.from)).toEqual([pathsAt, pathsAt]);
   expect(x.attempts.map((a) => a.left)).toEqual([budget - pathsAt, budget - pathsAt]);
   expect(x.ended).toMatchObject({ at: budget, how: { kind: 'budget_spent', ran: 'maybe' } });
 });
 
-it('refuses, unrun, what waited a quarter of its aim for the workers, or as long as is usual for the routes', async () => {
+it('refuses, unrun, what waited for the workers or the routes, within a quarter of its aim', async () => {
+  const refused = { kind: 'not_ready', ran: 'no', retryAfter: 1.2 };
   const noWorkers = await play({ read: readAt, run: wholeRun }, { workersAt: second });
-  expect(noWorkers.ended).toMatchObject({ at: aim / 4, how: { kind: 'no_workers', ran: 'no', retryAfter: 0.3 } });
+  expect(noWorkers.ended).toMatchObject({ at: aim / 5, how: refused });
   const later = { path: { aim: 2 * aim }, pathsAt: aim / 8, workersAt: second };
   const late = await play({ read: readAt, run: wholeRun }, later);
-  expect(late.ended).toMatchObject({ at: aim / 2, how: { kind: 'no_workers', ran: 'no' } });
+  expect(late.ended).toMatchObject({ at: (2 * aim) / 5, how: refused });
   const noPaths = await play({ read: readAt, run: wholeRun }, { pathsAt: second });
-  expect(noPaths.ended).toMatchObject({ at: 200_000, how: { kind: 'not_ready', ran: 'no', retryAfter: 0.4 } });
+  expect(noPaths.ended).toMatchObject({ at: 150_000, how: refused });
   for (const x of [noWorkers, late, noPaths]) expect(x.attempts).toEqual([]);
 });
 
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -63,8 +63,9 @@
 const mostUnsent = 4;
 // Ours: a run from memory that was read elsewhere has its first token after so long.
 const firstFromMemory = 60_000;
-// Ours: seconds after which a router that is starting is asked again.
-const retryAfterStart = 0.4;
+// Ours: seconds after which a router that was starting is asked again. By then it is ready even if all were killed; one
+// that comes back sooner may be refused again, and has no further try.
+const retryAfterStart = 1.2;
 // Ours: what a worker read longer ago than this has given way to other prompts.
 const keptFor = 10_000_000;
 const smallRead = 60_000;
@@ -159,6 +160,7 @@
         return giveUp(reply, 'not_ready', 'no', 'No paths are known here yet.', retryAfterStart);
       const path = matcher.find(q.host, q.target);
       if (path === undefined) return giveUp(reply, 'unknown_path', 'no', 'No path has this host and prefix.');
+      if (!ready()) return giveUp(reply, 'not_ready', 'no', 'No workers are known here yet.', retryAfterStart);
       const service = pickService(path);
       if (service === undefined) return giveUp(reply, 'no_workers', 'no', 'The path has no service.', 1);
       const r: Running = {
--- a/packages/pass-through/src/readiness.ts
+++ b/packages/pass-through/src/readiness.ts
@@ -7,10 +7,13 @@
  */
 import { micros, type World } from '@tansypost/inner-protocol';
 
-/** The part of a route's aim for which a request may wait for a router that is starting. */
-const shareOfAim = 1 / 4;
-/** The wait, in microseconds, while the route and so its aim are unknown: a quarter of the aim of interactive traffic. */
-const routeUnknownWait = 200_000;
+/**
+ * The part of a route's aim for which a request may wait for a router that is starting. A refusal costs nothing within
+ * a quarter of the aim; the rest is for the way to the requester.
+ */
+const shareOfAim = 1 / 5;
+/** The wait, in microseconds, while the route and so its aim are unknown. */
+const routeUnknownWait = 150_000;
 /** The wait is never longer than this part of what the requester waits. */
 const shareOfPatience = 1 / 4;
 
