Course: one module for each of readiness, attempts, reads, runs and their outcome

Change: course.ts (590 lines, one closure) is split: course-context.ts (shared state), in-flight-request.ts (one request), pair-choice.ts, attempt-timing.ts, attempt-abort.ts, read-attempt.ts, run-attempt.ts, run-outcome.ts and attempt-loop.ts; course.ts keeps routes, readiness and serving.

--- a/packages/pass-through/src/answer-patience.ts
+++ b/packages/pass-through/src/answer-patience.ts
@@ -9,6 +9,7 @@
  */
 export type AttemptKind = 'read' | 'short read' | 'run from memory' | 'run alone' | 'short run alone';
 
+/** The patience learnt from the answers so far. */
 export interface AnswerPatience {
   /** The first answer came, or was given up on, after `took`; all times are microseconds. */
   readonly observe: (kind: AttemptKind, expected: number, took: number) => void;
@@ -25,6 +26,7 @@
 const deviations = 4;
 const firstDeviation = 60_000;
 
+/** Begins with no error seen and a deviation of 60 ms. */
 export function createAnswerPatience(): AnswerPatience {
   const errors = new Map<AttemptKind, EstimateError>();
 
--- /dev/null
+++ b/packages/pass-through/src/attempt-loop.ts
@@ -0,0 +1,136 @@
+/** Attempts of one request, one after the other, until it is answered or given up on. */
+import type { Pair } from './assign-pair.js';
+import { giveUp, type CourseContext } from './course-context.js';
+import { decide, type Step } from './decision.js';
+import { mayReadAgain, type InFlightRequest } from './in-flight-request.js';
+import { choosePair, chooseRunnerAfterRead } from './pair-choice.js';
+import type { GiveUp, MemorySource, ReadResult } from './ports.js';
+import { attemptRead } from './read-attempt.js';
+import { attemptRun } from './run-attempt.js';
+import type { FleetWorker } from './worker-fleet.js';
+
+/** Attempts of which no byte could be sent, before no other worker is tried. */
+const mostUnsent = 4;
+/** Seconds after which a requester may come back. */
+const retryAfter = { failed: 0.3, refused: 0.5 };
+
+type EndStep = Exclude<Step, { step: 'run' | 'resume' }>;
+/** What follows a read: another pair to try, memory to run from, or nothing, as the request has been ended. */
+type AfterRead =
+  | { readonly next: 'read'; readonly pair: Pair }
+  | { readonly next: 'run'; readonly pair: Pair; readonly memory: MemorySource | undefined }
+  | { readonly next: 'ended' };
+const ended: AfterRead = { next: 'ended' };
+
+function nextStep(context: CourseContext, inFlight: InFlightRequest, pair: Pair | undefined): Step {
+  const { path, sends, ran, begun, lastRefused } = inFlight;
+  return decide(
+    { sends, ran, begun, lastRefused },
+    {
+      gone: inFlight.gone.aborted,
+      left: inFlight.limit - context.world.now(),
+      repeatable: path.repeatable,
+      resumable: path.resumable,
+      sendsAllowed: Math.max(1, path.sends),
+      extraRoom: context.budget.room(inFlight.service.name),
+      workers: pair !== undefined,
+    },
+  );
+}
+
+function end(context: CourseContext, inFlight: InFlightRequest, step: EndStep): void {
+  if (step.step === 'stop') context.count('requester left');
+  else if (step.step === 'cut') {
+    context.count('cut');
+    inFlight.reply.cut();
+  } else if (inFlight.failed !== undefined) inFlight.reply.whole(inFlight.failed.answer);
+  else {
+    const why = 'No worker could run it to its end.';
+    const promise = step.ran === 'no' ? { retryAfter: retryAfter.failed } : {};
+    giveUp(context, inFlight.reply, { kind: step.kind, ran: step.ran, why, ...promise });
+  }
+}
+
+/** Makes attempts until the request is answered, given up on or left by its requester. */
+export async function runAttempts(context: CourseContext, inFlight: InFlightRequest): Promise<void> {
+  for (;;) {
+    const aloneOnly = inFlight.sends > 0 || inFlight.ran === 'maybe' || inFlight.reads > 0;
+    const pair = inFlight.unsent > mostUnsent ? undefined : choosePair(context, inFlight, aloneOnly);
+    const step = nextStep(context, inFlight, pair);
+    if (step.step !== 'run' && step.step !== 'resume') return end(context, inFlight, step);
+    if (step.step === 'resume' || !step.first) {
+      context.budget.extra(inFlight.service.name);
+      context.count(step.step === 'resume' ? 'resumed' : 'sent again');
+    }
+    if (await attemptPair(context, inFlight, pair!)) return;
+  }
+}
+
+/** One run, with the reads before it where the pair has a reader. True when the request has ended. */
+async function attemptPair(context: CourseContext, inFlight: InFlightRequest, first: Pair): Promise<boolean> {
+  let pair = first;
+  while (pair.reader !== undefined && !inFlight.begun) {
+    const got = await attemptRead(context, inFlight, pair, pair.reader);
+    const after = afterRead(context, inFlight, pair.reader, got);
+    if (after.next === 'ended') return true;
+    if (after.next === 'run') return attemptRun(context, inFlight, after.pair, after.memory);
+    pair = after.pair;
+  }
+  return attemptRun(context, inFlight, pair, undefined);
+}
+
+function afterRead(context: CourseContext, inFlight: InFlightRequest, reader: FleetWorker, got: ReadResult): AfterRead {
+  const over = inFlight.gone.aborted || inFlight.limit <= context.world.now();
+  if (got.tag === 'read') {
+    const pair = over ? undefined : chooseRunnerAfterRead(context, inFlight, reader);
+    if (pair !== undefined) return { next: 'run', pair, memory: { worker: reader, handle: got.handle } };
+    context.ports.workers.free(reader, got.handle);
+  } else {
+    inFlight.tried.add(reader.id);
+    context.count(`read ${got.tag}`);
+  }
+  if (over) return endInRead(context, inFlight);
+  return got.tag === 'read' ? refuse(context, inFlight, noWorkerLeft) : anotherPair(context, inFlight, got);
+}
+
+function endInRead(context: CourseContext, inFlight: InFlightRequest): AfterRead {
+  if (inFlight.gone.aborted) {
+    context.count('requester left');
+    return ended;
+  }
+  const why = 'It was not read within the time that it has.';
+  return refuse(context, inFlight, { kind: 'budget_spent', ran: 'no', why, retryAfter: retryAfter.failed });
+}
+
+const noWorkerLeft: GiveUp = {
+  kind: 'no_workers',
+  ran: 'no',
+  why: 'No worker is left to run it.',
+  retryAfter: retryAfter.failed,
+};
+const notRead: GiveUp = {
+  kind: 'workers_refused',
+  ran: 'no',
+  why: 'The worker asked to read it did not, and no send is left.',
+  retryAfter: retryAfter.refused,
+};
+
+function refuse(context: CourseContext, inFlight: InFlightRequest, answer: GiveUp): AfterRead {
+  giveUp(context, inFlight.reply, answer);
+  return ended;
+}
+
+/** What is tried after a read that was turned away, lost or not sent; all but the last counts as an extra send. */
+function anotherPair(context: CourseContext, inFlight: InFlightRequest, got: ReadResult): AfterRead {
+  const { budget } = context;
+  const service = inFlight.service.name;
+  const extra = got.tag !== 'unsent';
+  if (extra && !budget.room(service)) return refuse(context, inFlight, notRead);
+  const pair = choosePair(context, inFlight, !mayReadAgain(inFlight));
+  if (pair === undefined) return refuse(context, inFlight, noWorkerLeft);
+  if (extra) budget.extra(service);
+  if (pair.reader === undefined) return { next: 'run', pair, memory: undefined };
+  // A read after the first counts among the workers that a request may go to, if it is taken up or not.
+  inFlight.sends += 1;
+  return { next: 'read', pair };
+}
--- /dev/null
+++ b/packages/pass-through/src/in-flight-request.ts
@@ -0,0 +1,82 @@
+/** One request under way: what it asks for and what has been tried for it. */
+import type { Path, Service } from '@tansypost/paths';
+import type { EventCutter } from './events.js';
+import type { Incoming } from './incoming.js';
+import type { Lot, Reply, RunResult } from './ports.js';
+
+/** One that was lost is read by one more reader at most. */
+const mostReads = 2;
+
+/** The facts of a request that do not change. */
+export interface RequestFacts {
+  readonly request: Incoming;
+  readonly path: Path;
+  readonly service: Service;
+  readonly reply: Reply;
+  /** Aborted when the requester has left. */
+  readonly gone: AbortSignal;
+  readonly arrived: number;
+  readonly lot: Lot | undefined;
+}
+
+/** A request with the state of its attempts; times are microseconds. */
+export interface InFlightRequest extends RequestFacts {
+  /** The moment at which it is given up on. */
+  readonly limit: number;
+  /** Workers that it went to for its run, or for reads beyond the first. */
+  sends: number;
+  /** Whether something may have run. */
+  ran: 'no' | 'maybe';
+  /** Whether an answer has begun to reach the requester. */
+  begun: boolean;
+  cutter: EventCutter | undefined;
+  lastRefused: boolean;
+  readonly tried: Set<string>;
+  /** Attempts of which no byte was sent. */
+  unsent: number;
+  /** Reads begun; any after the first is extra. */
+  reads: number;
+  /** The row and the moment by which its reader was chosen, until the first piece has come. */
+  chosen: { readonly row: Float32Array; readonly at: number } | undefined;
+  firstAt: number;
+  pieces: number;
+  whole: boolean;
+  /** The last answer of a worker that failed, to be passed on where nothing better comes. */
+  failed: Extract<RunResult, { tag: 'failed' }> | undefined;
+}
+
+/** A request for which nothing has been tried yet. */
+export function createInFlightRequest(facts: RequestFacts): InFlightRequest {
+  return {
+    ...facts,
+    limit: facts.arrived + Math.min(facts.request.patience, facts.path.budget),
+    sends: 0,
+    ran: 'no',
+    begun: false,
+    cutter: undefined,
+    lastRefused: false,
+    tried: new Set(),
+    unsent: 0,
+    reads: 0,
+    chosen: undefined,
+    firstAt: 0,
+    pieces: 0,
+    whole: false,
+    failed: undefined,
+  };
+}
+
+/** Whether one more worker may be asked to read: that and the run after it count among those a request may go to. */
+export function mayReadAgain(inFlight: InFlightRequest): boolean {
+  return inFlight.reads < mostReads && inFlight.sends + 2 <= inFlight.path.sends;
+}
+
+/** Whether another worker may run it or go on with it, though the present one has it. */
+export function mayMove(inFlight: InFlightRequest): boolean {
+  return inFlight.path.resumable || (inFlight.path.repeatable && !inFlight.begun);
+}
+
+/** Whether it may still go to one more worker. */
+export function hasSendLeft(inFlight: InFlightRequest): boolean {
+  return inFlight.sends < inFlight.path.sends;
+}
--- a/packages/pass-through/src/index.ts
+++ b/packages/pass-through/src/index.ts
@@ -1,4 +1,5 @@
 export * from './course.js';
+export type { CourseOptions, CoursePorts } from './course-context.js';
 export * from './decision.js';
 export * from './events.js';
 export * from './incoming.js';
--- /dev/null
+++ b/packages/pass-through/src/pair-choice.ts
@@ -0,0 +1,114 @@
+/** Which workers a request goes to next, chosen from the fleet's table and what was read where. */
+import { assignPair, promptBlocks, type Pair, type PairTerms } from './assign-pair.js';
+import type { CourseContext } from './course-context.js';
+import type { InFlightRequest } from './in-flight-request.js';
+import type { FleetWorker } from './worker-fleet.js';
+
+/** What a worker read longer ago than this has given way to other prompts. */
+const keptFor = 10_000_000;
+/** So high that nothing is explored by it. */
+const noDraw = 0.999999;
+const bytesPerMebibyte = 1_048_576;
+
+/** The time to the first token of a run whose prompt was read elsewhere. */
+export const firstTimeFromMemory = 60_000;
+
+function terms(context: CourseContext, inFlight: InFlightRequest): PairTerms {
+  const { options, ports, pair, placement } = context;
+  return {
+    ...pair,
+    zone: options.zone,
+    regionOf: options.regionOf,
+    ...(ports.workers.warm === undefined ? {} : { warm: ports.workers.warm }),
+    aim: inFlight.path.aim,
+    tokenBytes: inFlight.service.tokenBytes,
+    linkMbps: inFlight.service.linkMbps,
+    placement,
+  };
+}
+
+function hitsOf(context: CourseContext, inFlight: InFlightRequest): ReadonlyMap<string, number> {
+  return context.tree.hits(promptBlocks(inFlight.request), context.world.now() - keptFor);
+}
+
+/** The pair that costs least, without those in `tried`; without a reader where `aloneOnly`. */
+export function choosePair(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  aloneOnly: boolean,
+  tried: ReadonlySet<string> = inFlight.tried,
+  random: () => number = context.world.random,
+): Pair | undefined {
+  const { fleet, world } = context;
+  const service = inFlight.service.name;
+  const runners = fleet.views(service, 'decode', tried);
+  // Without a prompt there is nothing to read, and a reader would run the request instead.
+  const readers = aloneOnly || inFlight.request.promptTokens === 0 ? [] : fleet.views(service, 'prefill', tried);
+  return assignPair(
+    inFlight.request,
+    readers,
+    runners,
+    hitsOf(context, inFlight),
+    inFlight.lot?.model,
+    terms(context, inFlight),
+    world.now,
+    random,
+  );
+}
+
+/**
+ * The runner for what `reader` has read. It is chosen anew after the read: a second may have passed, and one that left
+ * meanwhile is no candidate.
+ */
+export function chooseRunnerAfterRead(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  reader: FleetWorker,
+): Pair | undefined {
+  const { fleet, world } = context;
+  const runners = fleet.views(inFlight.service.name, 'decode', inFlight.tried);
+  const usual = terms(context, inFlight);
+  const moved = (inFlight.request.promptTokens * usual.tokenBytes) / bytesPerMebibyte;
+  const pair = assignPair(
+    // What was read moves whole, so only load and distance count here.
+    { ...inFlight.request, promptTokens: 1, parts: [] },
+    [],
+    runners.map((view) => ({ ...view, wait: view.wait + 1 })),
+    hitsOf(context, inFlight),
+    undefined,
+    { ...usual, rereadCost: 0, zone: reader.zone, zoneCost: usual.zoneCost + moved * usual.moveCost },
+    world.now,
+    world.random,
+  );
+  return pair === undefined ? undefined : { ...pair, reader, runnerTokens: 1, firstTime: firstTimeFromMemory };
+}
+
+/** What would be chosen if this worker were left now, if it is available; nothing is drawn for it. */
+export function alternativeTo(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  worker: string,
+  aloneOnly: boolean,
+): Pair | undefined {
+  const { fleet } = context;
+  const other = choosePair(context, inFlight, aloneOnly, new Set([...inFlight.tried, worker]), () => noDraw);
+  if (other === undefined || !fleet.available(other.runner.id)) return undefined;
+  return other.reader === undefined || fleet.available(other.reader.id) ? other : undefined;
+}
+
+/**
+ * Whether a worker that may still answer is left for another: an extra send is in the budget, and the worker has been
+ * silent for as long as another one is expected to take, so that a wrong guess at most doubles the wait.
+ */
+export function isWorthLeaving(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  worker: string,
+  waited: number,
+  aloneOnly: boolean,
+): boolean {
+  if (!context.budget.room(inFlight.service.name)) return false;
+  const other = alternativeTo(context, inFlight, worker, aloneOnly);
+  const left = inFlight.limit - context.world.now();
+  return other !== undefined && waited >= other.firstTime && left > other.firstTime;
+}
--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -28,9 +28,14 @@
   | { readonly tag: 'failed'; readonly answer: AnswerHead & { readonly body: Buffer } }
   | { readonly tag: 'unknown'; readonly why: string };
 
+/** The memory of a prompt at the worker that read it. */
+export interface MemorySource {
+  readonly worker: FleetWorker;
+  readonly handle: string;
+}
 export interface RunTerms {
   readonly left: number;
-  readonly from?: { readonly worker: FleetWorker; readonly handle: string };
+  readonly from?: MemorySource;
   readonly lastEvent?: number;
   readonly urgency?: number;
 }
--- /dev/null
+++ b/packages/pass-through/src/read-attempt.ts
@@ -0,0 +1,101 @@
+/** One attempt to have a prompt read by a prefill worker. */
+import { micros } from '@tansypost/inner-protocol';
+import type { Reason } from '@tansypost/placement';
+import { promptBlocks, type Pair } from './assign-pair.js';
+import { createAttemptAbort, type AttemptAbort } from './attempt-abort.js';
+import { readTiming, watchInterval, type AttemptTiming } from './attempt-timing.js';
+import type { CourseContext } from './course-context.js';
+import { mayReadAgain, type InFlightRequest } from './in-flight-request.js';
+import { isWorthLeaving } from './pair-choice.js';
+import type { ReadResult } from './ports.js';
+import type { FleetWorker, Under } from './worker-fleet.js';
+
+/** Choices that need no line in the log. */
+const usualReasons: readonly Reason[] = ['scored', 'explored', 'only'];
+
+interface ReadAttempt {
+  readonly inFlight: InFlightRequest;
+  readonly pair: Pair;
+  readonly reader: FleetWorker;
+  readonly timing: AttemptTiming;
+  readonly begunAt: number;
+  readonly abort: AttemptAbort;
+  readonly under: Under;
+  ended: boolean;
+  overdue: boolean;
+}
+
+/** Every choice is counted with its reason; those that were not the model's are told of now and then. */
+function countReason(context: CourseContext, reason: Reason): void {
+  const times = context.count(`reader ${reason}`);
+  if (!usualReasons.includes(reason) && Number.isInteger(Math.log10(times)))
+    context.world.log(4001, { reason, n: times });
+}
+
+/** A worker that answers nobody is left; one that answers others, where another may be asked instead. */
+function watch(context: CourseContext, attempt: ReadAttempt): void {
+  if (attempt.ended) return;
+  const { inFlight, reader, timing } = attempt;
+  const waited = context.world.now() - attempt.begunAt;
+  const aloneOnly = !mayReadAgain(inFlight);
+  attempt.overdue = waited >= timing.overdueAfter && isWorthLeaving(context, inFlight, reader.id, waited, aloneOnly);
+  const silent = waited >= timing.silentAfter && context.fleet.silent(reader.id);
+  if (attempt.overdue || silent) attempt.abort.abort();
+  else context.world.after(micros(watchInterval), () => watch(context, attempt));
+}
+
+function begin(context: CourseContext, inFlight: InFlightRequest, pair: Pair, reader: FleetWorker): ReadAttempt {
+  context.ports.reading?.(reader.id, pair.serviceTime);
+  const under = context.fleet.began(reader.id, 'read', pair.readerTokens, pair.readTime);
+  const timing = readTiming(context, inFlight, pair);
+  const abort = createAttemptAbort(context.world, inFlight);
+  const begunAt = context.world.now();
+  const attempt = { inFlight, pair, reader, timing, begunAt, abort, under, ended: false, overdue: false };
+  inFlight.reads += 1;
+  const firstLook = Math.min(timing.silentAfter, timing.overdueAfter);
+  context.world.after(micros(firstLook), () => watch(context, attempt));
+  return attempt;
+}
+
+function finishRead(context: CourseContext, attempt: ReadAttempt): void {
+  const { inFlight, pair, reader, begunAt } = attempt;
+  const now = context.world.now();
+  attempt.under.end('done');
+  context.tree.insert(promptBlocks(inFlight.request), reader.id, now);
+  if (pair.assignment === undefined) return;
+  context.paces.saw(reader.id, pair.readerTokens, now - begunAt, pair.assignment.worker.running);
+  inFlight.chosen = { row: pair.assignment.row, at: begunAt };
+  countReason(context, pair.assignment.reason);
+}
+
+function finishUnread(context: CourseContext, attempt: ReadAttempt, got: ReadResult): void {
+  const refused = got.tag === 'refused';
+  const misdirected = refused && got.other;
+  if (attempt.overdue || (refused && !misdirected)) context.ports.reading?.(attempt.reader.id, 0, true);
+  if (attempt.overdue) {
+    context.count('left an overdue read');
+    attempt.under.end('overdue');
+  } else if (attempt.inFlight.gone.aborted) attempt.under.end('left');
+  else if (misdirected) attempt.under.end('gone');
+  else attempt.under.end(refused ? 'refused' : 'failed');
+}
+
+/** Sends the request to `reader` to be read, until it answers, is left, or the request ends. */
+export async function attemptRead(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  pair: Pair,
+  reader: FleetWorker,
+): Promise<ReadResult> {
+  const { world, ports, patience } = context;
+  const attempt = begin(context, inFlight, pair, reader);
+  const { timing, begunAt, abort } = attempt;
+  const left = inFlight.limit - begunAt;
+  const got = await ports.workers.read(reader, inFlight.request, left, timing.urgency, abort.signal);
+  attempt.ended = true;
+  abort.end();
+  if (got.tag === 'read' || attempt.overdue) patience.observe(timing.kind, timing.expected, world.now() - begunAt);
+  if (got.tag === 'read') finishRead(context, attempt);
+  else finishUnread(context, attempt, got);
+  return got;
+}
--- a/packages/pass-through/src/readiness.ts
+++ b/packages/pass-through/src/readiness.ts
@@ -17,6 +17,7 @@
 /** The wait is never longer than this part of what the requester waits. */
 const shareOfPatience = 1 / 4;
 
+/** Lets requests wait until the router is ready. */
 export interface Readiness {
   /** Routes or workers have become known: those who wait look again. */
   readonly changed: () => void;
@@ -24,6 +25,7 @@
   readonly wait: (arrived: number, patience: number, aim: () => number | undefined) => Promise<void>;
 }
 
+/** Waits by the clock of `world` for `ready` to hold. */
 export function createReadiness(world: World, ready: () => boolean): Readiness {
   const waiting = new Set<() => void>();
 
--- /dev/null
+++ b/packages/pass-through/src/run-attempt.ts
@@ -0,0 +1,137 @@
+/** One attempt to have a request run by a decode worker, whose stream is passed on as it comes. */
+import { micros } from '@tansypost/inner-protocol';
+import type { Pair } from './assign-pair.js';
+import { createAttemptAbort, type AttemptAbort } from './attempt-abort.js';
+import { firstLookAtRun, longestPause, runTiming, watchInterval, type AttemptTiming } from './attempt-timing.js';
+import type { CourseContext } from './course-context.js';
+import { createEventCutter } from './events.js';
+import { hasSendLeft, mayMove, type InFlightRequest } from './in-flight-request.js';
+import { alternativeTo, isWorthLeaving } from './pair-choice.js';
+import type { AnswerHead, MemorySource, RunResult, RunSink, RunTerms } from './ports.js';
+import { finishRun } from './run-outcome.js';
+import type { FleetWorker, Under } from './worker-fleet.js';
+
+/** A run under way, with what has been heard of it. */
+export interface RunAttempt {
+  readonly inFlight: InFlightRequest;
+  readonly runner: FleetWorker;
+  /** What was read for it elsewhere; undefined where it reads for itself. */
+  readonly memory: MemorySource | undefined;
+  readonly timing: AttemptTiming;
+  readonly begunAt: number;
+  readonly abort: AttemptAbort;
+  readonly under: Under;
+  /** Whether a piece has come, and when the worker was last heard. */
+  seen: boolean;
+  heardAt: number;
+  ended: boolean;
+  overdue: boolean;
+}
+
+/** Where another available worker may take it up, one that has been silent for too long is left. */
+function watch(context: CourseContext, attempt: RunAttempt): void {
+  const { inFlight, runner, timing, seen } = attempt;
+  if (attempt.ended || !mayMove(inFlight)) return;
+  const waited = context.world.now() - attempt.heardAt;
+  const mayLeave = hasSendLeft(inFlight);
+  const late = !seen && mayLeave && waited >= timing.overdueAfter;
+  attempt.overdue = late && isWorthLeaving(context, inFlight, runner.id, waited, true);
+  if (attempt.overdue || (mayLeave && isSilent(context, attempt, waited) && hasAlternative(context, attempt))) {
+    context.count(attempt.overdue ? 'left an overdue run' : 'left a silent worker');
+    attempt.abort.abort();
+  } else context.world.after(micros(watchInterval), () => watch(context, attempt));
+}
+
+function isSilent(context: CourseContext, attempt: RunAttempt, waited: number): boolean {
+  if (attempt.seen) return waited >= longestPause(attempt.inFlight);
+  return waited >= attempt.timing.silentAfter && context.fleet.silent(attempt.runner.id);
+}
+
+function hasAlternative(context: CourseContext, { inFlight, runner }: RunAttempt): boolean {
+  return context.budget.room(inFlight.service.name) && alternativeTo(context, inFlight, runner.id, true) !== undefined;
+}
+
+function begin(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  pair: Pair,
+  memory: MemorySource | undefined,
+): RunAttempt {
+  const { world, fleet, ports } = context;
+  const { runner } = pair;
+  const timing = runTiming(context, inFlight, pair, memory !== undefined);
+  const under = fleet.began(runner.id, 'run', pair.runnerTokens, timing.expected);
+  const abort = createAttemptAbort(world, inFlight);
+  const begunAt = world.now();
+  const heard = { seen: false, heardAt: begunAt, ended: false, overdue: false };
+  const attempt: RunAttempt = { inFlight, runner, memory, timing, begunAt, abort, under, ...heard };
+  if (mayMove(inFlight)) world.after(micros(firstLookAtRun(timing)), () => watch(context, attempt));
+  inFlight.sends += 1;
+  if (memory === undefined) ports.reading?.(runner.id, pair.serviceTime);
+  context.count(memory === undefined ? 'run alone' : 'run from memory');
+  return attempt;
+}
+
+function runTerms({ inFlight, memory, timing, begunAt }: RunAttempt): RunTerms {
+  const asked = inFlight.request.lastEvent;
+  const lastEvent = inFlight.begun ? (inFlight.cutter?.last() ?? asked) : asked;
+  return {
+    left: inFlight.limit - begunAt,
+    urgency: timing.urgency,
+    ...(memory === undefined ? {} : { from: memory }),
+    ...(lastEvent === undefined ? {} : { lastEvent }),
+  };
+}
+
+function passHead(context: CourseContext, attempt: RunAttempt, head: AnswerHead): void {
+  const { inFlight } = attempt;
+  attempt.under.progress();
+  attempt.heardAt = context.world.now();
+  if (inFlight.begun) return;
+  inFlight.begun = true;
+  inFlight.cutter = inFlight.path.streaming ? createEventCutter(inFlight.request.lastEvent) : undefined;
+  inFlight.reply.head(head);
+}
+
+/** Notes that a piece has come, for the estimates of this attempt and of its reader. */
+function heardPiece(context: CourseContext, attempt: RunAttempt): void {
+  const { inFlight, timing } = attempt;
+  attempt.heardAt = context.world.now();
+  if (!attempt.seen) context.patience.observe(timing.kind, timing.expected, attempt.heardAt - attempt.begunAt);
+  attempt.seen = true;
+  inFlight.pieces += 1;
+  if (inFlight.pieces === 1) inFlight.firstAt = attempt.heardAt;
+  if (inFlight.chosen !== undefined) context.ports.sample?.(inFlight.chosen.row, attempt.heardAt - inFlight.chosen.at);
+  inFlight.chosen = undefined;
+  attempt.under.progress();
+}
+
+/** Passes on the whole events that have come; a stream that leaves one out is ended. */
+function passPiece(context: CourseContext, attempt: RunAttempt, piece: Buffer): void | Promise<void> {
+  const { cutter, reply } = attempt.inFlight;
+  heardPiece(context, attempt);
+  const events = cutter === undefined ? piece : cutter.push(piece);
+  if (cutter?.gap() === true) attempt.abort.abort();
+  return events.length > 0 ? reply.chunk(events) : undefined;
+}
+
+/** Runs the request on `pair.runner`. True when the request has been answered. */
+export async function attemptRun(
+  context: CourseContext,
+  inFlight: InFlightRequest,
+  pair: Pair,
+  memory: MemorySource | undefined,
+): Promise<boolean> {
+  const attempt = begin(context, inFlight, pair, memory);
+  const terms = runTerms(attempt);
+  if (inFlight.begun) inFlight.cutter?.again();
+  const sink: RunSink = {
+    head: (head) => passHead(context, attempt, head),
+    chunk: (piece) => passPiece(context, attempt, piece),
+  };
+  const { runner, abort } = attempt;
+  const got: RunResult = await context.ports.workers.run(runner, inFlight.request, terms, sink, abort.signal);
+  attempt.ended = true;
+  abort.end();
+  return finishRun(context, attempt, got);
+}
