Course: a worker whose connection broke in a run is asked once more, since it has the prompt

Cause: after a reset a stream was taken up by another decode worker, which reads the whole prompt again at half the pace, beside its own runs; the worker that ran it keeps the prompt and is mostly well. Change: a run that ended without our leaving it is sent to the same worker once more, then to others; whether that worker can be reached shows at once. All such sends count as before.

--- a/packages/pass-through/src/attempt-loop.ts
+++ b/packages/pass-through/src/attempt-loop.ts
@@ -3,7 +3,7 @@
 import { giveUp, type CourseContext } from './course-context.js';
 import { decide, type Step } from './decision.js';
 import { mayReadAgain, type InFlightRequest } from './in-flight-request.js';
-import { choosePair, chooseRunnerAfterRead } from './pair-choice.js';
+import { choosePair, chooseRunnerAfterRead, pairWithHolder } from './pair-choice.js';
 import type { GiveUp, MemorySource, ReadResult } from './ports.js';
 import { attemptRead } from './read-attempt.js';
 import { attemptRun } from './run-attempt.js';
@@ -51,11 +51,22 @@
   }
 }
 
+/** The worker that has the prompt of a broken run, else the pair that costs least; undefined where nobody is left. */
+function nextPair(context: CourseContext, inFlight: InFlightRequest): Pair | undefined {
+  if (inFlight.unsent > mostUnsent) return undefined;
+  const { holder } = inFlight;
+  inFlight.holder = undefined;
+  const again = holder === undefined ? undefined : pairWithHolder(context, holder);
+  if (again !== undefined) return again;
+  if (holder !== undefined) inFlight.tried.add(holder.id);
+  const aloneOnly = inFlight.sends > 0 || inFlight.ran === 'maybe' || inFlight.reads > 0;
+  return choosePair(context, inFlight, aloneOnly);
+}
+
 /** Makes attempts until the request is answered, given up on or left by its requester. */
 export async function runAttempts(context: CourseContext, inFlight: InFlightRequest): Promise<void> {
   for (;;) {
-    const aloneOnly = inFlight.sends > 0 || inFlight.ran === 'maybe' || inFlight.reads > 0;
-    const pair = inFlight.unsent > mostUnsent ? undefined : choosePair(context, inFlight, aloneOnly);
+    const pair = nextPair(context, inFlight);
     const step = nextStep(context, inFlight, pair);
     if (step.step !== 'run' && step.step !== 'resume') return end(context, inFlight, step);
     if (step.step === 'resume' || !step.first) {
--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -370,6 +370,43 @@
   expect(x.ended!.at).toBeLessThan(1.1 * second);
 });
 
+function brokenMidway(_a: Attempt, _gone: AbortSignal, sink: RunSink | undefined): Promise<RunResult> {
+  sink!.head({ status: 200, head: ['Seal', 'seal'] });
+  void sink!.chunk(Buffer.from('id: 1\n\n'));
+  return Promise.resolve({ tag: 'unknown', why: 'reset' });
+}
+function brokenUnanswered(): Promise<RunResult> {
+  return Promise.resolve({ tag: 'unknown', why: 'reset' });
+}
+function unreachable(): Promise<RunResult> {
+  return Promise.resolve({ tag: 'unsent', why: 'refused' });
+}
+/** Runs end as given, one after the other. */
+function inTurn(...answers: readonly Answering<RunResult>[]): Answering<RunResult> {
+  let turn = 0;
+  return (a, gone, sink) => answers[turn++]!(a, gone, sink);
+}
+function runnersOf(x: Played): string[] {
+  return x.attempts.filter((a) => a.kind === 'run').map((a) => a.worker);
+}
+
+it('asks the worker again whose connection broke in a run, since it has the prompt, and then another', async () => {
+  for (const broken of [brokenMidway, brokenUnanswered]) {
+    const x = await play({ read: readAt, run: inTurn(broken, broken, wholeRun) }, { path: { sends: 3 } });
+    expect([x.ended?.how, x.ended?.at]).toEqual(['whole', 0]);
+    const [first, second, third] = runnersOf(x);
+    expect([second, third === first]).toEqual([first, false]);
+  }
+});
+
+it('goes to another worker where the one whose connection broke cannot be reached, or was left', async () => {
+  const gone = await play({ read: readAt, run: inTurn(brokenMidway, unreachable, wholeRun) });
+  expect([gone.ended?.how, gone.ended?.at]).toEqual(['whole', 0]);
+  expect(new Set(runnersOf(gone)).size).toBe(2);
+  const left = await play({ read: readAt, run: inTurn(silentMidway, wholeRun) });
+  expect([left.ended?.how, new Set(runnersOf(left)).size]).toEqual(['whole', 2]);
+});
+
 it('waits for a stream that falls silent to the end of its time where no other worker is available', async () => {
   const others = /^runner[12]$/;
   const full = { load: (id: string) => (others.test(id) ? { queued: 9 } : {}) };
--- a/packages/pass-through/src/in-flight-request.ts
+++ b/packages/pass-through/src/in-flight-request.ts
@@ -3,6 +3,7 @@
 import type { EventCutter } from './events.js';
 import type { Incoming } from './incoming.js';
 import type { Lot, Reply, RunResult } from './ports.js';
+import type { FleetWorker } from './worker-fleet.js';
 
 /** One that was lost is read by one more reader at most. */
 const mostReads = 2;
@@ -32,6 +33,9 @@
   cutter: EventCutter | undefined;
   lastRefused: boolean;
   readonly tried: Set<string>;
+  /** The worker whose connection broke while it ran the request, to be asked once more as it has the prompt. */
+  holder: FleetWorker | undefined;
+  askedHolder: boolean;
   /** Attempts of which no byte was sent. */
   unsent: number;
   /** Reads begun; any after the first is extra. */
@@ -56,6 +60,8 @@
     cutter: undefined,
     lastRefused: false,
     tried: new Set(),
+    holder: undefined,
+    askedHolder: false,
     unsent: 0,
     reads: 0,
     chosen: undefined,
--- a/packages/pass-through/src/pair-choice.ts
+++ b/packages/pass-through/src/pair-choice.ts
@@ -83,6 +83,22 @@
   return pair === undefined ? undefined : { ...pair, reader, runnerTokens: 1, firstTime: firstTimeFromMemory };
 }
 
+/** A run at a worker that has the whole prompt; undefined where it is leaving, gone or silent. */
+export function pairWithHolder(context: CourseContext, holder: FleetWorker): Pair | undefined {
+  const runner = context.fleet.find(holder.id);
+  if (runner === undefined || runner.leaving || context.fleet.silent(runner.id)) return undefined;
+  return {
+    reader: undefined,
+    runner,
+    readerTokens: 0,
+    runnerTokens: 1,
+    readTime: 0,
+    firstTime: firstTimeFromMemory,
+    serviceTime: 0,
+    assignment: undefined,
+  };
+}
+
 /** What would be chosen if this worker were left now, if it is available; nothing is drawn for it. */
 export function alternativeTo(
   context: CourseContext,
--- a/packages/pass-through/src/run-outcome.ts
+++ b/packages/pass-through/src/run-outcome.ts
@@ -63,13 +63,21 @@
   if (!inFlight.begun) inFlight.failed = got;
 }
 
+/**
+ * A worker whose connection broke has the prompt in memory and may be well, so it is asked once more; whether it can be
+ * reached shows at once. One that was left is not asked again.
+ */
 function afterUnknown(context: CourseContext, attempt: RunAttempt): void {
   const { inFlight } = attempt;
   const left = inFlight.gone.aborted;
   attempt.under.end(left ? 'left' : attempt.overdue ? 'overdue' : 'failed');
   if (!left) context.count(attempt.seen ? 'stream broke' : 'run unknown');
   inFlight.ran = 'maybe';
-  inFlight.tried.add(attempt.runner.id);
+  if (attempt.abort.signal.aborted || inFlight.askedHolder) inFlight.tried.add(attempt.runner.id);
+  else {
+    inFlight.holder = attempt.runner;
+    inFlight.askedHolder = true;
+  }
 }
 
 /** Takes in the end of a run. True when the request has been answered. */
