Course: decisions and event cutting in whole names and short functions

Change: decision.ts and events.ts with whole names, doc comments and one function for each case; an event cutter that has met a gap takes in nothing more.

--- a/packages/pass-through/src/decision.ts
+++ b/packages/pass-through/src/decision.ts
@@ -1,29 +1,37 @@
-// Decides the next step of one request from its ledger and the facts of the moment. It is asked, and the executor
-// obeys. What may not be repeated is sent again only while nothing can have run; a refusal that promises that nothing
-// ran is given only then; what has begun is taken up by another worker only where its path allows that, and is cut,
-// never ended, where nobody can.
+/**
+ * Decides the next step of one request from its ledger and the facts of the moment. It is asked, and the executor obeys.
+ * What may not be repeated is sent again only while nothing can have run; a refusal that promises that nothing ran is
+ * given only then; what has begun is taken up by another worker only where its path allows that, and is cut, never
+ * ended, where nobody can.
+ */
 
+/** What has happened to the request so far. */
 export interface Ledger {
-  // How many workers it went to for its run, or for reads beyond the first that was taken up.
+  /** How many workers it went to for its run, or for reads beyond the first. */
   readonly sends: number;
-  // Whether something may have run, and whether an answer has begun.
+  /** Whether something may have run. */
   readonly ran: 'no' | 'maybe';
+  /** Whether an answer has begun. */
   readonly begun: boolean;
   readonly lastRefused: boolean;
 }
+
+/** What holds at this moment. */
 export interface Facts {
   readonly gone: boolean;
   readonly left: number;
   readonly repeatable: boolean;
   readonly resumable: boolean;
   readonly sendsAllowed: number;
-  // Whether the budget for extra sends has room, and whether some worker can be assigned.
+  /** Whether the budget for extra sends has room. */
   readonly extraRoom: boolean;
+  /** Whether some worker can be assigned. */
   readonly workers: boolean;
 }
+
+/** The next step; of runs, `first` is the request's first send, and any later one is extra. */
 export type Step =
   | { readonly step: 'stop' }
-  // `first` is the request's first send of a run; any later one is extra.
   | { readonly step: 'run'; readonly first: boolean }
   | { readonly step: 'resume' }
   | { readonly step: 'cut' }
@@ -33,17 +41,22 @@
       readonly ran: 'no' | 'maybe';
     };
 
-export function decide(l: Ledger, f: Facts): Step {
-  if (f.gone) return { step: 'stop' };
-  const again = f.sendsAllowed > l.sends && f.extraRoom && f.workers;
-  if (l.begun) return f.left > 0 && f.resumable && again ? { step: 'resume' } : { step: 'cut' };
-  if (f.left <= 0) return { step: 'giveUp', kind: 'budget_spent', ran: l.ran };
-  if (l.ran === 'maybe') {
-    if ((f.repeatable || f.resumable) && again) return { step: 'run', first: false };
-    return { step: 'giveUp', kind: 'outcome_unknown', ran: 'maybe' };
-  }
-  if (l.sends === 0)
-    return f.workers ? { step: 'run', first: true } : { step: 'giveUp', kind: 'no_workers', ran: 'no' };
-  if (again) return { step: 'run', first: false };
-  return { step: 'giveUp', kind: f.workers ? 'workers_refused' : 'no_workers', ran: 'no' };
+function afterPossibleRun(again: boolean, { repeatable, resumable }: Facts): Step {
+  if ((repeatable || resumable) && again) return { step: 'run', first: false };
+  return { step: 'giveUp', kind: 'outcome_unknown', ran: 'maybe' };
+}
+
+function whileNothingRan(again: boolean, { sends }: Ledger, { workers }: Facts): Step {
+  if (!workers) return { step: 'giveUp', kind: 'no_workers', ran: 'no' };
+  if (sends === 0) return { step: 'run', first: true };
+  return again ? { step: 'run', first: false } : { step: 'giveUp', kind: 'workers_refused', ran: 'no' };
+}
+
+/** The only step that is allowed and useful now. */
+export function decide(ledger: Ledger, facts: Facts): Step {
+  if (facts.gone) return { step: 'stop' };
+  const again = facts.sendsAllowed > ledger.sends && facts.extraRoom && facts.workers;
+  if (ledger.begun) return facts.left > 0 && facts.resumable && again ? { step: 'resume' } : { step: 'cut' };
+  if (facts.left <= 0) return { step: 'giveUp', kind: 'budget_spent', ran: ledger.ran };
+  return ledger.ran === 'maybe' ? afterPossibleRun(again, facts) : whileNothingRan(again, ledger, facts);
 }
--- a/packages/pass-through/src/events.ts
+++ b/packages/pass-through/src/events.ts
@@ -1,64 +1,78 @@
-// Cuts a stream of server-sent events at its events, so that only whole ones are passed on and the id of the last
-// one is known. Bytes are passed on unchanged. A stream that is taken up may begin with events that the requester
-// has; these are left out.
+/**
+ * Cuts a stream of server-sent events at its events, so that only whole ones are passed on and the id of the last one is
+ * known. Bytes are passed on unchanged. A stream that is taken up may begin with events that the requester has; these
+ * are left out.
+ */
 
+/** Cuts one answer, which may consist of several streams one after the other. */
 export interface EventCutter {
-  // The whole events that can be passed on, and how many there are.
-  readonly push: (b: Buffer) => Buffer;
-  // What is left when the stream has ended properly.
+  /** The whole events that can be passed on. */
+  readonly push: (bytes: Buffer) => Buffer;
+  /** What is left when the stream has ended properly. */
   readonly rest: () => Buffer;
+  /** The id of the last whole event. */
   readonly last: () => number | undefined;
-  // A new stream goes on after the last event; a part of an event that was held is forgotten.
+  /** A new stream goes on after the last event; a part of an event that was held is forgotten. */
   readonly again: () => void;
-  // An event came whose id does not follow the last one.
+  /** An event came whose id does not follow the last one. */
   readonly gap: () => boolean;
 }
 
-const limit = 4 * 1024 * 1024;
+/** More than this is not held: what has no end of an event by then is no stream of events. */
+const mostHeld = 4 * 1024 * 1024;
+const lineFeed = 10;
+const carriageReturn = 13;
 
-function endOfEvent(b: Buffer, from: number): number {
-  for (let i = b.indexOf(10, from); i >= 0; i = b.indexOf(10, i + 1)) {
-    if (b[i + 1] === 10) return i + 2;
-    if (b[i + 1] === 13 && b[i + 2] === 10) return i + 3;
+function endOfEvent(bytes: Buffer, from: number): number {
+  for (let at = bytes.indexOf(lineFeed, from); at >= 0; at = bytes.indexOf(lineFeed, at + 1)) {
+    if (bytes[at + 1] === lineFeed) return at + 2;
+    if (bytes[at + 1] === carriageReturn && bytes[at + 2] === lineFeed) return at + 3;
   }
   return -1;
 }
 
 function idOf(event: Buffer): number | undefined {
-  const m = /(?:^|\n)id: ?(\d+)\r?\n/.exec(event.toString('latin1'));
-  return m === null ? undefined : Number(m[1]);
+  const line = /(?:^|\n)id: ?(\d+)\r?\n/.exec(event.toString('latin1'));
+  return line === null ? undefined : Number(line[1]);
 }
 
+/** A cutter for a requester that has the events up to `after`. */
 export function createEventCutter(after?: number): EventCutter {
   let held: Buffer = Buffer.alloc(0);
   let last = after;
   let resumed = false;
   let gap = false;
 
-  function push(b: Buffer): Buffer {
-    held = held.length === 0 ? b : Buffer.concat([held, b]);
-    const out: Buffer[] = [];
+  /** Whether the event is to be passed on: it is neither known to the requester nor behind a gap. */
+  function isNext(id: number | undefined): boolean {
+    if (resumed && id !== undefined && last !== undefined) {
+      if (id <= last) return false;
+      if (id > last + 1) gap = true;
+    }
+    resumed = false;
+    return !gap;
+  }
+
+  function push(bytes: Buffer): Buffer {
+    held = held.length === 0 ? bytes : Buffer.concat([held, bytes]);
+    const whole: Buffer[] = [];
     let at = 0;
-    for (let end = endOfEvent(held, at); end >= 0; end = endOfEvent(held, at)) {
-      const e = held.subarray(at, end);
-      const id = idOf(e);
+    for (let end = endOfEvent(held, at); end >= 0 && !gap; end = endOfEvent(held, at)) {
+      const event = held.subarray(at, end);
+      const id = idOf(event);
       at = end;
-      if (resumed && id !== undefined && last !== undefined) {
-        if (id <= last) continue;
-        if (id > last + 1) gap = true;
-      }
-      resumed = false;
-      if (gap) break;
+      if (!isNext(id)) continue;
       if (id !== undefined) last = id;
-      out.push(e);
+      whole.push(event);
     }
     held = held.subarray(at);
-    if (held.length > limit) {
-      out.push(held);
+    if (held.length > mostHeld) {
+      whole.push(held);
       held = Buffer.alloc(0);
     }
-    return out.length === 1 ? out[0]! : Buffer.concat(out);
+    return whole.length === 1 ? whole[0]! : Buffer.concat(whole);
   }
+
   return {
     push,
     rest: () => held,
