--- a/packages/pass-through/src/send-budget.ts
+++ b/packages/pass-through/src/send-budget.ts
@@ -1,50 +1,73 @@
-// This router's part of the fleet's budget for sends beyond the first of each request, one for each service: a share
-// of its own requests of the last window, and an even part of what the fleet may always spend. Both are kept below
-// what is allowed, as windows of others slide differently and the count of routers is known late.
+/**
+ * This router's part of the fleet's budget for sends beyond the first of each request, one for each service: a share of
+ * its own requests of the last window, and an even part of what the fleet may always spend. Both are kept below what is
+ * allowed, as windows of others slide differently and the count of routers is known late.
+ */
 
+/** Counts sends by service, and says whether one more is allowed. */
 export interface SendBudget {
   readonly first: (service: string) => void;
   readonly room: (service: string) => boolean;
   readonly extra: (service: string) => void;
   readonly totals: () => { first: number; extra: number };
 }
+
+/** What the whole fleet may spend: in each window, `share` of its requests and `always` on top. */
 export interface SendBudgetTerms {
   readonly share: number;
   readonly always: number;
   readonly window: number;
   readonly routers: () => number;
 }
-const slots = 20;
+
+/** Sends in one slot of the window. */
+interface Slot {
+  readonly at: number;
+  first: number;
+  extra: number;
+}
+
+const slotsOfWindow = 20;
+/** The part of the allowance that is spent. */
 const caution = 0.7;
 
-export function createSendBudget(now: () => number, t: SendBudgetTerms): SendBudget {
-  const services = new Map<string, { at: number; first: number; extra: number }[]>();
-  let [first, extra] = [0, 0];
-
-  function here(s: string): { at: number; first: number; extra: number }[] {
-    const at = Math.floor((now() * slots) / t.window);
-    let xs = services.get(s);
-    if (xs === undefined) services.set(s, (xs = []));
-    while (xs.length > 0 && xs[0]!.at <= at - slots - 1) xs.shift();
-    if (xs.at(-1)?.at !== at) xs.push({ at, first: 0, extra: 0 });
-    return xs;
+/** A budget of which nothing has been spent. */
+export function createSendBudget(now: () => number, terms: SendBudgetTerms): SendBudget {
+  const services = new Map<string, Slot[]>();
+  const totals = { first: 0, extra: 0 };
+
+  function slotsOf(service: string): Slot[] {
+    let slots = services.get(service);
+    if (slots === undefined) services.set(service, (slots = []));
+    return slots;
   }
-  function room(s: string): boolean {
-    const xs = here(s);
-    const f = xs.reduce((a, x) => a + x.first, 0);
-    const e = xs.reduce((a, x) => a + x.extra, 0);
-    return e + 1 <= caution * (t.share * f + Math.max(1, Math.floor(t.always / Math.max(1, t.routers()))));
+
+  /** The slots of the last window, with the present one at the end. */
+  function recent(service: string): Slot[] {
+    const at = Math.floor((now() * slotsOfWindow) / terms.window);
+    const slots = slotsOf(service);
+    while (slots.length > 0 && slots[0]!.at <= at - slotsOfWindow - 1) slots.shift();
+    if (slots.at(-1)?.at !== at) slots.push({ at, first: 0, extra: 0 });
+    return slots;
   }
+
+  function room(service: string): boolean {
+    const slots = recent(service);
+    const first = slots.reduce((sum, slot) => sum + slot.first, 0);
+    const extra = slots.reduce((sum, slot) => sum + slot.extra, 0);
+    const always = Math.max(1, Math.floor(terms.always / Math.max(1, terms.routers())));
+    return extra + 1 <= caution * (terms.share * first + always);
+  }
+
+  function count(service: string, kind: 'first' | 'extra'): void {
+    totals[kind] += 1;
+    recent(service).at(-1)![kind] += 1;
+  }
+
   return {
-    first: (s) => {
-      first += 1;
-      here(s).at(-1)!.first += 1;
-    },
+    first: (service) => count(service, 'first'),
     room,
-    extra: (s) => {
-      extra += 1;
-      here(s).at(-1)!.extra += 1;
-    },
-    totals: () => ({ first, extra }),
+    extra: (service) => count(service, 'extra'),
+    totals: () => ({ ...totals }),
   };
 }
