--- a/packages/control-state/src/acceptor.ts
+++ b/packages/control-state/src/acceptor.ts
@@ -8,9 +8,12 @@
 import type { AppliedChange } from './change-history.js';
 import { newer, type Row } from './row.js';
 
+/** One replica's answer to a request of a quorum round. */
 export type Vote = MessageOf<'Vote'>;
+/** What a quorum round asks: a promise, the acceptance of a value, or whether an epoch still holds. */
 export type VoteRequest = MessageOf<'Prepare' | 'Accept' | 'Check'>;
 
+/** What an acceptor needs of its replica. */
 export interface AcceptorOptions {
   readonly storage: ReplicaStorage;
   readonly slot: () => number;
@@ -20,6 +23,7 @@
   readonly putRow: (key: string, row: Row, changes: readonly AppliedChange[], done: (ok: boolean) => void) => void;
 }
 
+/** Gives the votes of one replica. */
 export interface Acceptor {
   readonly vote: (request: VoteRequest, answer: (vote: Vote) => void) => void;
   /** A vote against, whatever the row says. */
@@ -29,6 +33,7 @@
 const noBytes = Buffer.alloc(0);
 const mayNotVote: ReadonlySet<ReplicaState> = new Set(['fenced', 'failed', 'unusable']);
 
+/** Makes the acceptor of a replica. */
 export function createAcceptor(options: AcceptorOptions): Acceptor {
   const { storage } = options;
 
--- a/packages/control-state/src/anti-entropy.ts
+++ b/packages/control-state/src/anti-entropy.ts
@@ -4,6 +4,7 @@
 import { membershipKey } from './membership-record.js';
 import type { Row } from './row.js';
 
+/** What the sweep over the keys needs of its node. */
 export interface AntiEntropyOptions {
   readonly cluster: Cluster;
   readonly shouldLead: (key: string) => boolean;
--- a/packages/control-state/src/catch-up.ts
+++ b/packages/control-state/src/catch-up.ts
@@ -13,6 +13,7 @@
 type CopyRequest = MessageOf<'CopyAsk'>;
 type CopiedRow = CopyPage['records'][number];
 
+/** What copying needs of its replica. */
 export interface CatchUpOptions {
   readonly self: Address;
   readonly storage: ReplicaStorage;
@@ -25,6 +26,7 @@
   readonly copied: () => void;
 }
 
+/** Copies from the other replicas, and answers those that copy from this one. */
 export interface CatchUp {
   /** Asks the sources that have not been copied whole, or of a learner's sources all, for what is newer. */
   readonly tick: () => void;
@@ -59,6 +61,7 @@
 const learnAgainAfter = 250_000;
 const caughtUpFor = 3_000_000;
 
+/** Makes the copying side of a replica; it asks nobody before its first tick. */
 export function createCatchUp(world: World, options: CatchUpOptions): CatchUp {
   const { storage } = options;
   const progress = new Map<number, Progress>();
--- a/packages/control-state/src/change-history.test.ts
+++ b/packages/control-state/src/change-history.test.ts
@@ -1,3 +1,4 @@
+/** The history of changes: what it finds, keeps and drops, and its form in the journal. */
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
 import { createChangeHistory, decodeChange, encodeChange } from './change-history.js';
--- a/packages/control-state/src/change-history.ts
+++ b/packages/control-state/src/change-history.ts
@@ -7,6 +7,7 @@
  * leader writes a version only after a majority has promised its epoch and shown no chosen value of that version.
  */
 
+/** A change that made one version of a key. */
 export interface AppliedChange {
   readonly id: string;
   readonly version: number;
@@ -20,6 +21,7 @@
  */
 export const keptChanges = 8192;
 
+/** The changes of one key that are still known. */
 export interface ChangeHistory {
   /** Takes a change in. Gives false where one of a higher or the same epoch stands under that version already. */
   readonly add: (change: AppliedChange) => boolean;
@@ -32,6 +34,7 @@
   readonly dropAbove: (version: number) => void;
 }
 
+/** Makes an empty history that keeps the changes of so many versions. */
 export function createChangeHistory(kept = keptChanges): ChangeHistory {
   const byVersion = new Map<number, AppliedChange>();
   const versions = new Map<string, number>();
--- a/packages/control-state/src/claims.ts
+++ b/packages/control-state/src/claims.ts
@@ -1,9 +1,12 @@
-// Claims of Idempotency-Keys, fleet-wide: each key falls into one of 256 buckets, and a bucket is one key of the
-// control state, so a claim is on a majority of the disks before it is answered. Claims that reach a bucket
-// together are written together, and the disk syncs all buckets' records together. A claim is kept longer than
-// the longest budget; its age is counted by the owner's clock and starts anew with each new owner.
+/**
+ * Claims of Idempotency-Keys, fleet-wide: each key falls into one of 256 buckets, and a bucket is one key of the
+ * control state, so a claim is on a majority of the disks before it is answered. Claims that reach a bucket
+ * together are written together, and the disk syncs all buckets' records together. A claim is kept longer than
+ * the longest budget; its age is counted by the owner's clock and starts anew with each new owner.
+ */
 import { hash32 } from '@tansypost/inner-protocol';
 
+/** Who holds a key, for which request, and how that ended; `at` is in microseconds of the leader's clock. */
 export interface ClaimEntry {
   readonly holder: string;
   readonly request: string;
@@ -14,6 +17,7 @@
   epoch: number;
   claims: { [key: string]: ClaimEntry };
 }
+/** What a router asks for a key: to claim it, to give it back, or to tell how its request ended. */
 export type ClaimOp = {
   readonly op: 'claim' | 'release' | 'ended';
   readonly key: string;
@@ -22,8 +26,10 @@
   readonly ended: string;
 };
 
+/** How long a claim is kept, in microseconds. */
 export const claimKeptFor = 900_000_000;
 
+/** The key of the control state that holds the bucket of an Idempotency-Key. */
 export function claimKey(k: string): string {
   return `claim/${(hash32(k) % 256).toString(16).padStart(2, '0')}`;
 }
--- a/packages/control-state/src/cluster.ts
+++ b/packages/control-state/src/cluster.ts
@@ -4,6 +4,7 @@
 import type { QuorumRounds } from './quorum-round.js';
 import type { Replica } from './replica.js';
 
+/** One node's replica, rounds and leaders, as its modules use them. */
 export interface Cluster {
   readonly world: World;
   readonly self: Address;
--- a/packages/control-state/src/committed-rows.ts
+++ b/packages/control-state/src/committed-rows.ts
@@ -5,6 +5,7 @@
 import type { Cluster } from './cluster.js';
 import { emptyRow, newer, type Row, type Stamp } from './row.js';
 
+/** The newest committed rows that a node knows. */
 export interface CommittedRows {
   readonly newest: (key: string) => Row;
   /** Takes in that a leader has told a row to be on a majority. */
@@ -13,6 +14,7 @@
   readonly written: (key: string, row: Row) => void;
 }
 
+/** Makes the table of committed rows of a node. */
 export function createCommittedRows(cluster: Pick<Cluster, 'replica' | 'leaders'>): CommittedRows {
   const announcements = new Map<string, Stamp>();
   const rows = new Map<string, Row>();
--- a/packages/control-state/src/control-node.ts
+++ b/packages/control-state/src/control-node.ts
@@ -30,6 +30,7 @@
 import type { Row } from './row.js';
 import { createServingLeases, renewEvery } from './serving-lease.js';
 
+/** The settings of a control node. */
 export interface ControlNodeOptions extends Omit<ReplicaOptions, 'learned'> {
   /** The length of the leases that routers are granted, in microseconds. */
   readonly tenure: number;
@@ -48,6 +49,7 @@
   readonly version: number;
 }
 
+/** A control node, as its host uses it. */
 export interface ControlNode {
   readonly receive: (message: Message, from: Address) => void;
   readonly replica: Replica;
@@ -68,6 +70,7 @@
 const defaultSweepEvery = 500_000;
 const behindAtMost = 600_000;
 
+/** Starts a control node on what its disk holds. */
 export function createControlNode(world: World, options: ControlNodeOptions): ControlNode {
   const replica = createReplica(world, { ...options, entered, learned });
   const rounds = createQuorumRounds({ ...world, send: sendFromSelf }, replica);
--- a/packages/control-state/src/followers.ts
+++ b/packages/control-state/src/followers.ts
@@ -20,6 +20,7 @@
   readonly leased: boolean;
 }
 
+/** What telling followers needs of the node. */
 export interface FollowersOptions {
   readonly cluster: Cluster;
   readonly committed: CommittedRows;
@@ -32,6 +33,7 @@
   readonly seeds: readonly Address[];
 }
 
+/** Tells those who follow this node. */
 export interface Followers {
   readonly subscribe: (request: Subscribe) => void;
   /** Takes in that somebody follows a key, and sends what is newer than what it has. */
@@ -43,6 +45,7 @@
 
 const followedFor = micros(3_000_000);
 
+/** Makes the table of followers of a node. */
 export function createFollowers(options: FollowersOptions): Followers {
   const { cluster, committed, servingLeases } = options;
   const { world, replica } = cluster;
--- a/packages/control-state/src/founding.ts
+++ b/packages/control-state/src/founding.ts
@@ -6,6 +6,7 @@
 
 type ReplicaHello = MessageOf<'ReplicaHello'>;
 
+/** Who may found a cluster together. */
 export interface FoundingOptions {
   readonly self: Address;
   /** The addresses of the founders, this one among them. */
@@ -15,6 +16,7 @@
   readonly diskId: () => string;
 }
 
+/** Decides when a cluster is founded. */
 export interface Founding {
   /** Takes in what another replica says of itself; gives the members of the cluster once it is time to found it. */
   readonly heard: (hello: ReplicaHello, slot: number) => readonly ReplicaEntry[] | undefined;
@@ -30,6 +32,7 @@
 
 const heardFor = 2_000_000;
 
+/** Makes the founding side of a blank replica. */
 export function createFounding(world: World, options: FoundingOptions): Founding {
   const blanks = new Map<number, HeardBlank>();
 
--- a/packages/control-state/src/hand-over.ts
+++ b/packages/control-state/src/hand-over.ts
@@ -12,6 +12,7 @@
 /** `replaced`: a successor votes; `copied`: those that stay hold all; `incomplete`: time ran out before either. */
 export type HandOverResult = 'replaced' | 'copied' | 'incomplete';
 
+/** What leaving needs of the node. */
 export interface HandOverOptions {
   readonly cluster: Cluster;
   /** Whether a machine stands ready to take this replica's slot. */
@@ -20,6 +21,7 @@
   readonly announce: () => void;
 }
 
+/** The leaving of one replica. */
 export interface HandOver {
   /** Leaves within `limit` microseconds and says how it ended. */
   readonly begin: (limit: number, done: (result: HandOverResult) => void) => void;
@@ -30,6 +32,7 @@
 const leastTime = 300_000;
 const roundPatience = 1_000_000;
 
+/** Makes the leaving side of a node; nothing happens before it begins. */
 export function createHandOver(options: HandOverOptions): HandOver {
   const { world, replica, rounds } = options.cluster;
   const copied = new Map<string, Row>();
--- a/packages/control-state/src/journal.test.ts
+++ b/packages/control-state/src/journal.test.ts
@@ -1,3 +1,4 @@
+/** The journal: what is cut, refused and taken. */
 import * as E from 'fp-ts/lib/Either.js';
 import { expect, it } from 'vitest';
 import { encodeRecord, encodeSnapshot, joinRecords, readJournal, type JournalRecord } from './journal.js';
--- a/packages/control-state/src/journal.ts
+++ b/packages/control-state/src/journal.ts
@@ -23,6 +23,7 @@
   value: 'bytes',
   changes: ['string'],
 } as const;
+/** One record of the file. `kind` is `disk`, `state` or `row`; of the others' fields those that the kind does not use are empty. */
 export type JournalRecord = Of<typeof shape>;
 
 const made: { codec?: avsc.Type } = {};
@@ -32,11 +33,12 @@
   return made.codec;
 }
 
+/** Encodes one record under a checksum of its own. */
 export function encodeRecord(r: JournalRecord): Buffer {
   return withHead(magic, codec().toBuffer(r));
 }
 
-// Puts encoded records under one checksum.
+/** Puts encoded records under one checksum. */
 export function joinRecords(bs: readonly Buffer[]): Buffer {
   if (bs.length === 1) return bs[0]!;
   const parts = bs.flatMap((b) => {
@@ -98,12 +100,14 @@
   });
 }
 
+/** The records of a file, how many of its bytes are sound, and how many at its end were torn. */
 export interface JournalRead {
   readonly records: readonly JournalRecord[];
   readonly good: number;
   readonly cut: number;
 }
 
+/** Reads a file. `DamagedFile` where something that was promised is missing. */
 export function readJournal(all: Buffer): E.Either<Error, JournalRead> {
   const records: JournalRecord[] = [];
   let at = 0;
--- a/packages/control-state/src/key-leader.ts
+++ b/packages/control-state/src/key-leader.ts
@@ -19,6 +19,7 @@
  */
 export type WriteStatus = 'done' | 'lost' | 'reused' | 'unknown' | 'retry';
 
+/** How a write ended, and the epoch and version that it is about. */
 export interface WriteAnswer {
   readonly status: WriteStatus;
   readonly epoch: number;
@@ -39,6 +40,7 @@
   readonly done: (status: WriteStatus, result: string) => void;
 }
 
+/** The leader's side of one key. */
 export interface KeyLeader {
   readonly leads: () => boolean;
   /** Since when it has led, on its own clock. */
@@ -53,6 +55,7 @@
   readonly read: (done: (row: Row | undefined) => void) => void;
 }
 
+/** What a leader needs of its node. */
 export interface KeyLeaderOptions {
   readonly key: string;
   readonly replica: Replica;
@@ -68,6 +71,7 @@
 const pauseSpread = 80_000;
 const notTaken: WriteAnswer = { status: 'retry', epoch: 0, version: 0 };
 
+/** Makes the leader's side of a key; it takes the key over on first use. */
 export function createKeyLeader(world: World, options: KeyLeaderOptions): KeyLeader {
   const { key, replica, rounds } = options;
   let role: Role = 'follower';
--- a/packages/control-state/src/key-requests.ts
+++ b/packages/control-state/src/key-requests.ts
@@ -13,6 +13,7 @@
 type AnswerStatus = WriteStatus | 'value' | 'none';
 type Answered = Pick<Row, 'epoch' | 'version' | 'value'>;
 
+/** What answering requests needs of the node. */
 export interface KeyRequestsOptions {
   readonly cluster: Cluster;
   /** The slot of the replica that should lead a key. */
--- a/packages/control-state/src/lease-register.ts
+++ b/packages/control-state/src/lease-register.ts
@@ -1,6 +1,7 @@
 /** The register of the routers that may hold a lease, as it stands in the control state. */
 import { DamagedFile } from '@tansypost/inner-protocol';
 
+/** Encodes the names of the routers. */
 export function encodeRegister(routers: readonly string[]): Buffer {
   return Buffer.from(JSON.stringify(routers));
 }
--- a/packages/control-state/src/membership-changes.ts
+++ b/packages/control-state/src/membership-changes.ts
@@ -20,6 +20,7 @@
 /** The fields of a Prepare that is about no replacement. */
 export const noReplacement = { replacedDisk: '', successor: '' } as const;
 
+/** What changing the membership needs of the node. */
 export interface MembershipChangesOptions {
   readonly cluster: Cluster;
   readonly peers: PeerLiveness;
@@ -31,6 +32,7 @@
   readonly tried: () => void;
 }
 
+/** Proposes and refuses changes of the membership. */
 export interface MembershipChanges {
   readonly join: (request: MessageOf<'Join'>) => void;
   readonly change: (change: MembershipChange) => void;
@@ -53,6 +55,7 @@
 const leastPause = 200_000;
 const pauseSpread = 400_000;
 
+/** Makes the part of a node that sees to the membership. */
 export function createMembershipChanges(options: MembershipChangesOptions): MembershipChanges {
   const { cluster, peers } = options;
   const { world, replica, rounds } = cluster;
--- a/packages/control-state/src/membership-record.ts
+++ b/packages/control-state/src/membership-record.ts
@@ -9,6 +9,7 @@
 /** The key under which the membership record is kept. */
 export const membershipKey = 'core';
 
+/** The members of a cluster under one membership epoch. */
 export interface MembershipRecord {
   /** 0 as long as no record is known. */
   readonly membershipEpoch: number;
@@ -17,6 +18,7 @@
   readonly replicas: readonly ReplicaEntry[];
 }
 
+/** What a disk knows that belongs to no cluster. */
 export const noMembership: MembershipRecord = { membershipEpoch: 0, cluster: '', replicas: [] };
 
 /** The form in which the record is written. Earlier releases wrote the bare list of replicas. */
--- a/packages/control-state/src/peer-liveness.ts
+++ b/packages/control-state/src/peer-liveness.ts
@@ -5,6 +5,7 @@
 import type { MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
 import type { Replica } from './replica.js';
 
+/** When a replica counts as missing, and who is told of a reunion. */
 export interface PeerLivenessOptions {
   /** After what silence a replica may be replaced. */
   readonly missingAfter?: number;
@@ -12,6 +13,7 @@
   readonly reunited: () => void;
 }
 
+/** What is known of the other replicas. */
 export interface PeerLiveness {
   readonly heard: (hello: MessageOf<'ReplicaHello'>) => void;
   /** Gives a disk that is new in the membership record the same time to be heard as any other. */
@@ -50,6 +52,7 @@
 const ownSilence = 900_000;
 const reunionAfter = 1_000_000;
 
+/** Makes the table of the other replicas; it knows nobody yet. */
 export function createPeerLiveness(world: World, replica: Replica, options: PeerLivenessOptions): PeerLiveness {
   const missingAfter = options.missingAfter ?? defaultMissingAfter;
   const peers = new Map<number, Heard>();
--- a/packages/control-state/src/quorum-round.ts
+++ b/packages/control-state/src/quorum-round.ts
@@ -10,11 +10,13 @@
 import { majorityOf } from './membership-record.js';
 import type { Replica } from './replica.js';
 
+/** Whether a round was won, and the votes that had come by then. */
 export interface RoundResult {
   readonly won: boolean;
   readonly votes: readonly Vote[];
 }
 
+/** What a round asks, and how its votes count. */
 export interface RoundOptions {
   readonly make: (id: string) => VoteRequest;
   /** A slot whose vote does not count. */
@@ -27,6 +29,7 @@
   readonly late?: (vote: Vote) => void;
 }
 
+/** The rounds of one process. */
 export interface QuorumRounds {
   readonly start: (options: RoundOptions, done: (result: RoundResult) => void) => void;
   readonly vote: (vote: MessageOf<'Vote'>) => void;
@@ -43,6 +46,7 @@
 const retransmitEvery = 200_000;
 const lateVotesFor = 1_000_000;
 
+/** Makes the rounds of a process on its replica. */
 export function createQuorumRounds(world: World, replica: Replica): QuorumRounds {
   const run = Math.floor(world.random() * 2 ** 40).toString(36);
   const open = new Map<string, OpenRound>();
--- a/packages/control-state/src/replica-storage.ts
+++ b/packages/control-state/src/replica-storage.ts
@@ -24,6 +24,7 @@
  */
 export type ReplicaState = 'blank' | 'voting' | 'fenced' | 'failed' | 'unusable';
 
+/** What a replica's storage is opened with. */
 export interface ReplicaStorageOptions {
   readonly disk: Disk;
   /** The records read from the journal when it was opened. */
@@ -44,8 +45,10 @@
   readonly changes: readonly AppliedChange[];
 }
 
+/** Told whether a write is synced (true) or was refused (false). */
 export type Written = (ok: boolean) => void;
 
+/** The durable state of one replica. */
 export interface ReplicaStorage {
   readonly diskId: () => string;
   /** Names this opening of the disk to those who copy from it. */
@@ -74,6 +77,7 @@
 const rewriteFactor = 3;
 const rowOverhead = 256;
 
+/** Opens the storage on what was found; a disk without an identity is given one. */
 export function createReplicaStorage(world: World, options: ReplicaStorageOptions): ReplicaStorage {
   const rows = new Map<string, Row>();
   const histories = new Map<string, ChangeHistory>();
--- a/packages/control-state/src/replica.test.ts
+++ b/packages/control-state/src/replica.test.ts
@@ -1,3 +1,4 @@
+/** A replica on a disk in memory: rewriting of its file, and when it gives no vote. */
 import { expect, it } from 'vitest';
 import { micros, type Address, type World } from '@tansypost/inner-protocol';
 import type { Disk } from './disk.js';
--- a/packages/control-state/src/replica.ts
+++ b/packages/control-state/src/replica.ts
@@ -28,6 +28,7 @@
 
 type ReplicaHello = MessageOf<'ReplicaHello'>;
 
+/** The settings of a replica. */
 export interface ReplicaOptions extends Omit<ReplicaStorageOptions, 'failed'> {
   /** Undefined where the membership record alone says which slot this disk has, if any. */
   readonly slot: number | undefined;
@@ -44,6 +45,7 @@
   readonly learned?: () => void;
 }
 
+/** A replica, as its node uses it. */
 export interface Replica extends Acceptor {
   /** -1 as long as it has none. */
   readonly slot: number;
@@ -79,6 +81,7 @@
 const wrongCluster =
   'Most machines of the membership record on this disk belong to another cluster. The replica does not vote; bring the disk back to its cluster, or empty the data folder to let the machine join this one.';
 
+/** Starts a replica on what its disk holds. */
 export function createReplica(world: World, options: ReplicaOptions): Replica {
   const storage = createReplicaStorage(world, { ...options, failed });
   const diskId = storage.diskId;
--- a/packages/control-state/src/router-leases.ts
+++ b/packages/control-state/src/router-leases.ts
@@ -13,6 +13,7 @@
 
 type Subscribe = MessageOf<'Subscribe'>;
 
+/** Grants leases to routers and holds acknowledgements until they govern. */
 export interface RouterLeases {
   /** Grants what a follower asks for on behalf of its routers. */
   readonly grant: (key: string, request: Subscribe) => void;
@@ -40,6 +41,7 @@
 const clockSlack = 100_000;
 const lookAgainAfter = 100_000;
 
+/** Makes the leases of a node; `leaseLength` is in microseconds. */
 export function createRouterLeases(cluster: Cluster, leaseLength: number): RouterLeases {
   const { world } = cluster;
   const leases = new Map<string, Map<string, RouterLease>>();
--- a/packages/control-state/src/row.test.ts
+++ b/packages/control-state/src/row.test.ts
@@ -1,3 +1,4 @@
+/** Epochs of slots never meet. */
 import { expect, it } from 'vitest';
 import { nextEpoch } from './row.js';
 
--- a/packages/control-state/src/row.ts
+++ b/packages/control-state/src/row.ts
@@ -12,8 +12,10 @@
 /** What orders two values of one key: the epoch first, then the version. */
 export type Stamp = Pick<Row, 'epoch' | 'version'>;
 
+/** What a replica holds of a key that it never heard of. */
 export const emptyRow: Row = { promised: 0, epoch: 0, version: 0, value: Buffer.alloc(0) };
 
+/** Whether the left one is newer than the right one. */
 export function newer(left: Stamp, right: Stamp): boolean {
   return left.epoch > right.epoch || (left.epoch === right.epoch && left.version > right.version);
 }
--- a/packages/control-state/src/serving-lease.ts
+++ b/packages/control-state/src/serving-lease.ts
@@ -18,6 +18,7 @@
 /** By what part a clock may run slow, at the most. */
 export const clockDrift = 0.01;
 
+/** The serving leases of one node, by key. */
 export interface ServingLeases {
   /** Keeps the lease of a key alive for as long as somebody asks for it. */
   readonly want: (key: string) => void;
@@ -27,6 +28,7 @@
   readonly renew: () => void;
 }
 
+/** How often leases are renewed. */
 export const renewEvery: Micros = micros(300_000);
 /** Above any epoch in use, so that every replica's confirmation counts whoever leads the key. */
 const anyEpoch = 2 ** 52;
@@ -39,6 +41,7 @@
   renewing: boolean;
 }
 
+/** Makes the serving leases of a node; it holds none yet. */
 export function createServingLeases(cluster: Cluster, committed: CommittedRows): ServingLeases {
   const { world, replica, rounds } = cluster;
   const leases = new Map<string, Lease>();
