Sight: what comes after a stop signal, and a service left without runners

Cause: neither incident could be read off a log line. 1002 was written at the end of the process, 1003 never, and that no worker is left to run a service's requests stood nowhere. The stop stood twice, in the platform's router and in the simulator's; it is one module now, and decides as before. The virtual clock of the course's tests moves to inner-protocol. Ruled out: nothing new.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -17,7 +17,11 @@
 export const catalogue: { readonly [event: number]: CatalogueEntry } = {
   1001: { level: 'info', means: 'program started', remedy: 'None.' },
   1002: { level: 'info', means: 'graceful stop begun; answers under way go on', remedy: 'None.' },
-  1003: { level: 'info', means: 'program stopped', remedy: 'None.' },
+  1003: {
+    level: 'info',
+    means: 'program stopped; after a graceful stop with what came and went since the signal',
+    remedy: 'None.',
+  },
   1004: { level: 'error', means: 'program ended by an error', remedy: 'Read the message; it names the field or file.' },
   1101: {
     level: 'warn',
@@ -135,6 +139,12 @@
     remedy: 'Report it with the message.',
   },
   5106: { level: 'info', means: 'figures of a router', remedy: 'None.' },
+  5107: {
+    level: 'warn',
+    means: 'a service has no worker left that runs requests; all of its requests are refused',
+    remedy: 'Start a worker of that part, or give a reader the part of a runner.',
+  },
+  5108: { level: 'info', means: 'a service has workers again that run requests', remedy: 'None.' },
   6001: { level: 'info', means: 'worker stand-in changed its part', remedy: 'None.' },
   6002: { level: 'warn', means: 'order refused: its epoch is older than the fence', remedy: 'None.' },
   7001: { level: 'info', means: 'fault brought about', remedy: 'None.' },
--- a/packages/inner-protocol/src/index.ts
+++ b/packages/inner-protocol/src/index.ts
@@ -10,3 +10,4 @@
 export * from './shape.js';
 export * from './socket-address.js';
 export * from './world.js';
+export * from './virtual-clock.js';
--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -2,7 +2,7 @@
 // whom and when, between the failure of one attempt and the next one or the answer.
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
-import type { Micros, World } from '@tansypost/inner-protocol';
+import { createVirtualClock, type Micros } from '@tansypost/inner-protocol';
 import type { Path, PathTable } from '@tansypost/paths';
 import type { pairDefaults } from './assign-pair.js';
 import { createCourse, type Course } from './course.js';
@@ -15,40 +15,6 @@
 const limit = 8 * second;
 const body = Buffer.from('x');
 
-/** A clock that jumps to the next timer once all that follows from the last one has been done. */
-interface VirtualClock {
-  readonly world: World;
-  readonly runUntil: (done: () => boolean) => Promise<void>;
-}
-function createVirtualClock(): VirtualClock {
-  let now = 0;
-  let serial = 0;
-  const timers = new Map<number, { readonly at: number; readonly run: () => void }>();
-  const world: World = {
-    now: () => now as Micros,
-    random: () => 0.5,
-    after: (delay, run) => {
-      const id = (serial += 1);
-      timers.set(id, { at: now + delay, run });
-      return () => void timers.delete(id);
-    },
-    send: () => undefined,
-    log: () => undefined,
-  };
-  async function runUntil(done: () => boolean): Promise<void> {
-    for (;;) {
-      for (let i = 0; i < 50; i += 1) await Promise.resolve();
-      if (done()) return;
-      const next = [...timers].sort(([a, x], [b, y]) => x.at - y.at || a - b)[0];
-      if (next === undefined) throw new Error('nothing is left to happen');
-      timers.delete(next[0]);
-      now = next[1].at;
-      next[1].run();
-    }
-  }
-  return { world, runUntil };
-}
-
 interface Attempt {
   readonly kind: 'read' | 'run';
   readonly worker: string;
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -17,6 +17,7 @@
 import type { Incoming } from './incoming.js';
 import type { Answered, GiveUp, Reply } from './ports.js';
 import { createReadiness } from './readiness.js';
+import { createRunnerWatch } from './runner-watch.js';
 import type { FleetWorker, ToldLoad } from './worker-fleet.js';
 
 /**
@@ -25,6 +26,8 @@
  */
 const retryAfterStart = 1.2;
 const retryWithoutService = 1;
+/** Workers shown in the figures: a line that is too long for the log's pipe is lost. */
+const mostShown = 16;
 
 const routesUnknown: GiveUp = {
   kind: 'not_ready',
@@ -107,24 +110,30 @@
   const context = createCourseContext(world, options, ports);
   const { fleet, tree } = context;
   let routes: Routes | undefined;
-  let listed = false;
+  const runnerWatch = createRunnerWatch(world);
+  let listed: readonly FleetWorker[] | undefined;
   let active = 0;
 
   function ready(): boolean {
-    return routes !== undefined && listed;
+    return routes !== undefined && listed !== undefined;
   }
   const readiness = createReadiness(world, ready);
 
   function paths(table: PathTable): void {
     const services = new Map(table.services.map((service) => [service.name, service]));
     routes = { matcher: createMatcher(table), services };
-    readiness.changed();
+    changed();
   }
 
   function workers(list: readonly FleetWorker[]): void {
-    listed = true;
+    listed = list;
     for (const id of fleet.list(list)) tree.forget(id);
+    changed();
+  }
+
+  function changed(): void {
     readiness.changed();
+    if (routes !== undefined && listed !== undefined) runnerWatch.look(routes.services.keys(), listed);
   }
 
   function routeOf(request: Incoming): Path | undefined {
@@ -138,7 +147,7 @@
     if (routes === undefined) return giveUp(context, reply, routesUnknown);
     const path = routeOf(request);
     if (path === undefined) return giveUp(context, reply, noRoute);
-    if (!listed) return giveUp(context, reply, workersUnknown);
+    if (listed === undefined) return giveUp(context, reply, workersUnknown);
     await serveRouted(context, routes, path, { request, reply, gone, arrived });
   }
 
@@ -156,7 +165,8 @@
   }
 
   function figures(): Record<string, unknown> {
-    return { active, counts: context.counts(), budget: context.budget.totals(), workers: fleet.view() };
+    const budget = context.budget.totals();
+    return { active, counts: context.counts(), budget, listed: listed?.length ?? 0, workers: fleet.view(mostShown) };
   }
 
   return {
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -57,7 +57,8 @@
   readonly silent: (id: string) => boolean;
   /** Whether it could take up a request now: `views` gives others too where nobody better is left. */
   readonly available: (id: string) => boolean;
-  readonly view: () => object[];
+  /** What is known of the workers: at most so many, those that do the most or fare the worst first. */
+  readonly view: (most: number) => object[];
 }
 
 interface Send {
@@ -221,6 +222,13 @@
     };
   }
 
+  function notableFirst(): Row[] {
+    return [...rows.values()].sort((a, b) => notability(b) - notability(a));
+  }
+  function notability(r: Row): number {
+    return (r.w.leaving ? 1000 : 0) + 100 * r.failures + r.sends.size;
+  }
+
   /** Neither resting after a failure, nor silent, nor with more waiting than it runs at once. */
   function well(r: Row): boolean {
     return r.restUntil <= now() && !quiet(r) && !slots(r);
@@ -314,15 +322,17 @@
       const r = rows.get(id);
       return r !== undefined && !r.w.leaving && well(r);
     },
-    view: () =>
-      [...rows.values()].map((r) => ({
-        ...r.w,
-        sends: r.sends.size,
-        pace: Math.round(r.pace * 1e5) / 100,
-        off: Math.round(off(r) / 1000),
-        pause: Math.round(r.pause / 1000),
-        told: r.told === undefined ? '' : `${r.told.queued}+${r.told.active} ${Math.round(r.told.kvUsed * 100)}`,
-        failures: r.failures,
-      })),
+    view: (most) =>
+      notableFirst()
+        .slice(0, most)
+        .map((r) => ({
+          ...r.w,
+          sends: r.sends.size,
+          pace: Math.round(r.pace * 1e5) / 100,
+          off: Math.round(off(r) / 1000),
+          pause: Math.round(r.pause / 1000),
+          told: r.told === undefined ? '' : `${r.told.queued}+${r.told.active} ${Math.round(r.told.kvUsed * 100)}`,
+          failures: r.failures,
+        })),
   };
 }
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -3,7 +3,15 @@
 import { createControlFeed, createCoreAsker } from '@tansypost/control-feed';
 import { askThrough, createRouterLearning, recordKey, type RouterLearning } from '@tansypost/learning';
 import { micros, type Address } from '@tansypost/inner-protocol';
-import { createCourse, type Course, type FleetWorker, type Incoming, type WorkerPort } from '@tansypost/pass-through';
+import {
+  createCourse,
+  createGracefulShutdown,
+  type Course,
+  type FleetWorker,
+  type GracefulShutdown,
+  type Incoming,
+  type WorkerPort,
+} from '@tansypost/pass-through';
 import { placementDefaults } from '@tansypost/placement';
 import { faultsOf } from '@tansypost/paths';
 import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
@@ -34,7 +42,8 @@
   readonly bytes: (b: Buffer) => void;
   readonly ended: (how: TrySeen['ended'], why: string, retryAfter?: number) => void;
 }
-const grace = 8_000_000;
+const gracePeriod = 8_000_000;
+const startAgainAfter = 400_000;
 
 function spoiled(g: Ground, p: WorkerPort): WorkerPort {
   const s = g.spoil;
@@ -91,13 +100,12 @@
   let course: Course | undefined;
   let learning: RouterLearning | undefined;
   let life = 0;
-  let stopping = false;
+  let shutdown: GracefulShutdown | undefined;
   const open = new Map<TrySeen, (why: string) => void>();
 
   function start(): void {
     if (proc.alive) return;
     proc.alive = true;
-    stopping = false;
     g.silent.delete(name);
     life += 1;
     const mine = life;
@@ -153,6 +161,7 @@
       { workers: spoiled(g, port), reading: (id, us) => feed.reading(id, us), sample: l.sample, lot: l.lot },
     );
     course = c;
+    shutdown = createGracefulShutdown(w, { gracePeriod, active: c.active, end: left });
     const known = new Map<string, FleetWorker>();
     const feed = createControlFeed(w, {
       self,
@@ -210,20 +219,15 @@
     ended('the router died', power);
   }
   function roll(): void {
-    if (!proc.alive || stopping) return;
-    stopping = true;
-    const [incarnation, asked] = [proc.incarnation, e.now()];
-    function look(): void {
-      if (proc.incarnation !== incarnation) return;
-      const t = e.now() - asked;
-      const done = g.spoil === 'leaves-at-once' || (t > 2_600_000 && course?.active() === 0);
-      if (!done && t < grace - 400_000) return void e.at(e.now() + 100_000, look);
-      die(proc);
-      course = undefined;
-      ended('the router left in order', false);
-      e.at(e.now() + 400_000, start);
-    }
-    look();
+    if (!proc.alive || shutdown?.hasBegun() === true) return;
+    shutdown?.begin();
+    if (g.spoil === 'leaves-at-once') left();
+  }
+  function left(): void {
+    die(proc);
+    course = undefined;
+    ended('the router left in order', false);
+    e.at(e.now() + startAgainAfter, start);
   }
 
   function take(t: TrySeen, q: Incoming, told: Told): () => void {
@@ -242,6 +246,7 @@
     there(() =>
       into(proc, incarnation, () => {
         t.readAt = e.now();
+        shutdown?.arrived(false);
         void course!.serve(
           q,
           {
@@ -279,7 +284,7 @@
     kill,
     roll,
     wake: () => wake(e, proc),
-    ready: () => proc.alive && !proc.frozen && !stopping && course?.ready() === true,
+    ready: () => proc.alive && !proc.frozen && shutdown?.hasBegun() !== true && course?.ready() === true,
     figures: () => ({ ...course?.figures(), learning: learning?.figures() }),
     take,
   };
