--- a/packages/simulator/src/pass-through/learned-day.test.ts
+++ b/packages/simulator/src/pass-through/learned-day.test.ts
@@ -31,6 +31,8 @@
     span,
     rate,
     learning,
+    // Verdicts of so short days hang on the draw, which is that of requesters who connect anew.
+    keptConnections: 0,
     net: (n) =>
       n.tamper((m) => {
         sent?.(m);
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -81,7 +81,8 @@
   // Starts of a router's life, and its end.
   readonly lives: { readonly router: string; readonly life: number; readonly from: number; to: number }[];
   readonly unforeseen: string[];
-  allKilledUntil: number[];
+  // When what had taken all service away was over, or nothing more was to be waited for.
+  outageEnds: number[];
   readBack: { readonly text: string | undefined; readonly at: number } | undefined;
   from: number;
   to: number;
@@ -98,7 +99,7 @@
     shownLeaving: new Map(),
     lives: [],
     unforeseen: [],
-    allKilledUntil: [],
+    outageEnds: [],
     readBack: undefined,
     from: 0,
     to: 0,
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -40,7 +40,9 @@
   'disk-stalled',
   'disk-slow',
 ] as const;
-export type PassedTroubleKind = (typeof passedTroubleKinds)[number];
+/** Troubles of scenes that are never drawn. */
+export const sceneTroubleKinds = ['runners-withdrawn', 'router-roll-all'] as const;
+export type PassedTroubleKind = (typeof passedTroubleKinds)[number] | (typeof sceneTroubleKinds)[number];
 export interface PassedTrouble {
   readonly at: number;
   readonly do: PassedTroubleKind;
--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -1,12 +1,13 @@
 // The requesters of a virtual day. Each connects through the platform, which spreads them over the routers of their
 // zone that answer its probe; they try again only where that can do no harm, and some more often than told.
+import { seeded } from '@tansypost/inner-protocol';
 import type { Incoming } from '@tansypost/pass-through';
 import type { Ground } from './ground.js';
 import { hostOf, targetOf } from './paths-drawn.js';
 import type { PassedKind } from './passed-deployment.js';
 import type { TrySeen } from './passed-history.js';
 import { piecesOf } from './virtual-worker.js';
-import type { VirtualRouter } from './virtual-router.js';
+import type { RequesterConnection, VirtualRouter } from './virtual-router.js';
 
 export interface VirtualRequesters {
   readonly begin: (until: number) => void;
@@ -15,10 +16,21 @@
 }
 const probeEvery = 1_000_000;
 const connectPatience = 1_000_000;
+/** Clients of a zone, each of which may keep the connection of its last answer and ask on it again. */
+const clientsPerZone = 12;
+const clientSeed = 9001;
 
-export function createVirtualRequesters(g: Ground, routers: readonly VirtualRouter[]): VirtualRequesters {
+/** `keepsConnection` is how often, from 0 to 1, a client asks on the connection that it has. */
+export function createVirtualRequesters(
+  g: Ground,
+  routers: readonly VirtualRouter[],
+  keepsConnection: number,
+): VirtualRequesters {
   const { e, net, random, h, d } = g;
   const misses = new Map<string, number>();
+  // Drawn apart, so that other draws of a day are the same whoever keeps connections.
+  const drawClient = seeded(clientSeed);
+  const kept = new Map<string, RequesterConnection>();
   let tasks = 0;
 
   function probe(): void {
@@ -36,11 +48,19 @@
     return from[Math.floor(random() * from.length)]!;
   }
 
+  // The connection that the client has kept, or a new one to a router that the platform picks.
+  function connectionOf(client: string, zone: string): RequesterConnection {
+    const had = kept.get(client);
+    if (had !== undefined && had.open && !had.busy && drawClient() < keepsConnection) return had;
+    return pick(zone).connect();
+  }
+
   function ask(k: PassedKind): void {
     tasks += 1;
     const task = tasks;
     const began = e.now();
     const zone = d.zones[Math.floor(random() * d.zones.length)]!;
+    const client = `${zone}/${Math.floor(drawClient() * clientsPerZone)}`;
     const impatient = random() < 0.1;
     const most = impatient ? 4 : 1 + k.furtherTries;
     const group = Math.floor(random() * 4);
@@ -53,7 +73,8 @@
       const id = `q${task}.${tries}`;
       const left = began + k.budget - e.now();
       if (left <= 0) return;
-      const router = pick(zone);
+      const connection = tries === 1 ? connectionOf(client, zone) : pick(zone).connect();
+      const { router } = connection;
       const lastEvent = k.resumable && has > 0 ? has : undefined;
       const t: TrySeen = {
         id,
@@ -100,6 +121,8 @@
         t.end = e.now();
         t.ended = how;
         t.why = why;
+        if (how === 'left') connection.open = false;
+        if (connection.open) kept.set(client, connection);
         const rest = began + k.budget - e.now();
         const may = k.repeatable || k.resumable || how === 'refused' || how === 'unread';
         if (how === 'whole' || how === 'unknown_path' || how === 'left' || !may || tries >= most) return;
@@ -136,18 +159,23 @@
       if (net.blocked('clients', router.name) || net.blocked(router.name, 'clients') || g.silent.has(router.name))
         return e.at(e.now() + Math.min(connectPatience, left / 3), () => settle('unread', 'no connection'));
       if (!router.proc.alive) return e.at(e.now() + 1000, () => settle('unread', 'nobody there'));
-      way.leave = router.take(t, q, {
-        first: () => {
-          heardAt = e.now();
-        },
-        bytes: (b) => {
-          if (over) return;
-          heardAt = e.now();
-          t.firstAt ??= e.now();
-          t.body.push(b);
+      way.leave = router.take(
+        t,
+        q,
+        {
+          first: () => {
+            heardAt = e.now();
+          },
+          bytes: (b) => {
+            if (over) return;
+            heardAt = e.now();
+            t.firstAt ??= e.now();
+            t.body.push(b);
+          },
+          ended: settle,
         },
-        ended: settle,
-      });
+        connection,
+      );
       watch();
     }
     once();
--- /dev/null
+++ b/tests/incidents.test.ts
@@ -0,0 +1,37 @@
+/** The incidents of docs/incidents/ brought about in virtual days: each test failed on the code that had the fault. */
+import { expect, it } from 'vitest';
+import {
+  passedDeployments,
+  playPassedOne,
+  type PassedDayOptions,
+  type PassedOne,
+  type PassedTrouble,
+} from '../packages/simulator/src/index.js';
+
+const coldStorage = passedDeployments['cold-storage']!;
+const second = 1_000_000;
+
+function trouble(at: number, what: PassedTrouble['do'], lasting = 4): PassedTrouble {
+  return { at, do: what, for: lasting, who: 0.3 };
+}
+function play(seed: number, troubles: readonly PassedTrouble[], over: Partial<PassedDayOptions>): Promise<PassedOne> {
+  return playPassedOne(coldStorage, seed, { troubles, closing: 'none', replicas: 3, ...over });
+}
+
+it('RECOVER: serves again when all workers that run requests have left, also after all was killed', async () => {
+  for (const seed of [7, 8, 9]) {
+    const day = await play(seed, [trouble(2, 'runners-withdrawn')], { span: 34, closing: 'all-killed' });
+    expect([seed, day.breaches]).toEqual([seed, []]);
+    const late = day.history.tries.filter((t) => t.at > day.history.to - 14 * second && t.id.endsWith('.1'));
+    expect(late.length).toBeGreaterThan(50);
+    expect(late.filter((t) => t.ended === 'whole').length).toBeGreaterThan(0.9 * late.length);
+  }
+});
+
+it('LOST: cuts nothing that comes on a kept connection while all routers are rolled', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const slowAnswers = trouble(1, 'slow-moves', 22);
+    const day = await play(seed, [slowAnswers, trouble(2, 'router-roll-all')], { span: 24, rate: 4 });
+    expect([seed, day.breaches]).toEqual([seed, []]);
+  }
+});
