RECOVER mended: a service without runners gets one of its readers as a runner

Cause: on the users' platform no worker was ever ordered to change its part. Its class: a state from which nothing in the system leads back. Change: packages/worker-parts. Control nodes see in the list that a served service has no runner that stays; one of them, by ballot and under a lease, writes an order into the control state (its version is the fence) and gives it, only while the lease outlasts the order by the 3 s that must lie between two holders. One reader first; more, up to a third, only once that one runs requests. Ruled out: stale lists and a control side that stays away (the timeline).

--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -43,6 +43,8 @@
 export interface Candidate {
   /** The epoch under which this member holds the role, while it does. */
   readonly holds: () => number | undefined;
+  /** The same, if it goes on holding the role for so long, in microseconds, whatever becomes of its next renewal. */
+  readonly holdsFor: (least: number) => number | undefined;
   /** Who holds the role as far as is known. */
   readonly holder: () => DutyMark | undefined;
   /** Takes in a voter's answer. */
@@ -99,6 +101,7 @@
   };
   return {
     holds: () => epochHeld(state, world, options),
+    holdsFor: (least) => (state.leaseUntil - world.now() < least ? undefined : epochHeld(state, world, options)),
     holder: () => currentHolder(state, world, options),
     vote: (answer) => takeVote(state, world, options, answer),
     heard: (told) => takeHolder(state, world, options, told),
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -114,6 +114,11 @@
     means: 'rehearsal widened, or live and watched beside a control arm held back',
     remedy: 'None; a reject rolls it back.',
   },
+  4106: {
+    level: 'error',
+    means: 'the record of orders to workers cannot be read; no worker is ordered',
+    remedy: 'Report it with the message.',
+  },
   5001: { level: 'info', means: 'feed tenure gained', remedy: 'None.' },
   5002: {
     level: 'warn',
--- a/packages/simulator/src/core-machine.ts
+++ b/packages/simulator/src/core-machine.ts
@@ -8,6 +8,7 @@
   createFeedServer,
   createReplicaList,
   type CoreAsker,
+  type FeedServer,
   type FeedServerOptions,
 } from '@tansypost/control-feed';
 import { createControlNodeHost, type ControlNodeHost, type OpenDisk } from '@tansypost/control-node';
@@ -53,7 +54,12 @@
   readonly rewriteOver?: number;
   readonly feed: (proc: Proc) => Omit<FeedServerOptions, 'keeper' | 'self'>;
   /** Builds what else runs on the machine; it gets the messages before the control node and says which it took. */
-  readonly beside?: (w: World, host: ControlNodeHost, asker: CoreAsker) => (m: Message, from: Address) => boolean;
+  readonly beside?: (
+    w: World,
+    host: ControlNodeHost,
+    asker: CoreAsker,
+    workers: FeedServer['workers'],
+  ) => (m: Message, from: Address) => boolean;
   readonly observer?: MessageObserver;
 }
 
@@ -137,8 +143,8 @@
     open: (afresh, blank) => openDisk(machine, afresh, blank),
   });
   const asker = createCoreAsker(world, self, createReplicaList(host.core, self, o.seeds));
-  const beside = o.beside?.(world, host, asker);
   const feed = createFeedServer(world, { self, keeper: host.core, ...o.feed(proc) });
+  const beside = o.beside?.(world, host, asker, feed.workers);
   proc.receive = (m, from) => {
     o.observer?.received(m, self, from);
     if (m.kind === 'Answer') asker.answer(m);
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -45,6 +45,17 @@
   // The request whose memory it goes on from.
   readonly memoryOf: string | undefined;
 }
+/** An order that reached a worker. */
+export interface PartOrderSeen {
+  readonly at: number;
+  readonly worker: string;
+  /** The machine that sent it. */
+  readonly machine: string;
+  readonly holder: string;
+  readonly fence: number;
+  readonly part: string;
+  readonly status: number;
+}
 export interface ChangeSent {
   readonly revision: number;
   readonly base: number;
@@ -73,6 +84,7 @@
   readonly tries: TrySeen[];
   readonly arrivals: ArrivalSeen[];
   readonly runs: RunSeen[];
+  readonly orders: PartOrderSeen[];
   readonly changes: ChangeSent[];
   readonly applied: GoverningSeen[];
   readonly troubles: TroubleSeen[];
@@ -81,8 +93,10 @@
   // Starts of a router's life, and its end.
   readonly lives: { readonly router: string; readonly life: number; readonly from: number; to: number }[];
   readonly unforeseen: string[];
-  // When what had taken all service away was over, or nothing more was to be waited for.
+  // When all had been killed, until which moment.
   outageEnds: number[];
+  // When the last worker that ran requests of a service was taken away for good.
+  readonly lastRunnersTaken: number[];
   readBack: { readonly text: string | undefined; readonly at: number } | undefined;
   from: number;
   to: number;
@@ -93,6 +107,7 @@
     tries: [],
     arrivals: [],
     runs: [],
+    orders: [],
     changes: [],
     applied: [],
     troubles: [],
@@ -100,6 +115,7 @@
     lives: [],
     unforeseen: [],
     outageEnds: [],
+    lastRunnersTaken: [],
     readBack: undefined,
     from: 0,
     to: 0,
--- a/packages/simulator/src/pass-through/virtual-workers.ts
+++ b/packages/simulator/src/pass-through/virtual-workers.ts
@@ -154,7 +154,7 @@
         slots: 64,
         leaving: x.leaving <= t,
         coldMs: 0,
-        part: x.life.o.part,
+        part: x.life.part(),
       }));
   }
   return {
--- /dev/null
+++ b/packages/worker-parts/src/runner-restoration.ts
@@ -0,0 +1,202 @@
+/**
+ * Gives readers the part of runners where a service has lost its last runner. One control node at a time does it, as
+ * holder of a role that is won by ballot when there is need, and held by a lease. It writes each order into the control
+ * state, then gives it, and only while its lease has so much left that no successor can give an order to the same
+ * worker within the time that must lie between two holders.
+ */
+import type { ControlNode } from '@tansypost/control-state';
+import type { ListedWorker, StoredValue } from '@tansypost/control-feed';
+import { createCandidate } from '@tansypost/duty';
+import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
+import * as E from 'fp-ts/lib/Either.js';
+import { createOrderedWorkers, type OrderedWorkers } from './ordered-workers.js';
+import { orderRecordKey, readOrderRecord, withOrder, type OrderRecord } from './order-record.js';
+import type { WorkerOrders, WorkerReport } from './ports.js';
+import { createRestorationNeeds, type RestorationNeeds } from './restoration-needs.js';
+import { workersOf, type ServiceWorkers } from './restoration-plan.js';
+
+/** A service that requests are sent to. */
+export interface ServedService {
+  readonly name: string;
+  /** How long a worker takes to change its part, in microseconds. */
+  readonly switchTime: number;
+}
+
+/** What the restoration is told when it is made. Times are microseconds. */
+export interface RunnerRestorationOptions {
+  readonly self: Address;
+  readonly member: string;
+  readonly controlNode: () => ControlNode | undefined;
+  /** The newest list of workers. */
+  readonly workers: () => readonly ListedWorker[];
+  /** The services of the configuration in force, as this node knows it. */
+  readonly services: () => readonly ServedService[];
+  /** The value of `orderRecordKey`. */
+  readonly record: StoredValue;
+  readonly workerOrders: WorkerOrders;
+  /** The lease of the role; the same for all candidates and voters. */
+  readonly leaseDuration: number;
+  /** What must lie between orders of two holders to one worker. */
+  readonly betweenHolders: number;
+}
+
+/** The restoration at one control node. */
+export interface RunnerRestoration {
+  /** Takes in a voter's answer. */
+  readonly vote: (answer: MessageOf<'BallotVote'>) => void;
+  readonly stop: Cancel;
+}
+
+/** The restoration with what it was told, as its steps use it. */
+interface Context {
+  readonly world: World;
+  readonly options: RunnerRestorationOptions;
+  readonly needs: RestorationNeeds;
+  readonly ordered: OrderedWorkers;
+  /** Whether the role is held for long enough to give an order. */
+  readonly mayOrder: () => boolean;
+}
+
+/** A reader that is to become a runner, and what it said of itself. */
+interface ChosenReader {
+  readonly worker: ListedWorker;
+  readonly report: WorkerReport;
+}
+
+const role = 'runner restoration';
+const lookEvery = micros(250_000);
+const pauseBetweenSteps = 300_000;
+/** The longest that an order is on its way. */
+const orderOnItsWay = 600_000;
+/** Workers asked for a report in one step. */
+const mostAsked = 4;
+
+/** Starts the restoration at this node. */
+export function createRunnerRestoration(world: World, options: RunnerRestorationOptions): RunnerRestoration {
+  const ordered = createOrderedWorkers(world, () => longestSwitch(options));
+  const needs = createRestorationNeeds(world, {
+    workers: options.workers,
+    served: () => options.services().map((service) => service.name),
+    rank: () => options.controlNode()?.rank() ?? 0,
+    ordered,
+  });
+  const candidate = createCandidate(world, {
+    duty: role,
+    member: options.member,
+    self: options.self,
+    get slot() {
+      return options.controlNode()?.replica.slot ?? 0;
+    },
+    leaseDuration: options.leaseDuration,
+    replicas: () => options.controlNode()?.replica.membership() ?? { membershipEpoch: 0, replicas: [] },
+    willing: () => options.controlNode()?.replica.state() === 'voting' && needs.due() !== undefined,
+    won: () => undefined,
+    lost: () => undefined,
+  });
+  const least = options.betweenHolders + orderOnItsWay;
+  function mayOrder(): boolean {
+    return candidate.holdsFor(least) !== undefined;
+  }
+  const stopLooking = startLooking({ world, options, needs, ordered, mayOrder });
+  return {
+    vote: candidate.vote,
+    stop: () => {
+      stopLooking();
+      candidate.stop();
+    },
+  };
+}
+
+function longestSwitch(options: RunnerRestorationOptions): number {
+  return Math.max(0, ...options.services().map((service) => service.switchTime));
+}
+
+/** Looks at the needs again and again, and takes one step at a time where one is due. */
+function startLooking(context: Context): Cancel {
+  const { world, needs } = context;
+  let busy = false;
+  let nextStepAt = 0;
+
+  function look(): void {
+    noteOwnCopy(context);
+    needs.look();
+    const service = needs.due();
+    if (service === undefined || busy || world.now() < nextStepAt || !context.mayOrder()) return;
+    busy = true;
+    void restore(context, service).finally(() => {
+      busy = false;
+      nextStepAt = world.now() + pauseBetweenSteps;
+    });
+  }
+
+  return every(world, () => lookEvery, look);
+}
+
+/** Takes in what this node's replica holds of the record, so that all nodes wait for a worker that one has ordered. */
+function noteOwnCopy({ options, ordered }: Context): void {
+  const row = options.controlNode()?.replica.row(orderRecordKey);
+  if (row === undefined || ordered.knows(row.version)) return;
+  const record = readOrderRecord(row.value);
+  if (E.isRight(record)) ordered.noteRecord(row.version, record.right);
+}
+
+/** One step: writes down an order to one reader of the service, and gives it. */
+async function restore(context: Context, service: string): Promise<void> {
+  const { world, options, needs, ordered } = context;
+  const stored = await options.record.read();
+  if (stored === undefined) return;
+  const record = readOrderRecord(stored.value);
+  if (E.isLeft(record)) return world.log(4106, { why: record.left });
+  ordered.noteRecord(stored.version, record.right);
+  const workers = workersOf(options.workers(), service);
+  if (!needs.isMissing(service) || !(await isProven(options, workers))) return;
+  const chosen = await chooseReader(context, workers);
+  if (chosen !== undefined) await giveOrder(context, record.right, stored.version, chosen);
+}
+
+/** Where there is a runner already, it was restored: more follow only when it has been seen to run requests. */
+async function isProven({ workerOrders }: RunnerRestorationOptions, { runners }: ServiceWorkers): Promise<boolean> {
+  if (runners.length === 0) return true;
+  const reports = await Promise.all(runners.slice(0, mostAsked).map(workerOrders.report));
+  return reports.some((report) => report !== undefined && report.part === 'decode' && report.load > 0);
+}
+
+/** The reader with the least to do. Where one is changing already, it is waited for instead. */
+async function chooseReader(
+  { options, ordered }: Context,
+  { readers }: ServiceWorkers,
+): Promise<ChosenReader | undefined> {
+  const free = readers.filter((worker) => !ordered.isWaitedFor(worker.id) && !ordered.isPassedOver(worker.id));
+  const asked = free.slice(0, mostAsked);
+  const reports = await Promise.all(asked.map(options.workerOrders.report));
+  const answered: ChosenReader[] = [];
+  let isChanging = false;
+  for (const [index, worker] of asked.entries()) {
+    const report = reports[index];
+    if (report === undefined) ordered.passOver(worker.id);
+    else if (report.changing || report.part === 'decode') {
+      ordered.waitFor(worker.id);
+      isChanging = true;
+    } else answered.push({ worker, report });
+  }
+  return isChanging ? undefined : answered.sort((a, b) => a.report.load - b.report.load)[0];
+}
+
+/** The order is in the record, on a majority of the disks, before it is given; the version of that write is its fence. */
+async function giveOrder(
+  { world, options, ordered, mayOrder }: Context,
+  record: OrderRecord,
+  version: number,
+  { worker, report }: ChosenReader,
+): Promise<void> {
+  const { member: holder } = options;
+  const part = 'decode';
+  const next = withOrder(record, { worker: worker.id, service: worker.service, part, holder });
+  const fence = await options.record.write(version, next.bytes);
+  if (fence === undefined || !mayOrder()) return;
+  ordered.noteRecord(fence, next.record);
+  const { ordersTaken } = report;
+  const outcome = await options.workerOrders.order({ worker, part, holder, fence, ordersTaken });
+  world.log(4103, { service: worker.service, worker: worker.id, part, fence, outcome });
+  ordered.noteOutcome(worker.id, outcome);
+}
