A worker that has changed its part is offered again, also after it turned a request away

Change: another part in the list ends the rest. Found by reading, no run showed it. Measured: the test fails without it and passes with it.

--- a/packages/pass-through/src/worker-fleet.test.ts
+++ b/packages/pass-through/src/worker-fleet.test.ts
@@ -72,3 +72,12 @@
   t = 1_200_002;
   expect(names(f)).toBe('a b');
 });
+
+it('offers a worker that has changed its part, though it turned away what was asked of the old one', () => {
+  const f = createWorkerFleet(() => 0);
+  f.list([worker('a'), worker('b', { part: 'decode' })]);
+  f.began('a', 'read', 1, 1000).end('gone');
+  f.list([worker('a', { part: 'decode' }), worker('b', { part: 'decode' })]);
+  expect([names(f), names(f, 'decode')]).toEqual(['', 'a b']);
+  expect(f.available('a')).toBe(true);
+});
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -133,6 +133,8 @@
         if (r.w.part !== w.part) {
           r.pace = firstPace[w.part] / 1000;
           r.off = 0;
+          // It may have turned away as not its own what was asked of the part that it had no more.
+          r.restUntil = 0;
         }
         r.w = { ...w, leaving: w.leaving || r.w.leaving };
       }
