worker-stages: the field's names (stage, prefill and decode workers) in the new package

Change: packages/worker-parts is worker-stages; readers, runners and parts are prefill workers, decode workers and stages there, in the watch of pass-through, the events and the simulator's record of orders; the record's key is stages/orders.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -108,7 +108,7 @@
   },
   4101: { level: 'info', means: 'rehearsal begun', remedy: 'Approve or reject it if you wish.' },
   4102: { level: 'info', means: 'rehearsal ended', remedy: 'None.' },
-  4103: { level: 'info', means: 'part of a worker ordered', remedy: 'None.' },
+  4103: { level: 'info', means: 'worker ordered to change its stage', remedy: 'None.' },
   4104: {
     level: 'info',
     means: 'rehearsal widened, or live and watched beside a control arm held back',
@@ -146,10 +146,10 @@
   5106: { level: 'info', means: 'figures of a router', remedy: 'None.' },
   5107: {
     level: 'warn',
-    means: 'a service has no worker left that runs requests; all of its requests are refused',
-    remedy: 'Start a worker of that part, or give a reader the part of a runner.',
+    means: 'a service has no decode worker left; all of its requests are refused',
+    remedy: 'None where a prefill worker is there: it is ordered to decode (4103). Else start a decode worker.',
   },
-  5108: { level: 'info', means: 'a service has workers again that run requests', remedy: 'None.' },
+  5108: { level: 'info', means: 'a service has a decode worker again', remedy: 'None.' },
   6001: { level: 'info', means: 'worker stand-in changed its part', remedy: 'None.' },
   6002: { level: 'warn', means: 'order refused: its epoch is older than the fence', remedy: 'None.' },
   7001: { level: 'info', means: 'fault brought about', remedy: 'None.' },
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -17,7 +17,7 @@
 import type { Incoming } from './incoming.js';
 import type { Answered, GiveUp, Reply } from './ports.js';
 import { createReadiness } from './readiness.js';
-import { createRunnerWatch } from './runner-watch.js';
+import { createDecodeWatch } from './decode-watch.js';
 import type { FleetWorker, ToldLoad } from './worker-fleet.js';
 
 /**
@@ -118,7 +118,7 @@
   const context = createCourseContext(world, options, ports);
   const { fleet, tree } = context;
   let routes: Routes | undefined;
-  const runnerWatch = createRunnerWatch(world);
+  const decodeWatch = createDecodeWatch(world);
   let listed: readonly FleetWorker[] | undefined;
   const inFlights = new Set<InFlightRequest>();
   let active = 0;
@@ -142,7 +142,7 @@
 
   function changed(): void {
     readiness.changed();
-    if (routes !== undefined && listed !== undefined) runnerWatch.look(routes.services.keys(), listed);
+    if (routes !== undefined && listed !== undefined) decodeWatch.look(routes.services.keys(), listed);
   }
 
   function routeOf(request: Incoming): Path | undefined {
--- a/packages/pass-through/src/runner-watch.ts
+++ b/packages/pass-through/src/decode-watch.ts
@@ -1,17 +1,17 @@
 /**
- * Says when a service is left without a worker that runs requests, and when it has one again. Without one no request to
- * the service can be served, however many workers read prompts.
+ * Says when a service is left without a decode worker, and when it has one again. Without one no request to the service
+ * can be served, however many workers read prompts.
  */
 import type { World } from '@tansypost/inner-protocol';
 import type { FleetWorker } from './worker-fleet.js';
 
 /** Follows the services that routes name, and the workers there are. */
-export interface RunnerWatch {
+export interface DecodeWatch {
   readonly look: (services: Iterable<string>, workers: readonly FleetWorker[]) => void;
 }
 
-/** Takes all services to have runners until a look shows otherwise. */
-export function createRunnerWatch(world: Pick<World, 'log'>): RunnerWatch {
+/** Takes all services to have decode workers until a look shows otherwise. */
+export function createDecodeWatch(world: Pick<World, 'log'>): DecodeWatch {
   const without = new Set<string>();
 
   function look(services: Iterable<string>, workers: readonly FleetWorker[]): void {
@@ -24,13 +24,13 @@
 
   function lookAt(service: string, workers: readonly FleetWorker[]): void {
     const staying = workers.filter((worker) => !worker.leaving);
-    const runners = staying.filter((worker) => worker.part === 'decode').length;
-    if (runners > 0 === !without.has(service)) return;
-    const readers = staying.length - runners;
+    const decode = staying.filter((worker) => worker.part === 'decode').length;
+    if (decode > 0 === !without.has(service)) return;
+    const prefill = staying.length - decode;
     const leaving = workers.length - staying.length;
-    if (runners > 0) without.delete(service);
+    if (decode > 0) without.delete(service);
     else without.add(service);
-    world.log(runners > 0 ? 5108 : 5107, { service, runners, readers, leaving });
+    world.log(decode > 0 ? 5108 : 5107, { service, decode, prefill, leaving });
   }
 
   return { look };
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -46,14 +46,14 @@
   readonly memoryOf: string | undefined;
 }
 /** An order that reached a worker. */
-export interface PartOrderSeen {
+export interface StageOrderSeen {
   readonly at: number;
   readonly worker: string;
   /** The machine that sent it. */
   readonly machine: string;
   readonly holder: string;
   readonly fence: number;
-  readonly part: string;
+  readonly stage: string;
   readonly status: number;
 }
 export interface ChangeSent {
@@ -84,7 +84,7 @@
   readonly tries: TrySeen[];
   readonly arrivals: ArrivalSeen[];
   readonly runs: RunSeen[];
-  readonly orders: PartOrderSeen[];
+  readonly orders: StageOrderSeen[];
   readonly changes: ChangeSent[];
   readonly applied: GoverningSeen[];
   readonly troubles: TroubleSeen[];
@@ -95,8 +95,8 @@
   readonly unforeseen: string[];
   // When all had been killed, until which moment.
   outageEnds: number[];
-  // When the last worker that ran requests of a service was taken away for good.
-  readonly lastRunnersTaken: number[];
+  // When the last decode worker of a service was taken away for good.
+  readonly lastDecodeTaken: number[];
   readBack: { readonly text: string | undefined; readonly at: number } | undefined;
   from: number;
   to: number;
@@ -115,7 +115,7 @@
     lives: [],
     unforeseen: [],
     outageEnds: [],
-    lastRunnersTaken: [],
+    lastDecodeTaken: [],
     readBack: undefined,
     from: 0,
     to: 0,
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -7,7 +7,7 @@
   'worker-dark',
   'worker-gone',
   'worker-withdrawn',
-  'runners-withdrawn',
+  'decode-withdrawn',
   'worker-power',
   'release',
   'answers-lost',
--- a/packages/simulator/src/pass-through/virtual-orders.ts
+++ b/packages/simulator/src/pass-through/virtual-orders.ts
@@ -1,6 +1,6 @@
-/** The way from one life of a control node to the virtual workers: reports, and orders to take up a part. */
+/** The way from one life of a control node to the virtual workers: reports, and orders to change their stage. */
 import type { ListedWorker } from '@tansypost/control-feed';
-import type { OrderOutcome, PartOrder, WorkerOrders } from '@tansypost/worker-parts';
+import type { OrderOutcome, StageOrder, WorkerOrders } from '@tansypost/worker-stages';
 import { into, type Proc } from '../process.js';
 import type { Ground } from './ground.js';
 import { createPipe } from './pipe.js';
@@ -43,10 +43,10 @@
     });
   }
 
-  function take(order: PartOrder, life: WorkerLife): number {
-    const { part, holder, fence, ordersTaken, worker } = order;
-    const status = life.order({ part, holder, fence, ordersTaken, target: worker.id });
-    history.orders.push({ at: engine.now(), worker: life.o.id, machine, holder, fence, part, status });
+  function take(order: StageOrder, life: WorkerLife): number {
+    const { stage, holder, fence, ordersTaken, worker } = order;
+    const status = life.order({ part: stage, holder, fence, ordersTaken, target: worker.id });
+    history.orders.push({ at: engine.now(), worker: life.o.id, machine, holder, fence, stage, status });
     return status;
   }
 
@@ -55,7 +55,7 @@
       call(worker, (life) => {
         const { queued, active } = life.load();
         const load = queued + active;
-        return { part: life.part(), changing: life.changing(), ordersTaken: life.ordersTaken(), load };
+        return { stage: life.part(), changing: life.changing(), ordersTaken: life.ordersTaken(), load };
       }),
     order: async (order) => {
       const status = await call(order.worker, (life) => take(order, life));
--- a/packages/worker-parts/src/runner-restoration.ts
+++ b/packages/worker-stages/src/decode-recovery.ts
@@ -1,5 +1,5 @@
 /**
- * Gives readers the part of runners where a service has lost its last runner. One control node at a time does it, as
+ * Makes prefill workers decode where a service has lost its last decode worker. One control node at a time does it, as
  * holder of a role that is won by ballot when there is need, and held by a lease. It writes each order into the control
  * state, then gives it, and only while its lease has so much left that no successor can give an order to the same
  * worker within the time that must lie between two holders.
@@ -12,18 +12,18 @@
 import { createOrderedWorkers, type OrderedWorkers } from './ordered-workers.js';
 import { orderRecordKey, readOrderRecord, withOrder, type OrderRecord } from './order-record.js';
 import type { WorkerOrders, WorkerReport } from './ports.js';
-import { createRestorationNeeds, type RestorationNeeds } from './restoration-needs.js';
-import { workersOf, type ServiceWorkers } from './restoration-plan.js';
+import { createRecoveryNeeds, type RecoveryNeeds } from './recovery-needs.js';
+import { workersOf, type ServiceWorkers } from './recovery-plan.js';
 
 /** A service that requests are sent to. */
 export interface ServedService {
   readonly name: string;
-  /** How long a worker takes to change its part, in microseconds. */
+  /** How long a worker takes to change its stage, in microseconds. */
   readonly switchTime: number;
 }
 
-/** What the restoration is told when it is made. Times are microseconds. */
-export interface RunnerRestorationOptions {
+/** What the recovery is told when it is made. Times are microseconds. */
+export interface DecodeRecoveryOptions {
   readonly self: Address;
   readonly member: string;
   readonly controlNode: () => ControlNode | undefined;
@@ -40,30 +40,30 @@
   readonly betweenHolders: number;
 }
 
-/** The restoration at one control node. */
-export interface RunnerRestoration {
+/** The recovery at one control node. */
+export interface DecodeRecovery {
   /** Takes in a voter's answer. */
   readonly vote: (answer: MessageOf<'BallotVote'>) => void;
   readonly stop: Cancel;
 }
 
-/** The restoration with what it was told, as its steps use it. */
+/** The recovery with what it was told, as its steps use it. */
 interface Context {
   readonly world: World;
-  readonly options: RunnerRestorationOptions;
-  readonly needs: RestorationNeeds;
+  readonly options: DecodeRecoveryOptions;
+  readonly needs: RecoveryNeeds;
   readonly ordered: OrderedWorkers;
   /** Whether the role is held for long enough to give an order. */
   readonly mayOrder: () => boolean;
 }
 
-/** A reader that is to become a runner, and what it said of itself. */
-interface ChosenReader {
+/** A prefill worker that is to decode, and what it said of itself. */
+interface ChosenWorker {
   readonly worker: ListedWorker;
   readonly report: WorkerReport;
 }
 
-const role = 'runner restoration';
+const role = 'decode recovery';
 const lookEvery = micros(250_000);
 const pauseBetweenSteps = 300_000;
 /** The longest that an order is on its way. */
@@ -71,10 +71,10 @@
 /** Workers asked for a report in one step. */
 const mostAsked = 4;
 
-/** Starts the restoration at this node. */
-export function createRunnerRestoration(world: World, options: RunnerRestorationOptions): RunnerRestoration {
+/** Starts the recovery at this node. */
+export function createDecodeRecovery(world: World, options: DecodeRecoveryOptions): DecodeRecovery {
   const ordered = createOrderedWorkers(world, () => longestSwitch(options));
-  const needs = createRestorationNeeds(world, {
+  const needs = createRecoveryNeeds(world, {
     workers: options.workers,
     served: () => options.services().map((service) => service.name),
     rank: () => options.controlNode()?.rank() ?? 0,
@@ -107,7 +107,7 @@
   };
 }
 
-function longestSwitch(options: RunnerRestorationOptions): number {
+function longestSwitch(options: DecodeRecoveryOptions): number {
   return Math.max(0, ...options.services().map((service) => service.switchTime));
 }
 
@@ -140,7 +140,7 @@
   if (E.isRight(record)) ordered.noteRecord(row.version, record.right);
 }
 
-/** One step: writes down an order to one reader of the service, and gives it. */
+/** One step: writes down an order to one prefill worker of the service, and gives it. */
 async function restore(context: Context, service: string): Promise<void> {
   const { world, options, needs, ordered } = context;
   const stored = await options.record.read();
@@ -150,31 +150,31 @@
   ordered.noteRecord(stored.version, record.right);
   const workers = workersOf(options.workers(), service);
   if (!needs.isMissing(service) || !(await isProven(options, workers))) return;
-  const chosen = await chooseReader(context, workers);
+  const chosen = await choosePrefillWorker(context, workers);
   if (chosen !== undefined) await giveOrder(context, record.right, stored.version, chosen);
 }
 
-/** Where there is a runner already, it was restored: more follow only when it has been seen to run requests. */
-async function isProven({ workerOrders }: RunnerRestorationOptions, { runners }: ServiceWorkers): Promise<boolean> {
-  if (runners.length === 0) return true;
-  const reports = await Promise.all(runners.slice(0, mostAsked).map(workerOrders.report));
-  return reports.some((report) => report !== undefined && report.part === 'decode' && report.load > 0);
+/** Where a worker decodes already, it was made to: more follow only when it has been seen to run requests. */
+async function isProven({ workerOrders }: DecodeRecoveryOptions, { decode }: ServiceWorkers): Promise<boolean> {
+  if (decode.length === 0) return true;
+  const reports = await Promise.all(decode.slice(0, mostAsked).map(workerOrders.report));
+  return reports.some((report) => report !== undefined && report.stage === 'decode' && report.load > 0);
 }
 
-/** The reader with the least to do. Where one is changing already, it is waited for instead. */
-async function chooseReader(
+/** The prefill worker with the least to do. Where one is changing already, it is waited for instead. */
+async function choosePrefillWorker(
   { options, ordered }: Context,
-  { readers }: ServiceWorkers,
-): Promise<ChosenReader | undefined> {
-  const free = readers.filter((worker) => !ordered.isWaitedFor(worker.id) && !ordered.isPassedOver(worker.id));
+  { prefill }: ServiceWorkers,
+): Promise<ChosenWorker | undefined> {
+  const free = prefill.filter((worker) => !ordered.isWaitedFor(worker.id) && !ordered.isPassedOver(worker.id));
   const asked = free.slice(0, mostAsked);
   const reports = await Promise.all(asked.map(options.workerOrders.report));
-  const answered: ChosenReader[] = [];
+  const answered: ChosenWorker[] = [];
   let isChanging = false;
   for (const [index, worker] of asked.entries()) {
     const report = reports[index];
     if (report === undefined) ordered.passOver(worker.id);
-    else if (report.changing || report.part === 'decode') {
+    else if (report.changing || report.stage === 'decode') {
       ordered.waitFor(worker.id);
       isChanging = true;
     } else answered.push({ worker, report });
@@ -187,16 +187,16 @@
   { world, options, ordered, mayOrder }: Context,
   record: OrderRecord,
   version: number,
-  { worker, report }: ChosenReader,
+  { worker, report }: ChosenWorker,
 ): Promise<void> {
   const { member: holder } = options;
-  const part = 'decode';
-  const next = withOrder(record, { worker: worker.id, service: worker.service, part, holder });
+  const stage = 'decode';
+  const next = withOrder(record, { worker: worker.id, service: worker.service, stage, holder });
   const fence = await options.record.write(version, next.bytes);
   if (fence === undefined || !mayOrder()) return;
   ordered.noteRecord(fence, next.record);
   const { ordersTaken } = report;
-  const outcome = await options.workerOrders.order({ worker, part, holder, fence, ordersTaken });
-  world.log(4103, { service: worker.service, worker: worker.id, part, fence, outcome });
+  const outcome = await options.workerOrders.order({ worker, stage, holder, fence, ordersTaken });
+  world.log(4103, { service: worker.service, worker: worker.id, stage, fence, outcome });
   ordered.noteOutcome(worker.id, outcome);
 }
--- a/packages/worker-parts/src/order-record.ts
+++ b/packages/worker-stages/src/order-record.ts
@@ -8,12 +8,12 @@
 import * as E from 'fp-ts/lib/Either.js';
 
 /** The key of the record. */
-export const orderRecordKey = 'parts/orders';
+export const orderRecordKey = 'stages/orders';
 
 const GivenOrder = Type.Object({
   worker: Type.String(),
   service: Type.String(),
-  part: Type.Union([Type.Literal('prefill'), Type.Literal('decode')]),
+  stage: Type.Union([Type.Literal('prefill'), Type.Literal('decode')]),
   holder: Type.String(),
 });
 const OrderRecord = Type.Object({ orders: Type.Array(GivenOrder) });
@@ -23,7 +23,7 @@
 /** The newest orders, the oldest first. */
 export type OrderRecord = Static<typeof OrderRecord>;
 
-/** Orders kept. A worker whose order was forgotten counts as one that had its part by itself. */
+/** Orders kept. A worker whose order was forgotten counts as one that had its stage by itself. */
 const mostKept = 256;
 
 /** The record in bytes of the control state; no bytes are a record without orders. Left: it cannot be read. */
--- a/packages/worker-parts/src/ordered-workers.ts
+++ b/packages/worker-stages/src/ordered-workers.ts
@@ -1,5 +1,5 @@
 /**
- * The workers that have been ordered to run, as one control node knows it from its copy of the record and from the
+ * The workers that have been ordered to decode, as one control node knows it from its copy of the record and from the
  * orders that it gave itself: which are waited for, and which are passed over for a while.
  */
 import type { World } from '@tansypost/inner-protocol';
@@ -9,8 +9,8 @@
 
 /** Knows the orders. */
 export interface OrderedWorkers {
-  /** All workers that the record says were ordered to run. */
-  readonly restored: () => ReadonlySet<string>;
+  /** All workers that the record says were ordered to decode. */
+  readonly recovered: () => ReadonlySet<string>;
   readonly knows: (recordVersion: number) => boolean;
   /** Takes in a version of the record; workers ordered in it that were not known before are waited for. */
   readonly noteRecord: (version: number, record: OrderRecord) => void;
@@ -33,15 +33,15 @@
 export function createOrderedWorkers(world: Pick<World, 'now'>, switchTime: () => number): OrderedWorkers {
   const coming = createExpiringSet(world);
   const passedOver = createExpiringSet(world);
-  let restored: ReadonlySet<string> = new Set();
+  let recovered: ReadonlySet<string> = new Set();
   let recordVersion = 0;
 
   function noteRecord(version: number, record: OrderRecord): void {
     if (version <= recordVersion) return;
     recordVersion = version;
-    const ordered = record.orders.filter((order) => order.part === 'decode').map((order) => order.worker);
-    for (const worker of ordered) if (!restored.has(worker)) waitFor(worker);
-    restored = new Set(ordered);
+    const ordered = record.orders.filter((order) => order.stage === 'decode').map((order) => order.worker);
+    for (const worker of ordered) if (!recovered.has(worker)) waitFor(worker);
+    recovered = new Set(ordered);
   }
 
   function waitFor(worker: string): void {
@@ -69,7 +69,7 @@
   }
 
   return {
-    restored: () => restored,
+    recovered: () => recovered,
     knows: (version) => version <= recordVersion,
     noteRecord,
     noteOutcome,
--- a/packages/worker-parts/src/ports.ts
+++ b/packages/worker-stages/src/ports.ts
@@ -1,24 +1,24 @@
-/** What workers can be asked and ordered, as the restoration of runners uses it. A port never throws. */
+/** What workers can be asked and ordered, as the recovery of decode workers uses it. A port never throws. */
 import type { ListedWorker } from '@tansypost/control-feed';
 
-/** What a worker does: it reads prompts, or it runs requests. */
-export type Part = ListedWorker['part'];
+/** What a worker does: it reads prompts (prefill), or it makes tokens (decode). */
+export type Stage = ListedWorker['part'];
 
 /** What a worker says of itself when it is asked. */
 export interface WorkerReport {
-  readonly part: Part;
+  readonly stage: Stage;
   /** An order is being carried out. */
   readonly changing: boolean;
   /** Orders that it has taken in this life. */
   readonly ordersTaken: number;
-  /** Requests that it runs and that wait there. */
+  /** Requests that run or wait there. */
   readonly load: number;
 }
 
-/** An order to a worker to take up a part. */
-export interface PartOrder {
+/** An order to a worker to change its stage. */
+export interface StageOrder {
   readonly worker: ListedWorker;
-  readonly part: Part;
+  readonly stage: Stage;
   /** The machine that gives it. */
   readonly holder: string;
   /** Rises with each order that anybody gives; a worker that checks it refuses a lower one than it has seen. */
@@ -37,5 +37,5 @@
 export interface WorkerOrders {
   /** Undefined where no answer came in time. */
   readonly report: (worker: ListedWorker) => Promise<WorkerReport | undefined>;
-  readonly order: (order: PartOrder) => Promise<OrderOutcome>;
+  readonly order: (order: StageOrder) => Promise<OrderOutcome>;
 }
