--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -2,7 +2,7 @@
 // whom and when, between the failure of one attempt and the next one or the answer.
 import fc from 'fast-check';
 import { expect, it } from 'vitest';
-import { createVirtualClock, type Micros } from '@tansypost/inner-protocol';
+import { createVirtualClock, seeded, type Micros } from '@tansypost/inner-protocol';
 import type { Path, PathTable } from '@tansypost/paths';
 import type { pairDefaults } from './assign-pair.js';
 import { createCourse, type Course } from './course.js';
@@ -493,3 +493,75 @@
   const playing = play({ read: readAt, run: begun }, { leavesAt: 0.3 * second, load: () => (finish?.(), {}) });
   expect((await playing).ended).toMatchObject({ how: 'whole', at: second });
 });
+
+const budget = { share: 1, always: 50, window: 10 * second, routers: () => 1 };
+function ignore(): undefined {
+  return undefined;
+}
+const unheard: Reply = { head: ignore, chunk: ignore, end: ignore, cut: ignore, whole: ignore, giveUp: ignore };
+
+it('ends its attempt in the instant in which the requester leaves, and makes no other', async () => {
+  const leftAt = 0.3 * second;
+  const clock = createVirtualClock();
+  const aborted: number[] = [];
+  let attempts = 0;
+  function unanswered(gone: AbortSignal): Promise<{ readonly tag: 'unknown'; readonly why: string }> {
+    attempts += 1;
+    gone.addEventListener('abort', () => aborted.push(clock.world.now()));
+    return never(gone);
+  }
+  const course = createCourse(
+    clock.world,
+    { zone: 'z', regionOf: () => 'r', budget },
+    {
+      workers: {
+        read: (_w, _q, _left, _urgency, gone) => unanswered(gone),
+        run: (_w, _q, _t, _sink, gone) => unanswered(gone),
+        free: ignore,
+      },
+    },
+  );
+  course.paths(tableOf({ repeatable: true, sends: 3 }));
+  course.workers(fleetOf(3, 3));
+  const requester = new AbortController();
+  const served = course.serve(incoming, unheard, requester.signal);
+  clock.world.after(leftAt as Micros, () => requester.abort());
+  await clock.runTo(4 * second);
+  await served;
+  expect([attempts, aborted]).toEqual([1, [leftAt]]);
+});
+
+it('gives each service of a route its weight of the requests', async () => {
+  const clock = createVirtualClock({ random: seeded(4) });
+  const counts = new Map<string, number>();
+  const workers = ['a', 'b', 'c'].map((service, i) => ({
+    ...fleetOf(0, 1)[0]!,
+    id: service,
+    service,
+    address: `w${i}:1`,
+  }));
+  const course = createCourse(
+    clock.world,
+    { zone: 'z', regionOf: () => 'r', budget },
+    {
+      workers: {
+        read: () => Promise.resolve(lostRead),
+        run: (w, _q, _t, sink) => {
+          counts.set(w.service, (counts.get(w.service) ?? 0) + 1);
+          sink.head({ status: 200, head: [] });
+          return Promise.resolve({ tag: 'whole' });
+        },
+        free: ignore,
+      },
+    },
+  );
+  const table = tableOf({});
+  const weights = { a: 70, b: 25, c: 5 };
+  const shares = Object.entries(weights).map(([service, weight]) => ({ service, weight }));
+  const services = shares.map(({ service }) => ({ ...table.services[0]!, name: service }));
+  course.paths({ ...table, paths: table.paths.map((path) => ({ ...path, shares })), services });
+  course.workers(workers);
+  for (let i = 0; i < 2000; i += 1) await course.serve(incoming, unheard, new AbortController().signal);
+  for (const [service, weight] of Object.entries(weights))
+    expect(Math.abs((counts.get(service) ?? 0) / 2000 - weight / 100)).toBeLessThan(0.03);
+});
