--- a/deploy/warm.cjs
+++ b/deploy/warm.cjs
@@ -35,7 +35,7 @@
 port_range = [${p[0]},${p[0]}]
 seed_nodes = ["127.0.0.1:${p[1]}"]
 bootstrap = true
-counts_as_loss = false
+counts_as_loss = ${role === 'keeper'}
 ${role === 'keeper' ? `data_dir = "${folder}"` : ''}
 [zones]
 a = "r"
