Control without core machines: replicas by fault budget, gateways, founding past stateless seeds

Cause: the thin form grew to as many replicas as there are disks, and a machine that serves control without a disk knew nobody to send strangers to; a seed of that kind would have kept the others from founding. Change: replicasFor gives 2 f + 1 replicas for f machines of the fault budget; a control guide on stateless machines shows followers the replicas and passes Join on; HoldsNoState lets founders go on without such a seed; a keeper without a counted disk only sends operators on; events 2014, 2015, 2016. The simulator plays routers and control nodes on shared machines, a closing fault that takes disks and everybody's power, rolls of all machines a quarter of a second apart, and reads the configuration back for contact_ms. Ruled out: a message of its own for seeds without a disk at routers (the guide answers Follow).

--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -11,6 +11,7 @@
   type Message,
   type MessageOf,
   type NewsItem,
+  type ReplicaEntry,
   type World,
 } from '@tansypost/inner-protocol';
 import { configurationKey, type Configuration } from './configuration.js';
@@ -59,6 +60,8 @@
   readonly heardCore: () => boolean;
   /** The control nodes heard that vote, in an order that is the same for all routers. */
   readonly keepers: () => readonly Address[];
+  /** The replicas of the control cluster as last told; the epoch is 0 as long as nobody has told any. */
+  readonly membership: () => { readonly membershipEpoch: number; readonly replicas: readonly ReplicaEntry[] };
   /** The control node that sends the configuration to this router. */
   readonly source: () => Address | undefined;
   /** Tells the other routers of a read; those within a moment go out together. */
@@ -102,7 +105,7 @@
     adopted: () => options.changed('configuration'),
   });
   let seeds = options.seeds;
-  let replicas: readonly Address[] = [];
+  let replicas: readonly ReplicaEntry[] = [];
   let membershipEpoch = 0;
   let secondKeyAt = 0;
 
@@ -125,7 +128,8 @@
   }
 
   function tick(): void {
-    const targets = new Set(replicas.length > 0 && nodes.isInTouch() ? replicas : [...replicas, ...seeds]);
+    const members = replicas.map((replica) => replica.address as Address);
+    const targets = new Set(members.length > 0 && nodes.isInTouch() ? members : [...members, ...seeds]);
     nodes.chooseSource();
     for (const address of targets) follow(address, usualAsking(address));
     nodes.keepOnly(targets);
@@ -163,7 +167,7 @@
   function onNews(told: MessageOf<'News'>): void {
     if (told.membershipEpoch > membershipEpoch && told.replicas.length > 0) {
       membershipEpoch = told.membershipEpoch;
-      replicas = told.replicas.map((replica) => replica.address as Address);
+      replicas = told.replicas;
     }
     for (const item of told.news) {
       if (item.key !== configurationKey) options.more?.take(item);
@@ -208,6 +212,7 @@
     routers: nodes.followers,
     heardCore: nodes.isInTouch,
     keepers: nodes.voting,
+    membership: () => ({ membershipEpoch, replicas }),
     source: nodes.source,
     reading: (worker, service, bad = false) => reads.tell(worker, service, bad),
     reseed: (addresses) => {
--- /dev/null
+++ b/packages/control-feed/src/control-guide.ts
@@ -0,0 +1,46 @@
+/**
+ * What a machine says that serves control and holds none of its state. A router or a replica that knows it from its
+ * seeds is shown to the replicas that this machine follows; a replica that would found a cluster with it is told not to
+ * wait for it. It confirms nothing and refuses nothing by itself.
+ */
+import type { Address, Message, MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
+
+export interface ControlGuideOptions {
+  readonly self: Address;
+  /** The replicas of the control cluster as this machine last heard of them. */
+  readonly membership: () => { readonly membershipEpoch: number; readonly replicas: readonly ReplicaEntry[] };
+}
+
+/** Takes in a message and says whether it was meant for a control node. */
+export type ControlGuide = (message: Message, from: Address) => boolean;
+
+/** A guide that answers with what `membership` gives at that moment. */
+export function createControlGuide(world: Pick<World, 'send'>, options: ControlGuideOptions): ControlGuide {
+  function showMembers(question: MessageOf<'Follow'>, from: Address): void {
+    const { membershipEpoch, replicas } = options.membership();
+    if (membershipEpoch <= question.membershipEpoch) return;
+    world.send(from, { kind: 'News', news: [], membershipEpoch, replicas: [...replicas] });
+  }
+
+  /** The replicas answer the machine that asks to join, as it would have asked them. */
+  function passOnJoin(request: MessageOf<'Join'>): void {
+    for (const { address } of options.membership().replicas)
+      if (address !== request.from) world.send(address as Address, request);
+  }
+
+  return function receive(message, from) {
+    switch (message.kind) {
+      case 'Follow':
+        showMembers(message, from);
+        return true;
+      case 'Join':
+        passOnJoin(message);
+        return true;
+      case 'ReplicaHello':
+        world.send(message.from as Address, { kind: 'HoldsNoState', from: options.self });
+        return true;
+      default:
+        return false;
+    }
+  };
+}
--- a/packages/control-state/src/control-node.ts
+++ b/packages/control-state/src/control-node.ts
@@ -26,6 +26,7 @@
 import { createQuorumRounds } from './quorum-round.js';
 import { createReplica, type Replica, type ReplicaOptions } from './replica.js';
 import type { ReplicaState } from './replica-storage.js';
+import { watchReplicaShortage } from './replica-shortage.js';
 import { createRouterLeases } from './router-leases.js';
 import type { Row } from './row.js';
 import { createServingLeases, renewEvery } from './serving-lease.js';
@@ -39,6 +40,8 @@
   readonly sweepEvery?: number;
   /** After what silence a replica may be replaced. */
   readonly missingAfter?: number;
+  /** How many replicas the cluster grows to; see `replicasFor`. */
+  readonly wantedReplicas?: number;
   readonly note?: (what: 'committed' | 'acknowledged', key: string, version: number) => void;
 }
 
@@ -99,6 +102,7 @@
     slotsAreStated,
     isCoordinator: () => shouldLead(membershipKey),
     tried: greet,
+    ...(options.wantedReplicas === undefined ? {} : { wantedReplicas: options.wantedReplicas }),
   });
   const request = createKeyRequests({
     cluster,
@@ -260,6 +264,8 @@
         return rounds.vote(message);
       case 'ReplicaHello':
         return onHello(message);
+      case 'HoldsNoState':
+        return replica.withoutState(message.from as Address);
       case 'Join':
         peers.noticeOwnSilence();
         return membershipChanges.join(message);
@@ -284,6 +290,14 @@
     every(world, () => micros(options.sweepEvery ?? defaultSweepEvery), sweep),
     every(world, () => renewEvery, servingLeases.renew),
   ];
+  if (options.wantedReplicas !== undefined)
+    stops.push(
+      watchReplicaShortage(world, {
+        replica,
+        isCoordinator: () => shouldLead(membershipKey),
+        wantedReplicas: options.wantedReplicas,
+      }),
+    );
   return {
     receive,
     replica,
--- a/packages/control-state/src/founding.ts
+++ b/packages/control-state/src/founding.ts
@@ -1,6 +1,7 @@
 /**
  * How a cluster begins: the blank replicas of its first machines write one and the same membership record once each of
- * them has heard all the others lately, so none can found a cluster without the rest.
+ * them has heard all the others lately, so none can found a cluster without the rest. A machine among them that holds no
+ * state says so and is not waited for; as it never holds any, all others come to the same founders.
  */
 import type { Address, MessageOf, ReplicaEntry, World } from '@tansypost/inner-protocol';
 
@@ -20,6 +21,8 @@
 export interface Founding {
   /** Takes in what another replica says of itself; gives the members of the cluster once it is time to found it. */
   readonly heard: (hello: ReplicaHello, slot: number) => readonly ReplicaEntry[] | undefined;
+  /** Takes in that the machine at a founder's address holds no state. */
+  readonly withoutState: (address: Address) => void;
   /** The members of a cluster that has one founder only. */
   readonly alone: () => readonly ReplicaEntry[] | undefined;
 }
@@ -35,6 +38,11 @@
 /** Makes the founding side of a blank replica. */
 export function createFounding(world: World, options: FoundingOptions): Founding {
   const blanks = new Map<number, HeardBlank>();
+  const stateless = new Set<Address>();
+
+  function founders(): readonly Address[] {
+    return options.founders.filter((address) => !stateless.has(address));
+  }
 
   function heard(hello: ReplicaHello, slot: number): readonly ReplicaEntry[] | undefined {
     if (hello.state === 'blank' && hello.slot >= 0)
@@ -48,7 +56,7 @@
 
   function together(slot: number): readonly ReplicaEntry[] | undefined {
     const fresh = [...blanks].filter(([, blank]) => world.now() - blank.at < heardFor);
-    if (fresh.length !== options.founders.length - 1) return undefined;
+    if (fresh.length !== founders().length - 1) return undefined;
     const others = fresh.map(([other, blank]) => ({ slot: other, address: blank.address, disk: blank.disk }));
     return [{ slot, address: options.self, disk: options.diskId() }, ...others].sort(
       (left, right) => left.slot - right.slot,
@@ -56,10 +64,15 @@
   }
 
   function alone(): readonly ReplicaEntry[] | undefined {
-    const { founders, self } = options;
-    if (!options.mayBegin || founders.length !== 1 || founders[0] !== self) return undefined;
+    const { self } = options;
+    const [only, ...others] = founders();
+    if (!options.mayBegin || only !== self || others.length > 0) return undefined;
     return [{ slot: 0, address: self, disk: options.diskId() }];
   }
 
-  return { heard, alone };
+  function withoutState(address: Address): void {
+    if (address !== options.self && options.founders.includes(address)) stateless.add(address);
+  }
+
+  return { heard, withoutState, alone };
 }
--- a/packages/control-state/src/index.ts
+++ b/packages/control-state/src/index.ts
@@ -11,6 +11,7 @@
 export * from './membership-record.js';
 export * from './quorum-round.js';
 export * from './replica.js';
+export * from './replicas-wanted.js';
 export type { ReplicaState } from './replica-storage.js';
 export * from './row.js';
 export { clockDrift, leaseLength } from './serving-lease.js';
--- a/packages/control-state/src/membership-changes.ts
+++ b/packages/control-state/src/membership-changes.ts
@@ -30,6 +30,8 @@
   readonly isCoordinator: () => boolean;
   /** Told after each try, so that the others hear of the record. */
   readonly tried: () => void;
+  /** How many replicas a cluster grows to as far as there are machines; without it, as many as there may be. */
+  readonly wantedReplicas?: number;
 }
 
 /** Proposes and refuses changes of the membership. */
@@ -48,7 +50,8 @@
   readonly first: boolean;
 }
 
-const mostReplicas = 9;
+/** More replicas than this make each round dearer and bear no losses that a deployment asks for. */
+export const mostReplicas = 9;
 const askingFor = 1_000_000;
 const forgottenAfter = 1_500_000;
 const takesOverAfter = 1_500_000;
@@ -59,6 +62,7 @@
 export function createMembershipChanges(options: MembershipChangesOptions): MembershipChanges {
   const { cluster, peers } = options;
   const { world, replica, rounds } = cluster;
+  const wantedReplicas = Math.min(options.wantedReplicas ?? mostReplicas, mostReplicas);
   const candidates = new Map<string, Candidate>();
   let changing = false;
   let seenEpoch = 0;
@@ -96,11 +100,11 @@
   function mayGrow(): boolean {
     const { replicas } = replica.membership();
     if (peers.live().length !== replicas.length) return false;
-    if (replicas.length % 2 === 0) return replicas.length < mostReplicas;
+    if (replicas.length % 2 === 0) return replicas.length < wantedReplicas;
     const asking = [...candidates].filter(
       ([address, candidate]) => candidate.first && isAsking(candidate) && !replicas.some((r) => r.address === address),
     );
-    return asking.length > 1 && replicas.length < mostReplicas - 1;
+    return asking.length > 1 && replicas.length < wantedReplicas - 1;
   }
 
   function isAsking(candidate: Candidate): boolean {
--- a/packages/control-state/src/replica.ts
+++ b/packages/control-state/src/replica.ts
@@ -72,6 +72,8 @@
   /** Whether a hello comes from another cluster; it is then not to be heard. */
   readonly isForeign: (hello: ReplicaHello) => boolean;
   readonly heard: (hello: ReplicaHello) => void;
+  /** A machine among the founders' addresses has said that it holds no state and never will. */
+  readonly withoutState: (address: Address) => void;
   readonly catchUp: CatchUp;
   /** Founds a cluster of one, or goes on copying. */
   readonly tick: () => void;
@@ -305,6 +307,7 @@
     hello,
     isForeign,
     heard,
+    withoutState: founding.withoutState,
     catchUp,
     tick,
   };
--- /dev/null
+++ b/packages/control-state/src/replicas-wanted.test.ts
@@ -0,0 +1,18 @@
+import { expect, it } from 'vitest';
+import { majorityOf } from './membership-record.js';
+import { mostReplicas } from './membership-changes.js';
+import { replicasFor } from './replicas-wanted.js';
+
+it.each([0, 1, 2, 3, 4])('bears the loss of %d machines with their disks', (machines) => {
+  const replicas = replicasFor({ machines, zones: 0, regions: 0 });
+  expect(replicas % 2).toBe(1);
+  // A majority is left, and any majority that acknowledged a value has one disk among those that are left.
+  expect(replicas - machines).toBeGreaterThanOrEqual(majorityOf(replicas));
+  expect(majorityOf(replicas)).toBeGreaterThan(machines);
+});
+
+it('stands on as many machines as there may be where zones or regions may go, or many machines', () => {
+  expect(replicasFor({ machines: 1, zones: 1, regions: 0 })).toBe(mostReplicas);
+  expect(replicasFor({ machines: 1, zones: 0, regions: 1 })).toBe(mostReplicas);
+  expect(replicasFor({ machines: 40, zones: 0, regions: 0 })).toBe(mostReplicas);
+});
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -67,6 +67,18 @@
       'disk not used: its membership record cannot be read, or is that of another cluster; the replica does not vote',
     remedy: 'Do as the message says; the other replicas go on without this one.',
   },
+  2014: {
+    level: 'error',
+    means: 'no control node has been heard for long; operators get no answer here, routers serve by what they have',
+    remedy:
+      'Start the machines that hold control state. Where there are none, give some that serve control a disk (data_dir) and count their loss in the fault budget (counts_as_loss).',
+  },
+  2015: {
+    level: 'warn',
+    means: 'fewer replicas than the fault budget needs; the losses that it allows may lose what was acknowledged',
+    remedy: 'Start more machines with a disk whose loss is counted, or lower the fault budget.',
+  },
+  2016: { level: 'info', means: 'a control node is heard again', remedy: 'None.' },
   2101: { level: 'info', means: 'change acknowledged', remedy: 'None.' },
   2102: {
     level: 'info',
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -214,6 +214,8 @@
 
   // A machine without a replica asks to be written into the membership record.
   Join: { from: 'string', disk: 'string', first: 'boolean', caughtUp: 'boolean' },
+  // A machine that serves control without a disk answers a replica that looks for others to found a cluster with.
+  HoldsNoState: { from: 'string' },
   // The owner tells the other places up to which version a key is on a majority.
   Committed: { key: 'string', epoch: 'long', version: 'long' },
   // A router asks each control node with all that it has, and each answers with a beat as small. `confirmOnly` says that
--- a/packages/simulator/src/core-machine.ts
+++ b/packages/simulator/src/core-machine.ts
@@ -50,6 +50,7 @@
   readonly bootstrap: boolean;
   readonly dutyTenure: number;
   readonly sweepEvery?: number;
+  readonly wantedReplicas?: number;
   /** The size of the journal in bytes above which it is rewritten, where it isn't the usual one. */
   readonly rewriteOver?: number;
   readonly feed: (proc: Proc) => Omit<FeedServerOptions, 'keeper' | 'self'>;
@@ -138,6 +139,7 @@
     tenure: 10_000_000,
     dutyTenure: o.dutyTenure,
     ...(o.sweepEvery === undefined ? {} : { sweepEvery: o.sweepEvery }),
+    ...(o.wantedReplicas === undefined ? {} : { wantedReplicas: o.wantedReplicas }),
     ...(o.rewriteOver === undefined ? {} : { rewriteOver: o.rewriteOver }),
     newDiskId: () => Math.floor(site.random() * 2 ** 48).toString(36),
     open: (afresh, blank) => openDisk(machine, afresh, blank),
--- a/packages/simulator/src/pass-through/passed-checks.ts
+++ b/packages/simulator/src/pass-through/passed-checks.ts
@@ -201,11 +201,18 @@
 
   // What was acknowledged outlives the day.
   const newest = taken.at(-1);
-  const back = h.readBack?.text === undefined ? undefined : tableOf(h.readBack.text);
-  if (newest !== undefined && (back === undefined || back.revision < newest.revision))
-    breach('read back', `${back?.revision ?? 'nothing'} was read back, ${newest.revision} was taken`);
-  else if (back !== undefined && h.changes.every((c) => c.text !== h.readBack!.text || c.answer === 'refused'))
-    breach('read back', `what was read back as ${back.revision} was not sent or was refused`);
+  if (newest !== undefined && h.reads.length === 0)
+    breach('read back', `nothing was read back, ${newest.revision} was taken`);
+  for (const read of h.reads) {
+    const back = tableOf(read.text);
+    if (newest !== undefined && (back === undefined || back.revision < newest.revision))
+      breach(
+        'read back',
+        `${back?.revision ?? 'nothing'} was read back at ${s(read.at)}, ${newest.revision} was taken`,
+      );
+    else if (back !== undefined && h.changes.every((c) => c.text !== read.text || c.answer === 'refused'))
+      breach('read back', `what was read back as ${back.revision} was not sent or was refused`);
+  }
 
   // Service is back 12 s after an outage. Where it has lost its last runner it may rest for as long again, and while the
   // core is in trouble within that time.
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -2,6 +2,7 @@
  * One virtual day: the fleet starts on empty disks, the first document is taken, traffic comes, troubles come and go,
  * and the day ends in calm or with a closing fault, after which the document is read back.
  */
+import { replicasFor } from '@tansypost/control-state';
 import { seeded } from '@tansypost/inner-protocol';
 import { createEngine } from '../engine.js';
 import { createNetwork, type Network } from '../network.js';
@@ -13,18 +14,24 @@
 import { createVirtualCore, type VirtualCore } from './virtual-core.js';
 import { createVirtualOperator } from './virtual-operator.js';
 import { createVirtualRequesters } from './virtual-requesters.js';
-import { createVirtualRouter, type VirtualRouter } from './virtual-router.js';
+import { createVirtualRouter, type RouterPlace, type VirtualRouter } from './virtual-router.js';
 import { createVirtualWorkers } from './virtual-workers.js';
 import type { Mischief, WorkerLife } from './virtual-worker.js';
 
-export type Closing = 'none' | 'all-killed' | 'all-lose-power' | 'one-disk-lost';
+/** `disks-lost-all-dark`: as many disks as may be lost go, and all other machines, counted or not, lose power. */
+export type Closing = 'none' | 'all-killed' | 'all-lose-power' | 'one-disk-lost' | 'disks-lost-all-dark';
 export interface PassedDayOptions {
   readonly d: PassedDeployment;
   readonly seed: number;
   readonly span: number;
   readonly troubles: readonly PassedTrouble[];
   readonly closing: Closing;
+  /** Machines that hold control state. */
   readonly replicas?: number;
+  /** Whether these machines run routers as well, and all others serve control without holding its state. */
+  readonly shared?: boolean;
+  /** How many of the first seeds are machines that serve control without holding its state, where there are such. */
+  readonly gatewaySeeds?: number;
   readonly rate?: number;
   /** How often, from 0 to 1, a client asks again on the connection of its last answer. */
   readonly keptConnections?: number;
@@ -43,6 +50,11 @@
 const calm = 5;
 const afterClosing = 17;
 const defaultKeptConnections = 0.7;
+/** How long the configuration is read back at the end of a day. */
+const contact = 3_000_000;
+const rollGap = 250_000;
+/** Seconds within which a machine that is rolled has left and started again. */
+const rollLength = 9;
 
 export async function playPassedDay(o: PassedDayOptions): Promise<PassedDay> {
   const { d } = o;
@@ -53,20 +65,50 @@
   const g: Ground = { e, net, random, d, h, spoil: o.spoil, learning: o.learning, silent: new Set() };
   const names = Array.from({ length: o.replicas ?? 3 }, (_, i) => `c${i}`);
   const workers = createVirtualWorkers(g);
-  const core = createVirtualCore(g, workers, names);
+  const losses = names.length >= 5 ? 2 : 1;
+  const wantedReplicas = replicasFor({ machines: losses, zones: 0, regions: 0 });
+  const core = createVirtualCore(g, workers, { seeds: firstSeeds(), wantedReplicas });
+  function firstSeeds(): string[] {
+    const gateways = Array.from({ length: o.gatewaySeeds ?? 0 }, (_, i) => `r${d.routers - 1 - i}`);
+    return [...names.slice(0, 3 - gateways.length), ...gateways];
+  }
   for (const n of names) {
     core.add(n);
     core.start(n, true);
   }
   let resets = 0;
   const routers = Array.from({ length: d.routers }, (_, i) =>
-    createVirtualRouter(g, core, workers, `r${i}`, d.zones[i % d.zones.length]!, () => resets),
+    createVirtualRouter(g, core, workers, placeOf(i), () => resets),
   );
+  function placeOf(i: number): RouterPlace {
+    const name = `r${i}`;
+    const machine = o.shared === true ? (names[i] ?? name) : name;
+    return { name, machine, zone: d.zones[i % d.zones.length]! };
+  }
+  /** The routers on a machine that holds control state. */
+  function beside(machine: string): VirtualRouter[] {
+    return routers.filter((r) => r.machine === machine);
+  }
+  /** Other machines that serve control: without its state where there are such. */
+  function otherSeeds(): string[] {
+    const others = o.shared === true ? routers.filter((r) => r.machine === r.name).map((r) => r.name) : [];
+    return (others.length > 0 ? others : [...coreNames].reverse()).slice(0, 3);
+  }
+  function killMachine(machine: string, power: boolean): void {
+    core.kill(machine, power);
+    for (const r of beside(machine)) r.kill(power);
+  }
+  function noteMachine(machine: string, what: string, seconds: number): void {
+    trouble('core', what, seconds);
+    for (const r of beside(machine)) trouble(r.name, what, seconds);
+  }
   for (const r of routers) r.start();
   const requesters = createVirtualRequesters(g, routers, o.keptConnections ?? defaultKeptConnections);
   requesters.crowd = o.rate ?? 1;
   const usual = requesters.crowd;
-  const operator = createVirtualOperator(g, core);
+  const operator = createVirtualOperator(g, core, () =>
+    o.shared === true ? routers.filter((r) => r.machine === r.name) : [],
+  );
   o.net?.(net);
   let coreNames = [...names];
 
@@ -92,11 +134,17 @@
   }
   function restart(n: string, bootstrap = false): void {
     if (core.machines.get(n)?.proc.alive === false) core.start(n, bootstrap);
+    for (const r of beside(n)) r.start();
   }
   function replace(old: string, planned: boolean, s: number): void {
     const n = `c${core.machines.size}`;
     if (planned) core.leave(old);
     else core.kill(old, true);
+    for (const r of beside(old)) {
+      r.kill(true);
+      trouble(r.name, 'replaced', s + 1);
+      // The machine that takes its place stands elsewhere; its router is not played.
+    }
     coreNames = coreNames.map((x) => (x === old ? n : x));
     core.add(n);
     later(0.5, () => {
@@ -163,6 +211,7 @@
         return later(s, () => (resets = 0));
       case 'router-kill':
       case 'router-power':
+        if (r.machine !== r.name) return loseMachine(r.machine, t.do, t.do === 'router-power', s);
         r.kill(t.do === 'router-power');
         trouble(r.name, t.do, t.do === 'router-power' ? s : 0.5);
         return later(t.do === 'router-power' ? s : 0.5, r.start);
@@ -175,6 +224,8 @@
         return void roll(routers.slice(0, 3), 1_000_000);
       case 'router-roll-all':
         return void roll(routers, 1_000_000);
+      case 'machine-roll-all':
+        return void rollMachines();
       case 'router-cut':
         trouble(r.name, t.do, s);
         return cut(`cut ${r.name}`, (a, b) => (a === r.name) !== (b === r.name), s);
@@ -213,25 +264,28 @@
       case 'config-invalid':
         return void operator.invalid();
       case 'seeds-exchanged':
-        return core.reseed([...coreNames].reverse().slice(0, 3));
+        return core.reseed(otherSeeds());
       case 'keeper-kill':
       case 'keeper-power':
-        core.kill(k, t.do === 'keeper-power');
-        trouble('core', t.do, s);
-        return later(s, () => restart(k));
+        return loseMachine(k, t.do, t.do === 'keeper-power', s);
       case 'keeper-freeze':
         core.machines.get(k)!.proc.frozen = true;
-        trouble('core', t.do, s);
-        return later(s, () => core.wake(k));
+        for (const x of beside(k)) if (x.proc.alive) x.proc.frozen = true;
+        noteMachine(k, t.do, s);
+        return later(s, () => {
+          core.wake(k);
+          for (const x of beside(k)) x.wake();
+        });
       case 'keeper-roll':
         core.leave(k);
-        trouble('core', t.do, 1);
+        for (const x of beside(k)) x.roll();
+        noteMachine(k, t.do, 1);
         return later(0.8, () => restart(k));
       case 'keeper-cut':
-        trouble('core', t.do, s);
+        noteMachine(k, t.do, s);
         return cut(`cut ${k}`, (a, b) => (a === k) !== (b === k), s);
       case 'keeper-one-way':
-        trouble('core', t.do, s);
+        noteMachine(k, t.do, s);
         return cut(`cut ${k}`, (a) => a === k, s);
       case 'core-cut': {
         trouble('core', t.do, s);
@@ -246,10 +300,10 @@
         trouble('core', t.do, s + 2);
         operator.onTaken = (m) => {
           operator.onTaken = undefined;
-          trouble('core', t.do, s + 2);
           const others = o.spoil === 'two-disks-lost' ? coreNames.filter((n) => n !== m.name).slice(0, 1) : [];
           for (const n of [m.name, ...others]) {
-            core.kill(n, true);
+            noteMachine(n, t.do, s + 2);
+            killMachine(n, true);
             core.machines.get(n)!.disk.lose();
             later(0.5, () => restart(n));
           }
@@ -273,6 +327,38 @@
     }
   }
 
+  function loseMachine(machine: string, what: string, power: boolean, seconds: number): void {
+    noteMachine(machine, what, seconds);
+    killMachine(machine, power);
+    later(seconds, () => restart(machine));
+  }
+
+  /** Every machine gets SIGTERM, one each quarter of a second, control and traffic alike. */
+  async function rollMachines(): Promise<void> {
+    const nodes = [...coreNames];
+    for (const r of routers) {
+      r.roll();
+      if (nodes.includes(r.machine)) rollNode(r.machine);
+      await sleep(g, rollGap);
+    }
+    for (const n of nodes.filter((node) => beside(node).length === 0)) {
+      rollNode(n);
+      await sleep(g, rollGap);
+    }
+  }
+
+  function rollNode(machine: string): void {
+    const { proc } = core.machines.get(machine)!;
+    const { incarnation } = proc;
+    noteMachine(machine, 'rolled', rollLength);
+    core.leave(machine);
+    function startAgain(): void {
+      if (proc.incarnation === incarnation) return later(0.1, startAgain);
+      if (!proc.alive) core.start(machine, false);
+    }
+    later(0.1, startAgain);
+  }
+
   async function roll(which: readonly VirtualRouter[], pause: number): Promise<void> {
     for (const r of which) {
       r.roll();
@@ -280,16 +366,22 @@
     }
   }
 
+  function lostDisks(closing: Closing): readonly string[] {
+    const first = Math.floor(random() * coreNames.length);
+    const count = closing === 'one-disk-lost' ? 1 : closing === 'disks-lost-all-dark' ? losses : 0;
+    return Array.from({ length: count }, (_, i) => coreNames[(first + i) % coreNames.length]!);
+  }
+
   async function close(): Promise<void> {
     await operator.change();
     const c = o.closing;
-    const lost = c === 'one-disk-lost' ? oneOf(coreNames, random())! : '';
+    const lost = lostDisks(c);
     h.outageEnds.push(e.now() + us(1));
     trouble('core', c, 1);
     trouble('core lost', c, 1);
     for (const n of coreNames) {
       core.kill(n, c !== 'all-killed');
-      if (n === lost) core.machines.get(n)!.disk.lose();
+      if (lost.includes(n)) core.machines.get(n)!.disk.lose();
     }
     for (const r of routers) {
       r.kill(c !== 'all-killed');
@@ -312,7 +404,7 @@
   for (let s = 1; o.look !== undefined && s <= o.span; s += 1) e.at(us(start + s), () => o.look!(s, core, routers));
   if (o.closing !== 'none') e.at(us(start + o.span - 1), () => void close());
   await e.run(us(end));
-  void operator.readBack().then((text) => (h.readBack = { text, at: e.now() }));
+  void operator.readAgain(contact);
   await e.run(us(end + 9));
   h.to = e.now();
   return { history: h, events: e.events(), figures: routers.map((r) => r.figures()) };
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -99,7 +99,8 @@
   outageEnds: number[];
   // When the last decode worker of a service was taken away for good.
   readonly lastDecodeTaken: number[];
-  readBack: { readonly text: string | undefined; readonly at: number } | undefined;
+  /** What was read back at the end of the day, asked for again and again. */
+  readonly reads: { readonly text: string; readonly at: number }[];
   from: number;
   to: number;
 }
@@ -118,7 +119,7 @@
     unforeseen: [],
     outageEnds: [],
     lastDecodeTaken: [],
-    readBack: undefined,
+    reads: [],
     from: 0,
     to: 0,
   };
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -21,6 +21,7 @@
   'router-freeze',
   'router-roll',
   'router-roll-all',
+  'machine-roll-all',
   'router-cut',
   'herd-kill',
   'slow-moves',
@@ -54,6 +55,7 @@
   readonly who: number;
 }
 const core: ReadonlySet<PassedTroubleKind> = new Set([
+  'machine-roll-all',
   'herd-kill',
   'keeper-kill',
   'keeper-power',
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -47,6 +47,11 @@
   readonly listDown: (on: boolean) => void;
   readonly fetchList: (machine: string, proc: Proc) => () => Promise<ReturnType<VirtualWorkers['list']> | undefined>;
 }
+export interface VirtualCoreOptions {
+  /** The machines that all are told of at the first start. */
+  readonly seeds: readonly string[];
+  readonly wantedReplicas: number;
+}
 const patience = 850_000;
 const betweenHolders = 3_000_000;
 const dutyTenure = 1.5 * betweenHolders;
@@ -64,10 +69,10 @@
   return (table?.services ?? []).map((service) => ({ name: service.name, switchTime }));
 }
 
-export function createVirtualCore(g: Ground, workers: VirtualWorkers, founders: readonly string[]): VirtualCore {
+export function createVirtualCore(g: Ground, workers: VirtualWorkers, options: VirtualCoreOptions): VirtualCore {
   const { e, net, random } = g;
   const machines = new Map<string, CoreMachine>();
-  let seeds = founders.slice(0, 3).map((n) => `${n}:1` as Address);
+  let seeds = options.seeds.map((n) => `${n}:1` as Address);
   let down = false;
 
   function fetchList(machine: string, proc: Proc): () => Promise<ReturnType<VirtualWorkers['list']> | undefined> {
@@ -121,6 +126,7 @@
       bootstrap,
       dutyTenure,
       sweepEvery: 2_000_000,
+      wantedReplicas: options.wantedReplicas,
       feed: (proc) => ({ fetchList: fetchList(name, proc), fetchLoad: fetchLoad(name, proc), loadEvery: 1_000_000 }),
       beside: (w, host, coreAsker, listed) => {
         const learning = createControlNodeLearning(w, {
--- a/packages/simulator/src/pass-through/virtual-operator.ts
+++ b/packages/simulator/src/pass-through/virtual-operator.ts
@@ -3,7 +3,10 @@
 import { drawInvalid, drawTable } from './paths-drawn.js';
 import type { ChangeSent } from './passed-history.js';
 import { createPipe } from './pipe.js';
-import { into } from '../process.js';
+import type { CoreAnswer } from '@tansypost/control-feed';
+import type { Address } from '@tansypost/inner-protocol';
+import { into, type Proc } from '../process.js';
+import type { VirtualRouter } from './virtual-router.js';
 import type { CoreMachine, VirtualCore } from './virtual-core.js';
 import { tableOf, type SubmitAnswer } from './submit.js';
 
@@ -13,18 +16,55 @@
   readonly race: () => Promise<void>;
   readonly storm: (n: number) => Promise<void>;
   readonly invalid: () => Promise<void>;
-  readonly readBack: () => Promise<string | undefined>;
+  /** Reads the configuration back, again and again for so many microseconds. */
+  readonly readAgain: (length: number) => Promise<void>;
   readonly newest: () => number;
   // Called when a machine's acknowledgement has come.
   onTaken: ((m: CoreMachine) => void) | undefined;
 }
 const silence = 1_000_000;
 const patience = 12_000_000;
+const betweenReads = 200_000;
 
-export function createVirtualOperator(g: Ground, core: VirtualCore): VirtualOperator {
+/** A machine that serves control: one that holds its state, or one that sends callers on. */
+type Server =
+  | { readonly kind: 'control node'; readonly machine: CoreMachine }
+  | { readonly kind: 'gateway'; readonly router: VirtualRouter };
+
+export function createVirtualOperator(
+  g: Ground,
+  core: VirtualCore,
+  gateways: () => readonly VirtualRouter[],
+): VirtualOperator {
   const { e, net, random, h } = g;
 
+  function servers(): Server[] {
+    const nodes = core.running().map((machine): Server => ({ kind: 'control node', machine }));
+    const others = gateways().filter((router) => router.proc.alive);
+    return [...nodes, ...others.map((router): Server => ({ kind: 'gateway', router }))];
+  }
+
+  /** The answer of one machine, after being sent on once where it holds no state, and the machine that gave it. */
+  async function callAny<T>(f: (m: CoreMachine) => Promise<T>, none: T): Promise<{ answer: T; by?: CoreMachine }> {
+    const server = oneOf(servers(), random());
+    if (server === undefined) return { answer: none };
+    if (server.kind === 'control node') return { answer: await call(server.machine, f, none), by: server.machine };
+    const address = await redirected(server.router);
+    const machine = [...core.machines.values()].find((m) => m.address === address);
+    if (machine === undefined) return { answer: none };
+    return { answer: await call(machine, f, none), by: machine };
+  }
+
+  function redirected(router: VirtualRouter): Promise<Address | undefined> {
+    return exchange(router.machine, router.proc, async () => router.controlNode(), undefined);
+  }
+
   function call<T>(m: CoreMachine, f: (m: CoreMachine) => Promise<T>, none: T): Promise<T> {
+    return exchange(m.name, m.proc, () => f(m), none);
+  }
+
+  /** A call over the network to a process; after a second of silence it is given up. */
+  function exchange<T>(machine: string, proc: Proc, f: () => Promise<T>, none: T): Promise<T> {
     return new Promise((done) => {
       let over = false;
       function end(x: T): void {
@@ -33,12 +73,12 @@
         done(x);
       }
       e.at(e.now() + silence, () => end(none));
-      const there = createPipe(e, net, 'operator', m.name);
-      const back = createPipe(e, net, m.name, 'operator');
-      const incarnation = m.proc.incarnation;
+      const there = createPipe(e, net, 'operator', machine);
+      const back = createPipe(e, net, machine, 'operator');
+      const { incarnation } = proc;
       there(() =>
-        into(m.proc, incarnation, () => {
-          void f(m).then((x) => back(() => end(x)));
+        into(proc, incarnation, () => {
+          void f().then((x) => back(() => end(x)));
         }),
       );
     });
@@ -49,12 +89,11 @@
     h.changes.push(c);
     let pause = 100_000;
     while (e.now() - c.at < patience) {
-      const m = oneOf(core.running(), random());
-      const x: SubmitAnswer = m === undefined ? 'not now' : await call(m, (k) => k.submit(text, base), 'not now');
+      const { answer: x, by } = await callAny<SubmitAnswer>((m) => m.submit(text, base), 'not now');
       if (x !== 'not now') {
         c.answer = x;
         c.answeredAt = e.now();
-        if (x === 'taken') self.onTaken?.(m!);
+        if (x === 'taken') self.onTaken?.(by!);
         return c;
       }
       await sleep(g, pause);
@@ -84,8 +123,7 @@
 
   async function readBack(): Promise<string | undefined> {
     for (let i = 0; i < 8; i += 1) {
-      const m = oneOf(core.running(), random());
-      const a = m === undefined ? undefined : await call(m, (k) => k.read(), undefined);
+      const { answer: a } = await callAny<CoreAnswer | undefined>((m) => m.read(), undefined);
       if (a?.status === 'value' && a.version > 0) return a.value.toString();
       if (a?.status === 'value') return undefined;
       await sleep(g, 300_000);
@@ -93,10 +131,19 @@
     return undefined;
   }
 
+  async function readAgain(length: number): Promise<void> {
+    const until = e.now() + length;
+    while (e.now() < until) {
+      const text = await readBack();
+      if (text !== undefined) h.reads.push({ text, at: e.now() });
+      await sleep(g, betweenReads);
+    }
+  }
+
   const self: VirtualOperator = {
     onTaken: undefined,
     newest,
-    readBack,
+    readAgain,
     first: change,
     change,
     race: async () => {
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -2,7 +2,7 @@
  * One edge machine of a virtual day and the lives of the router on it: the course and the feed, wired as the program
  * wires them, and the way in from requesters.
  */
-import { createControlFeed, createCoreAsker } from '@tansypost/control-feed';
+import { createControlFeed, createControlGuide, createCoreAsker, type ControlFeed } from '@tansypost/control-feed';
 import { askThrough, createRouterLearning, recordKey, type RouterLearning } from '@tansypost/learning';
 import { micros, type Address } from '@tansypost/inner-protocol';
 import {
@@ -25,8 +25,15 @@
 import { createVirtualPort } from './virtual-port.js';
 import type { VirtualWorkers } from './virtual-workers.js';
 
+/** Where a router stands: `machine` is its own name, or that of a machine that also runs a control node. */
+export interface RouterPlace {
+  readonly name: string;
+  readonly zone: string;
+  readonly machine: string;
+}
 export interface VirtualRouter {
   readonly name: string;
+  readonly machine: string;
   readonly zone: string;
   readonly proc: Proc;
   readonly start: () => void;
@@ -35,6 +42,8 @@
   // SIGTERM: what is under way ends by itself, then the process ends.
   readonly roll: () => void;
   readonly ready: () => boolean;
+  /** Where its machine sends operators on to, if that holds no control state; undefined where it knows nobody. */
+  readonly controlNode: () => Address | undefined;
   readonly figures: () => Record<string, unknown>;
   /** A new connection of a requester. */
   readonly connect: () => RequesterConnection;
@@ -101,16 +110,18 @@
   g: Ground,
   core: VirtualCore,
   workers: VirtualWorkers,
-  name: string,
-  zone: string,
+  place: RouterPlace,
   resets: () => number,
 ): VirtualRouter {
   const { e, net, random, h } = g;
-  const proc = createProc(name, name);
-  const self = `${name}:1` as Address;
+  const { name, zone, machine } = place;
+  const holdsControlState = machine !== name;
+  const proc = createProc(name, machine);
+  const self = `${machine}:${holdsControlState ? 2 : 1}` as Address;
   net.add(self, proc);
   let course: Course | undefined;
   let learning: RouterLearning | undefined;
+  let controlFeed: ControlFeed | undefined;
   let life = 0;
   let shutdown: GracefulShutdown | undefined;
   const open = new Map<TrySeen, (why: string) => void>();
@@ -119,7 +130,7 @@
   function start(): void {
     if (proc.alive) return;
     proc.alive = true;
-    g.silent.delete(name);
+    g.silent.delete(machine);
     life += 1;
     const mine = life;
     h.lives.push({ router: name, life, from: e.now(), to: Infinity });
@@ -221,7 +232,12 @@
             });
       },
     });
-    proc.receive = (m, from) => (m.kind === 'Answer' ? asker.answer(m) : feed.receive(m, from));
+    controlFeed = feed;
+    const guide = createControlGuide(w, { self, membership: feed.membership });
+    proc.receive = (m, from) => {
+      if (m.kind === 'Answer') asker.answer(m);
+      else if (holdsControlState || !guide(m, from)) feed.receive(m, from);
+    };
   }
 
   function ended(why: string, power: boolean): void {
@@ -234,7 +250,7 @@
   }
   function kill(power: boolean): void {
     if (!proc.alive) return;
-    if (power) g.silent.add(name);
+    if (power) g.silent.add(machine);
     die(proc);
     course = undefined;
     ended('the router died', power);
@@ -259,7 +275,7 @@
       createPipe(
         e,
         net,
-        name,
+        machine,
         'clients',
       )(() => {
         connection.open = false;
@@ -274,8 +290,8 @@
   }
 
   function take(t: TrySeen, q: Incoming, told: Told, connection: RequesterConnection): () => void {
-    const there = createPipe(e, net, 'clients', name);
-    const back = createPipe(e, net, name, 'clients');
+    const there = createPipe(e, net, 'clients', machine);
+    const back = createPipe(e, net, machine, 'clients');
     const gone = new AbortController();
     const incarnation = proc.incarnation;
     let over = false;
@@ -338,6 +354,7 @@
 
   const router: VirtualRouter = {
     name,
+    machine,
     zone,
     proc,
     start,
@@ -345,6 +362,7 @@
     roll,
     wake: () => wake(e, proc),
     ready: () => proc.alive && !proc.frozen && shutdown?.hasBegun() !== true && course?.ready() === true,
+    controlNode: () => (proc.alive ? controlFeed?.source() : undefined),
     figures: () => ({ ...course?.figures(), learning: learning?.figures() }),
     connect,
     take,
--- a/tests/messages.test.ts
+++ b/tests/messages.test.ts
@@ -25,6 +25,9 @@
 ];
 type Way = 'dropped' | 'repeated' | 'late' | 'stale';
 
+/** Kinds of which so few travel that every second one is changed. */
+const fewOnly: ReadonlySet<Kind> = new Set(['HoldsNoState']);
+
 function tamper(kind: Kind, way: Way, counted: { n: number }): (n: Network) => void {
   let seen = 0;
   const old = new Map<string, Message>();
@@ -32,7 +35,7 @@
     net.tamper((m, from, to) => {
       if (m.kind !== kind) return undefined;
       seen += 1;
-      if (seen % 3 !== 0) {
+      if (seen % (fewOnly.has(kind) ? 2 : 3) !== 0) {
         if (seen % 7 === 1) old.set(`${from}>${to}`, m);
         return undefined;
       }
@@ -65,6 +68,7 @@
   'Beat',
   'ConfigurationPatch',
   'Follow',
+  'HoldsNoState',
   'Join',
   'WorkerList',
   'WorkerLoads',
@@ -95,6 +99,8 @@
       replicas: 3,
       rate: 0.5,
       net: tamper(kind, way, counted),
+      // Met only where a machine without control state is among the seeds at the first start.
+      ...(kind === 'HoldsNoState' ? { shared: true, gatewaySeeds: 1 } : {}),
     });
     expect(y.breaches).toEqual([]);
     expect(counted.n).toBeGreaterThan(0);
--- a/tests/platform-processes.test.ts
+++ b/tests/platform-processes.test.ts
@@ -11,18 +11,17 @@
 import { fileURLToPath } from 'node:url';
 import { afterAll, beforeAll, expect, it } from 'vitest';
 import { stringify } from 'smol-toml';
-
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-  readonly complete: boolean;
-  readonly seal: string | undefined;
-}
-interface Asked {
-  /** Once the first bytes of the answer's body are there. */
-  readonly begun: Promise<void>;
-  readonly answer: Promise<Answer>;
-}
+import {
+  call,
+  configuration,
+  playList,
+  playWorker,
+  releaseAnswers,
+  until,
+  whole,
+  type Answer,
+  type Asked,
+} from './platform-world.js';
 
 const program = fileURLToPath(new URL('../platform/dist/entry.js', import.meta.url));
 const octet = 10 + (process.pid % 200);
@@ -71,44 +70,6 @@
   return new Promise((done) => children.get(role)!.once('exit', (code, signal) => done([code, signal])));
 }
 
-function call(
-  at: { host: string; port: number; path: string; method?: string },
-  headers: Record<string, string> = {},
-  body = '',
-): Asked {
-  const kept: { begin?: () => void } = {};
-  const begun = new Promise<void>((begin) => {
-    kept.begin = begin;
-  });
-  const answer = new Promise<Answer>((done, failed) => {
-    const request = http.request({ ...at, headers, agent: false }, (a) => {
-      let text = '';
-      a.setEncoding('utf8');
-      a.on('data', (part: string) => {
-        text += part;
-        kept.begin!();
-      });
-      a.on('error', () => undefined);
-      a.on('close', () =>
-        done({ status: a.statusCode!, body: text, complete: a.complete, seal: a.headers['x-server-seal'] as string }),
-      );
-    });
-    request.on('error', failed);
-    request.end(body);
-  });
-  answer.catch(() => undefined);
-  return { begun, answer };
-}
-
-/** Asks until the answer is the one that is waited for. The test's own time limit ends what never comes. */
-async function until(ask: () => Promise<Answer>, wanted: (a: Answer) => boolean): Promise<Answer> {
-  for (;;) {
-    const answer = await ask().catch(() => undefined);
-    if (answer !== undefined && wanted(answer)) return answer;
-    await new Promise((again) => setTimeout(again, 50));
-  }
-}
-
 let requests = 0;
 function ask(path: string, hold = false): Asked {
   requests += 1;
@@ -131,54 +92,10 @@
 function readBack(): Promise<Answer> {
   return call({ host: hosts.control, port: ports.control, path: '/config' }).answer;
 }
-function configuration(revision: number, routes: readonly string[]): string {
-  return JSON.stringify({
-    revision,
-    routes: routes.map((name) => ({
-      name,
-      hostname: 'h.example',
-      path_prefix: `/${name}/`,
-      route_kind: 'streaming',
-      deadline_ms: 60_000,
-      target_ms: 800,
-      gap_target_ms: 60_000,
-      priority: 0,
-      backend: 's',
-      max_tries: 1,
-    })),
-    backends: [{ name: 's', health_path: '/health', max_conns: 64, runtime: { slots: 32 } }],
-    limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
-  });
-}
-
-/** A worker that makes tokens: it streams two events, the second of a held request only when the test releases it. */
-function playWorker(q: http.IncomingMessage, a: http.ServerResponse): void {
-  if (q.method === 'GET') {
-    const report = { stage: 'decode', models: [], utilization: false, call_seq: 0, queued: 0, active: 0, kv_used: 0 };
-    return void a.end(JSON.stringify({ ...report, kv_total: 1000, prefill_handles: 0 }));
-  }
-  q.resume();
-  q.on('end', () => {
-    a.writeHead(200, {
-      'Content-Type': 'text/event-stream',
-      'X-Attempt-Id': q.headers['x-attempt-id'],
-      'X-Server-Seal': `seal of ${q.headers['x-attempt-id'] as string}`,
-    });
-    a.write('id: 1\ndata: one\n\n');
-    if (q.headers['x-hold'] === undefined) a.end('id: 2\ndata: two\n\n');
-    else heldAnswers.push(a);
-  });
-}
-function releaseHeld(): void {
-  for (const a of heldAnswers.splice(0)) a.end('id: 2\ndata: two\n\n');
-}
-function playList(_q: http.IncomingMessage, a: http.ServerResponse): void {
-  const worker = { id: 'i-1', backend: 's', address: `${hosts.platform}:${ports.worker}`, zone: 'a', revision: 'v1' };
-  const more = { slots: 32, state: 'ready', cold_left_ms: 0, stage: 'decode', models: [] };
-  a.end(JSON.stringify({ instances: [{ ...worker, ...more }], next_token: null }));
-}
-
-const servers = [http.createServer(playWorker), http.createServer(playList)];
+const servers = [
+  http.createServer((q, a) => playWorker(heldAnswers, q, a)),
+  http.createServer((_q, a) => playList(`${hosts.platform}:${ports.worker}`, a)),
+];
 beforeAll(async () => {
   for (const [n, port] of [ports.worker, ports.list].entries())
     await new Promise<void>((up) => servers[n]!.listen(port, hosts.platform, up));
@@ -194,8 +111,6 @@
   rmSync(folder, { recursive: true });
 });
 
-const whole = { status: 200, body: 'id: 1\ndata: one\n\nid: 2\ndata: two\n\n', complete: true };
-
 it('cuts nothing under SIGHUP, changed settings and changed routes, and serves 20 of 20 on a route added later', async () => {
   const first = configuration(3, ['first']);
   await until(
@@ -220,7 +135,7 @@
   expect(later.map((a) => ({ status: a.status, body: a.body, complete: a.complete }))).toEqual(Array(20).fill(whole));
   expect((await ask('/first/a').answer).status).toBe(404);
 
-  releaseHeld();
+  releaseAnswers(heldAnswers);
   const answers = await Promise.all(held.map((h) => h.answer));
   for (const a of answers) expect(a).toMatchObject(whole);
   expect(new Set(answers.map((a) => a.seal)).size).toBe(5);
@@ -254,7 +169,7 @@
   children.get('router')!.kill('SIGTERM');
   await until(ready, (a) => a.status === 503);
   expect(await ask('/later/a').answer).toMatchObject(whole);
-  releaseHeld();
+  releaseAnswers(heldAnswers);
   expect(await held.answer).toMatchObject(whole);
   expect(await gone).toEqual([0, null]);
   const log = readFileSync(join(folder, 'router.log'), 'utf8');
