--- /dev/null
+++ b/packages/decision-report/src/decision-report.test.ts
@@ -0,0 +1,95 @@
+/** Logs and reports as they are read, counted and drawn. */
+import { expect, it } from 'vitest';
+import * as E from 'fp-ts/lib/Either.js';
+import { plotLosses } from './loss-plot.js';
+import { groupLosses, lossesBySecond, sizeRange } from './loss-table.js';
+import { readLosses } from './read-losses.js';
+import { readRun } from './read-run.js';
+import { renderLosses, renderRun } from './render.js';
+
+function fields(over: Record<string, unknown> = {}): string {
+  const event = {
+    request: 'q1',
+    path: 'chat',
+    service: 's',
+    outcome: 'late first piece',
+    cause: 'prefillQueue',
+    prompt: 900,
+    shared: 200,
+    firstMs: 700,
+    endMs: 900,
+    aimMs: 500,
+    parts: { prefillQueue: 500 },
+    reads: 1,
+    sends: 1,
+    workers: ['i-1', 'i-2'],
+  };
+  return JSON.stringify({ ...event, ...over });
+}
+function line(over: Record<string, unknown> = {}, clock = 2_500_000): string {
+  return `${clock} E5109 info router edge-1 request did not end in time {x ${fields(over)}`.replace('{x ', '');
+}
+const started = '100 E1001 info router edge-1 program started {"front":"10.0.0.1:80"}';
+
+it('reads lost requests with the clock of the router, or of who collected the log', () => {
+  const log = readLosses([started, 'some other line', line(), `  7.25 edge-1 ${line()}`].join('\n'), 'a.log');
+  expect(log).toMatchObject({ right: { damaged: 0 } });
+  if (E.isLeft(log)) throw log.left;
+  expect(log.right.losses.map((loss) => [loss.second, loss.router, loss.cause])).toEqual([
+    [2.5, 'edge-1', 'prefillQueue'],
+    [7.25, 'edge-1', 'prefillQueue'],
+  ]);
+});
+
+it('leaves out a line that is cut short, and refuses a log that holds no events or is damaged throughout', () => {
+  const cut = line().slice(0, -20);
+  expect(readLosses([started, line(), cut].join('\n'), 'a.log')).toMatchObject({ right: { damaged: 1 } });
+  expect(readLosses('nothing here', 'a.log')).toMatchObject({
+    left: { message: 'a.log holds no events. Give the output of routers.' },
+  });
+  expect(readLosses([started, cut, cut, cut, cut].join('\n'), 'a.log')).toMatchObject({
+    left: { message: 'a.log has 4 damaged lines of lost requests. Give the whole log.' },
+  });
+});
+
+it('counts by cause, by size and by second', () => {
+  const text = [started, line(), line({ prompt: 40_000, cause: 'size' }, 3_100_000), line({}, 2_900_000)].join('\n');
+  const log = readLosses(text, 'a.log');
+  if (E.isLeft(log)) throw log.left;
+  const { losses } = log.right;
+  expect(groupLosses(losses, (loss) => [loss.cause])).toEqual([
+    { key: ['prefillQueue'], count: 2, meanExcessMs: 200, meanPrompt: 900 },
+    { key: ['size'], count: 1, meanExcessMs: 200, meanPrompt: 40_000 },
+  ]);
+  expect([...lossesBySecond(losses)].map(([second, causes]) => [second, [...causes]])).toEqual([
+    [2, [['prefillQueue', 2]]],
+    [3, [['size', 1]]],
+  ]);
+  expect([0, 511, 512, 9000, 99_999].map(sizeRange)).toEqual(['0-511', '0-511', '512-2047', '8192-16383', '32768+']);
+  expect(renderLosses(log.right)).toContain('| chat | prefillQueue | apart | 2 | 200 | 900 |');
+  expect(plotLosses(losses, 'A day')).toMatch(/^<svg[\s\S]*A day[\s\S]*prefillQueue[\s\S]*<\/svg>$/);
+});
+
+const report = {
+  classes: [{ name: 'chat', n: 10, in_aim: 8, late: 1, refused: 0, failed: 1, worth: 0.85 }],
+  prices: [
+    ['memory', 12, 0.03],
+    ['orders', 0, 0],
+  ],
+  parts: [['whole day', 0.4, 0.85]],
+};
+
+it('reads the report of a run, and says what is wrong with one that it cannot use', () => {
+  const run = readRun(JSON.stringify(report), 'r.json');
+  if (E.isLeft(run)) throw run.left;
+  const text = renderRun(run.right);
+  expect(text).toContain('| chat | 10 | 8 | 1 | 0 | 1 | 0.850 |');
+  expect(text).toContain('| memory | 12.0 | 0.0300 |');
+  expect(text).not.toContain('orders');
+  expect(readRun(JSON.stringify(report).slice(0, -9), 'r.json')).toMatchObject({
+    left: { message: 'r.json cannot be read as a report: it is no JSON or cut short. Give the whole file.' },
+  });
+  expect(readRun('{"classes": []}', 'r.json')).toMatchObject({
+    left: { message: 'The report has no list "prices". Give the report of a run.' },
+  });
+});
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -162,6 +162,11 @@
     remedy: 'None where a prefill worker is there: it is ordered to decode (4103). Else start a decode worker.',
   },
   5108: { level: 'info', means: 'a service has a decode worker again', remedy: 'None.' },
+  5109: {
+    level: 'info',
+    means: 'request did not end in time: how it ended, what its time went to, and where',
+    remedy: 'None for one; `tansypost decisions` tells what most of them were lost to.',
+  },
   6001: { level: 'info', means: 'worker stand-in changed its part', remedy: 'None.' },
   6002: { level: 'warn', means: 'order refused: its epoch is older than the fence', remedy: 'None.' },
   7001: { level: 'info', means: 'fault brought about', remedy: 'None.' },
--- a/packages/inner-protocol/src/errors.ts
+++ b/packages/inner-protocol/src/errors.ts
@@ -17,3 +17,5 @@
 export const FailedDisk = TansypostError.subclass('FailedDiskError');
 /** A membership record that this release cannot read. */
 export const UnreadableMembership = TansypostError.subclass('UnreadableMembershipError');
+/** A log or a report of a run that cannot be used. */
+export const UnusableReport = TansypostError.subclass('UnusableReportError');
--- a/packages/pass-through/src/attempt-loop.ts
+++ b/packages/pass-through/src/attempt-loop.ts
@@ -38,6 +38,11 @@
   );
 }
 
+function giveUpOn(context: CourseContext, inFlight: InFlightRequest, answer: GiveUp): void {
+  inFlight.refusal = answer;
+  giveUp(context, inFlight.reply, answer);
+}
+
 function end(context: CourseContext, inFlight: InFlightRequest, step: EndStep): void {
   if (step.step === 'stop') context.count('requester left');
   else if (step.step === 'cut') {
@@ -47,7 +52,7 @@
   else {
     const why = 'No worker could run it to its end.';
     const promise = step.ran === 'no' ? { retryAfter: retryAfter.failed } : {};
-    giveUp(context, inFlight.reply, { kind: step.kind, ran: step.ran, why, ...promise });
+    giveUpOn(context, inFlight, { kind: step.kind, ran: step.ran, why, ...promise });
   }
 }
 
@@ -127,7 +132,7 @@
 };
 
 function refuse(context: CourseContext, inFlight: InFlightRequest, answer: GiveUp): AfterRead {
-  giveUp(context, inFlight.reply, answer);
+  giveUpOn(context, inFlight, answer);
   return ended;
 }
 
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -15,6 +15,7 @@
 } from './course-context.js';
 import { createInFlightRequest, type InFlightRequest } from './in-flight-request.js';
 import type { Incoming } from './incoming.js';
+import { logLoss } from './loss-events.js';
 import type { Answered, GiveUp, Reply } from './ports.js';
 import { createReadiness } from './readiness.js';
 import { createDecodeWatch } from './decode-watch.js';
@@ -103,6 +104,7 @@
   if (service === undefined) return giveUp(context, facts.reply, noService);
   const lot = context.ports.lot?.(facts.request.id);
   const inFlight = createInFlightRequest({ ...facts, path, service, lot });
+  inFlight.timeline.parts.ready = context.world.now() - facts.arrived;
   context.budget.first(service.name);
   inFlights.add(inFlight);
   try {
@@ -110,6 +112,7 @@
   } finally {
     inFlights.delete(inFlight);
   }
+  if (context.options.logsLosses === true) logLoss(context, inFlight);
   lot?.ended(answered(inFlight, context.world.now()));
 }
 
--- a/packages/pass-through/src/in-flight-request.ts
+++ b/packages/pass-through/src/in-flight-request.ts
@@ -2,7 +2,8 @@
 import type { Path, Service } from '@tansypost/paths';
 import type { EventCutter } from './events.js';
 import type { Incoming } from './incoming.js';
-import type { Lot, Reply, RunResult } from './ports.js';
+import type { GiveUp, Lot, Reply, RunResult } from './ports.js';
+import { createRequestTimeline, type RequestTimeline } from './request-timeline.js';
 import type { FleetWorker } from './worker-fleet.js';
 
 /** One that was lost is read by one more reader at most. */
@@ -35,6 +36,8 @@
   cutter: EventCutter | undefined;
   lastRefused: boolean;
   readonly tried: Set<string>;
+  /** The workers of its reads and runs, in turn. */
+  readonly workers: string[];
   /** The worker whose connection broke while it ran the request, to be asked once more as it has the prompt. */
   holder: FleetWorker | undefined;
   askedHolder: boolean;
@@ -45,8 +48,12 @@
   /** The row and the moment by which its reader was chosen, until the first piece has come. */
   chosen: { readonly row: Float32Array; readonly at: number } | undefined;
   firstAt: number;
+  lastPieceAt: number;
   pieces: number;
   whole: boolean;
+  readonly timeline: RequestTimeline;
+  /** How it was given up on, if it was. */
+  refusal: GiveUp | undefined;
   /** The last answer of a worker that failed, to be passed on where nothing better comes. */
   failed: Extract<RunResult, { tag: 'failed' }> | undefined;
 }
@@ -63,14 +70,18 @@
     cutter: undefined,
     lastRefused: false,
     tried: new Set(),
+    workers: [],
     holder: undefined,
     askedHolder: false,
     unsent: 0,
     reads: 0,
     chosen: undefined,
     firstAt: 0,
+    lastPieceAt: 0,
     pieces: 0,
     whole: false,
+    timeline: createRequestTimeline(),
+    refusal: undefined,
     failed: undefined,
   };
 }
--- a/packages/pass-through/src/index.ts
+++ b/packages/pass-through/src/index.ts
@@ -4,6 +4,7 @@
 export * from './events.js';
 export * from './graceful-shutdown.js';
 export * from './incoming.js';
+export type { LossEvent } from './loss-events.js';
 export * from './ports.js';
 export * from './send-budget.js';
 export * from './assign-pair.js';
--- a/packages/pass-through/src/read-attempt.ts
+++ b/packages/pass-through/src/read-attempt.ts
@@ -7,6 +7,7 @@
 import type { CourseContext } from './course-context.js';
 import { mayReadAgain, type InFlightRequest } from './in-flight-request.js';
 import { isWorthLeaving } from './pair-choice.js';
+import { splitReading } from './request-timeline.js';
 import type { ReadResult } from './ports.js';
 import type { FleetWorker, Under } from './worker-fleet.js';
 
@@ -52,6 +53,7 @@
   const begunAt = context.world.now();
   const attempt = { inFlight, pair, reader, timing, begunAt, abort, under, ended: false, overdue: false };
   inFlight.reads += 1;
+  inFlight.workers.push(reader.id);
   const firstLook = Math.min(timing.silentAfter, timing.overdueAfter);
   context.world.after(micros(firstLook), () => watch(context, attempt));
   return attempt;
@@ -60,6 +62,9 @@
 function finishRead(context: CourseContext, attempt: ReadAttempt): void {
   const { inFlight, pair, reader, begunAt } = attempt;
   const now = context.world.now();
+  const { queue, reading } = splitReading(now - begunAt, pair.serviceTime);
+  inFlight.timeline.parts.prefillQueue += queue;
+  inFlight.timeline.parts.prefill += reading;
   attempt.under.end('done');
   context.tree.insert(promptBlocks(inFlight.request), reader.id, now);
   if (pair.assignment === undefined) return;
@@ -69,6 +74,7 @@
 }
 
 function finishUnread(context: CourseContext, attempt: ReadAttempt, got: ReadResult): void {
+  attempt.inFlight.timeline.parts.lostRead += context.world.now() - attempt.begunAt;
   const refused = got.tag === 'refused';
   const misdirected = refused && got.other;
   if (attempt.overdue || (refused && !misdirected)) context.ports.reading?.(attempt.reader.id, 0, true);
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -8,6 +8,7 @@
 import { hasSendLeft, mayMove, type InFlightRequest } from './in-flight-request.js';
 import { alternativeTo, isWorthLeaving } from './pair-choice.js';
 import type { AnswerHead, MemorySource, RunResult, RunSink, RunTerms } from './ports.js';
+import { splitReading } from './request-timeline.js';
 import { finishRun } from './run-outcome.js';
 import type { FleetWorker, Under } from './worker-fleet.js';
 
@@ -18,6 +19,8 @@
   /** What was read for it elsewhere; undefined where it reads for itself. */
   readonly memory: MemorySource | undefined;
   readonly timing: AttemptTiming;
+  /** How long the prompt takes to read where the runner reads for itself. */
+  readonly serviceTime: number;
   readonly begunAt: number;
   readonly abort: AttemptAbort;
   readonly under: Under;
@@ -64,9 +67,11 @@
   const abort = createAttemptAbort(world, inFlight);
   const begunAt = world.now();
   const heard = { seen: false, heardAt: begunAt, ended: false, overdue: false };
-  const attempt: RunAttempt = { inFlight, runner, memory, timing, begunAt, abort, under, ...heard };
+  const { serviceTime } = pair;
+  const attempt: RunAttempt = { inFlight, runner, memory, timing, serviceTime, begunAt, abort, under, ...heard };
   if (mayMove(inFlight)) world.after(micros(firstLookAtRun(timing)), () => watch(context, attempt));
   inFlight.sends += 1;
+  inFlight.workers.push(runner.id);
   if (memory === undefined) ports.reading?.(runner.id, pair.serviceTime);
   context.count(memory === undefined ? 'run alone' : 'run from memory');
   return attempt;
@@ -93,10 +98,26 @@
   inFlight.reply.head(head);
 }
 
+function spentOnFirstPiece({ inFlight, memory, serviceTime }: RunAttempt, took: number): void {
+  const { parts } = inFlight.timeline;
+  if (memory !== undefined) {
+    parts.move += took;
+    return;
+  }
+  const { queue, reading } = splitReading(took, serviceTime);
+  parts.decodeQueue += queue;
+  parts.decodePrefill += reading;
+}
+
 /** Notes that a piece has come, for the estimates of this attempt and of its reader. */
 function heardPiece(context: CourseContext, attempt: RunAttempt): void {
   const { inFlight, timing } = attempt;
-  attempt.heardAt = context.world.now();
+  const now = context.world.now();
+  const { timeline } = inFlight;
+  if (inFlight.pieces > 0) timeline.longestPause = Math.max(timeline.longestPause, now - inFlight.lastPieceAt);
+  if (inFlight.pieces === 0) spentOnFirstPiece(attempt, now - attempt.begunAt);
+  inFlight.lastPieceAt = now;
+  attempt.heardAt = now;
   if (!attempt.seen) context.patience.observe(timing.kind, timing.expected, attempt.heardAt - attempt.begunAt);
   attempt.seen = true;
   inFlight.pieces += 1;
@@ -133,5 +154,7 @@
   const got: RunResult = await context.ports.workers.run(runner, inFlight.request, terms, sink, abort.signal);
   attempt.ended = true;
   abort.end();
+  if (inFlight.pieces === 0 && got.tag !== 'whole')
+    inFlight.timeline.parts.lostRun += context.world.now() - attempt.begunAt;
   return finishRun(context, attempt, got);
 }
--- a/programs/tansypost/src/commands.ts
+++ b/programs/tansypost/src/commands.ts
@@ -8,6 +8,7 @@
 import { checkDesiredState } from '@tansypost/desired-state';
 import { call, exitCode, type Called } from './call.js';
 import { readRecord } from '@tansypost/rehearsal';
+import { Decisions } from './decisions.js';
 import { plainRehearsals } from './plain.js';
 
 abstract class AgentCommand extends Command<BaseContext> {
@@ -218,4 +219,5 @@
   SetWorker,
   Members,
   Vitals,
+  Decisions,
 ];
--- /dev/null
+++ b/programs/tansypost/src/decisions.ts
@@ -0,0 +1,62 @@
+/** The command that tells what a run's worth was lost to, from its report and the logs of its routers. */
+import { readFileSync, writeFileSync } from 'node:fs';
+import { Command, Option, type BaseContext } from 'clipanion';
+import * as E from 'fp-ts/lib/Either.js';
+import { plotLosses, readLosses, readRun, renderLosses, renderRun, type LossLog } from '@tansypost/decision-report';
+import { UnusableReport } from '@tansypost/inner-protocol';
+
+/** Reads a file whole; an error names the file and the remedy. */
+function readText(file: string): E.Either<Error, string> {
+  return E.tryCatch(
+    () => readFileSync(file, 'utf8'),
+    (error) => new UnusableReport(`${file} cannot be read: ${String(error)}. Name a file that can.`),
+  );
+}
+
+function readAllLosses(files: readonly string[]): E.Either<Error, LossLog> {
+  let all: LossLog = { losses: [], damaged: 0 };
+  for (const file of files) {
+    const text = readText(file);
+    if (E.isLeft(text)) return text;
+    const log = readLosses(text.right, file);
+    if (E.isLeft(log)) return log;
+    all = { losses: [...all.losses, ...log.right.losses], damaged: all.damaged + log.right.damaged };
+  }
+  return E.right(all);
+}
+
+/** `tansypost decisions`: tables on standard output, and a plot where a file for it is named. */
+export class Decisions extends Command<BaseContext> {
+  static override paths = [['decisions']];
+  static override usage = Command.Usage({
+    category: 'Decisions',
+    description: 'tell what requests that did not end in time were lost to',
+    details:
+      'Reads the output of routers that were started with `--log info`, and the report of a run where there is one. Ends with 2 where a file cannot be used.',
+  });
+  logs = Option.Rest({ name: 'LOG', required: 1 });
+  report = Option.String('--report', { description: 'the report of the run, in JSON' });
+  plot = Option.String('--plot', { description: 'write a plot of losses by second to this file, as SVG' });
+  title = Option.String('--title', 'Requests not in time, by what they were lost to', {
+    description: 'the title of the plot',
+  });
+
+  async execute(): Promise<number> {
+    const log = readAllLosses(this.logs);
+    if (E.isLeft(log)) return this.refuse(log.left);
+    if (this.report !== undefined) {
+      const text = readText(this.report);
+      const run = E.isLeft(text) ? text : readRun(text.right, this.report);
+      if (E.isLeft(run)) return this.refuse(run.left);
+      this.context.stdout.write(`${renderRun(run.right)}\n`);
+    }
+    this.context.stdout.write(renderLosses(log.right));
+    if (this.plot !== undefined) writeFileSync(this.plot, plotLosses(log.right.losses, this.title));
+    return 0;
+  }
+
+  private refuse(error: Error): number {
+    this.context.stderr.write(`tansypost: ${error.message}\n`);
+    return 2;
+  }
+}
--- a/tests/closing-faults.test.ts
+++ b/tests/closing-faults.test.ts
@@ -57,7 +57,7 @@
   },
 );
 
-it.each(['all-killed', 'all-lose-power', 'one-disk-lost'] as const)(
+it.each(['all-killed', 'all-lose-power', 'one-disk-lost', 'disks-lost-all-dark'] as const)(
   'reads back what was acknowledged after a closing fault that meets changes under way: %s',
   async (closing) => {
     let hit = 0;
