Configuration packed: deflated in the control state, on its disk and on the way to routers

Change: values over 2 KB are kept and sent as a zlib stream; a difference is sent only where it is smaller than the packed whole. What earlier releases wrote is read.

--- a/packages/control-feed/src/configuration-history.ts
+++ b/packages/control-feed/src/configuration-history.ts
@@ -1,15 +1,18 @@
 /**
  * The versions of the configuration that a control node has told lately, and how each follower is brought from the
- * version it has to the newest one: by a difference where that is known and clearly smaller, else by the whole.
+ * version it has to the newest one: by a difference where that is known and clearly smaller than the packed whole, else
+ * by that.
  */
 import type { MessageOf } from '@tansypost/inner-protocol';
 import type { Configuration } from './configuration.js';
+import { unpackConfiguration } from './configuration-packing.js';
 import { createPatch, digestOf, patchBytes } from './configuration-patch.js';
 
 export interface ConfigurationHistory {
+  /** The newest version, packed. */
   readonly newest: () => Configuration | undefined;
-  /** Takes in a version and says whether it is newer than all before. */
-  readonly add: (configuration: Configuration) => boolean;
+  /** Takes in a version, packed, and says whether it is newer than all before. */
+  readonly add: (packed: Configuration) => boolean;
   /** The difference from that version to the newest, where one is worth sending. */
   readonly patchFrom: (version: number) => MessageOf<'ConfigurationPatch'> | undefined;
 }
@@ -25,12 +28,13 @@
   let newest: Configuration | undefined;
   let bytes = 0;
 
-  function add(configuration: Configuration): boolean {
-    if (configuration.version <= (newest?.version ?? 0)) return false;
-    newest = configuration;
+  function add(packed: Configuration): boolean {
+    if (packed.version <= (newest?.version ?? 0)) return false;
+    newest = packed;
     patches.clear();
-    versions.set(configuration.version, configuration.value);
-    bytes += configuration.value.length;
+    const whole = unpackConfiguration(packed.value);
+    versions.set(packed.version, whole);
+    bytes += whole.length;
     dropOldest();
     return true;
   }
@@ -51,14 +55,16 @@
 
   function computePatch(version: number): MessageOf<'ConfigurationPatch'> | undefined {
     const base = versions.get(version);
-    if (base === undefined || newest === undefined || version === newest.version) return undefined;
-    const steps = createPatch(base, newest.value);
+    const next = newest === undefined ? undefined : versions.get(newest.version);
+    if (base === undefined || newest === undefined || next === undefined || version === newest.version)
+      return undefined;
+    const steps = createPatch(base, next);
     if (patchBytes(steps) > worthwhileShare * newest.value.length) return undefined;
     return {
       kind: 'ConfigurationPatch',
       version: newest.version,
       base: version,
-      digest: digestOf(newest.value),
+      digest: digestOf(next),
       steps,
     };
   }
--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -15,6 +15,7 @@
   type World,
 } from '@tansypost/inner-protocol';
 import { configurationKey, type Configuration } from './configuration.js';
+import { unpackConfiguration } from './configuration-packing.js';
 import { createConfigurationFollower, type Asking } from './configuration-follower.js';
 import { createControlNodeTable } from './control-node-table.js';
 import type { ListedWorker } from './listed-worker.js';
@@ -171,7 +172,7 @@
     }
     for (const item of told.news) {
       if (item.key !== configurationKey) options.more?.take(item);
-      else configuration.take({ version: item.version, value: Buffer.from(item.value) });
+      else configuration.take({ version: item.version, value: unpackConfiguration(Buffer.from(item.value)) });
     }
   }
 
--- a/packages/control-feed/src/index.ts
+++ b/packages/control-feed/src/index.ts
@@ -1,5 +1,6 @@
 export * from './asker.js';
 export * from './configuration.js';
+export * from './configuration-packing.js';
 export * from './control-feed.js';
 export * from './control-guide.js';
 export * from './control-watch.js';
--- a/packages/pass-through/src/course-context.ts
+++ b/packages/pass-through/src/course-context.ts
@@ -12,8 +12,8 @@
   readonly zone: string;
   readonly regionOf: (zone: string) => string;
   readonly budget: SendBudgetTerms;
-  /** Whether each request that does not end in time is told to the log. */
-  readonly logsLosses?: boolean;
+  /** Whether the end of each request is told to the log, which writes it or not. */
+  readonly logsRequests?: boolean;
   readonly placement?: PlacementOptions;
   readonly pair?: Partial<typeof pairDefaults>;
 }
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -15,7 +15,7 @@
 } from './course-context.js';
 import { createInFlightRequest, type InFlightRequest } from './in-flight-request.js';
 import type { Incoming } from './incoming.js';
-import { logLoss } from './loss-events.js';
+import { logEnd } from './loss-events.js';
 import type { Answered, GiveUp, Reply } from './ports.js';
 import { createReadiness } from './readiness.js';
 import { createDecodeWatch } from './decode-watch.js';
@@ -112,7 +112,7 @@
   } finally {
     inFlights.delete(inFlight);
   }
-  if (context.options.logsLosses === true) logLoss(context, inFlight);
+  if (context.options.logsRequests === true) logEnd(context, inFlight);
   lot?.ended(answered(inFlight, context.world.now()));
 }
 
--- a/packages/pass-through/src/loss-events.ts
+++ b/packages/pass-through/src/loss-events.ts
@@ -1,9 +1,9 @@
-/** Tells the operator's log of each request that did not end in time: how it ended, what its time went to, and where. */
+/** Tells the operator's log of requests: how each ended, what its time went to, and where. */
 import type { CourseContext } from './course-context.js';
 import type { InFlightRequest } from './in-flight-request.js';
 import { causeOf, type RequestOutcome, type TimeParts } from './request-timeline.js';
 
-/** The fields of event 5109, times in milliseconds. */
+/** The fields of events 5101 and 5109, times in milliseconds. */
 export interface LossEvent {
   readonly request: string;
   readonly path: string;
@@ -47,11 +47,10 @@
   return inFlight.request.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
 }
 
-/** Logs the request, which has just ended, unless it ended in time. */
-export function logLoss(context: CourseContext, inFlight: InFlightRequest): void {
+/** Logs the request, which has just ended: as lost if it did not end in time, else as answered. */
+export function logEnd(context: CourseContext, inFlight: InFlightRequest): void {
   const now = context.world.now();
   const outcome = outcomeOf(inFlight, now);
-  if (outcome === 'in time') return;
   const { request, path, service, arrived, firstAt, pieces, timeline, reads, sends, workers } = inFlight;
   const event: LossEvent = {
     request: request.id,
@@ -69,5 +68,5 @@
     sends,
     workers,
   };
-  context.world.log(5109, { ...event });
+  context.world.log(outcome === 'in time' ? 5101 : 5109, { ...event });
 }
