--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -39,12 +39,18 @@
 });
 writeFileSync(`${target}/bundle.json`, JSON.stringify(made.metafile));
 copyFileSync(`${root}deploy/load.cjs`, `${target}/tansypost.cjs`);
-for (const [role, r] of Object.entries(parse(readFileSync(`${root}deploy/system.toml`, 'utf8')).roles)) {
-  const [, ...words] = r.run.split(' ');
-  warm(
-    role,
-    words.filter((w) => w.startsWith('--')),
-  );
+for (const { run } of Object.values(
+  parse(readFileSync(process.argv[3] ?? `${root}deploy/system.toml`, 'utf8')).roles,
+)) {
+  const { flags, program } = partsOf(run);
+  warm(program, flags);
+}
+
+/** The flags of Node.js in a run line, which stand before the program's file, and the role that the program is given. */
+function partsOf(run) {
+  const [, ...words] = run.split(' ');
+  const file = words.findIndex((word) => !word.startsWith('--'));
+  return { flags: words.slice(0, file), program: words[file + 1] };
 }
 
 // A code cache holds only for the flags it was made under. Without one a role starts all the same, later.
--- a/deploy/build.test.ts
+++ b/deploy/build.test.ts
@@ -65,9 +65,11 @@
     said: 'tansypost: TANSYPOST_NODE_FILE is not set; set it to the path of the settings file.\n',
   };
   for (const [role, r] of Object.entries(roles)) {
-    const flags = r.run.split(' ').filter((w) => w.startsWith('--'));
-    expect(r.run).toBe(['node', ...flags, 'target/tansypost.cjs', role].join(' '));
-    expect(run(...flags, program, role)).toEqual(unset);
+    const [node, ...words] = r.run.split(' ');
+    const flags = words.slice(0, words.indexOf('target/tansypost.cjs'));
+    expect([node, words[flags.length + 1]]).toEqual(['node', role]);
+    // As the run line says it, with what stands behind the role.
+    expect(run(...flags, program, ...words.slice(flags.length + 1))).toEqual(unset);
     const other = run('--max-old-space-size=99', program, role);
     expect(other.said).toContain(`${role}.cache was made by another Node.js or under other flags; build anew.`);
     expect(other.said).toContain(unset.said);
@@ -88,3 +90,20 @@
   });
   rmSync(folder, { recursive: true });
 });
+
+it('takes for flags of Node.js only what stands before the program', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'built-'));
+  const target = join(folder, 'target');
+  const deployFile = join(folder, 'system.toml');
+  const usual = readFileSync(join(here, 'system.toml'), 'utf8');
+  const changed = usual.replace('tansypost.cjs router"', 'tansypost.cjs router --log info"');
+  expect(changed).not.toBe(usual);
+  writeFileSync(deployFile, changed);
+  const env = { PATH: process.env['PATH'] };
+  spawnSync(process.execPath, [join(here, 'build.mjs'), target, deployFile], { env });
+  const flags = /run = "node ((?:--\S+ )*)target\/tansypost.cjs router/.exec(changed)![1]!.trim().split(' ');
+  const started = [...flags, join(target, 'tansypost.cjs'), 'router', '--log', 'info'];
+  const { stderr } = spawnSync(process.execPath, started, { encoding: 'utf8', env });
+  expect(stderr).toBe('tansypost: TANSYPOST_NODE_FILE is not set; set it to the path of the settings file.\n');
+  rmSync(folder, { recursive: true });
+});
