--- a/deploy/warm.cjs
+++ b/deploy/warm.cjs
@@ -28,7 +28,7 @@
 function settings(p) {
   return `node_name = "warm"
 role = "${role}"
-serves = [${role === 'keeper' ? '"control"' : '"edge"'}]
+serves = [${role === 'keeper' ? '"control"' : '"edge", "control"'}]
 ip = "127.0.0.1"
 zone = "a"
 region = "r"
