--- a/packages/simulator/src/pass-through/passed-deployment.ts
+++ b/packages/simulator/src/pass-through/passed-deployment.ts
@@ -4,6 +4,34 @@
  * break; a second, small service beside the main one takes part of a path whenever the document says so.
  */
 
+import type { EngineShape, LogNormal, PlainShape } from './engine-shape.js';
+
+/** The workers of one service. */
+export interface ServiceShape {
+  readonly name: string;
+  readonly workers: number;
+  /** The part of them that begin as prefill workers. */
+  readonly prefillShare: number;
+  /** By how much each of them is slower than the engine says, in turn. */
+  readonly slow: readonly number[];
+  readonly engine: EngineShape;
+  /** What its workers do, where it is no model service. */
+  readonly plain?: PlainShape;
+}
+
+/** A part of prompts that requests share: how long it is, and how many different ones there are. */
+export interface SharedPart {
+  readonly tokens: LogNormal;
+  readonly things: number;
+}
+
+/** What a kind's requests are like, where they differ more than the usual ones of a day. */
+export interface KindDraw {
+  readonly shared: readonly SharedPart[];
+  readonly own: LogNormal;
+  readonly pieces: LogNormal;
+}
+
 export interface PassedKind {
   readonly name: string;
   readonly rate: number;
@@ -19,6 +47,13 @@
   readonly repeatable: boolean;
   readonly sends: number;
   readonly furtherTries: number;
+  readonly draw?: KindDraw;
+  /** The service that it is for, if not the main one. */
+  readonly service?: string;
+  /** What an answer in time and a late one are worth. */
+  readonly worth?: number;
+  readonly lateWorth?: number;
+  readonly bodyBytes?: number;
 }
 export interface PassedDeployment {
   readonly name: string;
@@ -29,6 +64,13 @@
   readonly kvTokens: number;
   readonly kinds: readonly PassedKind[];
   readonly sendSlack: number;
+  /** The services, where there are others than the usual two. */
+  readonly services?: readonly ServiceShape[];
+  /** Clients of each zone, how many requests come at a time, and how far apart they are from the zones, if not as usual. */
+  readonly clientsPerZone?: number;
+  readonly clump?: number;
+  /** For how long after its last use a shared part that is read again costs. */
+  readonly rereadWindow?: number;
 }
 export const mainService = 'main';
 export const asideService = 'aside';
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -23,6 +23,10 @@
   ended: TryEnd;
   why: string;
   firstAt: number | undefined;
+  /** The longest time between two arrivals of bytes of the answer. */
+  longestPause: number;
+  /** Tokens of its prompt, and those of its answer. */
+  readonly size: number;
   readonly body: Buffer[];
 }
 export interface ArrivalSeen {
@@ -95,6 +99,8 @@
   // Starts of a router's life, and its end.
   readonly lives: { readonly router: string; readonly life: number; readonly from: number; to: number }[];
   readonly unforeseen: string[];
+  /** Tokens that workers read, of these shared parts read again, and tokens of memory moved. */
+  readonly costs: { read: number; reread: number; moved: number };
   // When all had been killed, until which moment.
   outageEnds: number[];
   // When the last decode worker of a service was taken away for good.
@@ -117,6 +123,7 @@
     shownLeaving: new Map(),
     lives: [],
     unforeseen: [],
+    costs: { read: 0, reread: 0, moved: 0 },
     outageEnds: [],
     lastDecodeTaken: [],
     reads: [],
--- a/packages/simulator/src/pass-through/paths-drawn.ts
+++ b/packages/simulator/src/pass-through/paths-drawn.ts
@@ -2,7 +2,8 @@
  * Documents of a drawn day: each new one moves or splits a path, adds or drops one, or changes a budget. Invalid ones
  * have one of the faults that an operator may make.
  */
-import type { Path, PathTable } from '@tansypost/paths';
+import type { Path, PathTable, Service } from '@tansypost/paths';
+import { usualEngine, type EngineShape } from './engine-shape.js';
 import { asideService, mainService, type PassedDeployment } from './passed-deployment.js';
 
 export function hostOf(kind: string): string {
@@ -25,14 +26,16 @@
     .filter((k) => k.name !== droppedKind || !dropped)
     .map((k): Path => {
       const shares =
-        k.name !== movedKind || move < 0.4
-          ? [{ service: mainService, weight: 1 }]
-          : move < 0.7
-            ? [{ service: asideService, weight: 1 }]
-            : [
-                { service: mainService, weight: 70 },
-                { service: asideService, weight: 30 },
-              ];
+        k.service !== undefined
+          ? [{ service: k.service, weight: 1 }]
+          : k.name !== movedKind || move < 0.4
+            ? [{ service: mainService, weight: 1 }]
+            : move < 0.7
+              ? [{ service: asideService, weight: 1 }]
+              : [
+                  { service: mainService, weight: 70 },
+                  { service: asideService, weight: 30 },
+                ];
       return {
         name: k.name,
         host: hostOf(k.name),
@@ -48,22 +51,17 @@
         shares,
       };
     });
-  const service = {
-    vitalsPath: '/health',
-    connections: 360,
-    slots: 64,
-    kvTokens: d.kvTokens,
-    tokenBytes: 18_432,
-    linkMbps: 740_000,
-    handleTtl: 5_000_000,
-    switchTime: 1_800_000,
-  };
+  function serviceOf(name: string, engine: EngineShape): Service {
+    const { slots, kvTokens, tokenBytes, linkMbps } = engine;
+    const usual = { vitalsPath: '/health', connections: 360, handleTtl: 5_000_000, switchTime: 1_800_000 };
+    return { name, slots, kvTokens, tokenBytes, linkMbps, ...usual };
+  }
   return {
     revision,
     paths,
-    services: [
-      { ...service, name: mainService },
-      { ...service, name: asideService },
+    services: d.services?.map((each) => serviceOf(each.name, each.engine)) ?? [
+      serviceOf(mainService, usualEngine(d.kvTokens)),
+      serviceOf(asideService, usualEngine(d.kvTokens)),
     ],
     limits: { headBytes: 16_384, bodyBytes: 4_194_304, headTime: 3_000_000, idleTime: 15_000_000 },
   };
--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -6,7 +6,8 @@
 import type { Incoming } from '@tansypost/pass-through';
 import type { Ground } from './ground.js';
 import { hostOf, targetOf } from './paths-drawn.js';
-import type { PassedKind } from './passed-deployment.js';
+import { drawLogNormal, usualEngine } from './engine-shape.js';
+import { mainService, type KindDraw, type PassedKind } from './passed-deployment.js';
 import type { TrySeen } from './passed-history.js';
 import { piecesOf } from './virtual-worker.js';
 import type { RequesterConnection, VirtualRouter } from './virtual-router.js';
@@ -16,10 +17,21 @@
   // How many times the usual number come.
   crowd: number;
 }
+/** What a request is about, as its head says. */
+interface Prompt {
+  readonly promptTokens: number;
+  readonly answerTokens: number;
+  readonly pieces: number;
+  readonly parts: { readonly id: string; readonly tokens: number }[];
+}
+/** Tokens of an answer weigh so much more than those of a prompt. */
+const answerWeight = 10;
+/** Above 1, so that some things are met more often than others. */
+const skew = 1.3;
 const probeEvery = 1_000_000;
 const connectPatience = 1_000_000;
 /** Clients of a zone, each of which may keep the connection of its last answer and ask on it again. */
-const clientsPerZone = 12;
+const usualClients = 12;
 const clientSeed = 9001;
 
 /** `keepsConnection` is how often, from 0 to 1, a client asks on the connection that it has. */
@@ -33,6 +45,7 @@
   // Drawn apart, so that other draws of a day are the same whoever keeps connections.
   const drawClient = seeded(clientSeed);
   const kept = new Map<string, RequesterConnection>();
+  const thingTokens = new Map<string, number>();
   let tasks = 0;
 
   function probe(): void {
@@ -57,16 +70,53 @@
     return pick(zone).connect();
   }
 
+  function usualPrompt(k: PassedKind, task: number): Prompt {
+    const group = Math.floor(random() * 4);
+    const own = Math.round(k.own * (0.5 + random()));
+    return {
+      promptTokens: k.shared + own,
+      answerTokens: k.answer,
+      pieces: piecesOf(k.answer, strideOf(k)),
+      parts: [
+        { id: `${k.name}${group}`, tokens: k.shared },
+        { id: `own${task}`, tokens: own },
+      ],
+    };
+  }
+
+  /** A shared part has the same length each time it is met, and some are met more often than others. */
+  function drawnPrompt(k: PassedKind, draw: KindDraw, task: number): Prompt {
+    const parts = draw.shared.map((shared, n) => {
+      const thing = Math.floor(shared.things * random() ** skew);
+      const id = `${k.name}.${n}.${thing}`;
+      const tokens = thingTokens.get(id) ?? Math.max(1, Math.round(drawLogNormal(shared.tokens, random)));
+      thingTokens.set(id, tokens);
+      return { id, tokens };
+    });
+    const own = draw.own.mean === 0 ? 0 : Math.max(1, Math.round(drawLogNormal(draw.own, random)));
+    const pieces = Math.max(1, Math.round(drawLogNormal(draw.pieces, random)));
+    return {
+      promptTokens: parts.reduce((sum, part) => sum + part.tokens, own),
+      answerTokens: pieces * strideOf(k),
+      pieces,
+      parts: own === 0 ? [] : [...parts, { id: `own${task}`, tokens: own }],
+    };
+  }
+
+  function strideOf(k: PassedKind): number {
+    const shape = d.services?.find((each) => each.name === (k.service ?? mainService));
+    return (shape?.engine ?? usualEngine(d.kvTokens)).stride;
+  }
+
   function ask(k: PassedKind): void {
     tasks += 1;
     const task = tasks;
     const began = e.now();
     const zone = d.zones[Math.floor(random() * d.zones.length)]!;
-    const client = `${zone}/${Math.floor(drawClient() * clientsPerZone)}`;
+    const client = `${zone}/${Math.floor(drawClient() * (d.clientsPerZone ?? usualClients))}`;
     const impatient = random() < 0.1;
     const most = impatient ? 4 : 1 + k.furtherTries;
-    const group = Math.floor(random() * 4);
-    const own = Math.round(k.own * (0.5 + random()));
+    const prompt = k.draw === undefined ? usualPrompt(k, task) : drawnPrompt(k, k.draw, task);
     let tries = 0;
     let has = 0;
 
@@ -88,13 +138,15 @@
         streaming: k.streaming,
         resumable: k.resumable,
         repeatable: k.repeatable,
-        pieces: piecesOf(k.answer),
+        pieces: prompt.pieces,
         router: router.name,
         readAt: undefined,
         end: undefined,
         ended: 'open',
         why: '',
         firstAt: undefined,
+        longestPause: 0,
+        size: prompt.promptTokens + answerWeight * prompt.answerTokens,
         body: [],
       };
       h.tries.push(t);
@@ -104,13 +156,10 @@
         target: t.target,
         host: hostOf(k.name),
         head: [],
-        body: Buffer.from(`${task}`),
-        promptTokens: k.shared + own,
-        answerTokens: k.answer,
-        parts: [
-          { id: `${k.name}${group}`, tokens: k.shared },
-          { id: `own${task}`, tokens: own },
-        ],
+        body: k.bodyBytes === undefined ? Buffer.from(`${task}`) : Buffer.alloc(k.bodyBytes),
+        promptTokens: prompt.promptTokens,
+        answerTokens: prompt.answerTokens,
+        parts: prompt.parts,
         patience: left,
         lastEvent,
       };
@@ -170,6 +219,7 @@
           },
           bytes: (b) => {
             if (over) return;
+            if (t.firstAt !== undefined) t.longestPause = Math.max(t.longestPause, e.now() - heardAt);
             heardAt = e.now();
             t.firstAt ??= e.now();
             t.body.push(b);
@@ -183,15 +233,23 @@
     once();
   }
 
+  const clump = d.clump ?? 1;
+  /** Geometric, with `clump` as its mean. */
+  function arrivingTogether(): number {
+    let count = 1;
+    while (clump > 1 && random() < 1 - 1 / clump) count += 1;
+    return count;
+  }
+
   const self: VirtualRequesters = {
     crowd: 1,
     begin: (until) => {
       probe();
       for (const k of d.kinds) next(k);
       function next(k: PassedKind): void {
-        e.at(e.now() - (1e6 / (k.rate * self.crowd)) * Math.log(1 - random()), () => {
+        e.at(e.now() - ((1e6 * clump) / (k.rate * self.crowd)) * Math.log(1 - random()), () => {
           if (e.now() > until) return;
-          ask(k);
+          for (let n = arrivingTogether(); n > 0; n -= 1) ask(k);
           next(k);
         });
       }
--- a/packages/simulator/src/pass-through/virtual-worker.ts
+++ b/packages/simulator/src/pass-through/virtual-worker.ts
@@ -4,6 +4,7 @@
  * be dark, be slow, refuse, fail, cut, lose or garble its answers. It does not check whose memory a run goes on from.
  */
 import type { Engine } from '../engine.js';
+import type { EngineShape } from './engine-shape.js';
 
 export interface WorkerCall {
   readonly request: string;
@@ -49,7 +50,7 @@
   readonly zone: string;
   /** The part that it begins with. */
   readonly part: VirtualPart;
-  readonly kvTokens: number;
+  readonly engine: EngineShape;
   readonly handleTtl: () => number;
   readonly slow: number;
   // What becomes of an answer.
@@ -58,6 +59,9 @@
   readonly moveTime: (from: string, tokens: number) => number | undefined;
   readonly lifeAt: (address: string) => WorkerLife | undefined;
   readonly began: (c: WorkerCall, run: string, memoryOf: string | undefined) => void;
+  /** A prompt is about to be read, but for so many tokens that are kept; and memory of so many tokens was moved. */
+  readonly reads?: (c: WorkerCall, keptTokens: number) => void;
+  readonly moved?: (tokens: number) => void;
 }
 export type Mischief = 'none' | 'cut' | 'foreign' | 'surplus' | 'lost' | 'fail';
 export interface WorkerLife {
@@ -87,22 +91,27 @@
   readonly run: string;
   readonly cutAfter: number;
   need: number;
+  /** When its reading may begin. */
+  readyAt: number;
   moving: boolean;
   made: number;
   sent: number;
   headSent: boolean;
 }
-export const slots = 64;
-const mostQueued = 40;
-export const stride = 4;
-const step = 2600;
-const stepPerRun = 40;
-const pace = 0.0482;
 /** How long a worker takes to come back with another part. */
 export const switchTime = 1_800_000;
 const idleLook = 20_000;
 
-export function piecesOf(answerTokens: number): number {
+/** Steps under way: tokens for all that run, and a piece of one prompt. */
+interface Stepping {
+  readonly makers: readonly Job[];
+  readonly reader: Job | undefined;
+  readonly each: number;
+  readonly tokens: number;
+  readonly from: number;
+}
+
+export function piecesOf(answerTokens: number, stride: number): number {
   return Math.max(1, Math.ceil(answerTokens / stride));
 }
 export function pieceOf(request: string, run: string, n: number, of: number): string {
@@ -114,7 +123,10 @@
   const kept = new Map<string, number>();
   let queue: Job[] = [];
   const running = new Set<Job>();
-  let [alive, dark, stepping] = [true, false, false];
+  const { engine } = o;
+  let [alive, dark] = [true, false];
+  let stepping: Stepping | undefined;
+  let wakeAt = Infinity;
   let held: (() => void)[] = [];
   let moveFree = 0;
   let n = 0;
@@ -145,7 +157,7 @@
     let all = used();
     for (const t of kept.values()) all += t;
     for (const [id, t] of kept) {
-      if (all <= o.kvTokens) break;
+      if (all <= engine.kvTokens) break;
       kept.delete(id);
       all -= t;
     }
@@ -164,7 +176,7 @@
     if (c.target !== o.id) return refuse(c, 421);
     if (c.doing === 'read' ? part !== 'prefill' : part !== 'decode') return refuse(c, 421);
     if (changingTo !== undefined) return refuse(c, 503);
-    if (queue.length >= mostQueued || c.promptTokens > o.kvTokens) return refuse(c, 503);
+    if (queue.length >= engine.queued || c.promptTokens > engine.kvTokens) return refuse(c, 503);
     n += 1;
     if (c.doing === 'read') c.taken();
     queue.push({
@@ -175,6 +187,7 @@
       run: `${o.id}.${n}`,
       cutAfter: Math.floor(random() * 6),
       need: 0,
+      readyAt: 0,
       moving: false,
       made: 0,
       sent: c.lastEvent,
@@ -186,17 +199,20 @@
   function admit(): void {
     if (queue.length === 0) return;
     queue.sort((a, b) => a.call.urgency - b.call.urgency || a.at - b.at);
-    while (queue.length > 0 && running.size < slots) {
+    while (queue.length > 0 && running.size < engine.slots) {
       const j = queue[0]!;
       if (e.now() > j.due) {
         queue.shift();
         refuse(j.call, 503);
         continue;
       }
-      if (running.size > 0 && used() + j.call.promptTokens > o.kvTokens) return;
+      if (running.size > 0 && used() + j.call.promptTokens > engine.kvTokens) return;
       queue.shift();
       if (j.call.from === undefined) {
-        j.need = Math.max(1, j.call.promptTokens - keptOf(j.call));
+        const known = keptOf(j.call);
+        o.reads?.(j.call, known);
+        j.need = Math.max(1, j.call.promptTokens - known);
+        j.readyAt = e.now() + engine.firstTime;
         if (j.call.doing === 'run') begin(j, undefined);
         running.add(j);
       } else fetch(j, j.call.from);
@@ -210,7 +226,8 @@
     if (source === undefined || took === undefined || wait > 2_000_000) return refuse(j.call, 503);
     const h = source.take(from.handle);
     if (h === undefined) return refuse(j.call, 503);
-    moveFree = e.now() + wait + took;
+    o.moved?.(j.call.promptTokens);
+    moveFree = e.now() + wait + took + engine.moveSetup;
     j.moving = true;
     running.add(j);
     e.at(moveFree, () => {
@@ -276,9 +293,10 @@
 
   function make(j: Job, k: number): void {
     j.made += k;
-    const all = piecesOf(j.call.answerTokens);
-    const to = Math.min(all, Math.max(j.call.lastEvent, 0) + Math.floor(j.made / stride));
-    const done = j.made >= j.call.answerTokens - j.call.lastEvent * stride;
+    const all = piecesOf(j.call.answerTokens, engine.stride);
+    const begun = j.made >= engine.firstStride ? 1 + Math.floor((j.made - engine.firstStride) / engine.stride) : 0;
+    const to = Math.min(all, Math.max(j.call.lastEvent, 0) + begun);
+    const done = j.made >= j.call.answerTokens - j.call.lastEvent * engine.stride;
     if (!j.headSent && bad(j)) return;
     for (let i = j.sent + 1; i <= (done ? all : to); i += 1) {
       const s = j.call.streaming ? pieceOf(j.call.request, j.run, i, all) : `${j.call.request} ${j.run} ${i}/${all};`;
@@ -303,10 +321,31 @@
   }
 
   function kick(): void {
-    if (!stepping && alive && !dark) next();
+    if (!alive || dark) return;
+    if (stepping === undefined) next();
+    else shorten(stepping);
   }
+
+  /** Steps for which nothing was to be read are broken off after the present one, as something may be now. */
+  function shorten(steps: Stepping): void {
+    if (steps.reader !== undefined || steps.tokens <= 1) return;
+    const done = Math.floor((e.now() - steps.from) / steps.each) + 1;
+    if (done >= steps.tokens) return;
+    startSteps(steps.makers, undefined, 0, steps.each, done, steps.from);
+  }
+
+  /** Looks again when the first of those that wait for their reading may begin. */
+  function wakeFor(at: number): void {
+    if (at >= wakeAt) return;
+    wakeAt = at;
+    e.at(at, () => {
+      if (wakeAt === at) wakeAt = Infinity;
+      kick();
+    });
+  }
+
   function next(): void {
-    stepping = false;
+    stepping = undefined;
     if (!alive || dark) return;
     admit();
     let reader: Job | undefined;
@@ -314,6 +353,7 @@
     for (const j of running) {
       if (j.moving) continue;
       if (j.need <= 0) makers.push(j);
+      else if (j.readyAt > e.now()) wakeFor(j.readyAt);
       else if (
         reader === undefined ||
         j.call.urgency < reader.call.urgency ||
@@ -322,16 +362,44 @@
         reader = j;
     }
     if (reader === undefined && makers.length === 0) return;
-    stepping = true;
-    const base = (step + stepPerRun * makers.length) * o.slow;
-    const most = part === 'prefill' ? 1024 : 256;
-    const piece = reader === undefined ? 0 : Math.min(reader.need, makers.length === 0 ? 4 * most : most);
-    const k = reader === undefined ? stride : 1;
-    const dt = piece === 0 ? k * base : base + (piece / (part === 'prefill' ? pace : pace / 2)) * o.slow;
-    e.at(e.now() + dt, () => {
-      stepping = false;
+    const context = makers.reduce((sum, j) => sum + j.call.promptTokens + j.made, 0);
+    const each = (engine.step + engine.stepPerRun * makers.length + engine.stepPerContextToken * context) * o.slow;
+    const most = part === 'prefill' ? engine.prefillPiece : engine.decodePiece;
+    const piece =
+      reader === undefined ? 0 : Math.min(reader.need, makers.length === 0 ? engine.idlePieces * most : most);
+    // A prefill worker makes no tokens, so its reading waits for no step of theirs.
+    const length = reader === undefined ? each : readingTime(reader, piece) + (part === 'prefill' ? 0 : each);
+    startSteps(makers, reader, piece, length, reader === undefined ? stepsAtOnce(makers) : 1, e.now());
+  }
+
+  /** As many as no piece of any answer ends in before. */
+  function stepsAtOnce(makers: readonly Job[]): number {
+    return makers.some((j) => j.made < engine.firstStride) ? engine.firstStride : engine.stride;
+  }
+
+  function readingTime(j: Job, piece: number): number {
+    const before = j.call.promptTokens - j.need;
+    const pairs = piece * (2 * before + piece);
+    const half = part === 'prefill' ? 1 : 2;
+    return (piece * engine.perToken + pairs * engine.perPair) * half * o.slow;
+  }
+
+  function startSteps(
+    makers: readonly Job[],
+    reader: Job | undefined,
+    piece: number,
+    each: number,
+    tokens: number,
+    from: number,
+  ): void {
+    const steps: Stepping = { makers, reader, each, tokens, from };
+    stepping = steps;
+    e.at(from + tokens * each, () => {
+      // Others have taken its place.
+      if (stepping !== steps) return;
+      stepping = undefined;
       if (!alive || dark) return;
-      for (const j of makers) if (running.has(j)) make(j, k);
+      for (const j of makers) if (running.has(j)) make(j, tokens);
       if (reader !== undefined && running.has(reader)) {
         reader.need -= piece;
         if (reader.need <= 0) read(reader);
@@ -413,6 +481,6 @@
       kick();
     },
     isDark: () => dark,
-    load: () => ({ queued: queue.length, active: running.size, kvUsed: used(), kvTotal: o.kvTokens }),
+    load: () => ({ queued: queue.length, active: running.size, kvUsed: used(), kvTotal: engine.kvTokens }),
   };
 }
--- a/packages/simulator/src/pass-through/virtual-workers.ts
+++ b/packages/simulator/src/pass-through/virtual-workers.ts
@@ -3,9 +3,17 @@
  * new id; addresses are used again, also by workers of a service that no path names.
  */
 import type { ListedWorker } from '@tansypost/control-feed';
-import { asideService, mainService } from './passed-deployment.js';
+import { usualEngine } from './engine-shape.js';
+import { asideService, mainService, type ServiceShape } from './passed-deployment.js';
+import { createPlainLife } from './plain-worker.js';
 import { sleep, type Ground } from './ground.js';
-import { createWorkerLife, type Mischief, type WorkerCall, type WorkerLife } from './virtual-worker.js';
+import {
+  createWorkerLife,
+  type LifeOptions,
+  type Mischief,
+  type WorkerCall,
+  type WorkerLife,
+} from './virtual-worker.js';
 
 export interface VirtualWorkers {
   readonly lifeAt: (address: string) => WorkerLife | undefined;
@@ -35,6 +43,7 @@
   const machines = new Map<string, string>();
   const entries: Entry[] = [];
   const lag = 200_000 + random() * 600_000;
+  const lastUse = new Map<string, number>();
   const mischief = {
     kind: 'none' as Mischief,
     share: 0,
@@ -48,31 +57,51 @@
     g.h.runs.push({ at: e.now(), request: c.request, run, worker: o.id, service: o.service, memoryOf });
   }
 
-  function start(address: string, service: string, zone: string, part: 'prefill' | 'decode'): WorkerLife {
+  function start(
+    address: string,
+    service: string,
+    zone: string,
+    part: 'prefill' | 'decode',
+    slow?: number,
+  ): WorkerLife {
     ids += 1;
+    const shape = d.services?.find((each) => each.name === service);
+    const engine = shape?.engine ?? usualEngine(d.kvTokens);
     const id = `i${ids}`;
     const machine = `w${address.split(':')[0]}`;
     machines.set(address, machine);
     g.silent.delete(machine);
-    const life: WorkerLife = createWorkerLife(e, random, {
+    const options: LifeOptions = {
       id,
       address,
       machine,
       service,
       zone,
       part,
-      kvTokens: d.kvTokens,
+      engine,
       handleTtl: () => mischief.more.handleTtl,
-      slow: 0.9 + 0.5 * random(),
+      slow: slow ?? 0.9 + 0.5 * random(),
       mischief: () => (random() < mischief.share ? mischief.kind : 'none'),
       moveTime: (from, tokens) => {
         const m = machines.get(from) ?? '';
         if (g.net.blocked(machine, m) || g.net.blocked(m, machine)) return undefined;
-        return ((tokens * 18_432 * 8) / 740_000) * (at.get(from)?.o.zone === zone ? 1 : 2) * mischief.more.slowMoves;
+        return (
+          ((tokens * engine.tokenBytes * 8) / engine.linkMbps) *
+          (at.get(from)?.o.zone === zone ? 1 : 2) *
+          mischief.more.slowMoves
+        );
       },
       lifeAt: (a) => at.get(a),
       began: (c, run, memoryOf) => began(c, () => life, run, memoryOf),
-    });
+      reads: (c, known) => noteReading(c, known),
+      moved: (tokens) => {
+        g.h.costs.moved += tokens;
+      },
+    };
+    const life: WorkerLife =
+      shape?.plain === undefined
+        ? createWorkerLife(e, random, options)
+        : createPlainLife(e, random, options, shape.plain);
     at.set(address, life);
     entries.push({ life, from: e.now(), leaving: Infinity, until: Infinity });
     return life;
@@ -85,10 +114,37 @@
     return entries.find((x) => x.life === w)!;
   }
 
-  for (let i = 0; i < d.workers; i += 1)
-    start(fresh(), mainService, d.zones[i % d.zones.length]!, i % 2 === 0 ? 'prefill' : 'decode');
-  for (let i = 0; i < d.asideWorkers; i += 1)
-    start(fresh(), asideService, d.zones[i % d.zones.length]!, i % 2 === 0 ? 'prefill' : 'decode');
+  const usual = { prefillShare: 0.5, slow: [] };
+  const services = d.services ?? [
+    { ...usual, name: mainService, workers: d.workers },
+    { ...usual, name: asideService, workers: d.asideWorkers },
+  ];
+  for (const shape of services)
+    for (let i = 0; i < shape.workers; i += 1) {
+      const reads = Math.ceil((i + 1) * shape.prefillShare) > Math.ceil(i * shape.prefillShare);
+      start(fresh(), shape.name, d.zones[i % d.zones.length]!, reads ? 'prefill' : 'decode', slowOf(shape, i));
+    }
+
+  /** Turns through the list, so that zones and parts get all of them. */
+  function slowOf(shape: Pick<ServiceShape, 'slow' | 'prefillShare'>, i: number): number | undefined {
+    if (shape.slow.length === 0) return undefined;
+    const turn = Math.floor(i / d.zones.length) + Math.floor(i * shape.prefillShare) + i;
+    return shape.slow[turn % shape.slow.length];
+  }
+
+  /** Shared parts that are read though some worker read them a short time ago cost. */
+  function noteReading(c: WorkerCall, known: number): void {
+    const { costs } = g.h;
+    costs.read += c.promptTokens - known;
+    let before = 0;
+    for (const part of c.parts.slice(0, -1)) {
+      const isRead = before >= known;
+      before += part.tokens;
+      const last = lastUse.get(part.id) ?? -Infinity;
+      if (isRead && e.now() - last < (d.rereadWindow ?? Infinity)) costs.reread += part.tokens;
+      lastUse.set(part.id, e.now());
+    }
+  }
 
   function end(w: WorkerLife, listedUntil: number): void {
     const x = entry(w);
@@ -103,7 +159,9 @@
     if (power) g.silent.add(w.o.machine);
     end(w, e.now() + listedAfterCrash);
     const { address, service, zone, part } = w.o;
-    if (back) e.at(e.now() + 500_000 + random() * 2_000_000, () => start(address, service, zone, part));
+    const { slow } = w.o;
+    const same = d.services === undefined ? undefined : slow;
+    if (back) e.at(e.now() + 500_000 + random() * 2_000_000, () => start(address, service, zone, part, same));
   }
 
   // It is shown as leaving, serves on for a while, and ends.
@@ -124,7 +182,7 @@
   async function release(service: string): Promise<void> {
     for (const w of lives(service)) {
       if (!w.alive()) continue;
-      start(fresh(), service, w.o.zone, w.o.part);
+      start(fresh(), service, w.o.zone, w.o.part, d.services === undefined ? undefined : w.o.slow);
       await sleep(g, 300_000 + random() * 700_000);
       if (w.alive()) leave(w, () => addressMayGo(w));
     }
@@ -153,7 +211,7 @@
         service: x.life.o.service,
         address: x.life.o.address,
         zone: x.life.o.zone,
-        slots: 64,
+        slots: x.life.o.engine.slots,
         leaving: x.leaving <= t,
         coldMs: 0,
         part: x.life.part(),
