--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -32,6 +32,8 @@
   readonly shared?: boolean;
   /** How many of the first seeds are machines that serve control without holding its state, where there are such. */
   readonly gatewaySeeds?: number;
+  /** The seeds of each machine from the trouble `seeds-exchanged` on; without it, the same machines for all. */
+  readonly laterSeeds?: (machine: string) => readonly string[];
   readonly rate?: number;
   /** How often, from 0 to 1, a client asks again on the connection of its last answer. */
   readonly keptConnections?: number;
@@ -89,11 +91,31 @@
   function beside(machine: string): VirtualRouter[] {
     return routers.filter((r) => r.machine === machine);
   }
+  /** Machines that serve control without holding its state. */
+  function gateways(): string[] {
+    return routers.filter((r) => r.machine === r.name).map((r) => r.name);
+  }
   /** Other machines that serve control: without its state where there are such. */
   function otherSeeds(): string[] {
-    const others = o.shared === true ? routers.filter((r) => r.machine === r.name).map((r) => r.name) : [];
+    const others = gateways();
     return (others.length > 0 ? others : [...coreNames].reverse()).slice(0, 3);
   }
+  /** Each machine is given seeds of its own, drawn from all that serve control. */
+  function scatteredSeeds(): (machine: string) => readonly string[] {
+    const given = new Map<string, readonly string[]>();
+    return function seedsOf(machine) {
+      const known = given.get(machine);
+      if (known !== undefined) return known;
+      const drawn = drawSeeds([...gateways(), ...coreNames]);
+      given.set(machine, drawn);
+      return drawn;
+    };
+  }
+  function drawSeeds(from: string[]): string[] {
+    const drawn: string[] = [];
+    while (drawn.length < 3 && from.length > 0) drawn.push(...from.splice(Math.floor(random() * from.length), 1));
+    return drawn;
+  }
   function killMachine(machine: string, power: boolean): void {
     core.kill(machine, power);
     for (const r of beside(machine)) r.kill(power);
@@ -148,7 +170,7 @@
     coreNames = coreNames.map((x) => (x === old ? n : x));
     core.add(n);
     later(0.5, () => {
-      core.reseed(coreNames.slice(0, 3));
+      core.reseed(() => coreNames.slice(0, 3));
       core.start(n, false);
     });
     trouble('core', planned ? 'replaced as planned' : 'replaced', s + 1);
@@ -264,7 +286,9 @@
       case 'config-invalid':
         return void operator.invalid();
       case 'seeds-exchanged':
-        return core.reseed(otherSeeds());
+        return core.reseed(o.laterSeeds ?? otherSeeds);
+      case 'seeds-scattered':
+        return core.reseed(scatteredSeeds());
       case 'keeper-kill':
       case 'keeper-power':
         return loseMachine(k, t.do, t.do === 'keeper-power', s);
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -32,6 +32,7 @@
   'config-storm',
   'config-invalid',
   'seeds-exchanged',
+  'seeds-scattered',
   'keeper-kill',
   'keeper-power',
   'keeper-freeze',
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -42,8 +42,10 @@
   // SIGTERM: hands its place on, then ends.
   readonly leave: (name: string) => void;
   readonly running: () => CoreMachine[];
-  readonly seeds: () => readonly Address[];
-  readonly reseed: (names: readonly string[]) => void;
+  /** The seeds that the settings of this machine name now. */
+  readonly seeds: (machine: string) => readonly Address[];
+  /** From now on the settings of each machine name these machines. */
+  readonly reseed: (seedsOf: (machine: string) => readonly string[]) => void;
   readonly listDown: (on: boolean) => void;
   readonly fetchList: (machine: string, proc: Proc) => () => Promise<ReturnType<VirtualWorkers['list']> | undefined>;
 }
@@ -72,9 +74,13 @@
 export function createVirtualCore(g: Ground, workers: VirtualWorkers, options: VirtualCoreOptions): VirtualCore {
   const { e, net, random } = g;
   const machines = new Map<string, CoreMachine>();
-  let seeds = options.seeds.map((n) => `${n}:1` as Address);
+  let seedsOf: (machine: string) => readonly string[] = () => options.seeds;
   let down = false;
 
+  function seeds(machine: string): Address[] {
+    return seedsOf(machine).map((name) => `${name}:1` as Address);
+  }
+
   function fetchList(machine: string, proc: Proc): () => Promise<ReturnType<VirtualWorkers['list']> | undefined> {
     const incarnation = proc.incarnation;
     return function fetch() {
@@ -121,8 +127,8 @@
     if (m.proc.alive) return;
     g.silent.delete(name);
     const { world, asker } = startControlNode(g, m, {
-      founders: [...seeds].sort(),
-      seeds: () => seeds,
+      founders: seeds(name).sort(),
+      seeds: () => seeds(name),
       bootstrap,
       dutyTenure,
       sweepEvery: 2_000_000,
@@ -197,9 +203,9 @@
     },
     reached,
     running: () => [...machines.values()].filter((m) => m.proc.alive),
-    seeds: () => seeds,
-    reseed: (names) => {
-      seeds = names.map((n) => `${n}:1` as Address);
+    seeds,
+    reseed: (changed) => {
+      seedsOf = changed;
     },
     listDown: (on) => {
       down = on;
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -197,7 +197,7 @@
       self,
       member: name,
       zone,
-      seeds: core.seeds(),
+      seeds: core.seeds(machine),
       fetchList: core.fetchList(name, proc),
       elsewhere: c.elsewhere,
       more: { key: recordKey, version: l.version, take: l.take },
--- a/tests/shared-processes.test.ts
+++ b/tests/shared-processes.test.ts
@@ -83,6 +83,9 @@
   return new Promise((done) => children.get(machine)!.once('exit', (code, signal) => done([code, signal])));
 }
 
+/** Stands for a call that got no answer. */
+const nothing: Answer = { status: 0, body: '', complete: false, seal: undefined, location: undefined };
+
 let requests = 0;
 function ask(machine: Machine, hold = false): Asked {
   requests += 1;
@@ -168,7 +171,7 @@
   expect((await operate('lonely', 'PUT', first, '0')).status).toBe(503);
   expect((await operate('lonely', 'DELETE')).status).toBe(405);
   await until(
-    async () => ({ status: 0, body: logOf('lonely'), complete: true, seal: undefined, location: undefined }),
+    async () => ({ ...nothing, body: logOf('lonely') }),
     (log) => log.body.includes('E2014'),
   );
   expect(logOf('lonely')).toMatch(/E2014 error .*no control node has been heard/);
@@ -192,3 +195,31 @@
   expect(await gone).toEqual([0, null]);
   expect(logOf('holder')).toContain('E2012');
 });
+
+it('lets answers end though SIGTERM comes again and again', async () => {
+  start('holder');
+  await until(
+    () => ready('holder'),
+    (a) => a.status === 200,
+  );
+  const held = ask('holder', true);
+  await held.begun;
+  const gone = ended('holder');
+  for (let signal = 0; signal < 3; signal += 1) {
+    children.get('holder')!.kill('SIGTERM');
+    await until(
+      () => ready('holder'),
+      (a) => a.status === 503,
+    );
+  }
+  // The control node hands over once and is closed, while the router goes on with the answer under way.
+  await until(
+    () => operate('holder', 'GET').catch(() => nothing),
+    (a) => a.status === 0,
+  );
+  for (let look = 0; look < 10; look += 1) expect(await ready('holder')).toMatchObject({ status: 503 });
+  releaseAnswers(heldAnswers);
+  expect(await held.answer).toMatchObject(whole);
+  expect(await gone).toEqual([0, null]);
+  expect(logOf('holder').match(/E2012/g)).toHaveLength(2);
+});
--- /dev/null
+++ b/tests/stateless-seeds.test.ts
@@ -0,0 +1,65 @@
+/**
+ * Seeds are drawn from all machines that serve control, also those that hold none of its state. Virtual days in which
+ * such seeds have lost their memory, as everybody was restarted: what control nodes have on their disks must lead
+ * everybody back to them.
+ */
+import { expect, it } from 'vitest';
+import {
+  passedDeployments,
+  playPassedOne,
+  type Closing,
+  type PassedDayOptions,
+  type PassedOne,
+  type PassedTrouble,
+} from '../packages/simulator/src/index.js';
+
+const ferry = passedDeployments['ferry']!;
+const coldStorage = passedDeployments['cold-storage']!;
+
+function at(seconds: number, what: PassedTrouble['do'], lasting = 1, who = 0.3): PassedTrouble {
+  return { at: seconds, do: what, for: lasting, who };
+}
+
+function play(seed: number, over: Partial<PassedDayOptions>): Promise<PassedOne> {
+  const d = seed % 2 === 0 ? ferry : coldStorage;
+  return playPassedOne(d, seed, { closing: 'none', replicas: 3, span: 12, rate: 0.3, ...over });
+}
+
+async function expectServiceBack(seed: number, over: Partial<PassedDayOptions>): Promise<void> {
+  const day = await play(seed, over);
+  expect([seed, day.breaches]).toEqual([seed, []]);
+  expect(day.margins.backAfter).toBeLessThan(6);
+}
+
+it('RECOVER: serves again though every seed is a machine without state', async () => {
+  const ends: readonly [Closing, boolean][] = [
+    ['all-lose-power', false],
+    ['all-killed', false],
+    ['all-lose-power', true],
+    ['disks-lost-all-dark', true],
+  ];
+  for (const [closing, shared] of ends)
+    for (const seed of [1, 2, 3, 4])
+      await expectServiceBack(seed, {
+        troubles: [at(1, 'seeds-exchanged')],
+        closing,
+        shared,
+        replicas: shared ? 6 : 3,
+      });
+});
+
+it.each([false, true])('serves again though each machine has seeds of its own (shared: %s)', async (shared) => {
+  for (const seed of [1, 2, 3, 4, 5, 6])
+    await expectServiceBack(seed, {
+      troubles: [at(1, 'seeds-scattered')],
+      closing: 'all-lose-power',
+      shared,
+      replicas: shared ? 6 : 3,
+    });
+});
+
+it('RECOVER: serves again though control nodes and routers know different seeds', async () => {
+  const laterSeeds = (machine: string): string[] => (machine.startsWith('c') ? ['r0', 'r1', 'r2'] : ['r3', 'r4', 'r5']);
+  for (const seed of [1, 2, 3, 4])
+    await expectServiceBack(seed, { troubles: [at(1, 'seeds-exchanged')], closing: 'all-lose-power', laterSeeds });
+});
