--- a/packages/control-feed/src/control-watch.ts
+++ b/packages/control-feed/src/control-watch.ts
@@ -1,5 +1,7 @@
-/** Tells the operator's log when no control node has been heard for long, and when one is heard again. */
-import { every, micros, type World } from '@tansypost/inner-protocol';
+/** Watches over the contact of control nodes and those that follow them, from both sides. */
+import type { ControlNode } from '@tansypost/control-state';
+import type { World } from '@tansypost/inner-protocol';
+import { startSilenceWatch } from './silence-watch.js';
 
 export interface ControlWatchOptions {
   /** Whether a control node has been heard lately. */
@@ -8,28 +10,33 @@
   readonly seeds: () => readonly string[];
 }
 
-const lookEvery = micros(1_000_000);
-/** A start of the whole system takes less. */
-const silentFor = 8_000_000;
-/** The log is told again after so long. */
-const tellEvery = 30_000_000;
-
-/** Looks each second until it is stopped. */
+/** Logs when a follower has heard no control node for long (2014), and when it hears one again (2016). */
 export function startControlWatch(world: World, options: ControlWatchOptions): () => void {
-  let heardAt = world.now();
-  let toldAt = -Infinity;
+  return startSilenceWatch(world, {
+    isHeard: options.isInTouch,
+    silentEvent: 2014,
+    details: () => ({ seeds: options.seeds() }),
+    heardEvent: 2016,
+  });
+}
 
-  function look(): void {
-    const now = world.now();
-    if (options.isInTouch()) {
-      if (toldAt > heardAt) world.log(2016, { afterMs: Math.round((now - heardAt) / 1000) });
-      heardAt = now;
-      return;
-    }
-    if (now - heardAt < silentFor || now - toldAt < tellEvery) return;
-    toldAt = now;
-    world.log(2014, { seeds: options.seeds(), silentMs: Math.round((now - heardAt) / 1000) });
-  }
+export interface FollowerWatchOptions {
+  readonly controlNode: () => ControlNode | undefined;
+  /** How many follow this control node. */
+  readonly followers: () => number;
+  /** The seeds that the control node knows. */
+  readonly seeds: () => readonly string[];
+}
 
-  return every(world, () => lookEvery, look);
+/** Logs when a control node votes and nobody follows it for long (2017), and when it is followed again (2018). */
+export function startFollowerWatch(world: World, options: FollowerWatchOptions): () => void {
+  function votes(): boolean {
+    return options.controlNode()?.replica.state() === 'voting';
+  }
+  return startSilenceWatch(world, {
+    isHeard: () => !votes() || options.followers() > 0,
+    silentEvent: 2017,
+    details: () => ({ seeds: options.seeds() }),
+    heardEvent: 2018,
+  });
 }
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -79,6 +79,12 @@
     remedy: 'Start more machines with a disk whose loss is counted, or lower the fault budget.',
   },
   2016: { level: 'info', means: 'a control node is heard again', remedy: 'None.' },
+  2017: {
+    level: 'warn',
+    means: 'this control node votes and nobody follows it; routers may not know where control nodes are',
+    remedy: 'Start routers, or look at the seeds that they and this machine were given, and at the links between them.',
+  },
+  2018: { level: 'info', means: 'this control node is followed again', remedy: 'None.' },
   2101: { level: 'info', means: 'change acknowledged', remedy: 'None.' },
   2102: {
     level: 'info',
--- a/packages/simulator/src/pass-through/virtual-core.ts
+++ b/packages/simulator/src/pass-through/virtual-core.ts
@@ -74,9 +74,13 @@
 export function createVirtualCore(g: Ground, workers: VirtualWorkers, options: VirtualCoreOptions): VirtualCore {
   const { e, net, random } = g;
   const machines = new Map<string, CoreMachine>();
-  let seedsOf: (machine: string) => readonly string[] = () => options.seeds;
+  let seedsOf: (machine: string) => readonly string[] = firstSeeds;
   let down = false;
 
+  function firstSeeds(): readonly string[] {
+    return options.seeds;
+  }
+
   function seeds(machine: string): Address[] {
     return seedsOf(machine).map((name) => `${name}:1` as Address);
   }
--- a/tests/stateless-seeds.test.ts
+++ b/tests/stateless-seeds.test.ts
@@ -59,7 +59,9 @@
 });
 
 it('RECOVER: serves again though control nodes and routers know different seeds', async () => {
-  const laterSeeds = (machine: string): string[] => (machine.startsWith('c') ? ['r0', 'r1', 'r2'] : ['r3', 'r4', 'r5']);
+  function laterSeeds(machine: string): string[] {
+    return machine.startsWith('c') ? ['r0', 'r1', 'r2'] : ['r3', 'r4', 'r5'];
+  }
   for (const seed of [1, 2, 3, 4])
     await expectServiceBack(seed, { troubles: [at(1, 'seeds-exchanged')], closing: 'all-lose-power', laterSeeds });
 });
