RECOVER mended: control nodes tell seeds and silent followers where the replicas are

Cause: seeds are drawn from all that serve control, also machines without its state. After a loss of power such a seed knows only its own seeds; control nodes know each other (disk) and the seeds (settings) and told neither. The platform's control node was built without the telling of seeds that the product's own form has (seeds: []). Class: state that comes back only through somebody without a memory. Change: the feed server tells seeds that do not follow it, and followers that have gone silent, where the replicas are; a machine without state passes it on to its own seeds, soon and then more and more seldom. A first form in control-state's followers was taken back: on the platform a replica is followed by its own node only.

--- a/packages/control-feed/src/configuration-feed.test.ts
+++ b/packages/control-feed/src/configuration-feed.test.ts
@@ -94,6 +94,7 @@
       rank: () => i,
       liveReplicas: () => addresses,
       replica: {
+        state: () => 'voting',
         membership: () => ({ membershipEpoch: 1, replicas: members }),
         row: () => ({ version: replica.second }),
       },
--- a/packages/control-feed/src/feed-server.ts
+++ b/packages/control-feed/src/feed-server.ts
@@ -7,6 +7,7 @@
 import { configurationKey } from './configuration.js';
 import { createConfigurationPublisher } from './configuration-publisher.js';
 import { createFollowerRegistry } from './follower-registry.js';
+import { startMembershipAnnouncer } from './membership-announcer.js';
 import type { ListedWorker } from './listed-worker.js';
 import { createWorkerListWatch } from './worker-list-watch.js';
 import { startWorkerLoadPoll, type ReportedLoad } from './worker-load-poll.js';
@@ -16,6 +17,8 @@
   /** The zone of this machine; routers of the same zone prefer it. */
   readonly zone?: string;
   readonly keeper: () => ControlNode | undefined;
+  /** Where routers that know nobody begin; these are told of the replicas without asking. */
+  readonly seeds?: () => readonly Address[];
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
   /** Asks one worker for its load; without it, or with a period of 0, no worker is asked. */
   readonly fetchLoad?: (worker: ListedWorker) => Promise<ReportedLoad | undefined>;
@@ -34,6 +37,10 @@
 
 /** What a control node says of itself before it has a replica. */
 const noReplica: Following = { version: 0, membershipEpoch: 0, voting: false, leased: false };
+function noSeeds(): readonly Address[] {
+  return [];
+}
+
 const relayWithin = micros(40_000);
 
 export function createFeedServer(world: World, options: FeedServerOptions): FeedServer {
@@ -122,7 +129,12 @@
     return node === undefined ? undefined : { rank: node.rank(), nodes: node.liveReplicas().length };
   }
 
-  const stops = [workerList.stop, configuration.stop];
+  const stopAnnouncing = startMembershipAnnouncer(world, {
+    controlNode: options.keeper,
+    followers,
+    seeds: options.seeds ?? noSeeds,
+  });
+  const stops = [workerList.stop, configuration.stop, stopAnnouncing];
   const { fetchLoad, loadEvery } = options;
   if (fetchLoad !== undefined && loadEvery !== undefined && loadEvery > 0)
     stops.push(
--- a/packages/control-feed/src/index.ts
+++ b/packages/control-feed/src/index.ts
@@ -6,6 +6,7 @@
 export * from './control-watch.js';
 export * from './feed-server.js';
 export * from './listed-worker.js';
+export * from './membership-relay.js';
 export * from './stored-value.js';
 export * from './worker-book.js';
 export type { WorkerLoad } from './worker-loads.js';
--- a/packages/simulator/src/core-machine.ts
+++ b/packages/simulator/src/core-machine.ts
@@ -145,7 +145,7 @@
     open: (afresh, blank) => openDisk(machine, afresh, blank),
   });
   const asker = createCoreAsker(world, self, createReplicaList(host.core, self, o.seeds));
-  const feed = createFeedServer(world, { self, keeper: host.core, ...o.feed(proc) });
+  const feed = createFeedServer(world, { self, keeper: host.core, seeds: o.seeds, ...o.feed(proc) });
   const beside = o.beside?.(world, host, asker, feed.workers);
   proc.receive = (m, from) => {
     o.observer?.received(m, self, from);
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -2,7 +2,13 @@
  * One edge machine of a virtual day and the lives of the router on it: the course and the feed, wired as the program
  * wires them, and the way in from requesters.
  */
-import { createControlFeed, createControlGuide, createCoreAsker, type ControlFeed } from '@tansypost/control-feed';
+import {
+  createControlFeed,
+  createControlGuide,
+  createCoreAsker,
+  startMembershipRelay,
+  type ControlFeed,
+} from '@tansypost/control-feed';
 import { askThrough, createRouterLearning, recordKey, type RouterLearning } from '@tansypost/learning';
 import { micros, type Address } from '@tansypost/inner-protocol';
 import {
@@ -193,11 +199,12 @@
       end: left,
     });
     const known = new Map<string, FleetWorker>();
+    const seeds = core.seeds(machine);
     const feed = createControlFeed(w, {
       self,
       member: name,
       zone,
-      seeds: core.seeds(machine),
+      seeds,
       fetchList: core.fetchList(name, proc),
       elsewhere: c.elsewhere,
       more: { key: recordKey, version: l.version, take: l.take },
@@ -234,6 +241,7 @@
     });
     controlFeed = feed;
     const guide = createControlGuide(w, { self, membership: feed.membership });
+    if (!holdsControlState) startMembershipRelay(w, { self, seeds: () => seeds, membership: feed.membership });
     proc.receive = (m, from) => {
       if (m.kind === 'Answer') asker.answer(m);
       else if (holdsControlState || !guide(m, from)) feed.receive(m, from);
--- a/tests/stateless-seeds.test.ts
+++ b/tests/stateless-seeds.test.ts
@@ -65,3 +65,27 @@
   for (const seed of [1, 2, 3, 4])
     await expectServiceBack(seed, { troubles: [at(1, 'seeds-exchanged')], closing: 'all-lose-power', laterSeeds });
 });
+it('RECOVER: shows restarted seeds the control nodes though nobody else was restarted', async () => {
+  const troubles = [
+    at(1, 'seeds-exchanged'),
+    ...[0, 1, 2].map((seed) => at(3 + 0.1 * seed, 'router-power', 1, (seed + 0.5) / ferry.routers)),
+  ];
+  const day = await play(2, { troubles, laterSeeds: () => ['r0', 'r1', 'r2'], span: 18 });
+  expect(day.breaches).toEqual([]);
+  const back = day.history.applied.filter(
+    (applied) => ['r0', 'r1', 'r2'].includes(applied.router) && applied.life === 2,
+  );
+  expect(new Set(back.map((applied) => applied.router)).size).toBe(3);
+});
+
+it('RECOVER: looks for followers that were restarted, though its own seeds are older than theirs', async () => {
+  const troubles = [
+    at(1, 'seeds-exchanged'),
+    ...[0, 1, 2].map((seed) => at(3 + 0.1 * seed, 'router-power', 1, (seed + 0.5) / ferry.routers)),
+  ];
+  function laterSeeds(machine: string): string[] {
+    return machine.startsWith('c') ? ['c0', 'c1', 'c2'] : ['r0', 'r1', 'r2'];
+  }
+  const day = await play(2, { troubles, laterSeeds, span: 18 });
+  expect(day.breaches).toEqual([]);
+});
