--- a/packages/boot/src/program.ts
+++ b/packages/boot/src/program.ts
@@ -6,6 +6,7 @@
 import type { Static, TSchema } from '@sinclair/typebox';
 import * as E from 'fp-ts/lib/Either.js';
 import { createLog, type Log } from '@tansypost/event-log';
+import { onStopSignal } from '@tansypost/inner-protocol';
 import { readSettings } from './settings.js';
 
 /** A program that has started. */
@@ -96,7 +97,7 @@
   }
 }
 
-/** Settles at the first SIGTERM or SIGINT, and keeps the process alive until then. */
+/** Settles at the first SIGTERM or SIGINT, and keeps the process alive until then. A second SIGINT ends it at once. */
 function waitForStopSignal(): Promise<void> {
   return new Promise((resolve) => {
     const keepAlive = setInterval(() => undefined, longestInterval);
@@ -104,7 +105,7 @@
       clearInterval(keepAlive);
       resolve();
     }
-    process.once('SIGTERM', stop);
+    onStopSignal(stop);
     process.once('SIGINT', stop);
   });
 }
--- a/packages/inner-protocol/src/index.ts
+++ b/packages/inner-protocol/src/index.ts
@@ -9,5 +9,6 @@
 export * from './real-world.js';
 export * from './shape.js';
 export * from './socket-address.js';
+export * from './stop-signal.js';
 export * from './world.js';
 export * from './virtual-clock.js';
--- a/tests/shared-machines.test.ts
+++ b/tests/shared-machines.test.ts
@@ -44,7 +44,7 @@
   expect(day.history.changes.filter((change) => change.answer === 'taken').length).toBeGreaterThan(5);
 });
 
-it.each([1, 2])('founds its control cluster though %d of its seeds hold no state', async (gatewaySeeds) => {
+it.each([1, 2, 3])('founds its control cluster though %d of its seeds hold no state', async (gatewaySeeds) => {
   const day = await play([at(2, 'config-change'), at(4, 'keeper-power', 2)], { gatewaySeeds });
   expect(day.breaches).toEqual([]);
   expect(day.served).toBeGreaterThan(0.85 * day.tasks);
--- a/tests/shared-processes.test.ts
+++ b/tests/shared-processes.test.ts
@@ -3,8 +3,18 @@
  * is counted, which holds the control state beside its traffic, and one without, which sends operators on. The test
  * waits on conditions; nothing in it looks at how long anything took.
  */
-import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { spawn, spawnSync, type ChildProcess } from 'node:child_process';
+import {
+  closeSync,
+  constants,
+  mkdtempSync,
+  openSync,
+  readFileSync,
+  renameSync,
+  rmSync,
+  writeFileSync,
+  writeSync,
+} from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -23,7 +33,7 @@
   type Asked,
 } from './platform-world.js';
 
-type Machine = 'holder' | 'gateway' | 'lonely';
+type Machine = 'holder' | 'gateway' | 'lonely' | 'early';
 
 const program = fileURLToPath(new URL('../platform/dist/entry.js', import.meta.url));
 const octet = 10 + (process.pid % 200);
@@ -32,6 +42,7 @@
   gateway: `127.78.${octet}.2`,
   lonely: `127.78.${octet}.3`,
   platform: `127.78.${octet}.4`,
+  early: `127.78.${octet}.5`,
 };
 const ports = { front: 8261, readiness: 8267, control: 8266, inner: 7820, list: 8269, worker: 8180 };
 const folder = mkdtempSync(join(tmpdir(), 'shared-'));
@@ -69,6 +80,10 @@
 function start(machine: Machine): void {
   const file = join(folder, `${machine}.toml`);
   writeFileSync(file, settings(machine));
+  launch(machine, file);
+}
+
+function launch(machine: Machine, file: string): void {
   const log = openSync(join(folder, `${machine}.log`), 'a');
   const env = { PATH: process.env['PATH'], TANSYPOST_NODE_FILE: file };
   children.set(machine, spawn(process.execPath, [program, 'router'], { stdio: ['ignore', log, log], env }));
@@ -86,6 +101,17 @@
 /** Stands for a call that got no answer. */
 const nothing: Answer = { status: 0, body: '', complete: false, seal: undefined, location: undefined };
 
+/** Opens a pipe for writing as soon as somebody reads it. */
+async function openWhenRead(pipe: string): Promise<number> {
+  for (;;) {
+    try {
+      return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
+    } catch {
+      await new Promise((again) => setImmediate(again));
+    }
+  }
+}
+
 let requests = 0;
 function ask(machine: Machine, hold = false): Asked {
   requests += 1;
@@ -223,3 +249,24 @@
   expect(await gone).toEqual([0, null]);
   expect(logOf('holder').match(/E2012/g)).toHaveLength(2);
 });
+
+it('outlives a reload that is asked for while it starts', async () => {
+  const pipe = join(folder, 'pipe.toml');
+  const file = join(folder, 'early.toml');
+  writeFileSync(file, settings('early'));
+  spawnSync('mkfifo', [pipe]);
+  launch('early', pipe);
+  const ending = ended('early');
+  // The pipe opens for writing without waiting as soon as the process has opened it to read its settings.
+  const settingsPipe = await openWhenRead(pipe);
+  children.get('early')!.kill('SIGHUP');
+  writeSync(settingsPipe, settings('early'));
+  renameSync(file, pipe);
+  closeSync(settingsPipe);
+  await until(
+    async () => ({ ...nothing, body: logOf('early') }),
+    (seen) => seen.body.includes('E1001'),
+  );
+  children.get('early')!.kill('SIGTERM');
+  expect(await ending).toEqual([0, null]);
+});
