Soak: a command that plays series of signals, restarts and changes on real processes

Clients go on using their open connections; what was cut after it had reached a worker, ran twice, ran though refused, ended by itself or late, or is not served in the calm after it, is a breach.

--- /dev/null
+++ b/programs/fleet-runner/src/soak/soak.test.ts
@@ -0,0 +1,64 @@
+import { expect, it } from 'vitest';
+import { drawSoakSchedule, judgeSoak, type SoakExit, type SoakLife, type SoakOutcome } from './index.js';
+
+const life: SoakLife = { machine: 'router-0', from: 0, to: 20_000, stopAt: 10_000, killAt: Infinity };
+const outcome: SoakOutcome = {
+  id: 'request',
+  machine: 'router-0',
+  sentAt: 11_000,
+  endedAt: 12_000,
+  ended: 'whole',
+  status: 200,
+  keptConnection: true,
+};
+const end: SoakExit = { machine: 'router-0', code: 0, signal: null, asked: 'stop', tookMs: 4000, life };
+
+function judge(
+  over: Partial<SoakOutcome>,
+  runs: readonly [string, number][] = [['request', 1]],
+  exit: Partial<SoakExit> = {},
+  lives: readonly SoakLife[] = [life],
+): string[] {
+  const history = { outcomes: [{ ...outcome, ...over }], runs: new Map(runs), lives, exits: [{ ...end, ...exit }] };
+  return judgeSoak({ ...history, longestStopMs: 6000 }).map(({ rule }) => rule);
+}
+
+it('draws the same schedule from the same seed, in order, and series that overlap', () => {
+  const shape = { span: 10_000, machines: 8 };
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const steps = drawSoakSchedule({ seed, ...shape });
+    expect(drawSoakSchedule({ seed, ...shape })).toEqual(steps);
+    expect(steps.map(({ at }) => at)).toEqual(steps.map(({ at }) => at).sort((a, b) => a - b));
+    expect(new Set(steps.map((step) => step.do)).size).toBeGreaterThan(3);
+  }
+  const kinds = new Set(
+    Array.from({ length: 20 }, (_, seed) => drawSoakSchedule({ seed, ...shape }))
+      .flat()
+      .map((s) => s.do),
+  );
+  expect([...kinds].sort()).toEqual(['change', 'kill', 'kill-all', 'reload', 'seeds', 'stop', 'stop-again']);
+});
+
+it('finds nothing where all was answered and ended in order', () => {
+  expect(judge({})).toEqual([]);
+});
+
+it('calls a request lost that reached a worker and was cut, unless its process was killed meanwhile', () => {
+  expect(judge({ ended: 'cut' })).toEqual(['lost']);
+  expect(judge({ ended: 'cut' }, [])).toEqual([]);
+  expect(judge({ ended: 'cut' }, undefined, {}, [{ ...life, killAt: 11_500 }])).toEqual([]);
+  expect(judge({ ended: 'cut' }, undefined, {}, [{ ...life, killAt: 13_000 }])).toEqual(['lost']);
+});
+
+it('finds what ran twice, and what ran though it was refused', () => {
+  expect(judge({}, [['request', 2]])).toEqual(['twice']);
+  expect(judge({ ended: 'refused', status: 503 })).toEqual(['refused though run']);
+});
+
+it('finds processes that end by themselves, by a signal that they should have taken, or late', () => {
+  expect(judge({}, undefined, { asked: 'nothing', code: 1 })).toEqual(['ended by itself']);
+  expect(judge({}, undefined, { code: null, signal: 'SIGTERM' })).toEqual(['ended by itself']);
+  expect(judge({ sentAt: 30_000 }, undefined, { code: null, signal: 'SIGTERM' })).toEqual([]);
+  expect(judge({}, undefined, { asked: 'kill', code: null, signal: 'SIGKILL' })).toEqual([]);
+  expect(judge({}, undefined, { tookMs: 6001 })).toEqual(['ended late']);
+});
