--- a/programs/fleet-runner/src/soak/index.ts
+++ b/programs/fleet-runner/src/soak/index.ts
@@ -1,4 +1,3 @@
-export * from './soak-command.js';
 export * from './soak-dialect.js';
 export * from './soak-run.js';
 export * from './soak-schedule.js';
