--- a/programs/fleet-runner/src/soak/soak-dialect.ts
+++ b/programs/fleet-runner/src/soak/soak-dialect.ts
@@ -32,6 +32,8 @@
 }
 
 export interface SoakDialect {
+  /** The time between SIGTERM and the end by force that the settings state, in milliseconds. */
+  readonly graceMs: number;
   readonly ports: { readonly list: number; readonly worker: number };
   readonly command: (machine: SoakMachine) => { readonly file: string; readonly args: readonly string[] };
   readonly environment: (settingsFile: string) => Readonly<Record<string, string>>;
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -200,7 +200,7 @@
     workers.close();
   }
   const { lives, exits } = machines;
-  breaches.push(...judgeSoak({ outcomes, runs: workers.runs, lives, exits, longestStopMs }));
+  breaches.push(...judgeSoak({ outcomes, runs: workers.runs, lives, exits, longestStopMs, graceMs: dialect.graceMs }));
   return reportOf(o.seed, all.length, outcomes, machines, operator, breaches);
 }
 
--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -2,9 +2,15 @@
 import http from 'node:http';
 import type { SoakDialect } from './soak-dialect.js';
 
+/** What workers did for one request. */
+export interface SoakRun {
+  times: number;
+  /** When a worker had written its whole answer, by `performance.now()`. */
+  finishedAt: number;
+}
+
 export interface SoakWorkers {
-  /** How often a worker ran each request. */
-  readonly runs: ReadonlyMap<string, number>;
+  readonly runs: ReadonlyMap<string, SoakRun>;
   readonly close: () => void;
 }
 
@@ -23,15 +29,18 @@
 /** Starts the workers and the list; all listen when the promise is kept. */
 export async function startSoakWorkers(options: SoakWorkersOptions): Promise<SoakWorkers> {
   const { dialect, random } = options;
-  const runs = new Map<string, number>();
+  const runs = new Map<string, SoakRun>();
 
   function work(request: http.IncomingMessage, answer: http.ServerResponse): void {
     const id = dialect.idOf(request.headers);
     request.resume();
     if (id === undefined) return void answer.end(dialect.loadOfWorker);
     request.on('end', () => {
-      runs.set(id, (runs.get(id) ?? 0) + 1);
+      const run = runs.get(id) ?? { times: 0, finishedAt: Infinity };
+      run.times += 1;
+      runs.set(id, run);
       answer.writeHead(200, dialect.workerHead(id));
+      answer.on('finish', () => (run.finishedAt = performance.now()));
       writePieces(answer, random() < longShare ? longPieceMs : shortPieceMs);
     });
   }
