--- a/packages/control-feed/src/configuration-follower.ts
+++ b/packages/control-feed/src/configuration-follower.ts
@@ -64,12 +64,12 @@
 
   function heard(beat: MessageOf<'Beat'>, from: Address, fresh: boolean): void {
     if (fresh && beat.leased && beat.voting) gate.confirmCurrent(beat.version);
-    if (gate.current() === undefined && nodes.source() === undefined) chooseFirstSource();
+    if (nodes.source() === undefined) chooseSourceNow();
     if (beat.version > newestVersion() && from !== nodes.source()) awaitSource(beat.version);
   }
 
-  /** A router that starts fetches from the first node with a lease, without waiting for its next round of questions. */
-  function chooseFirstSource(): void {
+  /** A router without a source takes the first node with a lease, without waiting for its next round of questions. */
+  function chooseSourceNow(): void {
     if (!nodes.anyLeased()) return;
     nodes.chooseSource();
     const source = nodes.source();
--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -6,6 +6,7 @@
  */
 import {
   every,
+  hash32,
   micros,
   type Address,
   type Message,
@@ -39,7 +40,9 @@
   readonly regionOf?: (zone: string) => string;
   readonly seeds: readonly Address[];
   readonly fetchList: () => Promise<readonly ListedWorker[] | undefined>;
-  readonly changed: (what: 'configuration' | 'workers' | 'loads') => void;
+  readonly changed: (what: 'configuration' | 'workers') => void;
+  /** Loads of workers that are newer than what was known. */
+  readonly loadsTold?: (loads: readonly WorkerLoad[]) => void;
   /** Another router has sent a worker a prompt that takes so long to read, in microseconds. */
   readonly elsewhere?: (worker: string, service: number, bad: boolean) => void;
   readonly more?: SecondKey;
@@ -76,6 +79,8 @@
 const defaultFollowEvery = 450_000;
 const defaultListPatience = 1_500_000;
 const startingFollowEvery = 120_000;
+/** Control nodes that are not the source are asked in one of so many rounds. */
+const confirmingRounds = 2;
 const secondKeyEvery = 10_000_000;
 /** A beat counts as an answer to a question asked at most so long ago. */
 const beatFreshFor = 500_000;
@@ -109,6 +114,7 @@
   let replicas: readonly ReplicaEntry[] = [];
   let membershipEpoch = 0;
   let secondKeyAt = 0;
+  let round = 0;
 
   function usualAsking(address: Address): Asking {
     return { wanted: address === nodes.source(), takesPatches: true };
@@ -132,12 +138,30 @@
     const members = replicas.map((replica) => replica.address as Address);
     const targets = new Set(members.length > 0 && nodes.isInTouch() ? members : [...members, ...seeds]);
     nodes.chooseSource();
-    for (const address of targets) follow(address, usualAsking(address));
+    const first = firstVoting();
+    for (const address of targets) if (address === first || isDue(address)) follow(address, usualAsking(address));
+    round += 1;
     nodes.keepOnly(targets);
     followSecondKey();
     workerList.lookIfStale();
   }
 
+  /** The first replica that votes looks at the list of workers most often, so its beats confirm the list. */
+  function firstVoting(): Address | undefined {
+    const voting = new Set<string>(nodes.voting());
+    return replicas.find((replica) => voting.has(replica.address))?.address as Address | undefined;
+  }
+
+  /**
+   * The source is asked in each round; the others, which tell of new versions unasked, only confirm that they are there.
+   * Without a source or a configuration, all are asked.
+   */
+  function isDue(address: Address): boolean {
+    const source = nodes.source();
+    if (source === undefined || address === source || configuration.current() === undefined) return true;
+    return (round + hash32(address)) % confirmingRounds === 0;
+  }
+
   /** What is pushed to all may have been missed: so one control node is asked now and then. */
   function followSecondKey(): void {
     const address = nodes.voting()[0];
@@ -176,6 +200,11 @@
     }
   }
 
+  function onLoads(told: MessageOf<'WorkerLoads'>): void {
+    const newer = loads.take(told);
+    options.loadsTold?.(newer);
+  }
+
   function receive(message: Message, from: Address): void {
     switch (message.kind) {
       case 'Beat':
@@ -191,8 +220,7 @@
       case 'WorkerList':
         return workerList.take(message, from);
       case 'WorkerLoads':
-        loads.take(message);
-        return options.changed('loads');
+        return onLoads(message);
       default:
         return undefined;
     }
--- a/packages/control-feed/src/feed-server.ts
+++ b/packages/control-feed/src/feed-server.ts
@@ -98,9 +98,9 @@
   }
 
   function flushRelayed(): void {
-    const reads = relayed;
+    const told: MessageOf<'Reading'> = { kind: 'Reading', reads: relayed };
     relayed = [];
-    for (const address of followers.addresses()) world.send(address, { kind: 'Reading', reads });
+    for (const address of followers.addresses()) world.send(address, told);
   }
 
   function receive(message: Message, from: Address): boolean {
--- a/packages/control-feed/src/follower-registry.ts
+++ b/packages/control-feed/src/follower-registry.ts
@@ -1,6 +1,8 @@
 /** Which routers follow a control node, which of them have gone silent, and what is told to a router of the others. */
 import { hash32, rendezvous, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 
+type Peers = MessageOf<'Peers'>;
+
 export interface FollowerRegistry {
   readonly heard: (address: Address) => void;
   /** Those that have asked lately. */
@@ -12,21 +14,38 @@
 }
 
 const keptFor = 3_000_000;
-/** Followers ask more than twice in this time. */
-const silentAfter = 1_200_000;
+/** Followers ask at least twice in this time. */
+const silentAfter = 2_200_000;
+/** Who has gone silent is looked for so often; who is new is known at once. */
+const lookEvery = 200_000;
 /** After so long a silent follower is taken for gone. */
 const soughtFor = 60_000_000;
 const mostPeers = 16;
 
 export function createFollowerRegistry(world: Pick<World, 'now'>): FollowerRegistry {
   const heardAt = new Map<Address, number>();
+  const peersByAddress = new Map<Address, Peers>();
+  let present: Address[] = [];
+  let lookedAt = -Infinity;
+
+  function heard(address: Address): void {
+    const isNew = !heardAt.has(address) || silence(address) > keptFor;
+    heardAt.set(address, world.now());
+    if (isNew) lookedAt = -Infinity;
+  }
 
   function silence(address: Address): number {
     return world.now() - heardAt.get(address)!;
   }
 
   function addresses(): Address[] {
-    return [...heardAt.keys()].filter((address) => silence(address) <= keptFor);
+    if (world.now() - lookedAt < lookEvery) return present;
+    lookedAt = world.now();
+    const found = [...heardAt.keys()].filter((address) => silence(address) <= keptFor);
+    if (found.length !== present.length || found.some((address, index) => address !== present[index]))
+      peersByAddress.clear();
+    present = found;
+    return present;
   }
 
   function silent(): Address[] {
@@ -35,19 +54,21 @@
   }
 
   /** A follower's part of the others: all of them while they are few. */
-  function peersOf(address: Address): { readonly peers: Address[]; readonly all: boolean } {
+  function findPeers(address: Address): Peers {
     const others = addresses().filter((other) => other !== address);
     const peers = rendezvous(address, others, (other) => other)
       .slice(0, mostPeers)
       .sort();
-    return { peers, all: others.length <= peers.length };
+    return { kind: 'Peers', digest: hash32(peers.join()), addresses: peers, all: others.length <= peers.length };
   }
 
-  function peersFor(address: Address, knownDigest: number): MessageOf<'Peers'> | undefined {
-    const { peers, all } = peersOf(address);
-    const digest = hash32(peers.join());
-    return digest === knownDigest ? undefined : { kind: 'Peers', digest, addresses: peers, all };
+  /** Worked out once for each follower until another set of followers is there. */
+  function peersFor(address: Address, knownDigest: number): Peers | undefined {
+    addresses();
+    let peers = peersByAddress.get(address);
+    if (peers === undefined) peersByAddress.set(address, (peers = findPeers(address)));
+    return peers.digest === knownDigest ? undefined : peers;
   }
 
-  return { heard: (address) => void heardAt.set(address, world.now()), addresses, silent, peersFor };
+  return { heard, addresses, silent, peersFor };
 }
--- a/packages/control-feed/src/read-exchange.ts
+++ b/packages/control-feed/src/read-exchange.ts
@@ -40,11 +40,11 @@
   }
 
   function flush(): void {
-    const reads = pending;
+    const told: MessageOf<'Reading'> = { kind: 'Reading', reads: pending };
     pending = [];
     const relay = options.relay();
     const relays = relay === undefined ? [] : [relay];
-    for (const address of knowsAllPeers ? peers : relays) world.send(address, { kind: 'Reading', reads });
+    for (const address of knowsAllPeers ? peers : relays) world.send(address, told);
   }
 
   function take(told: MessageOf<'Reading'>): void {
--- a/packages/control-feed/src/worker-load-poll.ts
+++ b/packages/control-feed/src/worker-load-poll.ts
@@ -1,5 +1,5 @@
 /** The control node's questions to workers for their loads: each worker is asked by one of the live nodes. */
-import { every, micros, type Address, type Cancel, type World } from '@tansypost/inner-protocol';
+import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
 import type { ListedWorker } from './listed-worker.js';
 import type { WorkerLoad } from './worker-loads.js';
 
@@ -43,7 +43,8 @@
     if (outstanding > 0) return;
     const loads = answers.map(({ at, ...rest }) => ({ ...rest, age: Math.round((world.now() - at) / 1000) }));
     answers = [];
-    for (const address of options.followers()) world.send(address, { kind: 'WorkerLoads', loads });
+    const told: MessageOf<'WorkerLoads'> = { kind: 'WorkerLoads', loads };
+    for (const address of options.followers()) world.send(address, told);
   }
 
   return every(world, () => micros(options.period), poll);
--- a/packages/control-feed/src/worker-loads.ts
+++ b/packages/control-feed/src/worker-loads.ts
@@ -15,21 +15,34 @@
 }
 
 export interface WorkerLoadTable {
-  readonly take: (told: MessageOf<'WorkerLoads'>) => void;
+  /** Gives the loads that are newer than what was known. */
+  readonly take: (told: MessageOf<'WorkerLoads'>) => readonly WorkerLoad[];
   readonly loads: () => ReadonlyMap<string, WorkerLoad>;
 }
 
 const keptFor = 60_000_000;
+const forgetEvery = 10_000_000;
 
 export function createWorkerLoadTable(world: Pick<World, 'now'>): WorkerLoadTable {
   const loads = new Map<string, WorkerLoad>();
+  let forgottenAt: number = world.now();
 
-  function take(told: MessageOf<'WorkerLoads'>): void {
+  function take(told: MessageOf<'WorkerLoads'>): readonly WorkerLoad[] {
     const now = world.now();
+    const newer: WorkerLoad[] = [];
     for (const { age, ...load } of told.loads) {
       const at = micros(now - age * 1000);
-      if ((loads.get(load.id)?.at ?? -Infinity) <= at) loads.set(load.id, { ...load, at });
+      if ((loads.get(load.id)?.at ?? -Infinity) > at) continue;
+      const known = { ...load, at };
+      loads.set(load.id, known);
+      newer.push(known);
     }
+    if (now - forgottenAt > forgetEvery) forget(now);
+    return newer;
+  }
+
+  function forget(now: number): void {
+    forgottenAt = now;
     for (const [id, load] of loads) if (now - load.at > keptFor) loads.delete(id);
   }
 
--- a/packages/inner-protocol/src/incoming-link.ts
+++ b/packages/inner-protocol/src/incoming-link.ts
@@ -19,8 +19,8 @@
   readonly failed: (from: string, error: Error) => void;
 }
 
-/** How often the receiver says how much has reached it. */
-const replyEveryMs = 500;
+/** How often the receiver says how much has reached it: well within the time after which a sender takes a link for stuck. */
+const replyEveryMs = 1000;
 /** The first byte of a hello, which is JSON; no message begins with it as long as there are fewer than 0x7b00 kinds. */
 const helloFirstByte = 0x7b;
 
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -39,7 +39,7 @@
   readonly connect?: (options: net.TcpNetConnectOpts) => net.Socket;
 }
 
-const defaults = { heldLimit: 16 * 1024 * 1024, connectMs: 300, stuckMs: 1500, idleMs: 30_000 } as const;
+const defaults = { heldLimit: 16 * 1024 * 1024, connectMs: 300, stuckMs: 2000, idleMs: 30_000 } as const;
 
 interface CarrierState {
   readonly options: CarrierOptions;
@@ -48,6 +48,8 @@
   readonly incoming: Set<net.Socket>;
   dropped: number;
   closed: boolean;
+  /** What was sent last, as it often goes to many one after the other. */
+  lastSent: { readonly message: Message; readonly bytes: Buffer } | undefined;
 }
 
 /** Listens on the address given; rejects when that is not possible. */
@@ -64,6 +66,7 @@
     incoming: new Set(),
     dropped: 0,
     closed: false,
+    lastSent: undefined,
   };
   const server = net.createServer((socket) => accept(state, socket));
   await new Promise<void>((resolve, reject) => {
@@ -94,7 +97,13 @@
     state.dropped += 1;
     return;
   }
-  writeHeld(link, frame(encode(message)), state.outgoing.stuckMs);
+  writeHeld(link, bytesOf(state, message), state.outgoing.stuckMs);
+}
+
+/** A message is never changed after it was sent, so the same object has the same bytes. */
+function bytesOf(state: CarrierState, message: Message): Buffer {
+  if (state.lastSent?.message !== message) state.lastSent = { message, bytes: frame(encode(message)) };
+  return state.lastSent.bytes;
 }
 
 /** The other side is there, so an opening packet that went out before it was is not waited for. */
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -84,8 +84,20 @@
     .map((p) => p.id)
     .join('/');
 }
-function tokensOfParts(q: Incoming, n: number): number {
-  return q.parts.slice(0, n).reduce((a, p) => a + p.tokens, 0);
+/** The tokens of the first n parts, for each n from 0. */
+function tokensUpTo(q: Incoming): number[] {
+  const sums = [0];
+  for (const part of q.parts) sums.push(sums[sums.length - 1]! + part.tokens);
+  return sums;
+}
+/** Works a value out once for each worker: a decision asks for most of them several times. */
+function remembered(valueOf: (v: View) => number): (v: View) => number {
+  const values = new Map<View, number>();
+  return function value(v) {
+    let known = values.get(v);
+    if (known === undefined) values.set(v, (known = valueOf(v)));
+    return known;
+  };
 }
 
 export function assignPair(
@@ -101,7 +113,8 @@
   if (runners.length === 0) return undefined;
   const blocks = promptBlocks(q);
   const group = promptGroup(q);
-  const shared = tokensOfParts(q, q.parts.length - 1);
+  const tokens = tokensUpTo(q);
+  const shared = tokens[Math.max(0, q.parts.length - 1)]!;
   const facts: PromptFacts = { tokens: q.promptTokens, blocks, group };
 
   // Routers do not tell each other what they sent where, but all rank workers alike for a group: the first is taken to
@@ -113,18 +126,23 @@
   const readerHomes = homes(readers);
   const runnerHomes = homes(runners);
   function known(v: View, home: ReadonlyMap<string, number>): number {
-    return Math.max(tokensOfParts(q, hits.get(v.worker.id) ?? 0), shared * (home.get(v.worker.id) ?? 0));
+    return Math.max(tokens[hits.get(v.worker.id) ?? 0]!, shared * (home.get(v.worker.id) ?? 0));
   }
-  function miss(v: View, home: ReadonlyMap<string, number>): number {
-    return Math.max(1, q.promptTokens - known(v, home));
+  const readerKnown = remembered((v) => known(v, readerHomes));
+  const runnerKnown = remembered((v) => known(v, runnerHomes));
+  function readerMiss(v: View): number {
+    return Math.max(1, q.promptTokens - readerKnown(v));
+  }
+  function runnerMiss(v: View): number {
+    return Math.max(1, q.promptTokens - runnerKnown(v));
   }
   function apart(a: string, b: string): number {
     return a === b ? 0 : t.regionOf(a) === t.regionOf(b) ? 1 : 5;
   }
-  function send(v: View): number {
+  const send = remembered((v) => {
     const connect = t.warm?.(v.worker) === true ? 0 : t.connectCost;
     return connect + apart(t.zone, v.worker.zone) * t.zoneCost * (1 + q.body.length / 1024);
-  }
+  });
   function score(time: number, cost: number): number {
     // A step where it comes late, and a slope before and behind it.
     const late = 1 / (1 + Math.exp(-(time - t.lateFrom * t.aim) / (0.08 * t.aim)));
@@ -132,13 +150,13 @@
   }
 
   function readTime(v: View): number {
-    return v.wait + miss(v, readerHomes) * v.perToken;
+    return v.wait + readerMiss(v) * v.perToken;
   }
   function readCost(v: View, time: number): number {
-    return score(time, t.badCost * v.bad + send(v) + t.rereadCost * Math.max(0, shared - known(v, readerHomes)));
+    return score(time, t.badCost * v.bad + send(v) + t.rereadCost * Math.max(0, shared - readerKnown(v)));
   }
   function moveTime(v: View, from: FleetWorker): number {
-    const bytes = Math.max(0, q.promptTokens - known(v, runnerHomes)) * t.tokenBytes;
+    const bytes = Math.max(0, q.promptTokens - runnerKnown(v)) * t.tokenBytes;
     return ((bytes * 8) / t.linkMbps) * (1 + apart(v.worker.zone, from.zone));
   }
   function moveCost(v: View, from: FleetWorker): number {
@@ -155,13 +173,13 @@
     );
   }
   function direct(v: View): { time: number; cost: number } {
-    const own = miss(v, runnerHomes) * v.perToken;
+    const own = runnerMiss(v) * v.perToken;
     const time = v.wait + own + 10_000;
     // What it reads holds up all that it runs.
     const held = own * v.runs * t.holdCost;
     return {
       time,
-      cost: score(time, held + send(v) + runLoad(v) + t.rereadCost * Math.max(0, shared - known(v, runnerHomes))),
+      cost: score(time, held + send(v) + runLoad(v) + t.rereadCost * Math.max(0, shared - runnerKnown(v))),
     };
   }
   function best<T>(xs: readonly T[], cost: (x: T) => number): T | undefined {
@@ -178,10 +196,10 @@
     reader: undefined,
     runner: one.worker,
     readerTokens: 0,
-    runnerTokens: miss(one, runnerHomes),
+    runnerTokens: runnerMiss(one),
     readTime: 0,
     firstTime: direct(one).time,
-    serviceTime: miss(one, runnerHomes) * one.perToken,
+    serviceTime: runnerMiss(one) * one.perToken,
     assignment: undefined,
   };
   if (readers.length === 0) return alone;
@@ -202,7 +220,7 @@
       prompt: facts,
       candidates: few.map((v) => v.candidate),
       expected: (c) => readTime(viewOf(c)),
-      expectedHit: (c) => known(viewOf(c), readerHomes) / Math.max(1, q.promptTokens),
+      expectedHit: (c) => readerKnown(viewOf(c)) / Math.max(1, q.promptTokens),
       priced: (c, time) => readCost(viewOf(c), time),
       hits,
       model,
@@ -224,7 +242,7 @@
         send(v) +
         moveCost(v, r.worker) +
         runLoad(v) +
-        t.rereadCost * Math.max(0, shared - known(r, readerHomes)),
+        t.rereadCost * Math.max(0, shared - readerKnown(r)),
     );
   }
   const d = best(runners, through)!;
@@ -232,11 +250,11 @@
   return {
     reader: r.worker,
     runner: d.worker,
-    readerTokens: miss(r, readerHomes),
+    readerTokens: readerMiss(r),
     runnerTokens: 1,
     readTime: readTime(r),
     firstTime: readTime(r) + moveTime(d, r.worker) + 20_000,
-    serviceTime: miss(r, readerHomes) * r.perToken,
+    serviceTime: readerMiss(r) * r.perToken,
     assignment: a,
   };
 }
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -102,11 +102,21 @@
 const workKept = 6_000_000;
 const notesKept = 5_000_000;
 
-export function createWorkerFleet(now: () => number, speedClass: (id: string) => number = () => 0): WorkerFleet {
+export function createWorkerFleet(readClock: () => number, speedClass: (id: string) => number = () => 0): WorkerFleet {
   const rows = new Map<string, Row>();
   let usualRead = 1500;
+  let callTime = readClock();
+
+  /** The clock is read once a call: a decision looks at a hundred workers a dozen times each. */
+  function now(): number {
+    return callTime;
+  }
+  function beginCall(): void {
+    callTime = readClock();
+  }
 
   function list(ws: readonly FleetWorker[]): string[] {
+    beginCall();
     const ids = new Set(ws.map((w) => w.id));
     const gone = [...rows.keys()].filter((id) => !ids.has(id));
     for (const id of gone) rows.delete(id);
@@ -227,6 +237,7 @@
   }
 
   function notableFirst(): Row[] {
+    beginCall();
     return [...rows.values()].sort((a, b) => notability(b) - notability(a));
   }
   function notability(r: Row): number {
@@ -239,6 +250,7 @@
   }
 
   function views(service: string, part: Part, without: ReadonlySet<string>): View[] {
+    beginCall();
     const fit = [...rows.values()].filter(
       (r) => r.w.service === service && r.w.part === part && !r.w.leaving && !without.has(r.w.id),
     );
@@ -247,6 +259,7 @@
   }
 
   function began(id: string, doing: Doing, tokens: number, expected: number): Under {
+    beginCall();
     const r = rows.get(id);
     if (r === undefined) return { progress: () => undefined, end: () => undefined };
     const s: Send = { doing, at: now(), tokens, expected, alone: reading(r) === 0, read: false };
@@ -271,6 +284,7 @@
     let last = -Infinity;
     return {
       progress: () => {
+        beginCall();
         const t = now();
         r.heardAt = t;
         if (s.read && doing === 'run' && last > -Infinity && t - last > 1000) {
@@ -283,6 +297,7 @@
       },
       end: (how) => {
         if (!r.sends.delete(s)) return;
+        beginCall();
         // One that is silent or gone rests; one that answers, and badly, costs more.
         if (how === 'done') sawBad(r, 0, 0.2);
         else if (how === 'refused' || how === 'ill' || how === 'overdue') sawBad(r, 1, 0.2);
@@ -314,15 +329,18 @@
     elsewhere: (id, service, bad = false) => {
       const r = rows.get(id);
       if (r === undefined) return;
+      beginCall();
       if (bad) return sawBad(r, 1, 0.15);
       r.noted = now();
       add(r, service);
     },
     silent: (id) => {
+      beginCall();
       const r = rows.get(id);
       return r === undefined || quiet(r);
     },
     available: (id) => {
+      beginCall();
       const r = rows.get(id);
       return r !== undefined && !r.w.leaving && well(r);
     },
--- a/packages/placement/src/assign.ts
+++ b/packages/placement/src/assign.ts
@@ -69,14 +69,17 @@
   function hit(c: Candidate): number {
     return Math.min(1, i.expectedHit?.(c) ?? (i.hits.get(c.worker) ?? 0) / whole);
   }
-  const rows = cs.map((c) => features(i.prompt, hit(c), c));
+  function rowOf(c: Candidate): Float32Array {
+    return features(i.prompt, hit(c), c);
+  }
   const h = i.first?.(cs) ?? heuristic(cs, hit, o, i.random);
   function take(c: Candidate, reason: Reason, narrowed = false, predicted?: number): Assignment {
-    return { worker: c, reason, narrowed, row: rows[cs.indexOf(c)]!, predicted };
+    return { worker: c, reason, narrowed, row: rowOf(c), predicted };
   }
   if (i.random() < o.explore) return take(cs[Math.floor(i.random() * cs.length)]!, 'explored');
   if (cs.length === 1) return take(h, 'only');
   if (i.model === undefined || i.model.samples < o.minSamples) return take(h, 'cold');
+  const rows = cs.map(rowOf);
   if (i.model.predictor.sizes[0] !== rows[0]!.length) return take(h, 'error');
   const s = i.model.scaling;
   if (!rows.every((r) => inRange(s, r))) return take(h, 'range');
--- a/packages/simulator/src/control-runs/control-command.ts
+++ b/packages/simulator/src/control-runs/control-command.ts
@@ -154,7 +154,7 @@
 /** Draws the size of the journal and the time to read it against the number of changes. */
 async function writePlots(folder: string, members: number, runs: readonly (readonly JournalSize[])[]): Promise<void> {
   // Other commands need no plots.
-  const { plotSvg } = await import('../capacity-plot.js');
+  const { plotSvg } = await import('../line-plot.js');
   const names = ['rewritten at the usual size', `rewritten above ${earlyRewrite / 1000} kB`];
   const plots = [
     { name: 'journal', title: 'Size of the journal', y: 'bytes', value: (j: JournalSize) => j.bytes },
--- a/packages/simulator/src/capacity-plot.ts
+++ b/packages/simulator/src/line-plot.ts
@@ -3,7 +3,12 @@
 import { LineChart } from 'echarts/charts';
 import { GridComponent, LegendComponent, MarkLineComponent, TitleComponent } from 'echarts/components';
 import { SVGRenderer } from 'echarts/renderers';
-import type { Point } from './capacity-fit.js';
+
+/** One measured point. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
 
 export interface Plot {
   readonly title: string;
