--- a/packages/pass-through/src/attempt-timing.ts
+++ b/packages/pass-through/src/attempt-timing.ts
@@ -19,8 +19,10 @@
 /** Prompts that take less than this to read are short. */
 const shortRead = 60_000;
 
-/** How often a silent attempt is looked at. */
-export const watchInterval = 50_000;
+/** A silent attempt is looked at so often at first, and more and more seldom as it waits. */
+const leastWatchInterval = 50_000;
+const mostWatchInterval = 200_000;
+const watchShare = 1 / 8;
 
 /** Values of the urgency that workers admit by, the lowest first. */
 const urgencies = { short: 1, begun: 2, tight: 3, near: 4, ample: 5, late: 7 };
@@ -98,6 +100,15 @@
   };
 }
 
+/**
+ * How long after a look at an attempt the next one is due, where it has waited so long and can be left after `leftAfter`
+ * at the earliest: a look costs a wake-up, and past that moment a search among all workers.
+ */
+export function nextLookIn(waited: number, leftAfter: number): number {
+  const usual = Math.min(mostWatchInterval, Math.max(leastWatchInterval, watchShare * waited));
+  return Math.max(usual, leftAfter - waited);
+}
+
 /** When a run is looked at first. */
 export function firstLookAtRun(timing: AttemptTiming): number {
   return Math.min(timing.overdueAfter, firstSilence.least);
--- a/packages/pass-through/src/read-attempt.ts
+++ b/packages/pass-through/src/read-attempt.ts
@@ -3,7 +3,7 @@
 import type { Reason } from '@tansypost/placement';
 import { promptBlocks, type Pair } from './assign-pair.js';
 import { createAttemptAbort, type AttemptAbort } from './attempt-abort.js';
-import { readTiming, watchInterval, type AttemptTiming } from './attempt-timing.js';
+import { nextLookIn, readTiming, type AttemptTiming } from './attempt-timing.js';
 import type { CourseContext } from './course-context.js';
 import { mayReadAgain, type InFlightRequest } from './in-flight-request.js';
 import { isWorthLeaving } from './pair-choice.js';
@@ -42,7 +42,10 @@
   attempt.overdue = waited >= timing.overdueAfter && isWorthLeaving(context, inFlight, reader.id, waited, aloneOnly);
   const silent = waited >= timing.silentAfter && context.fleet.silent(reader.id);
   if (attempt.overdue || silent) attempt.abort.abort();
-  else context.world.after(micros(watchInterval), () => watch(context, attempt));
+  else {
+    const next = nextLookIn(waited, Math.min(timing.overdueAfter, timing.silentAfter));
+    context.world.after(micros(next), () => watch(context, attempt));
+  }
 }
 
 function begin(context: CourseContext, inFlight: InFlightRequest, pair: Pair, reader: FleetWorker): ReadAttempt {
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -2,7 +2,7 @@
 import { micros } from '@tansypost/inner-protocol';
 import type { Pair } from './assign-pair.js';
 import { createAttemptAbort, type AttemptAbort } from './attempt-abort.js';
-import { firstLookAtRun, longestPause, runTiming, watchInterval, type AttemptTiming } from './attempt-timing.js';
+import { firstLookAtRun, longestPause, nextLookIn, runTiming, type AttemptTiming } from './attempt-timing.js';
 import type { CourseContext } from './course-context.js';
 import { createEventCutter } from './events.js';
 import { hasSendLeft, mayMove, type InFlightRequest } from './in-flight-request.js';
@@ -42,7 +42,10 @@
   if (attempt.overdue || (mayLeave && isSilent(context, attempt, waited) && hasAlternative(context, attempt))) {
     context.count(attempt.overdue ? 'left an overdue run' : 'left a silent worker');
     attempt.abort.abort();
-  } else context.world.after(micros(watchInterval), () => watch(context, attempt));
+  } else {
+    const next = nextLookIn(waited, seen ? longestPause(inFlight) : Math.min(timing.overdueAfter, timing.silentAfter));
+    context.world.after(micros(next), () => watch(context, attempt));
+  }
 }
 
 function isSilent(context: CourseContext, attempt: RunAttempt, waited: number): boolean {
