--- a/packages/control-state/src/replica.test.ts
+++ b/packages/control-state/src/replica.test.ts
@@ -105,3 +105,30 @@
   expect(accept({}, [found[0]!, ...found.slice(2)])).toBe(false);
   expect(accept({}, [record('disk', 'other', 0), ...found.slice(1)])).toBe(false);
 });
+
+it('votes after a loss of power between the record of the founding that names its disk and its state', () => {
+  const w: World = {
+    now: () => micros(0),
+    random: () => 0.5,
+    after: () => () => undefined,
+    send: () => undefined,
+    log: () => undefined,
+  };
+  const disk: Disk = { append: (_r, done) => done(), rewrite: (_r, done) => done(), size: () => 0 };
+  function stateAfterStart(own: string, membershipEpoch: number): string {
+    const members = ['a', 'b', 'c'].map((address, slot) => ({ slot, address, disk: `d${slot}` }));
+    const value = Buffer.from(JSON.stringify({ format: 2, cluster: 'd0-d1-d2', replicas: members }));
+    const row = { promised: membershipEpoch, epoch: membershipEpoch, version: 1 };
+    const found: JournalRecord[] = [
+      { kind: 'disk', key: own, promised: 0, epoch: 0, version: 0, value: Buffer.alloc(0), changes: [] },
+      { kind: 'row', key: 'core', ...row, value, changes: [] },
+    ];
+    const replica = createReplica(w, { slot: undefined, self: 'a' as Address, core: [], disk, found, newDiskId: 'x' });
+    replica.tick();
+    return replica.state();
+  }
+  expect(stateAfterStart('d0', 1)).toBe('voting');
+  expect(stateAfterStart('other', 1)).toBe('blank');
+  // A later record may name a disk that has yet to copy what others have voted for.
+  expect(stateAfterStart('d0', 18)).toBe('blank');
+});
--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -230,6 +230,14 @@
   expect(x.ended).toMatchObject({ at: budget, how: { kind: 'budget_spent', ran: 'maybe' } });
 });
 
+it("hands each attempt no more time than is left of the client's, also one that comes late", async () => {
+  const patience = 4 * second;
+  const x = await play({ read: readAt, run: firstSilent(wholeRun) }, { request: { patience } });
+  expect(x.ended?.how).toBe('whole');
+  expect(x.attempts.at(-1)!.from).toBeGreaterThan(0.35 * second);
+  for (const attempt of x.attempts) expect(attempt.left).toBe(patience - attempt.from);
+});
+
 it('refuses, unrun, what waited for the workers or the routes, within a quarter of its aim', async () => {
   const refused = { kind: 'not_ready', ran: 'no', retryAfter: 1.2 };
   const noWorkers = await play({ read: readAt, run: wholeRun }, { workersAt: second });
