--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -1,8 +1,8 @@
 /** One attempt to have a request run by a decode worker, whose stream is passed on as it comes. */
 import { micros } from '@tansypost/inner-protocol';
 import type { Pair } from './assign-pair.js';
-import { createAttemptAbort, type AttemptAbort } from './attempt-abort.js';
-import { firstLookAtRun, longestPause, nextLookIn, runTiming, type AttemptTiming } from './attempt-timing.js';
+import { createAttemptAbort } from './attempt-abort.js';
+import { firstLookAtRun, longestPause, nextLookIn, runTiming } from './attempt-timing.js';
 import type { CourseContext } from './course-context.js';
 import { createEventCutter } from './events.js';
 import { hasSendLeft, mayMove, type InFlightRequest } from './in-flight-request.js';
@@ -10,26 +10,7 @@
 import type { AnswerHead, MemorySource, RunResult, RunSink, RunTerms } from './ports.js';
 import { splitReading } from './request-timeline.js';
 import { finishRun } from './run-outcome.js';
-import type { FleetWorker, Under } from './worker-fleet.js';
-
-/** A run under way, with what has been heard of it. */
-export interface RunAttempt {
-  readonly inFlight: InFlightRequest;
-  readonly runner: FleetWorker;
-  /** What was read for it elsewhere; undefined where it reads for itself. */
-  readonly memory: MemorySource | undefined;
-  readonly timing: AttemptTiming;
-  /** How long the prompt takes to read where the runner reads for itself. */
-  readonly serviceTime: number;
-  readonly begunAt: number;
-  readonly abort: AttemptAbort;
-  readonly under: Under;
-  /** Whether a piece has come, and when the worker was last heard. */
-  seen: boolean;
-  heardAt: number;
-  ended: boolean;
-  overdue: boolean;
-}
+import type { RunAttempt } from './run-under-way.js';
 
 /** Where another available worker may take it up, one that has been silent for too long is left. */
 function watch(context: CourseContext, attempt: RunAttempt): void {
--- a/packages/pass-through/src/run-outcome.ts
+++ b/packages/pass-through/src/run-outcome.ts
@@ -2,7 +2,7 @@
 import { promptBlocks } from './assign-pair.js';
 import type { CourseContext } from './course-context.js';
 import type { RunResult } from './ports.js';
-import type { RunAttempt } from './run-attempt.js';
+import type { RunAttempt } from './run-under-way.js';
 
 type Failed = Extract<RunResult, { tag: 'failed' }>;
 type Refused = Extract<RunResult, { tag: 'refused' }>;
