--- a/packages/pass-through/src/assign-pair.test.ts
+++ b/packages/pass-through/src/assign-pair.test.ts
@@ -87,3 +87,13 @@
   expect(assign(q, readers, [view('d1', 'decode', {}, 'z2'), view('d2', 'decode')])!.runner.id).toBe('d2');
   expect(assign(q, readers, [view('d1', 'decode', { bad: 0.4 }), view('d2', 'decode')])!.runner.id).toBe('d2');
 });
+
+it('chooses a runner by load for what was read elsewhere, also where a runner holds more parts than are asked about', () => {
+  const readElsewhere = { ...prompt('g', 5000, 5000), promptTokens: 1, parts: [] };
+  const busy = { ...runners[0]!, runs: 40 };
+  for (const kept of [1, 2]) {
+    const held = new Map(runners.map((runner) => [runner.worker.id as string, kept]));
+    const pair = assign(readElsewhere, [], [busy, runners[1]!], held);
+    expect([pair?.runner.id, pair?.firstTime]).toEqual(['d2', 25_050]);
+  }
+});
--- a/packages/pass-through/src/assign-pair.ts
+++ b/packages/pass-through/src/assign-pair.ts
@@ -126,7 +126,9 @@
   const readerHomes = homes(readers);
   const runnerHomes = homes(runners);
   function known(v: View, home: ReadonlyMap<string, number>): number {
-    return Math.max(tokens[hits.get(v.worker.id) ?? 0]!, shared * (home.get(v.worker.id) ?? 0));
+    // A request that was read elsewhere is asked about without its parts, while hits are those of the whole prompt.
+    const held = tokens[Math.min(hits.get(v.worker.id) ?? 0, q.parts.length)]!;
+    return Math.max(held, shared * (home.get(v.worker.id) ?? 0));
   }
   const readerKnown = remembered((v) => known(v, readerHomes));
   const runnerKnown = remembered((v) => known(v, runnerHomes));
