--- a/packages/control-state/src/replica.test.ts
+++ b/packages/control-state/src/replica.test.ts
@@ -5,6 +5,15 @@
 import type { JournalRecord } from './journal.js';
 import { createReplica, type Replica } from './replica.js';
 
+/** Time stands still, and nobody else is there. */
+const w: World = {
+  now: () => micros(0),
+  random: () => 0.5,
+  after: () => () => undefined,
+  send: () => undefined,
+  log: () => undefined,
+};
+
 it('rewrites its file when it gets long, and comes back from it with every row', () => {
   let file: JournalRecord[] = [];
   let rewrites = 0;
@@ -20,13 +29,6 @@
     },
     size: () => file.length * 400,
   };
-  const w: World = {
-    now: () => micros(0),
-    random: () => 0.5,
-    after: () => () => undefined,
-    send: () => undefined,
-    log: () => undefined,
-  };
   function open(): Replica {
     return createReplica(w, {
       slot: 0,
@@ -58,13 +60,6 @@
 });
 
 it('gives no vote to who knows an older core, to a lower epoch, or before it may vote', () => {
-  const w: World = {
-    now: () => micros(0),
-    random: () => 0.5,
-    after: () => () => undefined,
-    send: () => undefined,
-    log: () => undefined,
-  };
   const file: JournalRecord[] = [];
   const disk: Disk = { append: (r, done) => done(void file.push(r)), rewrite: (_r, done) => done(), size: () => 0 };
   const replicas = ['a', 'b', 'c'].map((address, slot) => ({ slot, address, disk: `d${slot}` }));
@@ -107,13 +102,6 @@
 });
 
 it('votes after a loss of power between the record of the founding that names its disk and its state', () => {
-  const w: World = {
-    now: () => micros(0),
-    random: () => 0.5,
-    after: () => () => undefined,
-    send: () => undefined,
-    log: () => undefined,
-  };
   const disk: Disk = { append: (_r, done) => done(), rewrite: (_r, done) => done(), size: () => 0 };
   function stateAfterStart(own: string, membershipEpoch: number): string {
     const members = ['a', 'b', 'c'].map((address, slot) => ({ slot, address, disk: `d${slot}` }));
