Tenants and their keys: a key is looked at, withheld from workers, and ends with the configuration that held it

Cause: the parser passed over `tenants` and `public`, and the router took Authorization for a head like any other. Change: the parser reads tenants with digests of their keys in place of keys; two tenants that share a key, or a name, are refused; admission.ts decides by the newest tenants when a request arrives and before each further attempt; 401 with WWW-Authenticate after the route is known, 503 while no configuration is; workers are told the tenant. Without tenants Authorization is passed on as before. Error messages quote nothing of a body, as the runtime's parser would. A tenant's priority takes the place of its route's, which nothing uses yet.

--- /dev/null
+++ b/packages/pass-through/src/admission.test.ts
@@ -0,0 +1,46 @@
+/** Who may have requests run, and what workers are told of the sender. */
+import { expect, it } from 'vitest';
+import { digestOfKey, type Path, type Tenant } from '@tansypost/paths';
+import { createAdmission } from './admission.js';
+import type { Incoming } from './incoming.js';
+
+const path = { name: 'chat', rank: 1 } as Path;
+const publicPath: Path = { ...path, public: true };
+
+function request(key?: string): Incoming {
+  const keyDigest = key === undefined ? undefined : digestOfKey(key);
+  const incoming: Partial<Incoming> = { id: 'q', credentials: ['Authorization', `Bearer ${key}`], keyDigest };
+  return incoming as Incoming;
+}
+function tenant(name: string, keys: string[], rank?: number): Tenant {
+  return { name, keyDigests: keys.map(digestOfKey), rank };
+}
+
+it('passes credentials on where the table has no tenants', () => {
+  const admission = createAdmission();
+  expect(admission.admit(request('any'), path)).toEqual({ request: request('any'), path });
+});
+
+it('withholds the key and names the tenant, with its own priority where it has one', () => {
+  const admission = createAdmission();
+  admission.replace([tenant('a', ['k1', 'k2'], 0), tenant('b', ['k3'])]);
+  const first = admission.admit(request('k2'), path);
+  expect(first?.request.tenant).toBe('a');
+  expect(first?.request.credentials).toBeUndefined();
+  expect(first?.path.rank).toBe(0);
+  expect(admission.admit(request('k3'), path)?.path).toBe(path);
+});
+
+it('admits nobody without a key that a tenant holds now, but for public routes', () => {
+  const admission = createAdmission();
+  admission.replace([tenant('a', ['k1'])]);
+  expect(admission.admits(request('k1'), path)).toBe(true);
+  admission.replace([tenant('a', [])]);
+  for (const each of [request('k1'), request('other'), request()]) {
+    expect(admission.admits(each, path)).toBe(false);
+    expect(admission.admit(each, path)).toBeUndefined();
+    expect(admission.admit(each, publicPath)?.request.credentials).toBeUndefined();
+  }
+  admission.replace([]);
+  expect(admission.admits(request('k1'), path)).toBe(false);
+});
--- /dev/null
+++ b/packages/pass-through/src/admission.ts
@@ -0,0 +1,54 @@
+/**
+ * Who may have requests run. Where the route table has tenants, a request needs the key of one of them, unless its route
+ * is public; its key is withheld from workers, which are told the tenant instead. Where the table has none, credentials
+ * are heads like any other.
+ */
+import { createTenantDirectory, type Path, type Tenant, type TenantDirectory } from '@tansypost/paths';
+import type { Incoming } from './incoming.js';
+
+/** A request as it is given to workers, and its route with the priority that counts. */
+export interface Admitted {
+  readonly request: Incoming;
+  readonly path: Path;
+}
+
+/** Admits requests by the newest tenants. */
+export interface Admission {
+  /** Takes the tenants of a new route table; undefined where it asks for no keys. */
+  readonly replace: (tenants: readonly Tenant[] | undefined) => void;
+  /** Whether the request may be run now. */
+  readonly admits: (request: Incoming, path: Path) => boolean;
+  /** The request as workers get it; undefined where it may not be run. */
+  readonly admit: (request: Incoming, path: Path) => Admitted | undefined;
+}
+
+/** An admission that asks for no keys until it is told of tenants. */
+export function createAdmission(): Admission {
+  let directory: TenantDirectory | undefined;
+
+  function replace(tenants: readonly Tenant[] | undefined): void {
+    directory = tenants === undefined ? undefined : createTenantDirectory(tenants);
+  }
+
+  function tenantOf(request: Incoming): Tenant | undefined {
+    return request.keyDigest === undefined ? undefined : directory?.find(request.keyDigest);
+  }
+
+  function admits(request: Incoming, path: Path): boolean {
+    return directory === undefined || path.public === true || tenantOf(request) !== undefined;
+  }
+
+  function admit(request: Incoming, path: Path): Admitted | undefined {
+    if (directory === undefined) return { request, path };
+    if (!admits(request, path)) return undefined;
+    const tenant = tenantOf(request);
+    const withheld = { ...request, credentials: undefined, tenant: tenant?.name };
+    return { request: withheld, path: withRank(path, tenant?.rank) };
+  }
+
+  return { replace, admits, admit };
+}
+
+function withRank(path: Path, rank: number | undefined): Path {
+  return rank === undefined || rank === path.rank ? path : { ...path, rank };
+}
--- a/packages/pass-through/src/attempt-loop.ts
+++ b/packages/pass-through/src/attempt-loop.ts
@@ -28,6 +28,7 @@
     { sends, ran, begun, lastRefused },
     {
       gone: inFlight.gone.aborted,
+      admitted: context.admission.admits(inFlight.request, path),
       left: inFlight.limit - context.world.now(),
       repeatable: path.repeatable,
       resumable: path.resumable,
@@ -51,7 +52,8 @@
   } else if (inFlight.failed !== undefined) inFlight.reply.whole(inFlight.failed.answer);
   else {
     const why = 'No worker could run it to its end.';
-    const promise = step.ran === 'no' ? { retryAfter: retryAfter.failed } : {};
+    const comesBack = step.ran === 'no' && step.kind !== 'unknown_key';
+    const promise = comesBack ? { retryAfter: retryAfter.failed } : {};
     giveUpOn(context, inFlight, { kind: step.kind, ran: step.ran, why, ...promise });
   }
 }
--- a/packages/pass-through/src/course-context.ts
+++ b/packages/pass-through/src/course-context.ts
@@ -1,6 +1,7 @@
 /** What the attempts of all requests share: the fleet's table, what was read where, budgets, estimates and counters. */
 import type { World } from '@tansypost/inner-protocol';
 import { createPaces, createRadixTree, placementDefaults, type PlacementOptions } from '@tansypost/placement';
+import { createAdmission, type Admission } from './admission.js';
 import { createAnswerPatience, type AnswerPatience } from './answer-patience.js';
 import { pairDefaults } from './assign-pair.js';
 import type { GiveUp, Lot, Reply, WorkerPort } from './ports.js';
@@ -39,6 +40,7 @@
   readonly paces: ReturnType<typeof createPaces>;
   readonly tree: ReturnType<typeof createRadixTree>;
   readonly budget: SendBudget;
+  readonly admission: Admission;
   readonly patience: AnswerPatience;
   /** Counts an event by its name and gives how often it has happened. */
   readonly count: (event: string) => number;
@@ -66,6 +68,7 @@
     paces,
     tree: createRadixTree(),
     budget: createSendBudget(world.now, options.budget),
+    admission: createAdmission(),
     patience: createAnswerPatience(),
     count,
     counts: () => Object.fromEntries([...counts].sort()),
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -5,6 +5,7 @@
  */
 import type { World } from '@tansypost/inner-protocol';
 import { createMatcher, type Matcher, type Path, type PathTable, type Service } from '@tansypost/paths';
+import type { Admitted } from './admission.js';
 import { runAttempts } from './attempt-loop.js';
 import {
   createCourseContext,
@@ -38,6 +39,7 @@
 };
 const workersUnknown: GiveUp = { ...routesUnknown, why: 'No workers are known here yet.' };
 const noRoute: GiveUp = { kind: 'unknown_path', ran: 'no', why: 'No path has this host and prefix.' };
+const unknownKey: GiveUp = { kind: 'unknown_key', ran: 'no', why: 'No tenant has this key.' };
 const noService: GiveUp = {
   kind: 'no_workers',
   ran: 'no',
@@ -97,13 +99,13 @@
   context: CourseContext,
   inFlights: Set<InFlightRequest>,
   routes: Routes,
-  path: Path,
-  facts: Pick<InFlightRequest, 'request' | 'reply' | 'gone' | 'arrived'>,
+  { request, path }: Admitted,
+  facts: Pick<InFlightRequest, 'reply' | 'gone' | 'arrived'>,
 ): Promise<void> {
   const service = pickService(path, routes.services, context.world.random);
   if (service === undefined) return giveUp(context, facts.reply, noService);
-  const lot = context.ports.lot?.(facts.request.id);
-  const inFlight = createInFlightRequest({ ...facts, path, service, lot });
+  const lot = context.ports.lot?.(request.id);
+  const inFlight = createInFlightRequest({ ...facts, request, path, service, lot });
   inFlight.timeline.parts.ready = context.world.now() - facts.arrived;
   context.budget.first(service.name);
   inFlights.add(inFlight);
@@ -134,6 +136,7 @@
   function paths(table: PathTable): void {
     const services = new Map(table.services.map((service) => [service.name, service]));
     routes = { matcher: createMatcher(table), services };
+    context.admission.replace(table.tenants);
     changed();
   }
 
@@ -159,8 +162,10 @@
     if (routes === undefined) return giveUp(context, reply, routesUnknown);
     const path = routeOf(request);
     if (path === undefined) return giveUp(context, reply, noRoute);
+    const admitted = context.admission.admit(request, path);
+    if (admitted === undefined) return giveUp(context, reply, unknownKey);
     if (listed === undefined) return giveUp(context, reply, workersUnknown);
-    await serveRouted(context, inFlights, routes, path, { request, reply, gone, arrived });
+    await serveRouted(context, inFlights, routes, admitted, { reply, gone, arrived });
   }
 
   async function serve(request: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
--- a/packages/pass-through/src/decision.ts
+++ b/packages/pass-through/src/decision.ts
@@ -18,6 +18,8 @@
 
 /** What holds at this moment. */
 export interface Facts {
+  /** Whether its key, where it needs one, is still that of a tenant. */
+  readonly admitted: boolean;
   readonly gone: boolean;
   readonly left: number;
   readonly repeatable: boolean;
@@ -37,7 +39,7 @@
   | { readonly step: 'cut' }
   | {
       readonly step: 'giveUp';
-      readonly kind: 'no_workers' | 'workers_refused' | 'outcome_unknown' | 'budget_spent';
+      readonly kind: 'no_workers' | 'workers_refused' | 'outcome_unknown' | 'budget_spent' | 'unknown_key';
       readonly ran: 'no' | 'maybe';
     };
 
@@ -46,6 +48,11 @@
   return { step: 'giveUp', kind: 'outcome_unknown', ran: 'maybe' };
 }
 
+/** A key that was taken away is good for no further attempt. */
+function withoutKey({ ran }: Ledger): Step {
+  return { step: 'giveUp', kind: ran === 'no' ? 'unknown_key' : 'outcome_unknown', ran };
+}
+
 function whileNothingRan(again: boolean, { sends }: Ledger, { workers }: Facts): Step {
   if (!workers) return { step: 'giveUp', kind: 'no_workers', ran: 'no' };
   if (sends === 0) return { step: 'run', first: true };
@@ -58,5 +65,6 @@
   const again = facts.sendsAllowed > ledger.sends && facts.extraRoom && facts.workers;
   if (ledger.begun) return facts.left > 0 && facts.resumable && again ? { step: 'resume' } : { step: 'cut' };
   if (facts.left <= 0) return { step: 'giveUp', kind: 'budget_spent', ran: ledger.ran };
+  if (!facts.admitted) return withoutKey(ledger);
   return ledger.ran === 'maybe' ? afterPossibleRun(again, facts) : whileNothingRan(again, ledger, facts);
 }
--- a/packages/pass-through/src/incoming.ts
+++ b/packages/pass-through/src/incoming.ts
@@ -1,5 +1,7 @@
 /** A request that is passed on as it came, with what its head says about the prompt. Times are whole microseconds. */
 
+import type { KeyDigest } from '@tansypost/paths';
+
 export interface PromptPart {
   readonly id: string;
   readonly tokens: number;
@@ -9,8 +11,14 @@
   readonly method: string;
   readonly target: string;
   readonly host: string;
-  // Names and values in turn, as they came, without those of one connection.
+  // Names and values in turn, as they came, without those of one connection and without its credentials.
   readonly head: readonly string[];
+  // The heads that bear credentials, to be passed on where the route table has no tenants; undefined once they are withheld.
+  readonly credentials?: readonly string[] | undefined;
+  // Of the API key that the credentials hold, where they hold one.
+  readonly keyDigest?: KeyDigest | undefined;
+  // The tenant on whose behalf it is run; never what its sender claims.
+  readonly tenant?: string | undefined;
   readonly body: Buffer;
   // The whole prompt, and the most tokens of the answer.
   readonly promptTokens: number;
--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -63,6 +63,7 @@
 
 export type GiveUpKind =
   | 'unknown_path'
+  | 'unknown_key'
   | 'not_ready'
   | 'leaving'
   | 'no_workers'
--- a/packages/paths/src/faults.ts
+++ b/packages/paths/src/faults.ts
@@ -1,5 +1,6 @@
 /** What is wrong with a route table beyond its shape. */
 import type { Path, PathTable } from './path-table.js';
+import { faultsOfTenants } from './tenants.js';
 
 /** Each fault of the table as a sentence for its author; none when the table may go into force. */
 export function faultsOf(table: PathTable): string[] {
@@ -16,7 +17,7 @@
     seen.add(at);
     faults.push(...faultsOfPath(path, services));
   }
-  return faults;
+  return [...faults, ...faultsOfTenants(table.tenants ?? [])];
 }
 
 function faultsOfPath(path: Path, services: ReadonlySet<string>): string[] {
--- a/packages/paths/src/path-table.ts
+++ b/packages/paths/src/path-table.ts
@@ -3,6 +3,7 @@
  * prefix), how urgent and how patient each kind is, which service runs it, and what the services are.
  * Times are whole microseconds, sizes are bytes.
  */
+import type { Tenant } from './tenants.js';
 
 /** The part of a path's requests that goes to one service. */
 export interface ServiceShare {
@@ -33,6 +34,8 @@
   /** The largest number of attempts: workers that one request may go to. */
   readonly sends: number;
   readonly shares: readonly ServiceShare[];
+  /** Needs no key, also where the table has tenants. */
+  readonly public?: boolean;
 }
 
 /** A group of workers that run the same kinds of requests. */
@@ -73,4 +76,6 @@
   readonly paths: readonly Path[];
   readonly services: readonly Service[];
   readonly limits: RequesterLimits;
+  /** Who may send requests; undefined where no keys are asked for. */
+  readonly tenants?: readonly Tenant[] | undefined;
 }
