Duties write down what they intend before they call the platform

Calls to the platform that one machine at a time must make had no home: a holder that was killed between a call and its note would leave a successor guessing whether the call was made, and with which content.

packages/duty-log stands for one role, takes the term of each duty by a write on top of the record that it read (its version is the fence), writes each call down before it makes it, repeats a call without a clear answer to the letter, and notes the outcome together with what is owed next, one write a call. A higher fence seen ends the term at once; a term that another node took makes this one stand back. Each duty goes on by itself; the calls share one pace.

--- /dev/null
+++ b/packages/duty-log/src/duty-task.ts
@@ -0,0 +1,297 @@
+/**
+ * One duty at one node. It takes the term, which gives its calls their fence; then, step by step, it writes down what
+ * is owed, makes the oldest open call, and writes down how it ended together with what is owed next. Each write is on
+ * top of the version it wrote or read last. A write that got no answer may have taken effect, so the record is read
+ * again before anything else; if the term in it is another, this node's term is over.
+ */
+import { micros, type World } from '@tansypost/inner-protocol';
+import type { StoredValue, StoredVersion } from '@tansypost/control-feed';
+import * as E from 'fp-ts/lib/Either.js';
+import type { CallPacer } from './call-pacer.js';
+import {
+  bytesOfRecord,
+  readDutyRecord,
+  withOutcome,
+  withPlanned,
+  type DutyRecord,
+  type FinalOutcome,
+  type Intent,
+  type PlannedRecord,
+} from './duty-record.js';
+import { createOpenSince, type OpenSince } from './open-since.js';
+import type { CallOutcome, Duty, DutyPort } from './ports.js';
+import { createRetryPauses, type RetryPauses } from './retry-pauses.js';
+
+/** What one duty is told when it is made. Times are microseconds. */
+export interface DutyTaskOptions {
+  readonly duty: Duty;
+  readonly member: string;
+  readonly record: StoredValue;
+  readonly port: DutyPort;
+  readonly pacer: CallPacer;
+  /** Whether the role is held. */
+  readonly holds: () => boolean;
+  /** Whether it is held for so long that a call made now is over before a successor's first. */
+  readonly mayCall: () => boolean;
+  /** How long a node that lost its term to another stands back. */
+  readonly standBack: number;
+  /** The longest that a call is on its way. */
+  readonly callOnItsWay: number;
+  /** How long an answer is waited for. */
+  readonly callPatience: number;
+  /** Called when a step has changed something, so that the next may follow at once. */
+  readonly progressed: () => void;
+}
+
+/** An open call as operators see it. */
+export interface OpenCall extends Intent {
+  /** How long this node has known of it, in microseconds. */
+  readonly age: number;
+  /** Calls without a clear answer. */
+  readonly failures: number;
+}
+
+/** Where a duty stands, as far as this node knows. */
+export interface DutyStatus {
+  readonly duty: string;
+  /** Of this node's term, while it has it. */
+  readonly fence: number | undefined;
+  /** The oldest first; empty where this node has no term. */
+  readonly open: readonly OpenCall[];
+  /** Calls owed that had no place in the record. */
+  readonly waiting: number;
+}
+
+/** One duty at this node. */
+export interface DutyTask {
+  /** Does the next step, unless one is under way. */
+  readonly look: () => void;
+  readonly endTerm: () => void;
+  readonly status: () => DutyStatus;
+  /** When its last call was made; before all others if there was none. */
+  readonly lastCallAt: () => number;
+}
+
+/** This node's term. */
+interface OwnTerm {
+  readonly id: string;
+  readonly fence: number;
+  version: number;
+  record: DutyRecord;
+  /** A write got no answer or failed: the record must be read before anything else. */
+  mustRead: boolean;
+  /** Answers that are not in the record yet, by intent. */
+  readonly answers: Map<number, FinalOutcome>;
+  waiting: number;
+}
+
+interface TaskState {
+  readonly world: World;
+  readonly options: DutyTaskOptions;
+  readonly pauses: RetryPauses;
+  readonly openSince: OpenSince;
+  term: OwnTerm | undefined;
+  /** Rises when a term ends or may not be begun, so that a term that is just being taken then is not begun. */
+  ends: number;
+  busy: boolean;
+  standBackUntil: number;
+  lastCallAt: number;
+  toldUnreadable: boolean;
+}
+
+/** A call that is open for so long is reported, in microseconds. */
+const openForLong = 10_000_000;
+const termIdRange = 2 ** 48;
+const base36 = 36;
+
+/** A duty whose term this node does not have yet. */
+export function createDutyTask(world: World, options: DutyTaskOptions): DutyTask {
+  const state: TaskState = {
+    world,
+    options,
+    pauses: createRetryPauses(world, options.callOnItsWay),
+    openSince: createOpenSince(world),
+    term: undefined,
+    ends: 0,
+    busy: false,
+    standBackUntil: -Infinity,
+    lastCallAt: -Infinity,
+    toldUnreadable: false,
+  };
+  return {
+    look: () => look(state),
+    endTerm: () => endTerm(state),
+    status: () => statusOf(state),
+    lastCallAt: () => state.lastCallAt,
+  };
+}
+
+function look(state: TaskState): void {
+  if (state.busy || !state.options.holds()) return;
+  reportLate(state);
+  state.busy = true;
+  void advance(state).then((changed) => {
+    state.busy = false;
+    if (changed) state.options.progressed();
+  });
+}
+
+/** One step; whether it changed anything. */
+async function advance(state: TaskState): Promise<boolean> {
+  const term = await readiedTerm(state);
+  if (term === undefined) return false;
+  const next = nextRecord(state, term);
+  term.waiting = next.waiting;
+  if (next.record !== term.record && !(await commit(state, term, next))) return false;
+  const intent = nextCall(state, term);
+  if (intent === undefined || !state.options.mayCall() || !state.options.pacer.take()) return false;
+  await makeCall(state, term, intent);
+  return true;
+}
+
+/** This node's term with the newest record, which is taken or read where that is due. */
+async function readiedTerm(state: TaskState): Promise<OwnTerm | undefined> {
+  if (state.term === undefined) await takeTerm(state);
+  else if (state.term.mustRead) await readAgain(state, state.term);
+  return state.term?.mustRead === false ? state.term : undefined;
+}
+
+/** The version of the write that names this node is the fence of its term. */
+async function takeTerm(state: TaskState): Promise<void> {
+  const { world, options } = state;
+  if (world.now() < state.standBackUntil || !options.mayCall()) return;
+  const { ends } = state;
+  const stored = await options.record.read();
+  const record = stored === undefined ? undefined : readRecord(state, stored);
+  if (stored === undefined || record === undefined || state.ends !== ends || !options.mayCall()) return;
+  const id = Math.floor(world.random() * termIdRange).toString(base36);
+  const own: DutyRecord = { ...record, term: { holder: options.member, id } };
+  const fence = await options.record.write(stored.version, bytesOfRecord(own));
+  if (fence === undefined || state.ends !== ends) return;
+  state.term = { id, fence, version: fence, record: own, mustRead: false, answers: new Map(), waiting: 0 };
+  state.openSince.note(own.open);
+  world.log(3103, { duty: options.duty.name, fence, open: own.open.length });
+}
+
+/** Reads the record after a write whose fate is not known. */
+async function readAgain(state: TaskState, term: OwnTerm): Promise<void> {
+  const stored = await state.options.record.read();
+  if (stored === undefined || state.term !== term) return;
+  const record = readRecord(state, stored);
+  if (record === undefined) return endTerm(state);
+  if (record.term?.id !== term.id) {
+    state.world.log(3109, { duty: state.options.duty.name, fence: term.fence, holder: record.term?.holder ?? '' });
+    return standBack(state);
+  }
+  term.mustRead = false;
+  takeIn(state, term, stored.version, record);
+}
+
+function readRecord(state: TaskState, stored: StoredVersion): DutyRecord | undefined {
+  const record = readDutyRecord(stored.value);
+  if (E.isRight(record)) {
+    state.toldUnreadable = false;
+    return record.right;
+  }
+  if (!state.toldUnreadable) state.world.log(3107, { duty: state.options.duty.name, why: record.left });
+  state.toldUnreadable = true;
+  return undefined;
+}
+
+function takeIn(state: TaskState, term: OwnTerm, version: number, record: DutyRecord): void {
+  term.version = version;
+  term.record = record;
+  state.openSince.note(record.open);
+}
+
+/** The record with the answers that came, and with what is owed now. */
+function nextRecord({ options }: TaskState, term: OwnTerm): PlannedRecord {
+  let { record } = term;
+  for (const [id, outcome] of term.answers) record = withOutcome(record, id, outcome, term.fence);
+  return withPlanned(record, options.duty.plan(record), options.duty.mayOvertake);
+}
+
+/** Writes the record on top of the version known. False: it may or may not be written, or the term is over. */
+async function commit(state: TaskState, term: OwnTerm, next: PlannedRecord): Promise<boolean> {
+  const { world, options } = state;
+  const version = await options.record.write(term.version, bytesOfRecord(next.record));
+  if (state.term !== term) return false;
+  if (version === undefined) {
+    term.mustRead = true;
+    return false;
+  }
+  takeIn(state, term, version, next.record);
+  term.answers.clear();
+  for (const { subject, content } of next.overtaken) world.log(3108, { duty: options.duty.name, subject, content });
+  return true;
+}
+
+/** The oldest open call that is the first of its subject, and whose pause is over. */
+function nextCall({ pauses }: TaskState, term: OwnTerm): Intent | undefined {
+  const subjects = new Set<string>();
+  for (const intent of term.record.open) {
+    if (!subjects.has(intent.subject) && pauses.isOver(intent.subject)) return intent;
+    subjects.add(intent.subject);
+  }
+  return undefined;
+}
+
+async function makeCall(state: TaskState, term: OwnTerm, { id, subject, content }: Intent): Promise<void> {
+  const { world, options, pauses } = state;
+  const duty = options.duty.name;
+  state.lastCallAt = world.now();
+  const outcome = await outcomeOf(state, { duty, subject, content, holder: options.member, fence: term.fence });
+  if (state.term !== term) return;
+  if (outcome === 'fenced') {
+    world.log(3105, { duty, subject, fence: term.fence });
+    return standBack(state);
+  }
+  if (outcome === 'busy' || outcome === 'unknown') return pauses.grow(subject);
+  pauses.end(subject);
+  term.answers.set(id, outcome);
+  if (outcome === 'refused') world.log(3106, { duty, subject, content });
+}
+
+/** The outcome of a call, `unknown` where none comes in time. */
+function outcomeOf({ world, options }: TaskState, call: Parameters<DutyPort['call']>[0]): Promise<CallOutcome> {
+  return new Promise((done) => {
+    const cancel = world.after(micros(options.callPatience), () => done('unknown'));
+    function end(outcome: CallOutcome): void {
+      cancel();
+      done(outcome);
+    }
+    options.port.call(call).then(end, () => end('unknown'));
+  });
+}
+
+function endTerm(state: TaskState): void {
+  state.term = undefined;
+  state.ends += 1;
+  state.pauses.clear();
+}
+
+/** Ends the term, and leaves the duty to the other node for as long as must lie between two turns of one holder. */
+function standBack(state: TaskState): void {
+  endTerm(state);
+  state.standBackUntil = state.world.now() + state.options.standBack;
+}
+
+function reportLate({ world, options, openSince, term }: TaskState): void {
+  for (const { id, subject } of openSince.newlyLate(term?.record.open ?? [], openForLong)) {
+    world.log(3104, { duty: options.duty.name, subject, ageMs: Math.round(openSince.age(id) / 1000) });
+  }
+}
+
+function statusOf({ options, openSince, pauses, term }: TaskState): DutyStatus {
+  const open = term?.record.open ?? [];
+  return {
+    duty: options.duty.name,
+    fence: term?.fence,
+    open: open.map((intent) => ({
+      ...intent,
+      age: openSince.age(intent.id),
+      failures: pauses.failures(intent.subject),
+    })),
+    waiting: term?.waiting ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/duty-log/src/index.ts
@@ -0,0 +1,4 @@
+export * from './duty-record.js';
+export * from './duty-runner.js';
+export type { DutyStatus, OpenCall } from './duty-task.js';
+export * from './ports.js';
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -109,6 +109,33 @@
   3004: { level: 'info', means: 'home agent of the zone changed', remedy: 'None.' },
   3101: { level: 'info', means: 'duty won', remedy: 'None.' },
   3102: { level: 'info', means: 'duty lost or laid down', remedy: 'None.' },
+  3103: {
+    level: 'info',
+    means: 'term of a duty taken: calls to the platform are made from here, under the fence given',
+    remedy: 'None.',
+  },
+  3104: {
+    level: 'warn',
+    means: 'a call to the platform that a duty owes is open for long; it is repeated',
+    remedy: 'Look at how the platform answers; `tansypost duties` tells what is owed.',
+  },
+  3105: {
+    level: 'warn',
+    means: 'call of a duty refused for its fence: another holder has a higher one; this term has ended',
+    remedy: 'None once; if it lasts, see who else makes these calls.',
+  },
+  3106: {
+    level: 'error',
+    means: 'call of a duty refused by the platform for good; it is not repeated',
+    remedy: 'Look at the content given and at what the platform asks of it.',
+  },
+  3107: {
+    level: 'error',
+    means: 'the record of a duty cannot be read; no call of this duty is made',
+    remedy: 'Report it with the message.',
+  },
+  3108: { level: 'info', means: 'open call of a duty overtaken by a newer one for its subject', remedy: 'None.' },
+  3109: { level: 'info', means: 'another node has taken the term of a duty; this one stands back', remedy: 'None.' },
   3201: {
     level: 'warn',
     means: 'event sink refused a batch three times; it is lost',
