Route table: the least and the most workers of a service, and their boot time

The parser passed over scaling, so nothing could order workers within its bounds. Whole numbers, least at most as high as most; a fault is named with its service and refuses the configuration.

--- a/packages/paths/src/faults.ts
+++ b/packages/paths/src/faults.ts
@@ -1,5 +1,5 @@
 /** What is wrong with a route table beyond its shape. */
-import type { Path, PathTable } from './path-table.js';
+import type { Path, PathTable, Service } from './path-table.js';
 import { faultsOfTenants } from './tenants.js';
 
 /** Each fault of the table as a sentence for its author; none when the table may go into force. */
@@ -17,7 +17,7 @@
     seen.add(at);
     faults.push(...faultsOfPath(path, services));
   }
-  return [...faults, ...faultsOfTenants(table.tenants ?? [])];
+  return [...faults, ...table.services.flatMap(faultsOfScaling), ...faultsOfTenants(table.tenants ?? [])];
 }
 
 function faultsOfPath(path: Path, services: ReadonlySet<string>): string[] {
@@ -36,3 +36,16 @@
   }
   return faults;
 }
+
+function faultsOfScaling({ name, scaling }: Service): string[] {
+  if (scaling === undefined) return [];
+  const { least, most, bootTime } = scaling;
+  const faults: string[] = [];
+  if (![least, most].every((count) => Number.isSafeInteger(count) && count >= 0)) {
+    faults.push(`The least and the most workers of ${name} must be whole numbers of 0 or more.`);
+  }
+  // Written so that NaN is a fault too.
+  if (!(least <= most)) faults.push(`The least workers of ${name} must not be above the most.`);
+  if (!(bootTime >= 0)) faults.push(`The boot time of ${name} must be 0 or more.`);
+  return faults;
+}
--- a/packages/paths/src/path-table.ts
+++ b/packages/paths/src/path-table.ts
@@ -38,6 +38,14 @@
   readonly public?: boolean;
 }
 
+/** How many workers a service may have in each zone in which it runs; numbers are of workers of both stages. */
+export interface ScalingTerms {
+  readonly least: number;
+  readonly most: number;
+  /** How long after an order a new worker serves. */
+  readonly bootTime: number;
+}
+
 /** A group of workers that run the same kinds of requests. */
 export interface Service {
   readonly name: string;
@@ -57,6 +65,8 @@
   readonly handleTtl: number;
   /** How long a worker takes to change between prefill and decode. */
   readonly switchTime: number;
+  /** Undefined where the number of workers is not ours to order. */
+  readonly scaling?: ScalingTerms | undefined;
 }
 
 /** What a client may send, and how slowly. */
