Package scaling: orders of workers from the list, the loads and what was ordered last

Nothing ordered workers, so the duty was left undone for each service and zone. The planner orders the number that is there once, more as soon as medians of demand are above what those ordered bear (a boot time ahead where demand grows), and gives a worker up only after three boot times in which those left would have borne the most loaded moment, also without the largest zone.

--- /dev/null
+++ b/packages/scaling/src/wanted-workers.ts
@@ -0,0 +1,74 @@
+/**
+ * Decides how many workers a zone is to have. Up as soon as demand is above what those ordered bear, as far ahead as a
+ * worker takes to boot; down by small steps, after demand has been low for several boot times. The gap between the two
+ * loads keeps a number that was just reached from being left again.
+ */
+import type { ScalingTerms } from '@tansypost/paths';
+import type { DemandPeak } from './load-history.js';
+
+/** What follows from the boot time; microseconds. */
+export interface ScalingWindows {
+  /** For so long demand must last to count. */
+  readonly sustain: number;
+  /** The trend is taken over so much of the past; longer than it is looked ahead, so that a short wave is none. */
+  readonly trend: number;
+  /** For so long demand must have been low. */
+  readonly calm: number;
+  /** Between two steps down. */
+  readonly step: number;
+}
+
+/** Above this load of the workers ordered, more are. */
+const highLoad = 0.8;
+/** The load that an order of more aims at. */
+const aimedLoad = 0.7;
+/** A worker is given up where the load of those left would have stayed below this. */
+const lowLoad = 0.6;
+/** The load that those left may have in a moment, or for as long as a zone is lost. */
+const bearableLoad = 0.9;
+/** A step down gives up one worker in so many, and at least one. */
+const stepShare = 20;
+
+const shortestBoot = 2_000_000;
+const sustainBounds = [2_000_000, 4_000_000] as const;
+const bootsPerSustain = 1 / 4;
+const bootsPerTrend = 2;
+const bootsPerCalm = 3;
+
+/** The windows of a service. */
+export function scalingWindows({ bootTime }: ScalingTerms): ScalingWindows {
+  const boot = Math.max(bootTime, shortestBoot);
+  const [shortest, longest] = sustainBounds;
+  return {
+    sustain: Math.min(longest, Math.max(shortest, boot * bootsPerSustain)),
+    trend: boot * bootsPerTrend,
+    calm: boot * bootsPerCalm,
+    step: boot,
+  };
+}
+
+/** The number within the bounds of the service. */
+export function withinBounds(workers: number, { least, most }: ScalingTerms): number {
+  return Math.min(most, Math.max(least, workers));
+}
+
+/** More than `ordered` where demand is too high for it, else `ordered`. Demand is in workers without a spare moment. */
+export function raisedNumber(ordered: number, demand: number, growth: number): number {
+  // No more than doubles, however steep.
+  const expected = demand + Math.min(growth, demand);
+  return expected > highLoad * ordered ? Math.max(ordered, Math.ceil(expected / aimedLoad)) : ordered;
+}
+
+/** Whether the workers of a service, given for each zone, bear the demand also without the zone that has most. */
+export function bearsLostZone(workersByZone: readonly number[], demand: number): boolean {
+  if (workersByZone.length < 2) return true;
+  const total = workersByZone.reduce((sum, workers) => sum + workers, 0);
+  return (total - Math.max(...workersByZone)) * bearableLoad >= demand;
+}
+
+/** One step below `ordered` where those left would have borne the highest recent demand, else `ordered`. */
+export function loweredNumber(ordered: number, peak: DemandPeak): number {
+  const needed = Math.ceil(Math.max(peak.level / lowLoad, peak.moment / bearableLoad));
+  const step = Math.max(1, Math.floor(ordered / stepShare));
+  return Math.min(ordered, Math.max(needed, ordered - step));
+}
