Say once that a tenant's request has begun to run

Reports of usage count a request when its first piece comes. The port is called at the first piece of a request, whichever attempt it comes from, and not again when a stream is taken up by another worker.

--- a/packages/pass-through/src/course-context.ts
+++ b/packages/pass-through/src/course-context.ts
@@ -27,6 +27,8 @@
   /** What a reader was chosen by, and how long it then took until the first piece. */
   readonly sample?: (row: Float32Array, firstTime: number) => void;
   readonly lot?: (request: string) => Lot;
+  /** A worker has begun to run a request of this tenant: its first piece has come. Called once for each request. */
+  readonly began?: (tenant: string) => void;
 }
 
 /** State and services of one router's course, passed to each attempt. */
--- a/packages/pass-through/src/course.test.ts
+++ b/packages/pass-through/src/course.test.ts
@@ -41,6 +41,8 @@
   readonly freed: string[];
   readonly ended: Ended | undefined;
   readonly began: boolean;
+  /** Tenants whose requests were said to have begun to run. */
+  readonly begunFor: readonly string[];
 }
 
 function never(gone: AbortSignal): Promise<{ readonly tag: 'unknown'; readonly why: string }> {
@@ -123,6 +125,7 @@
   const workers = fleetOf(setting.readers ?? 3, setting.runners ?? 3);
   let ended: Ended | undefined;
   let began = false;
+  const begunFor: string[] = [];
 
   async function attempt<R extends ReadResult | RunResult>(
     kind: Attempt['kind'],
@@ -164,7 +167,7 @@
       budget: { share: 0.2, always: setting.always ?? 50, window: 10 * second, routers: () => 1 },
       ...(setting.pair === undefined ? {} : { pair: setting.pair }),
     },
-    { workers: port },
+    { workers: port, began: (tenant) => begunFor.push(tenant) },
   );
   at(setting.pathsAt, () => course.paths(tableOf(setting.path ?? {})));
   at(setting.workersAt, () => course.workers(workers));
@@ -183,7 +186,7 @@
   const served = course.serve({ ...incoming, ...setting.request }, reply, new AbortController().signal);
   await runUntil(() => ended !== undefined);
   await served;
-  return { attempts, freed, ended, began };
+  return { attempts, freed, ended, began, begunFor };
 }
 
 function readAt(a: Attempt): Promise<ReadResult> {
@@ -378,6 +381,21 @@
   }
 });
 
+it('says once that a request of a tenant has begun to run, however many workers run it, and never what did not run', async () => {
+  const request = { tenant: 'acme' };
+  const twice = await play(
+    { read: readAt, run: inTurn(brokenMidway, brokenMidway, wholeRun) },
+    { request, path: { sends: 3 } },
+  );
+  expect([twice.ended?.how, runnersOf(twice).length, twice.begunFor]).toEqual(['whole', 3, ['acme']]);
+  const late = await play({ read: readAt, run: inTurn(brokenUnanswered, wholeRun) }, { request });
+  expect([late.ended?.how, late.begunFor]).toEqual(['whole', ['acme']]);
+  const none = await play({ read: readAt, run: () => unreachable() }, { request });
+  expect(none.begunFor).toEqual([]);
+  const nobody = await play({ read: readAt, run: wholeRun });
+  expect([nobody.ended?.how, nobody.begunFor]).toEqual(['whole', []]);
+});
+
 it('goes to another worker where the one whose connection broke cannot be reached, or was left', async () => {
   const gone = await play({ read: readAt, run: inTurn(brokenMidway, unreachable, wholeRun) });
   expect([gone.ended?.how, gone.ended?.at]).toEqual(['whole', 0]);
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -93,6 +93,13 @@
   parts.decodePrefill += reading;
 }
 
+/** The first piece of a request, whichever of its attempts it came from: it has begun to run. */
+function heardFirstPiece(context: CourseContext, { inFlight, heardAt }: RunAttempt): void {
+  inFlight.firstAt = heardAt;
+  const { tenant } = inFlight.request;
+  if (tenant !== undefined) context.ports.began?.(tenant);
+}
+
 /** Notes that a piece has come, for the estimates of this attempt and of its reader. */
 function heardPiece(context: CourseContext, attempt: RunAttempt): void {
   const { inFlight, timing } = attempt;
@@ -105,7 +112,7 @@
   if (!attempt.seen) context.patience.observe(timing.kind, timing.expected, attempt.heardAt - attempt.begunAt);
   attempt.seen = true;
   inFlight.pieces += 1;
-  if (inFlight.pieces === 1) inFlight.firstAt = attempt.heardAt;
+  if (inFlight.pieces === 1) heardFirstPiece(context, attempt);
   if (inFlight.chosen !== undefined) context.ports.sample?.(inFlight.chosen.row, attempt.heardAt - inFlight.chosen.at);
   inFlight.chosen = undefined;
   attempt.under.progress();
