Counts of usage by window of true time, and their collection

Counts are cumulative under the id of the process; the node that reports asks once a second for what has changed, so a message lost or repeated changes nothing. A window is closed when each router has told of a later moment, or when little of the report's delay is left; what was given out never changes.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -141,6 +141,16 @@
     means: 'event sink refused a batch three times; it is lost',
     remedy: 'Look at the sink named in eventSink.',
   },
+  3501: {
+    level: 'warn',
+    means: 'requests told by routers after the content of their usage window was fixed; they are in no report',
+    remedy: 'Look at the routers that were frozen or cut off, and at the links between them and the control nodes.',
+  },
+  3502: {
+    level: 'warn',
+    means: 'a router drops counts of a usage window that nobody has heard; they are in no report',
+    remedy: 'Look at what kept this router from the control nodes: a freeze, a cut, or no node that reports usage.',
+  },
   4001: {
     level: 'info',
     means: 'placement fell back to the heuristic (logged at the 1st, 10th, 100th ... of a reason)',
--- a/packages/inner-protocol/src/messages.ts
+++ b/packages/inner-protocol/src/messages.ts
@@ -59,6 +59,8 @@
   age: 'long',
   silent: 'boolean',
 } as const;
+const usageCount = { tenant: 'string', count: 'long' } as const;
+const usageTable = { window: 'long', counts: [usageCount] } as const;
 const arm = {
   rehearsal: 'string',
   arm: 'string',
@@ -258,6 +260,19 @@
   // Where these are not all, what they tell each other goes through the keeper. `bad` says that a send failed there.
   Peers: { digest: 'long', addresses: ['string'], all: 'boolean' },
   Reading: { reads: [{ worker: 'string', service: 'long', bad: 'boolean', by: 'long' }] },
+  // Whoever reports usage asks each router for what it has counted. `process` and `after` say up to which change of which
+  // process of that router it knows all; `closedThrough` is the last window whose content is fixed, 0 for none.
+  UsageAsk: { from: 'string', process: 'string', after: 'long', closedThrough: 'long' },
+  // All counts that have changed after `after`, each in full, so that a repeat adds nothing. `now` is the true time as the
+  // router estimates it, in milliseconds since 1970: it will count nothing more in a window that ended before.
+  UsageTold: {
+    router: 'string',
+    process: 'string',
+    now: 'long',
+    after: 'long',
+    sequence: 'long',
+    tables: [usageTable],
+  },
 } as const satisfies { [k: string]: Shape };
 
 export type Kind = keyof typeof shapes;
@@ -275,3 +290,5 @@
 export type Listed = Of<typeof listed>;
 export type Load = Of<typeof load>;
 export type ArmCount = Of<typeof arm>;
+export type UsageCount = Of<typeof usageCount>;
+export type UsageTable = Of<typeof usageTable>;
--- /dev/null
+++ b/packages/usage/src/usage-counter.test.ts
@@ -0,0 +1,110 @@
+/** A router's counts: cumulative, told again until they are known, and kept until their window is closed. */
+import { expect, it } from 'vitest';
+import { encode, seeded, type MessageOf } from '@tansypost/inner-protocol';
+import { createUsageCounter } from './usage-counter.js';
+
+const windowLength = 5000;
+const start = 1_790_000_000_000;
+const firstWindow = start / windowLength;
+
+function createScene(keptWindows?: number) {
+  const logged: { readonly event: number; readonly fields: Record<string, unknown> }[] = [];
+  const time = { now: start };
+  const counter = createUsageCounter(
+    { log: (event, fields) => logged.push({ event, fields }) },
+    { router: 'r:1', process: 'p1', windowLength, trueTime: () => time.now, keptWindows },
+  );
+  function ask(over: Partial<MessageOf<'UsageAsk'>> = {}): MessageOf<'UsageTold'> {
+    return counter.answer({ kind: 'UsageAsk', from: 'c:1', process: 'p1', after: 0, closedThrough: 0, ...over });
+  }
+  return { counter, time, logged, ask };
+}
+
+it('tells full counts of what has changed since, and all of it to who knows nothing or another process', () => {
+  const { counter, time, ask } = createScene();
+  for (const tenant of ['b', 'a', 'b']) counter.began(tenant);
+  const first = ask();
+  expect(first).toMatchObject({ router: 'r:1', process: 'p1', now: start, after: 0, sequence: 3 });
+  expect(first.tables).toEqual([
+    {
+      window: firstWindow,
+      counts: [
+        { tenant: 'b', count: 2 },
+        { tenant: 'a', count: 1 },
+      ],
+    },
+  ]);
+  expect(ask()).toEqual(first);
+  expect(ask({ after: 3 }).tables).toEqual([]);
+  time.now += windowLength;
+  counter.began('a');
+  time.now -= 1;
+  counter.began('b');
+  expect(ask({ after: 3 }).tables).toEqual([
+    { window: firstWindow, counts: [{ tenant: 'b', count: 3 }] },
+    { window: firstWindow + 1, counts: [{ tenant: 'a', count: 1 }] },
+  ]);
+  expect(ask({ after: 5, process: 'p0' }).tables).toHaveLength(2);
+  expect(ask({ after: 5, process: 'p0' }).after).toBe(0);
+});
+
+it('keeps a window until it is closed, also when all of it has been told', () => {
+  const { counter, time, ask, logged } = createScene();
+  counter.began('a');
+  time.now += windowLength;
+  counter.began('a');
+  ask({ after: 1 });
+  ask({ after: 2, closedThrough: firstWindow - 1 });
+  expect(ask().tables).toHaveLength(2);
+  expect(ask({ after: 2, closedThrough: firstWindow }).tables).toEqual([]);
+  expect(counter.windows()).toEqual([firstWindow + 1]);
+  expect(ask().tables).toHaveLength(1);
+  expect(logged).toEqual([]);
+});
+
+it('says how much it drops that nobody has heard', () => {
+  const { counter, time, ask, logged } = createScene();
+  counter.began('a');
+  counter.began('b');
+  ask({ after: 0 });
+  ask({ after: 2 });
+  counter.began('b');
+  ask({ after: 2, closedThrough: firstWindow });
+  expect(logged).toEqual([{ event: 3502, fields: { router: 'r:1', window: firstWindow, count: 1 } }]);
+  counter.began('b');
+  time.now += windowLength;
+  ask({ after: 3, closedThrough: firstWindow });
+  expect(logged).toHaveLength(2);
+  expect(counter.windows()).toEqual([]);
+});
+
+it('keeps a bounded number of windows when nobody asks', () => {
+  const { counter, time, logged } = createScene(4);
+  for (let i = 0; i < 100; i += 1) {
+    counter.began('a');
+    time.now += windowLength;
+  }
+  expect(counter.windows()).toEqual([96, 97, 98, 99].map((i) => firstWindow + i));
+  expect(logged).toHaveLength(96);
+});
+
+it('costs less than a kilobyte a second where 420 routers share 2,700 requests a second of 200 tenants', () => {
+  const random = seeded(7);
+  const { counter, time, ask } = createScene();
+  const seconds = 60;
+  let bytes = 0;
+  let after = 0;
+  for (let i = 0; i < seconds; i += 1) {
+    for (let j = 0; j < 6 || (j === 6 && random() < 0.43); j += 1) {
+      time.now += 150;
+      counter.began(`tenant-${Math.floor(random() * 200)}`);
+    }
+    time.now = start + (i + 1) * 1000;
+    const question = { process: 'p1', after, closedThrough: firstWindow + Math.floor(i / 5) - 2 };
+    const told = ask(question);
+    bytes += encode({ kind: 'UsageAsk', from: '10.0.0.1:7000', ...question }).length + encode(told).length;
+    after = told.sequence;
+  }
+  expect(bytes / seconds).toBeLessThan(1000);
+  expect(bytes / seconds).toBeGreaterThan(100);
+});
