--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -9,7 +9,7 @@
 import { oneOf, sleep, type Ground, type LearningTerms } from './ground.js';
 import { mainService, type PassedDeployment } from './passed-deployment.js';
 import { emptyHistory, type PassedHistory } from './passed-history.js';
-import type { PassedTrouble } from './passed-troubles.js';
+import type { PassedTrouble, StageTroubleKind } from './passed-troubles.js';
 import { scatteredSeeds, seedCount, type SeedsOf } from './seed-lists.js';
 import type { Spoil } from './spoil.js';
 import { createVirtualCore, type VirtualCore } from './virtual-core.js';
@@ -56,6 +56,8 @@
 /** How long the configuration is read back at the end of a day. */
 const contact = 3_000_000;
 const rollGap = 250_000;
+/** Seconds between the workers of a stage that are struck one after the other. */
+const betweenStruck = 0.5;
 /** Seconds within which a machine that is rolled has left and started again. */
 const rollLength = 9;
 
@@ -180,6 +182,21 @@
     workers.withdraw(w);
   }
 
+  function troubleStage(kind: StageTroubleKind, seconds: number): void {
+    const [stage, what] = kind.split('-');
+    const struck = workers.lives(mainService).filter((w) => w.part() === stage);
+    for (const [index, w] of struck.entries()) later(betweenStruck * index, () => strike(w));
+
+    function strike(w: WorkerLife): void {
+      if (what !== 'silent') {
+        noteTaken(w);
+        return workers.crash(w, false, what === 'power');
+      }
+      w.dark(true);
+      later(seconds, () => w.dark(false));
+    }
+  }
+
   function apply(t: PassedTrouble): void {
     const r = oneOf(routers, t.who)!;
     const k = oneOf(coreNames, t.who)!;
@@ -212,6 +229,13 @@
         for (const [n, runner] of runners.entries()) later(0.5 * n, () => withdraw(runner));
         return;
       }
+      case 'decode-crash':
+      case 'decode-power':
+      case 'decode-silent':
+      case 'prefill-crash':
+      case 'prefill-power':
+      case 'prefill-silent':
+        return troubleStage(t.do, s);
       case 'answers-lost':
         return wrong('lost', 0.3, s);
       case 'answers-garbled':
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -47,7 +47,21 @@
   'disk-stalled',
   'disk-slow',
 ] as const;
-export type PassedTroubleKind = (typeof passedTroubleKinds)[number];
+/**
+ * Troubles of all workers of one stage of the main service, one after the other; days draw none of these. Workers that
+ * crash or lose power never come back, and are listed for a while. Silent ones are listed all along, take connections and
+ * answer nothing for as long as the trouble lasts.
+ */
+export const stageTroubleKinds = [
+  'decode-crash',
+  'decode-power',
+  'decode-silent',
+  'prefill-crash',
+  'prefill-power',
+  'prefill-silent',
+] as const;
+export type StageTroubleKind = (typeof stageTroubleKinds)[number];
+export type PassedTroubleKind = (typeof passedTroubleKinds)[number] | StageTroubleKind;
 export interface PassedTrouble {
   readonly at: number;
   readonly do: PassedTroubleKind;
