--- a/packages/pass-through/src/send-budget.test.ts
+++ b/packages/pass-through/src/send-budget.test.ts
@@ -1,5 +1,5 @@
 import { expect, it } from 'vitest';
-import { createSendBudget } from './send-budget.js';
+import { createSendBudget, type SendBudget } from './send-budget.js';
 
 it('stays within the fleet’s budget over every window, for seven routers that spend all they can', () => {
   let t = 0;
@@ -30,3 +30,24 @@
     expect(w.reduce((a, p) => a + p.e, 0)).toBeLessThanOrEqual(terms.share * firsts + terms.always);
   }
 });
+
+it('BUDGET: stays within the fleet’s budget though all routers begin anew within a window', () => {
+  const terms = { share: 0.2, always: 54, window: 10_000_000, routers: () => 7 };
+  let [now, extras] = [0, 0];
+  function startAll(): SendBudget[] {
+    return Array.from({ length: terms.routers() }, () => createSendBudget(() => now, terms));
+  }
+  function spendAll(budgets: readonly SendBudget[]): void {
+    for (const budget of budgets)
+      while (budget.room('s')) {
+        budget.extra('s');
+        extras += 1;
+      }
+  }
+  const firstLife = startAll();
+  now += 3 * terms.window;
+  spendAll(firstLife);
+  now += 1_000_000;
+  spendAll(startAll());
+  expect(extras).toBeLessThanOrEqual(terms.always);
+});
