Proposal: a router spends three tenths of its part of extra sends in its first window

What workers saw: more extra sends than allowed where all routers are restarted while they spend all they can. Cause: a budget begins full, and a former life of the router may just have spent seven tenths of its part. Why this works: 0.7 and 0.3 are the whole part, so two lives within one window stay within it. A third one in the same window is not covered. The first start costs nothing: traffic begins later than a window after it.

--- a/packages/pass-through/src/send-budget.ts
+++ b/packages/pass-through/src/send-budget.ts
@@ -30,9 +30,12 @@
 const slotsOfWindow = 20;
 /** The part of the allowance that is spent. */
 const caution = 0.7;
+/** The part that is spent in the first window: a former life of this router may have spent the rest in the same window. */
+const cautionAtFirst = 1 - caution;
 
 /** A budget of which nothing has been spent. */
 export function createSendBudget(now: () => number, terms: SendBudgetTerms): SendBudget {
+  const startedAt = now();
   const services = new Map<string, Slot[]>();
   const totals = { first: 0, extra: 0 };
 
@@ -56,7 +59,8 @@
     const first = slots.reduce((sum, slot) => sum + slot.first, 0);
     const extra = slots.reduce((sum, slot) => sum + slot.extra, 0);
     const always = Math.max(1, Math.floor(terms.always / Math.max(1, terms.routers())));
-    return extra + 1 <= caution * (terms.share * first + always);
+    const part = now() - startedAt < terms.window ? cautionAtFirst : caution;
+    return extra + 1 <= part * (terms.share * first + always);
   }
 
   function count(service: string, kind: 'first' | 'extra'): void {
