Candidates that lost a split vote let their votes lapse

A role could stay without a holder for ever: after an election in which no candidate had a majority, each asked again within the lease of the votes it had and so kept them, and none ever got more. With four voters that each hear their own candidate first, nobody held the role after 30 s (the new test, which fails without the change).

After an election that nobody won, a candidate with fewer votes than another (between equals the name decides) waits until its votes have lapsed and the other has had the time to ask for them. Where one holds the role by a majority nothing changes.

--- a/packages/duty/src/candidate.test.ts
+++ b/packages/duty/src/candidate.test.ts
@@ -1,7 +1,15 @@
 /** A candidate wins by a majority, holds its lease by the clock, and stands back from a holder it knows of. */
 import { expect, it } from 'vitest';
-import { micros, type Address, type Message, type MessageOf } from '@tansypost/inner-protocol';
+import {
+  createVirtualClock,
+  micros,
+  seeded,
+  type Address,
+  type Message,
+  type MessageOf,
+} from '@tansypost/inner-protocol';
 import { createCandidate, type Candidate } from './candidate.js';
+import { createVoter } from './voter.js';
 
 const leaseDuration = 3_000_000;
 
@@ -115,3 +123,68 @@
   scene.advance(leaseDuration / 6 + 1);
   expect(scene.ballots[0]!.epoch).toBe(256 + 5);
 });
+
+/** Four candidates with the shipped voters beside them; `delays` are those of messages, by sender and receiver. */
+async function electAmongFour(until: number, delayOf: (from: number, to: number) => number): Promise<string[]> {
+  const clock = createVirtualClock({ random: seeded(1) });
+  const replicas = [0, 1, 2, 3].map((slot) => ({ slot, address: `c${slot}:1`, disk: `disk${slot}` }));
+  function after(from: number, to: number, run: () => void): void {
+    clock.world.after(micros(delayOf(from, to)), run);
+  }
+  const voters = replicas.map(({ slot, disk }) => {
+    const epochs = new Map<string, number>();
+    return createVoter(clock.world, {
+      slot: () => slot,
+      disk: () => disk,
+      voting: () => true,
+      votingSince: () => -leaseDuration,
+      membershipEpoch: () => 1,
+      leaseDuration,
+      store: {
+        epoch: (duty) => epochs.get(duty) ?? 0,
+        keep: (duty, epoch, done) => {
+          epochs.set(duty, epoch);
+          done(true);
+        },
+      },
+    });
+  });
+  const candidates: Candidate[] = replicas.map(({ slot, address }) =>
+    createCandidate(
+      {
+        ...clock.world,
+        send: (to, message) => {
+          const target = Number(to.slice(1, 2));
+          if (message.kind !== 'Ballot') return;
+          after(slot, target, () =>
+            voters[target]!.ballot(message, (vote) => after(target, slot, () => candidates[slot]!.vote(vote))),
+          );
+        },
+      },
+      {
+        duty: 'training',
+        member: `m${slot}`,
+        self: address as Address,
+        slot,
+        leaseDuration,
+        replicas: () => ({ membershipEpoch: 1, replicas }),
+        willing: () => true,
+        won: () => undefined,
+        lost: () => undefined,
+      },
+    ),
+  );
+  await clock.runTo(until);
+  return candidates.flatMap((candidate, slot) => (candidate.holds() === undefined ? [] : [`m${slot}`]));
+}
+
+it('elects one after a split of the votes, which the losers let lapse', async () => {
+  function ownFirst(from: number, to: number): number {
+    return from === to ? 1000 : 5000;
+  }
+  function inPairs(from: number, to: number): number {
+    return from >> 1 === to >> 1 ? 1000 + 500 * (from % 2) : 5000;
+  }
+  expect(await electAmongFour(30_000_000, ownFirst)).toHaveLength(1);
+  expect(await electAmongFour(30_000_000, inPairs)).toHaveLength(1);
+});
--- a/packages/duty/src/candidate.ts
+++ b/packages/duty/src/candidate.ts
@@ -60,6 +60,8 @@
 const checksPerLease = 6;
 /** Bounds of the wait between two elections of one candidate, in microseconds. */
 const retryAfter = { least: 500_000, spread: 1_500_000 } as const;
+/** The longest time between two elections that a candidate calls, in microseconds; it looks a little later than it may. */
+const longestRetry = 3_000_000;
 /** A holder that only a voter told of is believed for so long, as it may be gone: in microseconds. */
 const secondHandBelief = 700_000;
 
@@ -69,7 +71,11 @@
   readonly epoch: number;
   /** Slots of the replicas that granted their vote. */
   readonly granted: Set<number>;
+  /** Who has the vote of the replicas that refused theirs, by slot. */
+  readonly refusedFor: Map<number, string>;
   decided: boolean;
+  /** Whether it was looked at how the votes were split. */
+  judged: boolean;
 }
 
 interface CandidateState {
@@ -136,17 +142,50 @@
     return;
   }
   if (!options.willing() || world.now() < state.nextElectionAt) return;
-  if (currentHolder(state, world, options) !== undefined) return;
+  if (currentHolder(state, world, options) !== undefined || yieldsToRival(state, world, options)) return;
   state.nextElectionAt = world.now() + retryAfter.least + Math.round(world.random() * retryAfter.spread);
   const round = Math.floor(state.highestEpochSeen / epochsPerRound) + 1;
   callElection(state, world, options, round * epochsPerRound + options.slot);
 }
 
+/**
+ * After an election that nobody won, the candidates with fewer votes let them lapse, and leave the one with most the time
+ * to ask for them. Otherwise each would keep its own by asking again within their lease, and none would have a majority.
+ */
+function yieldsToRival(state: CandidateState, world: World, options: CandidateOptions): boolean {
+  const { election } = state;
+  if (election === undefined || election.decided || election.judged) return false;
+  election.judged = true;
+  if (!isBehind(election, options)) return false;
+  const pause = options.leaseDuration + longestRetry + Math.round(world.random() * retryAfter.spread);
+  state.nextElectionAt = election.calledAt + pause;
+  return world.now() < state.nextElectionAt;
+}
+
+/** Whether another has more votes, though no majority; between equals the name decides. */
+function isBehind(election: Election, options: CandidateOptions): boolean {
+  const votes = new Map<string, number>();
+  for (const holder of election.refusedFor.values()) votes.set(holder, (votes.get(holder) ?? 0) + 1);
+  const majority = options.replicas().replicas.length / 2;
+  const counts = [...votes];
+  if (counts.some(([, count]) => count > majority)) return false;
+  const own = election.granted.size;
+  return counts.some(([rival, count]) => count > own || (count === own && rival > options.member));
+}
+
 function callElection(state: CandidateState, world: World, options: CandidateOptions, epoch: number): void {
   state.electionsCalled += 1;
   const id = `${options.duty}/${options.member}/${state.electionsCalled}`;
   const { membershipEpoch, replicas } = options.replicas();
-  state.election = { id, calledAt: world.now(), epoch, granted: new Set(), decided: false };
+  state.election = {
+    id,
+    calledAt: world.now(),
+    epoch,
+    granted: new Set(),
+    refusedFor: new Map(),
+    decided: false,
+    judged: false,
+  };
   for (const replica of replicas) {
     world.send(replica.address as Address, {
       kind: 'Ballot',
@@ -174,7 +213,8 @@
     state.knownAt = Math.min(state.knownAt, world.now() - options.leaseDuration + secondHandBelief);
   }
   const { election } = state;
-  if (election === undefined || election.id !== answer.id || election.decided || !answer.granted) return;
+  if (election === undefined || election.id !== answer.id || election.decided) return;
+  if (!answer.granted) return noteRefusal(election, answer, options);
   const { replicas } = options.replicas();
   if (!replicas.some((replica) => replica.slot === answer.slot && replica.disk === answer.disk)) return;
   election.granted.add(answer.slot);
@@ -183,6 +223,10 @@
   takeLease(state, world, options, election);
 }
 
+function noteRefusal(election: Election, answer: MessageOf<'BallotVote'>, options: CandidateOptions): void {
+  if (answer.holder !== '' && answer.holder !== options.member) election.refusedFor.set(answer.slot, answer.holder);
+}
+
 /** The lease counts from before the votes were asked for, so it ends before any voter's own time for it. */
 function takeLease(state: CandidateState, world: World, options: CandidateOptions, election: Election): void {
   const until = election.calledAt + options.leaseDuration;
