A newer order after a call without an answer gets a higher fence

The holder now takes a new term before it makes a call for another content of such a subject, so that the platform can refuse the old one. That a higher fence was seen also counts when the answer comes after the patience for it.

--- a/packages/duty-log/src/duty-task.ts
+++ b/packages/duty-log/src/duty-task.ts
@@ -4,7 +4,7 @@
  * top of the version it wrote or read last. A write that got no answer may have taken effect, so the record is read
  * again before anything else; if the term in it is another, this node's term is over.
  */
-import { micros, type World } from '@tansypost/inner-protocol';
+import type { World } from '@tansypost/inner-protocol';
 import type { StoredValue, StoredVersion } from '@tansypost/control-feed';
 import * as E from 'fp-ts/lib/Either.js';
 import type { CallPacer } from './call-pacer.js';
@@ -14,12 +14,13 @@
   withOutcome,
   withPlanned,
   type DutyRecord,
-  type FinalOutcome,
   type Intent,
   type PlannedRecord,
 } from './duty-record.js';
 import { createOpenSince, type OpenSince } from './open-since.js';
-import type { CallOutcome, Duty, DutyPort } from './ports.js';
+import { outcomeOf } from './call-outcome.js';
+import type { Duty, DutyPort } from './ports.js';
+import { createOwnTerm, newTermId, type OwnTerm } from './own-term.js';
 import { createRetryPauses, type RetryPauses } from './retry-pauses.js';
 
 /** What one duty is told when it is made. Times are microseconds. */
@@ -72,19 +73,6 @@
   readonly lastCallAt: () => number;
 }
 
-/** This node's term. */
-interface OwnTerm {
-  readonly id: string;
-  readonly fence: number;
-  version: number;
-  record: DutyRecord;
-  /** A write got no answer or failed: the record must be read before anything else. */
-  mustRead: boolean;
-  /** Answers that are not in the record yet, by intent. */
-  readonly answers: Map<number, FinalOutcome>;
-  waiting: number;
-}
-
 interface TaskState {
   readonly world: World;
   readonly options: DutyTaskOptions;
@@ -101,8 +89,6 @@
 
 /** A call that is open for so long is reported, in microseconds. */
 const openForLong = 10_000_000;
-const termIdRange = 2 ** 48;
-const base36 = 36;
 
 /** A duty whose term this node does not have yet. */
 export function createDutyTask(world: World, options: DutyTaskOptions): DutyTask {
@@ -142,6 +128,10 @@
   if (term === undefined) return false;
   const next = nextRecord(state, term);
   term.waiting = next.waiting;
+  if (needsHigherFence(state, term, next.record)) {
+    endTerm(state);
+    return true;
+  }
   if (next.record !== term.record && !(await commit(state, term, next))) return false;
   const intent = nextCall(state, term);
   if (intent === undefined || !state.options.mayCall() || !state.options.pacer.take()) return false;
@@ -149,6 +139,15 @@
   return true;
 }
 
+/**
+ * Whether a new call for a subject could be followed by an older one that got no answer and is still on its way. Under a
+ * higher fence the platform tells them apart. Duties that never overtake repeat the older one as it was.
+ */
+function needsHigherFence({ options }: TaskState, term: OwnTerm, next: DutyRecord): boolean {
+  const planned = next.open.filter((intent) => intent.id > term.record.lastIntent);
+  return options.duty.mayOvertake && planned.some((intent) => term.unclear.has(intent.subject));
+}
+
 /** This node's term with the newest record, which is taken or read where that is due. */
 async function readiedTerm(state: TaskState): Promise<OwnTerm | undefined> {
   if (state.term === undefined) await takeTerm(state);
@@ -164,11 +163,11 @@
   const stored = await options.record.read();
   const record = stored === undefined ? undefined : readRecord(state, stored);
   if (stored === undefined || record === undefined || state.ends !== ends || !options.mayCall()) return;
-  const id = Math.floor(world.random() * termIdRange).toString(base36);
+  const id = newTermId(world);
   const own: DutyRecord = { ...record, term: { holder: options.member, id } };
   const fence = await options.record.write(stored.version, bytesOfRecord(own));
   if (fence === undefined || state.ends !== ends) return;
-  state.term = { id, fence, version: fence, record: own, mustRead: false, answers: new Map(), waiting: 0 };
+  state.term = createOwnTerm(id, fence, own);
   state.openSince.note(own.open);
   world.log(3103, { duty: options.duty.name, fence, open: own.open.length });
 }
@@ -240,28 +239,21 @@
   const { world, options, pauses } = state;
   const duty = options.duty.name;
   state.lastCallAt = world.now();
-  const outcome = await outcomeOf(state, { duty, subject, content, holder: options.member, fence: term.fence });
-  if (state.term !== term) return;
-  if (outcome === 'fenced') {
-    world.log(3105, { duty, subject, fence: term.fence });
-    return standBack(state);
-  }
+  const call = { duty, subject, content, holder: options.member, fence: term.fence };
+  const outcome = await outcomeOf(world, options, call, () => endFenced(state, term, subject));
+  if (state.term !== term || outcome === 'fenced') return;
+  if (outcome === 'unknown') term.unclear.add(subject);
   if (outcome === 'busy' || outcome === 'unknown') return pauses.grow(subject);
   pauses.end(subject);
   term.answers.set(id, outcome);
   if (outcome === 'refused') world.log(3106, { duty, subject, content });
 }
 
-/** The outcome of a call, `unknown` where none comes in time. */
-function outcomeOf({ world, options }: TaskState, call: Parameters<DutyPort['call']>[0]): Promise<CallOutcome> {
-  return new Promise((done) => {
-    const cancel = world.after(micros(options.callPatience), () => done('unknown'));
-    function end(outcome: CallOutcome): void {
-      cancel();
-      done(outcome);
-    }
-    options.port.call(call).then(end, () => end('unknown'));
-  });
+/** A holder with a higher fence has acted. */
+function endFenced(state: TaskState, term: OwnTerm, subject: string): void {
+  if (state.term !== term) return;
+  state.world.log(3105, { duty: state.options.duty.name, subject, fence: term.fence });
+  standBack(state);
 }
 
 function endTerm(state: TaskState): void {
