--- a/packages/duty-log/src/duty-task.ts
+++ b/packages/duty-log/src/duty-task.ts
@@ -225,14 +225,9 @@
   return true;
 }
 
-/** The oldest open call that is the first of its subject, and whose pause is over. */
+/** The oldest open call whose subject does not pause, so that calls for one subject are made in order. */
 function nextCall({ pauses }: TaskState, term: OwnTerm): Intent | undefined {
-  const subjects = new Set<string>();
-  for (const intent of term.record.open) {
-    if (!subjects.has(intent.subject) && pauses.isOver(intent.subject)) return intent;
-    subjects.add(intent.subject);
-  }
-  return undefined;
+  return term.record.open.find((intent) => pauses.isOver(intent.subject));
 }
 
 async function makeCall(state: TaskState, term: OwnTerm, { id, subject, content }: Intent): Promise<void> {
