A schedule explorer for the duties, and their guards taken away one by one

Control nodes with the shipped runner and voters play against a linearizable stand-in for the control state and one for the platform's calls, in virtual time. Nodes are killed, frozen and cut off between any two steps, disks are lost, members replaced, answers lost, writes and calls late, the platform busy, slow, down or deaf for each duty by itself. Two thirds of the schedules keep to the fault budget, with fences compared or not; in one third voters forget their grants, so that two leases overlap and only fences and the record are left.

--- a/packages/model-checker/src/commands.ts
+++ b/packages/model-checker/src/commands.ts
@@ -1,5 +1,6 @@
 /** The commands of the checker, to be registered with the simulator's. */
 import { Command, Option } from 'clipanion';
+export { DutiesCommand } from './duties/duty-command.js';
 import { knownBreaks, usualHunt } from './finder.js';
 import { mutations, type Mutation } from './mutations.js';
 import { runMutant, type MutantResult } from './mutants.js';
--- /dev/null
+++ b/packages/model-checker/src/duties/duty-mutants.ts
@@ -0,0 +1,20 @@
+/** Takes guards of the duties away, and hunts on what is left. */
+import { bundleMutant, runInThread, type HuntError } from '../mutants.js';
+import type { Mutation } from '../mutations.js';
+import type { DutyHunt, DutyHuntOptions } from './duty-hunt.js';
+
+/** Hunts on the sources of a checkout with one mutation, or with none. */
+export async function runDutyMutant(
+  root: string,
+  name: string,
+  mutation: Mutation | undefined,
+  options: DutyHuntOptions,
+  limitMs: number,
+): Promise<DutyHunt | HuntError> {
+  try {
+    const file = await bundleMutant(root, 'duties/duty-mutant-worker.ts', name, mutation);
+    return await runInThread<DutyHunt>(file, options, limitMs);
+  } catch (error) {
+    return { error: error instanceof Error ? error.message : String(error) };
+  }
+}
--- /dev/null
+++ b/packages/model-checker/src/duties/duty-mutations.ts
@@ -0,0 +1,133 @@
+/** Guards of the duties' log and runner, each with the edits that take it away. */
+import type { Mutation } from '../mutations.js';
+import { scopeKinds } from './scope.js';
+
+/** A guard taken away, and the kind of schedules that show it. */
+export interface DutyMutation extends Mutation {
+  readonly kind: (typeof scopeKinds)[keyof typeof scopeKinds];
+}
+
+const task = 'packages/duty-log/src/duty-task.ts';
+const runner = 'packages/duty-log/src/duty-runner.ts';
+const record = 'packages/duty-log/src/duty-record.ts';
+
+const { fencesChecked, fencesUnchecked, leasesOverlap } = scopeKinds;
+
+function removed(kind: DutyMutation['kind'], name: string, file: string, from: string, to: string): DutyMutation {
+  return { kind, name, file, edits: [{ from, to }] };
+}
+
+/** All guards that are taken away. */
+export const dutyMutations: readonly DutyMutation[] = [
+  removed(
+    fencesChecked,
+    'a call is made after its intent is written',
+    task,
+    'if (next.record !== term.record && !(await commit(state, term, next))) return false;',
+    'if (next.record !== term.record) void commit(state, term, next);\n  term.record = next.record;',
+  ),
+  removed(
+    fencesChecked,
+    'a successor finishes the open intents with their content',
+    task,
+    'const own: DutyRecord = { ...record, term:',
+    'const own: DutyRecord = { ...record, open: [], term:',
+  ),
+  removed(
+    leasesOverlap,
+    'the fence is the version of the write of the term',
+    runner,
+    'port: options.port,',
+    'port: { call: (call) => options.port.call({ ...call, fence: candidate.holds() ?? 0 }) },',
+  ),
+  removed(
+    leasesOverlap,
+    'a write is on top of the version known',
+    task,
+    'options.record.write(term.version, bytesOfRecord(next.record));',
+    'options.record.write((await options.record.read())?.version ?? 0, bytesOfRecord(next.record));',
+  ),
+  removed(
+    fencesChecked,
+    'a call is made only while the lease outlasts the pause between holders',
+    runner,
+    'candidate.holdsFor(least) !== undefined',
+    'candidate.holds() !== undefined',
+  ),
+  removed(
+    fencesUnchecked,
+    'the lease is looked at right before a call',
+    task,
+    'if (intent === undefined || !state.options.mayCall() ||',
+    'if (intent === undefined ||',
+  ),
+  {
+    kind: leasesOverlap,
+    name: 'a higher fence seen ends the term',
+    file: task,
+    edits: [
+      { from: '() => endFenced(state, term, subject)', to: '() => undefined' },
+      { from: "if (state.term !== term || outcome === 'fenced') return;", to: 'if (state.term !== term) return;' },
+      { from: "if (outcome === 'busy' ||", to: "if (outcome === 'fenced' || outcome === 'busy' ||" },
+    ],
+  },
+  removed(
+    fencesChecked,
+    'only duties that allow it are overtaken',
+    record,
+    'const replaced = mayOvertake ? sameSubject : [];',
+    'const replaced = sameSubject;',
+  ),
+  removed(
+    fencesChecked,
+    'the record is read again after a write without an answer',
+    task,
+    'term.mustRead = true;\n    return false;',
+    'term.version += 1;\n    term.record = next.record;\n    return true;',
+  ),
+  removed(
+    leasesOverlap,
+    "another's term in the record ends one's own",
+    task,
+    'if (record.term?.id !== term.id) {',
+    'if (record.term === null) {',
+  ),
+  removed(
+    leasesOverlap,
+    'a node that lost its term to another stands back',
+    task,
+    'state.standBackUntil = state.world.now() + state.options.standBack;',
+    'state.standBackUntil = state.world.now();',
+  ),
+  removed(
+    fencesUnchecked,
+    'a lost lease ends the terms',
+    runner,
+    'won: endTerms,\n    lost: endTerms,',
+    'won: () => undefined,\n    lost: () => undefined,',
+  ),
+  {
+    kind: leasesOverlap,
+    name: 'a call without an answer is repeated',
+    file: task,
+    edits: [
+      { from: "if (outcome === 'busy' || outcome === 'unknown')", to: "if (outcome === 'busy')" },
+      { from: 'term.answers.set(id, outcome);', to: "term.answers.set(id, 'accepted');" },
+    ],
+  },
+  removed(
+    fencesChecked,
+    'calls for one subject are made in order',
+    task,
+    'find((intent) => pauses.isOver(intent.subject))',
+    'findLast((intent) => pauses.isOver(intent.subject))',
+  ),
+  removed(
+    fencesChecked,
+    'a new order after one without an answer gets a higher fence',
+    task,
+    "if (outcome === 'unknown') term.unclear.add(subject);",
+    '',
+  ),
+  removed(fencesChecked, 'calls are paced', task, '|| !state.options.pacer.take()) return false;', ') return false;'),
+];
--- /dev/null
+++ b/packages/model-checker/src/duties/duty-node.ts
@@ -0,0 +1,158 @@
+/**
+ * A control node with the shipped voter and duty runner, whose process can be killed, frozen and cut off. What is to run
+ * in a frozen process waits for its thaw; what was to run in a killed one never does.
+ */
+import { createVoter, type EpochStore, type Voter, type VoterGroup } from '@tansypost/duty';
+import { createDutyRunner, type CallOutcome, type DutyCall, type DutyRunner } from '@tansypost/duty-log';
+import type { Address, Cancel, Message, Micros, World } from '@tansypost/inner-protocol';
+import type { Draw } from './draw.js';
+import { createOrders, createReports } from './played-duties.js';
+import type { Scheduler } from './scheduler.js';
+import { callsPerSecond, times } from './scope.js';
+import type { StoredRecords } from './stored-record.js';
+
+/** What all nodes of a run share. */
+export interface DutyCluster {
+  readonly scheduler: Scheduler;
+  readonly draw: Draw;
+  readonly records: StoredRecords;
+  readonly wanted: ReadonlyMap<string, number>;
+  readonly mostOpenReports: number;
+  readonly membership: () => VoterGroup;
+  readonly send: (from: DutyNode, to: Address, message: Message) => void;
+  /** A step of a duty was done at the node. */
+  readonly stepped: (node: DutyNode) => void;
+  readonly call: (from: DutyNode, call: DutyCall, answer: (outcome: CallOutcome) => void) => void;
+}
+
+/** What stays of a node when its process ends. */
+export interface NodeDisk {
+  readonly id: string;
+  readonly epochs: Map<string, number>;
+}
+
+/** A span of time in which something befell a node. */
+export interface TroubleSpan {
+  readonly from: number;
+  until: number;
+}
+
+/** A control node. */
+export interface DutyNode {
+  /** Another one after it was replaced. */
+  name: string;
+  readonly slot: number;
+  readonly address: Address;
+  disk: NodeDisk;
+  alive: boolean;
+  frozen: boolean;
+  cutFromCore: boolean;
+  cutFromPlatform: boolean;
+  /** Its ballots and votes are lost, while it reaches the control state. */
+  cutFromVoters: boolean;
+  /** Rises with each end of its process. */
+  incarnation: number;
+  /** What runs at the thaw. */
+  readonly held: (() => void)[];
+  readonly troubles: TroubleSpan[];
+  voter: Voter | undefined;
+  runner: DutyRunner | undefined;
+}
+
+/** A node that does not run yet. */
+export function createDutyNode(slot: number): DutyNode {
+  const name = `node${slot}`;
+  return {
+    name,
+    slot,
+    address: `${name}:1` as Address,
+    disk: { id: `${name}/1`, epochs: new Map() },
+    alive: false,
+    frozen: false,
+    cutFromCore: false,
+    cutFromPlatform: false,
+    cutFromVoters: false,
+    incarnation: 0,
+    held: [],
+    troubles: [],
+    voter: undefined,
+    runner: undefined,
+  };
+}
+
+/** Runs something in the process that runs now: never if that has ended, and not before it thaws. */
+export function inProcess(node: DutyNode): (run: () => void) => void {
+  const { incarnation } = node;
+  return function deliver(run) {
+    if (!node.alive || node.incarnation !== incarnation) return;
+    if (node.frozen) node.held.push(run);
+    else run();
+  };
+}
+
+/** Starts the node's process. `votingSince` is when its voter began to vote. */
+export function startNode(cluster: DutyCluster, node: DutyNode, votingSince: number): void {
+  node.alive = true;
+  node.frozen = false;
+  node.held.length = 0;
+  const { scheduler, draw } = cluster;
+  const deliver = inProcess(node);
+  function after(delay: number, run: () => void): Cancel {
+    let cancelled = false;
+    const cancel = scheduler.after(delay, () => deliver(() => void (cancelled || run())));
+    return () => {
+      cancelled = true;
+      cancel();
+    };
+  }
+  const world: World = {
+    now: () => scheduler.now() as Micros,
+    random: draw.number,
+    after,
+    send: (to, message) => cluster.send(node, to, message),
+    log: () => undefined,
+  };
+  const caller = {
+    name: node.name,
+    reaches: () => !node.cutFromCore,
+    inProcess: deliver,
+    after,
+    stepped: () => cluster.stepped(node),
+  };
+  startVoter(cluster, node, world, votingSince);
+  node.runner = createDutyRunner(world, {
+    member: node.name,
+    self: node.address,
+    slot: () => node.slot,
+    replicas: cluster.membership,
+    willing: () => true,
+    leaseDuration: times.leaseDuration,
+    betweenHolders: times.betweenHolders,
+    callsPerSecond,
+    callPatience: times.callPatience,
+    duties: [createReports(scheduler.now, draw, cluster.mostOpenReports), createOrders(cluster.wanted)],
+    record: (key) => cluster.records.value(key, caller),
+    port: { call: (call) => new Promise((done) => cluster.call(node, call, done)) },
+  });
+}
+
+/** Gives the node a voter that knows of no grant. */
+export function startVoter(cluster: DutyCluster, node: DutyNode, world: Pick<World, 'now'>, votingSince: number): void {
+  const { epochs, id } = node.disk;
+  const store: EpochStore = {
+    epoch: (duty) => epochs.get(duty) ?? 0,
+    keep: (duty, epoch, done) => {
+      epochs.set(duty, epoch);
+      done(true);
+    },
+  };
+  node.voter = createVoter(world as World, {
+    slot: () => node.slot,
+    disk: () => id,
+    voting: () => true,
+    votingSince: () => votingSince,
+    membershipEpoch: () => cluster.membership().membershipEpoch,
+    leaseDuration: times.leaseDuration,
+    store,
+  });
+}
--- /dev/null
+++ b/packages/model-checker/src/duties/event-heap.ts
@@ -0,0 +1,58 @@
+/** A binary heap of planned events, the next one first. */
+
+/** What is to happen, and when, in microseconds. */
+export interface PlannedEvent {
+  readonly at: number;
+  /** Breaks ties. */
+  readonly order: number;
+  readonly run: () => void;
+  cancelled: boolean;
+}
+
+/** The events that are to come. */
+export interface EventHeap {
+  readonly push: (event: PlannedEvent) => void;
+  /** Takes the next event out. */
+  readonly pop: () => PlannedEvent;
+  readonly next: () => PlannedEvent | undefined;
+}
+
+function isBefore(a: PlannedEvent, b: PlannedEvent): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
+
+/** A heap without events. */
+export function createEventHeap(): EventHeap {
+  const heap: PlannedEvent[] = [];
+
+  function swap(a: number, b: number): void {
+    [heap[a], heap[b]] = [heap[b]!, heap[a]!];
+  }
+
+  function push(event: PlannedEvent): void {
+    let at = heap.push(event) - 1;
+    while (at > 0) {
+      const parent = (at - 1) >> 1;
+      if (!isBefore(heap[at]!, heap[parent]!)) return;
+      swap(at, parent);
+      at = parent;
+    }
+  }
+
+  function pop(): PlannedEvent {
+    swap(0, heap.length - 1);
+    const first = heap.pop()!;
+    let at = 0;
+    for (;;) {
+      const [left, right] = [2 * at + 1, 2 * at + 2];
+      let next = at;
+      if (left < heap.length && isBefore(heap[left]!, heap[next]!)) next = left;
+      if (right < heap.length && isBefore(heap[right]!, heap[next]!)) next = right;
+      if (next === at) return first;
+      swap(at, next);
+      at = next;
+    }
+  }
+
+  return { push, pop, next: () => heap[0] };
+}
--- a/packages/model-checker/src/mutants.ts
+++ b/packages/model-checker/src/mutants.ts
@@ -12,10 +12,15 @@
 /** Spelled in parts, as the test runner takes a file that names it for one with tests. */
 const inSourceTests = ['import', 'meta', 'vitest'].join('.');
 
+/** A hunt that came to no end. */
+export interface HuntError {
+  readonly error: string;
+}
+
 /** What a hunt made of a mutation. */
 export interface MutantResult {
   readonly mutation: Mutation;
-  readonly hunt: Hunt | { readonly error: string };
+  readonly hunt: Hunt | HuntError;
 }
 
 /** Applies the edits; throws where the code has moved on. */
@@ -53,13 +58,19 @@
   return join(root, programs.includes(name) ? 'programs' : 'packages', name, 'src', 'index.ts');
 }
 
-async function bundle(root: string, name: string, mutation: Mutation | undefined): Promise<string> {
+/** Bundles a module of this package and all that it imports, with the edits of the mutation; gives the bundle's path. */
+export async function bundleMutant(
+  root: string,
+  entry: string,
+  name: string,
+  mutation: Mutation | undefined,
+): Promise<string> {
   const { build } = await import('esbuild');
   const outdir = join(root, 'packages', 'model-checker', 'dist', 'mutants');
   await mkdir(outdir, { recursive: true });
   const outfile = join(outdir, `${name}.mjs`);
   await build({
-    entryPoints: [join(root, 'packages', 'model-checker', 'src', 'mutant-worker.ts')],
+    entryPoints: [join(root, 'packages', 'model-checker', 'src', entry)],
     outfile,
     bundle: true,
     platform: 'node',
@@ -71,16 +82,17 @@
   return outfile;
 }
 
-function runWorker(file: string, options: HuntOptions, limitMs: number): Promise<MutantResult['hunt']> {
+/** Runs a bundle in a thread, and gives what it tells first. */
+export function runInThread<Result>(file: string, workerData: unknown, limitMs: number): Promise<Result | HuntError> {
   return new Promise((done) => {
-    const worker = new Worker(file, { workerData: options });
+    const worker = new Worker(file, { workerData });
     const timer = setTimeout(() => end({ error: `no verdict within ${limitMs / 1000} s` }), limitMs);
-    function end(result: MutantResult['hunt']): void {
+    function end(result: Result | HuntError): void {
       clearTimeout(timer);
       void worker.terminate();
       done(result);
     }
-    worker.once('message', (result: Hunt) => end(result));
+    worker.once('message', (result: Result) => end(result));
     worker.once('error', (error) => end({ error: error.message }));
   });
 }
@@ -94,7 +106,7 @@
   limitMs: number,
 ): Promise<MutantResult['hunt']> {
   try {
-    return await runWorker(await bundle(root, name, mutation), options, limitMs);
+    return await runInThread<Hunt>(await bundleMutant(root, 'mutant-worker.ts', name, mutation), options, limitMs);
   } catch (error) {
     return { error: error instanceof Error ? error.message : String(error) };
   }
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -4,7 +4,7 @@
 import { availableParallelism } from 'node:os';
 import { Worker, isMainThread, parentPort } from 'node:worker_threads';
 import { Builtins, Cli, Command, Option } from 'clipanion';
-import { ModelCommand, MutantsCommand, WalkCommand } from '@tansypost/model-checker/commands';
+import { DutiesCommand, ModelCommand, MutantsCommand, WalkCommand } from '@tansypost/model-checker/commands';
 import { deployments } from '@tansypost/requester-stand-in';
 import { Control } from './control-runs/control-command.js';
 import { shrink, type SimFault } from './faults.js';
@@ -325,6 +325,7 @@
   cli.register(Control);
   cli.register(ModelCommand);
   cli.register(WalkCommand);
+  cli.register(DutiesCommand);
   cli.register(MutantsCommand);
   process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
 } else {
