--- a/packages/duty-log/src/duty-task.ts
+++ b/packages/duty-log/src/duty-task.ts
@@ -79,6 +79,8 @@
   readonly pauses: RetryPauses;
   readonly openSince: OpenSince;
   term: OwnTerm | undefined;
+  /** The own term that the next one takes the place of, where it was not lost. */
+  renews: OwnTerm | undefined;
   /** Rises when a term ends or may not be begun, so that a term that is just being taken then is not begun. */
   ends: number;
   busy: boolean;
@@ -98,6 +100,7 @@
     pauses: createRetryPauses(world, options.callOnItsWay),
     openSince: createOpenSince(world),
     term: undefined,
+    renews: undefined,
     ends: 0,
     busy: false,
     standBackUntil: -Infinity,
@@ -130,6 +133,7 @@
   term.waiting = next.waiting;
   if (needsHigherFence(state, term, next.record)) {
     endTerm(state);
+    state.renews = term;
     return true;
   }
   if (next.record !== term.record && !(await commit(state, term, next))) return false;
@@ -163,11 +167,13 @@
   const stored = await options.record.read();
   const record = stored === undefined ? undefined : readRecord(state, stored);
   if (stored === undefined || record === undefined || state.ends !== ends || !options.mayCall()) return;
+  if (state.renews !== undefined && isDeposed(state, state.renews, record)) return;
   const id = newTermId(world);
   const own: DutyRecord = { ...record, term: { holder: options.member, id } };
   const fence = await options.record.write(stored.version, bytesOfRecord(own));
   if (fence === undefined || state.ends !== ends) return;
   state.term = createOwnTerm(id, fence, own);
+  state.renews = undefined;
   state.openSince.note(own.open);
   world.log(3103, { duty: options.duty.name, fence, open: own.open.length });
 }
@@ -178,14 +184,19 @@
   if (stored === undefined || state.term !== term) return;
   const record = readRecord(state, stored);
   if (record === undefined) return endTerm(state);
-  if (record.term?.id !== term.id) {
-    state.world.log(3109, { duty: state.options.duty.name, fence: term.fence, holder: record.term?.holder ?? '' });
-    return standBack(state);
-  }
+  if (isDeposed(state, term, record)) return;
   term.mustRead = false;
   takeIn(state, term, stored.version, record);
 }
 
+/** Whether another node has taken the term from this one, which then stands back. */
+function isDeposed(state: TaskState, { id, fence }: OwnTerm, record: DutyRecord): boolean {
+  if (record.term?.id === id) return false;
+  state.world.log(3109, { duty: state.options.duty.name, fence, holder: record.term?.holder ?? '' });
+  standBack(state);
+  return true;
+}
+
 function readRecord(state: TaskState, stored: StoredVersion): DutyRecord | undefined {
   const record = readDutyRecord(stored.value);
   if (E.isRight(record)) {
@@ -253,6 +264,7 @@
 
 function endTerm(state: TaskState): void {
   state.term = undefined;
+  state.renews = undefined;
   state.ends += 1;
   state.pauses.clear();
 }
--- a/packages/model-checker/src/duties/duty-mutations.ts
+++ b/packages/model-checker/src/duties/duty-mutations.ts
@@ -89,8 +89,8 @@
     leasesOverlap,
     "another's term in the record ends one's own",
     task,
-    'if (record.term?.id !== term.id) {',
-    'if (record.term === null) {',
+    'if (record.term?.id === id) return false;',
+    'if (record.term !== null) return false;',
   ),
   removed(
     leasesOverlap,
