--- a/packages/control-feed/src/configuration-feed.test.ts
+++ b/packages/control-feed/src/configuration-feed.test.ts
@@ -203,6 +203,7 @@
     for (const router of routers) {
       expect(router.taken.at(-1)!.version).toBe(version);
       expect(router.taken.at(-1)!.at - at).toBeLessThan(10);
+      expect(router.feed.adoption()).toMatchObject({ reason: 'newer', form: 'difference' });
     }
   }
   for (const [i, router] of routers.entries()) {
@@ -289,6 +290,9 @@
       await fleet.run(1000);
       expect(versions(router)).toEqual([1, 2]);
       expect(router.taken.at(-1)!.at - at).toBeLessThan(300);
+      // Its source was given 100 ms to follow what another node had told.
+      expect(router.feed.adoption()!.toldBefore).toBeGreaterThan(99_000);
+      expect(router.feed.adoption()!.toldBefore).toBeLessThan(300_000);
       fleet.commit(3, others);
       await fleet.run(2000);
       expect(versions(router)).toEqual([1, 2, 3]);
--- a/packages/control-feed/src/configuration-follower.ts
+++ b/packages/control-feed/src/configuration-follower.ts
@@ -5,7 +5,7 @@
  */
 import { micros, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 import type { Configuration } from './configuration.js';
-import { createConfigurationGate } from './configuration-gate.js';
+import { createConfigurationGate, type AdoptionReason } from './configuration-gate.js';
 import { applyPatch } from './configuration-patch.js';
 import type { ControlNodeTable } from './control-node-table.js';
 
@@ -17,6 +17,15 @@
   readonly takesPatches: boolean;
 }
 
+/** How the version in force came to be it, for the log. */
+export interface Adoption {
+  readonly reason: AdoptionReason;
+  /** Whether it was sent whole or as a difference. */
+  readonly form: 'whole' | 'difference';
+  /** How long before it was in force some control node first told of it or of a newer one, in microseconds. */
+  readonly toldBefore: number;
+}
+
 export interface ConfigurationFollowerOptions {
   readonly nodes: ControlNodeTable;
   readonly contactTime: number;
@@ -26,6 +35,8 @@
 
 export interface ConfigurationFollower {
   readonly current: () => Configuration | undefined;
+  /** Of the version in force. */
+  readonly adoption: () => Adoption | undefined;
   /** The newest version known, in force or held aside; 0 if there is none. */
   readonly newestVersion: () => number;
   readonly take: (configuration: Configuration) => void;
@@ -43,15 +54,30 @@
   options: ConfigurationFollowerOptions,
 ): ConfigurationFollower {
   const { nodes, ask } = options;
-  const gate = createConfigurationGate(world, options);
+  const gate = createConfigurationGate(world, { contactTime: options.contactTime, adopted });
   let awaiting = false;
+  let adoption: Adoption | undefined;
+  let form: Adoption['form'] = 'whole';
+  /** Since when some control node has told of a version that is not in force here. */
+  let toldAt: number | undefined;
+
+  function adopted(reason: AdoptionReason): void {
+    adoption = { reason, form, toldBefore: toldAt === undefined ? 0 : world.now() - toldAt };
+    toldAt = undefined;
+    options.adopted();
+  }
+
+  function offer(configuration: Configuration, sentAs: Adoption['form']): void {
+    form = sentAs;
+    gate.offer(configuration);
+  }
 
   function newestVersion(): number {
     return gate.newest()?.version ?? 0;
   }
 
   function take(configuration: Configuration): void {
-    gate.offer(configuration);
+    offer(configuration, 'whole');
   }
 
   function takePatch(patch: MessageOf<'ConfigurationPatch'>, from: Address): void {
@@ -59,10 +85,11 @@
     const base = gate.newest();
     const value = base?.version === patch.base ? applyPatch(base.value, patch.steps, patch.digest) : undefined;
     if (value === undefined) return ask(from, { wanted: true, takesPatches: false });
-    gate.offer({ version: patch.version, value });
+    offer({ version: patch.version, value }, 'difference');
   }
 
   function heard(beat: MessageOf<'Beat'>, from: Address, fresh: boolean): void {
+    if (beat.version > (gate.current()?.version ?? 0)) toldAt ??= world.now();
     if (fresh && beat.leased && beat.voting) gate.confirmCurrent(beat.version);
     if (nodes.source() === undefined) chooseSourceNow();
     if (beat.version > newestVersion() && from !== nodes.source()) awaitSource(beat.version);
@@ -98,6 +125,7 @@
 
   return {
     current: gate.current,
+    adoption: () => adoption,
     newestVersion,
     take,
     takePatch,
--- a/packages/control-feed/src/configuration-gate.test.ts
+++ b/packages/control-feed/src/configuration-gate.test.ts
@@ -13,6 +13,7 @@
 function started() {
   const engine = createEngine();
   const adopted: number[] = [];
+  const reasons: string[] = [];
   function after(delay: Micros, f: () => void): () => void {
     let cancelled = false;
     engine.at(engine.now() + delay, () => {
@@ -24,9 +25,15 @@
   }
   const gate = createConfigurationGate(
     { after },
-    { contactTime, adopted: () => adopted.push(gate.current()!.version) },
+    {
+      contactTime,
+      adopted: (reason) => {
+        adopted.push(gate.current()!.version);
+        reasons.push(reason);
+      },
+    },
   );
-  return { gate, adopted, run: (us: number) => engine.run(micros(engine.now() + us)) };
+  return { gate, adopted, reasons, run: (us: number) => engine.run(micros(engine.now() + us)) };
 }
 
 it('takes the first version that is as new as a leased answer says, whichever comes first', () => {
@@ -34,7 +41,7 @@
   first.gate.offer(configurationOf(4));
   expect(first.gate.current()).toBeUndefined();
   first.gate.confirmCurrent(4);
-  expect(first.adopted).toEqual([4]);
+  expect([first.adopted, first.reasons]).toEqual([[4], ['confirmed']]);
   const second = started();
   second.gate.confirmCurrent(4);
   second.gate.offer(configurationOf(3));
@@ -44,7 +51,7 @@
 });
 
 it('takes the newest held aside once no leased answer has come for the time of contact, and not before', async () => {
-  const { gate, adopted, run } = started();
+  const { gate, adopted, reasons, run } = started();
   await run(5_000_000);
   gate.offer(configurationOf(2));
   await run(contactTime - 2);
@@ -52,11 +59,11 @@
   gate.offer(configurationOf(5));
   expect(adopted).toEqual([]);
   await run(2);
-  expect(adopted).toEqual([6]);
+  expect([adopted, reasons]).toEqual([[6], ['unconfirmed']]);
 });
 
 it('keeps what it has when it runs, and takes newer versions only, with or without a lease', async () => {
-  const { gate, adopted, run } = started();
+  const { gate, adopted, reasons, run } = started();
   gate.confirmCurrent(0);
   gate.offer(configurationOf(3));
   gate.confirmCurrent(9);
@@ -64,7 +71,10 @@
   gate.offer(configurationOf(3));
   gate.offer(configurationOf(5));
   await run(2 * contactTime);
-  expect(adopted).toEqual([3, 5]);
+  expect([adopted, reasons]).toEqual([
+    [3, 5],
+    ['confirmed', 'newer'],
+  ]);
 });
 
 it('takes nothing more when it has been stopped', async () => {
--- a/packages/control-feed/src/configuration-gate.ts
+++ b/packages/control-feed/src/configuration-gate.ts
@@ -11,11 +11,17 @@
 import { micros, type Cancel, type World } from '@tansypost/inner-protocol';
 import type { Configuration } from './configuration.js';
 
+/**
+ * Why a version came into force: it is newer than what the router worked by, or the first that a leased answer confirmed,
+ * or the first without one after the time of contact.
+ */
+export type AdoptionReason = 'newer' | 'confirmed' | 'unconfirmed';
+
 export interface ConfigurationGateOptions {
   /** How long only answers without a lease are to be had before one of them is taken, in microseconds. */
   readonly contactTime: number;
   /** A configuration has come into force at this router. */
-  readonly adopted: () => void;
+  readonly adopted: (reason: AdoptionReason) => void;
 }
 
 export interface ConfigurationGate {
@@ -39,23 +45,23 @@
   let currentVersion: number | undefined;
   let stopWaiting: Cancel | undefined;
 
-  function adopt(configuration: Configuration): void {
+  function adopt(configuration: Configuration, reason: AdoptionReason): void {
     stopWaiting?.();
     stopWaiting = undefined;
     candidate = undefined;
     current = configuration;
-    options.adopted();
+    options.adopted(reason);
   }
 
   function adoptIfConfirmed(): void {
     const confirmed = candidate !== undefined && currentVersion !== undefined && candidate.version >= currentVersion;
-    if (confirmed) adopt(candidate!);
+    if (confirmed) adopt(candidate!, 'confirmed');
   }
 
   function holdAside(configuration: Configuration): void {
     candidate = configuration;
     stopWaiting ??= world.after(micros(options.contactTime), () => {
-      if (candidate !== undefined) adopt(candidate);
+      if (candidate !== undefined) adopt(candidate, 'unconfirmed');
     });
     adoptIfConfirmed();
   }
@@ -66,7 +72,7 @@
 
   function offer(configuration: Configuration): void {
     if (configuration.version <= (newest()?.version ?? 0)) return;
-    if (current !== undefined) adopt(configuration);
+    if (current !== undefined) adopt(configuration, 'newer');
     else holdAside(configuration);
   }
 
--- a/packages/control-feed/src/control-feed.ts
+++ b/packages/control-feed/src/control-feed.ts
@@ -17,7 +17,7 @@
 } from '@tansypost/inner-protocol';
 import { configurationKey, type Configuration } from './configuration.js';
 import { unpackConfiguration } from './configuration-packing.js';
-import { createConfigurationFollower, type Asking } from './configuration-follower.js';
+import { createConfigurationFollower, type Adoption, type Asking } from './configuration-follower.js';
 import { createControlNodeTable } from './control-node-table.js';
 import type { ListedWorker } from './listed-worker.js';
 import { createReadExchange } from './read-exchange.js';
@@ -62,6 +62,8 @@
   readonly receive: (message: Message, from: Address) => void;
   /** The configuration that this router works by. */
   readonly configuration: () => Configuration | undefined;
+  /** How it came into force. */
+  readonly adoption: () => Adoption | undefined;
   readonly workers: () => readonly ListedWorker[];
   readonly loads: () => ReadonlyMap<string, WorkerLoad>;
   /** How many routers follow the control nodes, as these count them; 0 when none has told. */
@@ -242,6 +244,7 @@
   return {
     receive,
     configuration: configuration.current,
+    adoption: configuration.adoption,
     workers: workerList.workers,
     loads: loads.loads,
     routers: nodes.followers,
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -188,6 +188,12 @@
     remedy: 'Check the link of this machine to the core.',
   },
   5003: { level: 'info', means: 'desired state applied', remedy: 'None.' },
+  5004: {
+    level: 'info',
+    means:
+      'configuration in force at a router: its revision, why and how it came, and how long before it was first told',
+    remedy: 'None; where routers differ for long, look at the links of those behind.',
+  },
   5101: { level: 'debug', means: 'request answered', remedy: 'None.' },
   5102: {
     level: 'info',
