Proposal: decode workers that are listed and silent count as lost

What callers saw: where all decode workers of a service are listed and answer nobody, every request fails until the list drops them or they come back, beside prefill workers that could serve. Cause: the decode recovery read its needs from the list alone. Change: the first live control node asks one decode worker of each service that also has prefill workers each 2 s, and more of them where it gives no answer; after 3 s without any answer the recovery works as for decode workers that vanished. Why this works: who can order also knows; nothing is ordered where one worker answers, and a worker that is new on the list, such as one just ordered, is given time. Costs one report in 2 s.

--- a/packages/worker-stages/src/decode-recovery.test.ts
+++ b/packages/worker-stages/src/decode-recovery.test.ts
@@ -52,6 +52,8 @@
     reachable: () => true,
     writable: () => true,
     cutOff: -1,
+    /** Workers that are listed and answer nobody. */
+    silent: new Set<string>(),
   };
   setList(list);
 
@@ -145,7 +147,7 @@
       workerOrders: {
         report: async ({ id }) => {
           const entry = workers.get(id);
-          if (entry === undefined || !scene.reachable()) return undefined;
+          if (entry === undefined || !scene.reachable() || scene.silent.has(id)) return undefined;
           return { stage: entry.listed.part, ...entry };
         },
         order: async ({ worker: to, stage, holder, fence }) =>
@@ -211,6 +213,30 @@
   expect(orders).toHaveLength(1);
 });
 
+it('RECOVER: orders a worker where all decode workers are listed and silent, also after a start', async () => {
+  for (const silentFrom of [0, 20 * second]) {
+    const { clock, scene, orders } = createScene([...prefill, decodeWorker, worker('d1', 'decode')]);
+    await clock.runTo(silentFrom);
+    scene.silent = new Set(['d0', 'd1']);
+    await clock.runTo(silentFrom + 9 * second);
+    expect([silentFrom, orders.length]).toEqual([silentFrom, 1]);
+    await clock.runTo(silentFrom + 60 * second);
+    expect([silentFrom, orders.length]).toEqual([silentFrom, 1]);
+  }
+});
+
+it('orders nobody while one of many decode workers answers, nor where the silent ones answer again soon', async () => {
+  const many = Array.from({ length: 9 }, (_, i) => worker(`d${i}`, 'decode'));
+  const { clock, scene, orders } = createScene([...prefill, ...many]);
+  scene.silent = new Set(many.slice(1).map((entry) => entry.id));
+  await clock.runTo(60 * second);
+  scene.silent = new Set(many.map((entry) => entry.id));
+  await clock.runTo(62 * second);
+  scene.silent.clear();
+  await clock.runTo(90 * second);
+  expect(orders).toEqual([]);
+});
+
 it('gives decode workers that were never seen time to start, and then does without them', async () => {
   const { clock, orders } = createScene(prefill);
   await clock.runTo(5.9 * second);
--- a/packages/worker-stages/src/decode-recovery.ts
+++ b/packages/worker-stages/src/decode-recovery.ts
@@ -1,14 +1,15 @@
 /**
- * Makes prefill workers decode where a service has lost its last decode worker. One control node at a time does it, as
- * holder of a role that is won by ballot when there is need, and held by a lease. It writes each order into the control
- * state, then gives it, and only while its lease has so much left that no successor can give an order to the same
- * worker within the time that must lie between two holders.
+ * Makes prefill workers decode where a service has lost its last decode worker, or none answers. One control node at a
+ * time does it, as holder of a role that is won by ballot when there is need, and held by a lease. It writes each order
+ * into the control state, then gives it, and only while its lease has so much left that no successor can give an order
+ * to the same worker within the time that must lie between two holders.
  */
 import type { ControlNode } from '@tansypost/control-state';
 import type { ListedWorker, StoredValue } from '@tansypost/control-feed';
 import { createCandidate } from '@tansypost/duty';
 import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
 import * as E from 'fp-ts/lib/Either.js';
+import { createDecodeSilence, type DecodeSilence } from './decode-silence.js';
 import { createOrderedWorkers, type OrderedWorkers } from './ordered-workers.js';
 import { orderRecordKey, readOrderRecord, withOrder, type OrderRecord } from './order-record.js';
 import type { WorkerOrders, WorkerReport } from './ports.js';
@@ -52,6 +53,7 @@
   readonly world: World;
   readonly options: DecodeRecoveryOptions;
   readonly needs: RecoveryNeeds;
+  readonly silence: DecodeSilence;
   readonly ordered: OrderedWorkers;
   /** Whether the role is held for long enough to give an order. */
   readonly mayOrder: () => boolean;
@@ -74,12 +76,13 @@
 /** Starts the recovery at this node. */
 export function createDecodeRecovery(world: World, options: DecodeRecoveryOptions): DecodeRecovery {
   const ordered = createOrderedWorkers(world, () => longestSwitch(options));
-  const needs = createRecoveryNeeds(world, {
+  const silence = createDecodeSilence(world, {
     workers: options.workers,
-    served: () => options.services().map((service) => service.name),
-    rank: () => options.controlNode()?.rank() ?? 0,
-    ordered,
+    served,
+    isAsker: () => rank() === 0,
+    report: options.workerOrders.report,
   });
+  const needs = createRecoveryNeeds(world, { workers: silence.answeringWorkers, served, rank, ordered });
   const candidate = createCandidate(world, {
     duty: role,
     member: options.member,
@@ -94,10 +97,16 @@
     lost: () => undefined,
   });
   const least = options.betweenHolders + orderOnItsWay;
+  function served(): string[] {
+    return options.services().map((service) => service.name);
+  }
+  function rank(): number {
+    return options.controlNode()?.rank() ?? 0;
+  }
   function mayOrder(): boolean {
     return candidate.holdsFor(least) !== undefined;
   }
-  const stopLooking = startLooking({ world, options, needs, ordered, mayOrder });
+  const stopLooking = startLooking({ world, options, needs, silence, ordered, mayOrder });
   return {
     vote: candidate.vote,
     stop: () => {
@@ -113,12 +122,13 @@
 
 /** Looks at the needs again and again, and takes one step at a time where one is due. */
 function startLooking(context: Context): Cancel {
-  const { world, needs } = context;
+  const { world, needs, silence } = context;
   let busy = false;
   let nextStepAt = 0;
 
   function look(): void {
     noteOwnCopy(context);
+    silence.look();
     needs.look();
     const service = needs.due();
     if (service === undefined || busy || world.now() < nextStepAt || !context.mayOrder()) return;
@@ -142,13 +152,13 @@
 
 /** One step: writes down an order to one prefill worker of the service, and gives it. */
 async function restore(context: Context, service: string): Promise<void> {
-  const { world, options, needs, ordered } = context;
+  const { world, options, needs, silence, ordered } = context;
   const stored = await options.record.read();
   if (stored === undefined) return;
   const record = readOrderRecord(stored.value);
   if (E.isLeft(record)) return world.log(4106, { why: record.left });
   ordered.noteRecord(stored.version, record.right);
-  const workers = workersOf(options.workers(), service);
+  const workers = workersOf(silence.answeringWorkers(), service);
   if (!needs.isMissing(service) || !(await isProven(options, workers))) return;
   const chosen = await choosePrefillWorker(context, workers);
   if (chosen !== undefined) await giveOrder(context, record.right, stored.version, chosen);
