--- a/packages/scaling/src/scale-planner.ts
+++ b/packages/scaling/src/scale-planner.ts
@@ -12,7 +12,9 @@
   loweredNumber,
   raisedNumber,
   scalingWindows,
+  usualLoads,
   withinBounds,
+  type ScalingLoads,
   type ScalingWindows,
 } from './wanted-workers.js';
 import { zoneLoads, type ZoneLoad } from './zone-load.js';
@@ -36,6 +38,7 @@
   readonly services: () => readonly ScaledService[];
   /** The number that was ordered last for a subject, whether the order has ended or not; undefined before the first. */
   readonly ordered: (subject: string) => number | undefined;
+  readonly loads?: ScalingLoads;
 }
 
 /** Decides what is owed. Times are microseconds of one clock. */
@@ -72,6 +75,7 @@
 
 interface PlannerState {
   readonly options: ScalePlannerOptions;
+  readonly loads: ScalingLoads;
   readonly services: Map<string, ServiceState>;
   /** The last look at a list that was neither empty nor old. */
   observedAt: number;
@@ -87,7 +91,12 @@
 
 /** A planner that has seen nothing yet. */
 export function createScalePlanner(options: ScalePlannerOptions): ScalePlanner {
-  const state: PlannerState = { options, services: new Map(), observedAt: -Infinity };
+  const state: PlannerState = {
+    options,
+    loads: options.loads ?? usualLoads,
+    services: new Map(),
+    observedAt: -Infinity,
+  };
   return {
     observe: (now, view) => observe(state, now, view),
     plan: (now) => plan(state, now),
@@ -182,9 +191,8 @@
 function planService(state: PlannerState, service: ServiceState, now: number): PlannedOrder[] {
   const zones = [...service.zones.values()];
   for (const zone of zones) noteOrdered(state, service, zone, now);
-  const wanted = new Map(zones.map((zone) => [zone, wantedAtLeast(service, zone, now)]));
-  const isRaised = zones.some((zone) => zone.ordered !== undefined && (wanted.get(zone) ?? 0) > zone.ordered);
-  if (!isRaised) lower(service, zones, wanted, now);
+  const wanted = new Map(zones.map((zone) => [zone, wantedAtLeast(state, service, zone, now)]));
+  lower(state, service, zones, wanted, now);
   return zones.flatMap((zone) => {
     const workers = wanted.get(zone);
     if (workers === undefined || workers === zone.ordered) return [];
@@ -193,14 +201,15 @@
 }
 
 /** What is there at the start, and what was ordered or more later; undefined while it is not known what is there. */
-function wantedAtLeast(service: ServiceState, zone: ZoneState, now: number): number | undefined {
+function wantedAtLeast(state: PlannerState, service: ServiceState, zone: ZoneState, now: number): number | undefined {
   const { terms, windows } = service;
   if (zone.ordered === undefined)
     return hasSettled(zone, now) ? withinBounds(firstNumber(zone, now), terms) : undefined;
   const demand = zone.history.level(now);
   if (demand === undefined) return withinBounds(zone.ordered, terms);
+  const { loads } = state;
   const growth = zone.history.growth(now, windows.trend, terms.bootTime);
-  return withinBounds(raisedNumber(zone.ordered, demand, growth), terms);
+  return withinBounds(raisedNumber(zone.ordered, demand, growth, loads), terms);
 }
 
 /** Whether it is known how many workers there are, or has been waited for long enough. */
@@ -219,6 +228,7 @@
 
 /** Takes one step down in each zone where that is safe, with those taken before it in mind. */
 function lower(
+  { loads }: PlannerState,
   service: ServiceState,
   zones: readonly ZoneState[],
   wanted: Map<ZoneState, number | undefined>,
@@ -232,10 +242,10 @@
     const { ordered } = zone;
     const peak = zone.history.peak(now, windows.calm);
     if (ordered === undefined || peak === undefined || now - zone.orderedSince < windows.step) continue;
-    const workers = withinBounds(loweredNumber(ordered, peak), terms);
-    if (workers >= ordered) continue;
+    const workers = withinBounds(loweredNumber(ordered, peak, loads), terms);
+    if (workers >= ordered || wanted.get(zone) !== ordered) continue;
     const left = new Map(bearing).set(zone, Math.min(bearing.get(zone)!, workers));
-    if (!bearsLostZone([...left.values()], total.moment)) continue;
+    if (!bearsLostZone([...left.values()], total.moment, loads)) continue;
     bearing.set(zone, left.get(zone)!);
     wanted.set(zone, workers);
   }
--- a/packages/scaling/src/wanted-workers.ts
+++ b/packages/scaling/src/wanted-workers.ts
@@ -18,20 +18,26 @@
   readonly step: number;
 }
 
-/** Above this load of the workers ordered, more are. */
-const highLoad = 0.8;
-/** The load that an order of more aims at. */
-const aimedLoad = 0.7;
-/** A worker is given up where the load of those left would have stayed below this. */
-const lowLoad = 0.6;
-/** The load that those left may have in a moment, or for as long as a zone is lost. */
-const bearableLoad = 0.9;
+/** The loads between which the number stays as it is; 1 is that of workers without a spare moment. */
+export interface ScalingLoads {
+  /** Above this load of the workers ordered, more are. */
+  readonly high: number;
+  /** The load that an order of more aims at. */
+  readonly aimed: number;
+  /** A worker is given up where the load of those left would have stayed below this. */
+  readonly low: number;
+  /** The load that those left may have in a moment, or for as long as a zone is lost. */
+  readonly bearable: number;
+}
+
+/** As weighed in docs/duties.md. */
+export const usualLoads: ScalingLoads = { high: 0.95, aimed: 0.85, low: 0.7, bearable: 1 };
 /** A step down gives up one worker in so many, and at least one. */
-const stepShare = 20;
+const stepShare = 10;
 
 const shortestBoot = 2_000_000;
 const sustainBounds = [2_000_000, 4_000_000] as const;
-const bootsPerSustain = 1 / 4;
+const bootsPerSustain = 1 / 2;
 const bootsPerTrend = 2;
 const bootsPerCalm = 3;
 
@@ -53,22 +59,23 @@
 }
 
 /** More than `ordered` where demand is too high for it, else `ordered`. Demand is in workers without a spare moment. */
-export function raisedNumber(ordered: number, demand: number, growth: number): number {
+export function raisedNumber(ordered: number, demand: number, growth: number, loads: ScalingLoads): number {
+  const isLow = demand <= loads.low * ordered;
   // No more than doubles, however steep.
-  const expected = demand + Math.min(growth, demand);
-  return expected > highLoad * ordered ? Math.max(ordered, Math.ceil(expected / aimedLoad)) : ordered;
+  const expected = demand + (isLow ? 0 : Math.min(growth, demand));
+  return expected > loads.high * ordered ? Math.max(ordered, Math.ceil(expected / loads.aimed)) : ordered;
 }
 
 /** Whether the workers of a service, given for each zone, bear the demand also without the zone that has most. */
-export function bearsLostZone(workersByZone: readonly number[], demand: number): boolean {
+export function bearsLostZone(workersByZone: readonly number[], demand: number, loads: ScalingLoads): boolean {
   if (workersByZone.length < 2) return true;
   const total = workersByZone.reduce((sum, workers) => sum + workers, 0);
-  return (total - Math.max(...workersByZone)) * bearableLoad >= demand;
+  return (total - Math.max(...workersByZone)) * loads.bearable >= demand;
 }
 
 /** One step below `ordered` where those left would have borne the highest recent demand, else `ordered`. */
-export function loweredNumber(ordered: number, peak: DemandPeak): number {
-  const needed = Math.ceil(Math.max(peak.level / lowLoad, peak.moment / bearableLoad));
+export function loweredNumber(ordered: number, peak: DemandPeak, loads: ScalingLoads): number {
+  const needed = Math.ceil(Math.max(peak.level / loads.low, peak.moment / loads.bearable));
   const step = Math.max(1, Math.floor(ordered / stepShare));
   return Math.min(ordered, Math.max(needed, ordered - step));
 }
--- a/packages/scaling/src/zone-load.ts
+++ b/packages/scaling/src/zone-load.ts
@@ -18,7 +18,7 @@
 const reportKeeps = 3_000_000;
 /** The share of a stage's workers whose load must be known. */
 const leastReported = 0.5;
-/** What each prompt that waits behind another adds to the load of a prefill worker, up to so many. */
+/** What each prompt beyond one that waits adds to the load of a prefill worker, up to so many. */
 const loadOfWaiting = 0.25;
 const mostWaiting = 4;
 
@@ -73,7 +73,7 @@
 /** A worker that reads is busy whatever else waits; the share of busy workers is their use, however work is shared out. */
 function prefillLoad({ queued, active }: WorkerLoad): number {
   const prompts = queued + active;
-  return Math.min(1, prompts) + loadOfWaiting * Math.min(mostWaiting, Math.max(0, prompts - 1));
+  return Math.min(1, prompts) + loadOfWaiting * Math.min(mostWaiting, Math.max(0, prompts - 2));
 }
 
 function decodeLoad({ queued, active, kvUsed, kvTotal }: WorkerLoad, slots: number): number {
--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -12,6 +12,7 @@
 import { runOne, type OneResult } from './one.js';
 import { measureParts } from './measure-parts.js';
 import { fleetShows, measureVerdict, type Harm } from './verdicts.js';
+import { weighScaling } from './scaling/scaling-weighed.js';
 import {
   passedDeployments,
   passedTroubleKinds,
@@ -260,6 +261,25 @@
   return `seed ${x.seed}: ${x.served} of ${x.tasks} served, ${x.inTime} in time, ${n} routers; ${JSON.stringify(x.ends)}; ${JSON.stringify(x.margins)}; ${troubles || 'no troubles'}\n`;
 }
 
+class Scaling extends Command {
+  static override paths = [['scaling']];
+  static override usage = Command.Usage({
+    description:
+      'Weigh the orders of workers on a closed model: late and failed requests, seconds of workers paid for.',
+  });
+  seeds = Option.String('--seeds', '5');
+  async execute(): Promise<void> {
+    const { stdout } = this.context;
+    stdout.write('day | policy | requests | late | failed | worker seconds | orders | value\n');
+    for (const figures of weighScaling(Number(this.seeds))) {
+      const { day, policy, requests, late, failed, workerSeconds, orders, value } = figures;
+      const seconds = Math.round(workerSeconds);
+      const shares = [late, failed].map((count) => `${((100 * count) / requests).toFixed(2)} %`);
+      stdout.write(`${[day, policy, requests, ...shares, seconds, orders, value.toFixed(4)].join(' | ')}\n`);
+    }
+  }
+}
+
 class Passed extends Command {
   static override paths = [['passed']];
   static override usage = Command.Usage({
@@ -322,6 +342,7 @@
   cli.register(Verdicts);
   cli.register(Parts);
   cli.register(Passed);
+  cli.register(Scaling);
   cli.register(Control);
   cli.register(ModelCommand);
   cli.register(WalkCommand);
