Control nodes share the loads of workers where duties are asked for

Each worker is asked by one control node, which told routers alone; whoever orders workers would see a part of the loads. Now control nodes tell each other too, only where the settings name duties; elsewhere no message changes.

--- a/packages/control-feed/src/feed-server.ts
+++ b/packages/control-feed/src/feed-server.ts
@@ -11,6 +11,7 @@
 import type { ListedWorker } from './listed-worker.js';
 import { createWorkerListWatch } from './worker-list-watch.js';
 import { startWorkerLoadPoll, type ReportedLoad } from './worker-load-poll.js';
+import { createWorkerLoadTable, type WorkerLoad } from './worker-loads.js';
 
 export interface FeedServerOptions {
   readonly self: Address;
@@ -23,6 +24,8 @@
   /** Asks one worker for its load; without it, or with a period of 0, no worker is asked. */
   readonly fetchLoad?: (worker: ListedWorker) => Promise<ReportedLoad | undefined>;
   readonly loadEvery?: number;
+  /** Control nodes tell each other the loads too, so that each knows those of all workers. */
+  readonly sharesLoads?: boolean;
   readonly lookEvery?: number;
   readonly lookSeldom?: number;
   /** This machine's time of day in milliseconds since 1970, told in each beat; without it none is told. */
@@ -33,7 +36,13 @@
   /** Takes in a message and says whether it was meant for the feed alone. */
   readonly receive: (message: Message, from: Address) => boolean;
   readonly followers: () => number;
+  /** The routers that have asked lately, and whoever else follows this node. */
+  readonly followerAddresses: () => readonly Address[];
   readonly workers: () => readonly ListedWorker[];
+  /** How old the list of workers is, in microseconds. */
+  readonly listAge: () => number;
+  /** The loads known here; of all workers only where control nodes share them. */
+  readonly loads: () => ReadonlyMap<string, WorkerLoad>;
   readonly stop: () => void;
 }
 
@@ -44,6 +53,7 @@
 }
 
 const relayWithin = micros(40_000);
+const microsPerMillisecond = 1000;
 
 export function createFeedServer(world: World, options: FeedServerOptions): FeedServer {
   const followers = createFollowerRegistry(world);
@@ -58,6 +68,7 @@
     followers: followers.addresses,
     sendBeat: (to, version) => sendUnaskedBeat(to, version),
   });
+  const loads = createWorkerLoadTable(world);
   let relayed: MessageOf<'Reading'>['reads'] = [];
   let last: Following = noReplica;
 
@@ -114,6 +125,9 @@
       case 'Reading':
         relay(message);
         return true;
+      case 'WorkerLoads':
+        loads.take(message);
+        return true;
       case 'News':
         // Only this node's own replica is told to be on a majority here.
         if (from === options.self) configuration.take(message);
@@ -132,6 +146,12 @@
     return node === undefined ? undefined : { rank: node.rank(), nodes: node.liveReplicas().length };
   }
 
+  function toldOfLoads(): readonly Address[] {
+    if (options.sharesLoads !== true) return followers.addresses();
+    const nodes = options.keeper()?.liveReplicas() ?? [];
+    return [...new Set([...followers.addresses(), ...nodes, options.self])];
+  }
+
   const stopAnnouncing = startMembershipAnnouncer(world, {
     controlNode: options.keeper,
     followers,
@@ -146,13 +166,16 @@
         period: loadEvery,
         workers: workerList.workers,
         share: shareOfWorkers,
-        followers: followers.addresses,
+        followers: toldOfLoads,
       }),
     );
   return {
     receive,
     followers: () => followers.addresses().length,
+    followerAddresses: followers.addresses,
     workers: workerList.workers,
+    listAge: () => workerList.ageMs() * microsPerMillisecond,
+    loads: loads.loads,
     stop: () => stops.forEach((stop) => stop()),
   };
 }
