--- /dev/null
+++ b/packages/scaling/src/scale-duty.test.ts
@@ -0,0 +1,33 @@
+/** Orders of workers as calls of a duty: what the record holds decides what is owed. */
+import { expect, it } from 'vitest';
+import type { ListedWorker } from '@tansypost/control-feed';
+import type { DutyRecord } from '@tansypost/duty-log';
+import { createVirtualClock } from '@tansypost/inner-protocol';
+import { createScaleDuty } from './scale-duty.js';
+import { plannedOrder } from './scale-order.js';
+
+const emptyRecord: DutyRecord = { term: null, lastIntent: 0, open: [], outcomes: [] };
+
+function worker(n: number): ListedWorker {
+  const part = n === 0 ? 'prefill' : 'decode';
+  return { id: `w${n}`, service: 's', address: `w${n}:1`, zone: 'z', slots: 8, leaving: false, coldMs: 0, part };
+}
+
+async function scene() {
+  const clock = createVirtualClock();
+  const duty = createScaleDuty(clock.world, {
+    services: () => [{ name: 's', scaling: { least: 2, most: 9, bootTime: 8_000_000 } }],
+    view: () => ({ workers: [0, 1, 2, 3].map(worker), listAge: 0, loads: new Map() }),
+  });
+  await clock.runTo(5_000_000);
+  return duty;
+}
+
+it('orders the number that is there once, whether that order is open or has ended', async () => {
+  const duty = await scene();
+  const order = plannedOrder({ service: 's', zone: 'z', workers: 4 });
+  expect(duty.plan(emptyRecord)).toEqual([order]);
+  expect(duty.plan({ ...emptyRecord, lastIntent: 1, open: [{ id: 1, ...order }] })).toEqual([]);
+  const ended = { ...order, outcome: 'refused' as const, fence: 3 };
+  expect(duty.plan({ ...emptyRecord, outcomes: [ended] })).toEqual([]);
+});
