The platform's duties are wired: usage is counted, reported and workers are ordered by one control node

Control nodes stand for the role where the settings name duties; routers count and answer whoever collects; a machine that only sends operators on answers with nothing, as it is awaited too. tansypost duties and GET /duties tell holder, fence, and what is open.

--- a/programs/tansypost/src/commands.ts
+++ b/programs/tansypost/src/commands.ts
@@ -9,6 +9,7 @@
 import { call, exitCode, type Called } from './call.js';
 import { readRecord } from '@tansypost/rehearsal';
 import { Decisions } from './decisions.js';
+import { Duties } from './duties.js';
 import { plainRehearsals } from './plain.js';
 
 abstract class AgentCommand extends Command<BaseContext> {
@@ -220,4 +221,5 @@
   Members,
   Vitals,
   Decisions,
+  Duties,
 ];
