--- a/packages/usage/src/usage-counter.test.ts
+++ b/packages/usage/src/usage-counter.test.ts
@@ -88,7 +88,7 @@
   expect(logged).toHaveLength(96);
 });
 
-it('costs less than a kilobyte a second where 420 routers share 2,700 requests a second of 200 tenants', () => {
+it('costs less than 250 bytes a second where 420 routers share 2,700 requests a second of 200 tenants', () => {
   const random = seeded(7);
   const { counter, time, ask } = createScene();
   const seconds = 60;
@@ -105,6 +105,6 @@
     bytes += encode({ kind: 'UsageAsk', from: '10.0.0.1:7000', ...question }).length + encode(told).length;
     after = told.sequence;
   }
-  expect(bytes / seconds).toBeLessThan(1000);
+  expect(bytes / seconds).toBeLessThan(250);
   expect(bytes / seconds).toBeGreaterThan(100);
 });
--- a/packages/usage/src/usage-fleet.test.ts
+++ b/packages/usage/src/usage-fleet.test.ts
@@ -559,6 +559,8 @@
   expectAllReported(fleet);
   const { began, reported } = compare(fleet);
   expect(reported).toBeLessThanOrEqual(began);
-  expect(began - reported).toBeLessThanOrEqual(fleet.lost.length + fleet.late.told + fleet.late.dropped);
+  expect(began - reported).toBeLessThanOrEqual(fleet.lost.length);
+  // Troubles of a few seconds make nothing late.
+  expect(fleet.late).toEqual({ told: 0, dropped: 0 });
   expectWithinLost(fleet);
 });
