--- a/packages/simulator/src/main.ts
+++ b/packages/simulator/src/main.ts
@@ -17,10 +17,13 @@
   passedDeployments,
   passedTroubleKinds,
   playPassedOne,
+  tenantTroubleKinds,
   type PassedOne,
   type PassedTroubleKind,
 } from './pass-through/index.js';
 
+const allTroubleKinds: readonly PassedTroubleKind[] = [...passedTroubleKinds, ...tenantTroubleKinds];
+
 interface Job {
   readonly deployment: string;
   readonly seed: number;
@@ -290,10 +293,10 @@
   seed = Option.String('--seed', '1');
   count = Option.String('--seeds', '1');
   rate = Option.String('--rate', '1', { description: 'how many times the usual number of requests come' });
-  kinds = Option.String('--kinds', { description: `a dozen troubles of these only: ${passedTroubleKinds.join(',')}` });
+  kinds = Option.String('--kinds', { description: `a dozen troubles of these only: ${allTroubleKinds.join(',')}` });
   threads = Option.String('--threads', `${Math.max(1, availableParallelism() >> 1)}`);
   async execute(): Promise<number> {
-    const only = this.kinds?.split(',').filter((k): k is PassedTroubleKind => passedTroubleKinds.includes(k as never));
+    const only = this.kinds?.split(',').filter((k): k is PassedTroubleKind => allTroubleKinds.includes(k as never));
     if (passedDeployments[this.shape] === undefined || only?.length === 0) {
       this.context.stderr.write(
         `simulator: unknown deployment or trouble; take one of ${Object.keys(passedDeployments).join(', ')}\n`,
--- a/packages/simulator/src/pass-through/ground.ts
+++ b/packages/simulator/src/pass-through/ground.ts
@@ -6,6 +6,7 @@
 import type { PassedDeployment } from './passed-deployment.js';
 import type { PassedHistory } from './passed-history.js';
 import type { Spoil } from './spoil.js';
+import type { VirtualTenants } from './virtual-tenants.js';
 
 // How a day learns, where it isn't as the programs do; `spoil` does harm to each model that is trained.
 export interface LearningTerms {
@@ -21,6 +22,7 @@
   readonly random: () => number;
   readonly d: PassedDeployment;
   readonly h: PassedHistory;
+  readonly tenants: VirtualTenants;
   readonly spoil: Spoil | undefined;
   readonly learning: LearningTerms | undefined;
   // Machines without power say nothing, not even that nobody listens.
--- a/packages/simulator/src/pass-through/passed-checks.ts
+++ b/packages/simulator/src/pass-through/passed-checks.ts
@@ -8,6 +8,7 @@
 import type { PassedDeployment } from './passed-deployment.js';
 import type { PassedHistory, TrySeen } from './passed-history.js';
 import { tableOf } from './submit.js';
+import { checkTenants } from './tenant-checks.js';
 
 export type PassedRule =
   | 'runs twice'
@@ -28,6 +29,11 @@
   | 'one orderer'
   | 'recovery'
   | 'lost in leaving'
+  | 'wrong tenant'
+  | 'key passed on'
+  | 'unknown key'
+  | 'dropped key'
+  | 'starved'
   | 'unforeseen';
 export interface PassedBreach {
   readonly rule: PassedRule;
@@ -176,14 +182,17 @@
     if (t.ended === 'refused' && t.why === 'not_ready' && calm(t.router, t.end!) && settled(t.end!))
       breach('not ready', `${t.router} knew no paths at ${s(t.end!)}`);
 
-  // Paths: which documents may have governed a try.
-  function pathsOf(t: TrySeen, until: number): (Path | undefined)[] {
+  // Which documents may have governed a try.
+  function mayGovern(t: TrySeen, until: number): PathTable[] {
     const read = t.readAt ?? t.at;
     const touch = calm(t.router, read) && settled(read);
     const least = touch ? Math.max(0, ...taken.filter((c) => c.answeredAt! <= read - apply).map((c) => c.revision)) : 0;
     return h.changes
       .filter((c) => c.valid && c.answer !== 'refused' && c.revision >= least && c.at <= until)
-      .map((c) => tables.get(c.text)?.paths.find((p) => p.host === hostOf(t.kind)));
+      .map((c) => tables.get(c.text)!);
+  }
+  function pathsOf(t: TrySeen, until: number): (Path | undefined)[] {
+    return mayGovern(t, until).map((table) => table.paths.find((p) => p.host === hostOf(t.kind)));
   }
   for (const r of h.runs) {
     const t = tries.get(r.request);
@@ -197,6 +206,8 @@
     if (t.ended === 'unknown_path' && pathsOf(t, t.end!).every((p) => p !== undefined))
       breach('denied', `${t.id} (${t.kind}) at ${t.router} at ${s(t.end!)}`);
 
+  for (const b of checkTenants(h, mayGovern)) breach(b.rule, b.what);
+
   for (const b of overBudget(h, d)) breach('budget', b);
 
   // What was acknowledged outlives the day.
@@ -229,6 +240,7 @@
       (t) =>
         t.at > at + recovery &&
         t.ended !== 'unknown_path' &&
+        t.ended !== 'unknown_key' &&
         t.id.endsWith('.1') &&
         !rests.some((rest) => t.at >= rest.from && t.at <= rest.to),
     );
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -15,6 +15,7 @@
 import { createVirtualCore, type VirtualCore } from './virtual-core.js';
 import { createVirtualOperator } from './virtual-operator.js';
 import { createVirtualRequesters } from './virtual-requesters.js';
+import { createVirtualTenants, noTenants } from './virtual-tenants.js';
 import { createVirtualRouter, type RouterPlace, type VirtualRouter } from './virtual-router.js';
 import { createVirtualWorkers } from './virtual-workers.js';
 import type { Mischief, WorkerLife } from './virtual-worker.js';
@@ -58,6 +59,8 @@
 const rollGap = 250_000;
 /** Seconds between the workers of a stage that are struck one after the other. */
 const betweenStruck = 0.5;
+/** Of all requests, while three times as many come, so that those of the others are as many as before. */
+const pressingShare = 2 / 3;
 /** Seconds within which a machine that is rolled has left and started again. */
 const rollLength = 9;
 
@@ -67,7 +70,8 @@
   const e = createEngine();
   const net = createNetwork(e, random);
   const h = emptyHistory();
-  const g: Ground = { e, net, random, d, h, spoil: o.spoil, learning: o.learning, silent: new Set() };
+  const tenants = d.tenants === undefined ? noTenants : createVirtualTenants(d.tenants, o.seed);
+  const g: Ground = { e, net, random, d, h, tenants, spoil: o.spoil, learning: o.learning, silent: new Set() };
   const names = Array.from({ length: o.replicas ?? 3 }, (_, i) => `c${i}`);
   const workers = createVirtualWorkers(g);
   const losses = names.length >= 5 ? 2 : 1;
@@ -299,6 +303,22 @@
         return void operator.storm(5);
       case 'config-invalid':
         return void operator.invalid();
+      case 'key-taken':
+        tenants.change('taken');
+        return void operator.change();
+      case 'key-given':
+        tenants.change('given');
+        return void operator.change();
+      case 'key-moved':
+        tenants.change('moved');
+        return void operator.change();
+      case 'tenant-presses':
+        tenants.press(pressingShare);
+        requesters.crowd = 3 * usual;
+        return later(s, () => {
+          tenants.press(0);
+          requesters.crowd = usual;
+        });
       case 'seeds-exchanged':
         return core.reseed(o.laterSeeds ?? otherSeeds);
       case 'seeds-scattered':
--- a/packages/simulator/src/pass-through/passed-deployment.ts
+++ b/packages/simulator/src/pass-through/passed-deployment.ts
@@ -54,6 +54,18 @@
   readonly worth?: number;
   readonly lateWorth?: number;
   readonly bodyBytes?: number;
+  /** Needs no key, also where documents have tenants. */
+  readonly public?: boolean;
+}
+
+/** The tenants whose clients send requests. */
+export interface TenantShape {
+  readonly tenants: number;
+  /** How many of them are large, and which share of all clients is of these. */
+  readonly large: number;
+  readonly largeShare: number;
+  /** Keys that each of them has at first. */
+  readonly keys: number;
 }
 export interface PassedDeployment {
   readonly name: string;
@@ -71,6 +83,8 @@
   readonly clump?: number;
   /** For how long after its last use a shared part that is read again costs. */
   readonly rereadWindow?: number;
+  /** Whose keys its documents hold, where they hold any. */
+  readonly tenants?: TenantShape;
 }
 export const mainService = 'main';
 export const asideService = 'aside';
@@ -149,25 +163,41 @@
   ];
 }
 
+const ferry: PassedDeployment = {
+  name: 'ferry',
+  zones: ['puerto-montt', 'chacabuco', 'quellon', 'natales'],
+  routers: 9,
+  workers: 13,
+  asideWorkers: 2,
+  kvTokens: 410_894,
+  kinds: kinds('manifest-review', 'fare-answer', 'seat-flag', 40),
+  sendSlack: 58,
+};
+const coldStorage: PassedDeployment = {
+  name: 'cold-storage',
+  zones: ['pkl-west', 'shah-alam', 'pulau-indah'],
+  routers: 7,
+  workers: 6,
+  asideWorkers: 2,
+  kvTokens: 403_008,
+  kinds: kinds('spoilage-claim', 'bay-query', 'alarm-triage', 25),
+  sendSlack: 54,
+};
+
+const publicKind = 'look-up';
+
+/** The same deployment where requests bear keys, but for one kind that needs none. */
+function withTenants(d: PassedDeployment): PassedDeployment {
+  return {
+    ...d,
+    name: `${d.name}-tenants`,
+    kinds: d.kinds.map((kind) => (kind.name === publicKind ? { ...kind, public: true } : kind)),
+    tenants: { tenants: 8, large: 2, largeShare: 0.6, keys: 2 },
+  };
+}
 export const passedDeployments: { readonly [k: string]: PassedDeployment } = {
-  ferry: {
-    name: 'ferry',
-    zones: ['puerto-montt', 'chacabuco', 'quellon', 'natales'],
-    routers: 9,
-    workers: 13,
-    asideWorkers: 2,
-    kvTokens: 410_894,
-    kinds: kinds('manifest-review', 'fare-answer', 'seat-flag', 40),
-    sendSlack: 58,
-  },
-  'cold-storage': {
-    name: 'cold-storage',
-    zones: ['pkl-west', 'shah-alam', 'pulau-indah'],
-    routers: 7,
-    workers: 6,
-    asideWorkers: 2,
-    kvTokens: 403_008,
-    kinds: kinds('spoilage-claim', 'bay-query', 'alarm-triage', 25),
-    sendSlack: 54,
-  },
+  ferry,
+  'cold-storage': coldStorage,
+  'ferry-tenants': withTenants(ferry),
+  'cold-storage-tenants': withTenants(coldStorage),
 };
--- a/packages/simulator/src/pass-through/passed-history.ts
+++ b/packages/simulator/src/pass-through/passed-history.ts
@@ -3,8 +3,20 @@
  * changes of the document and their answers, what governed at each router, and when which machine was in trouble.
  */
 
+import type { KeyDigest } from '@tansypost/paths';
+
 export type TryEnd =
-  'open' | 'unread' | 'whole' | 'cut' | 'refused' | 'gave_up' | 'failed' | 'left' | 'unknown_path' | 'odd';
+  | 'open'
+  | 'unread'
+  | 'whole'
+  | 'cut'
+  | 'refused'
+  | 'gave_up'
+  | 'failed'
+  | 'left'
+  | 'unknown_path'
+  | 'unknown_key'
+  | 'odd';
 export interface TrySeen {
   readonly id: string;
   readonly task: number;
@@ -27,6 +39,9 @@
   longestPause: number;
   /** Tokens of its prompt, and those of its answer. */
   readonly size: number;
+  /** Who sent it, and the digest of the key that it bears. */
+  readonly tenant?: string | undefined;
+  readonly keyDigest?: KeyDigest | undefined;
   readonly body: Buffer[];
 }
 export interface ArrivalSeen {
@@ -37,6 +52,9 @@
   readonly worker: string;
   readonly service: string;
   readonly router: string;
+  // The tenant that the worker was told of, and whether it got what bears the key.
+  readonly tenant: string | undefined;
+  readonly credentials: boolean;
   // 421: another worker has the address.
   misdirected: boolean;
   // A read that was taken up.
--- a/packages/simulator/src/pass-through/passed-one.ts
+++ b/packages/simulator/src/pass-through/passed-one.ts
@@ -4,7 +4,13 @@
 import { playPassedDay, type Closing, type PassedDayOptions } from './passed-day.js';
 import type { PassedDeployment } from './passed-deployment.js';
 import type { PassedHistory } from './passed-history.js';
-import { drawPassedTroubles, type PassedTrouble, type PassedTroubleKind } from './passed-troubles.js';
+import {
+  drawPassedTroubles,
+  passedTroubleKinds,
+  tenantTroubleKinds,
+  type PassedTrouble,
+  type PassedTroubleKind,
+} from './passed-troubles.js';
 
 export interface PassedOne {
   readonly seed: number;
@@ -65,7 +71,8 @@
   const random = seeded(seed * 40503 + 7);
   const closing = closings[seed % closings.length]!;
   const span = over.span ?? passedSpan;
-  const troubles = over.troubles ?? drawPassedTroubles(random, span - (closing === 'none' ? 0 : 8), only);
+  const kinds = d.tenants === undefined ? passedTroubleKinds : [...passedTroubleKinds, ...tenantTroubleKinds];
+  const troubles = over.troubles ?? drawPassedTroubles(random, span - (closing === 'none' ? 0 : 8), only, kinds);
   const day = await playPassedDay({
     d,
     seed,
--- a/packages/simulator/src/pass-through/passed-troubles.ts
+++ b/packages/simulator/src/pass-through/passed-troubles.ts
@@ -61,7 +61,10 @@
   'prefill-silent',
 ] as const;
 export type StageTroubleKind = (typeof stageTroubleKinds)[number];
-export type PassedTroubleKind = (typeof passedTroubleKinds)[number] | StageTroubleKind;
+/** Those that only a deployment with tenants has: changes of keys, and a large tenant that sends many times the usual. */
+export const tenantTroubleKinds = ['key-taken', 'key-given', 'key-moved', 'tenant-presses'] as const;
+export type PassedTroubleKind =
+  (typeof passedTroubleKinds)[number] | StageTroubleKind | (typeof tenantTroubleKinds)[number];
 export interface PassedTrouble {
   readonly at: number;
   readonly do: PassedTroubleKind;
@@ -88,13 +91,14 @@
 ]);
 const catchUp = 7;
 
-// With `only`, draws a dozen troubles of these kinds.
+// With `only`, draws a dozen troubles of these kinds, else a few of `all`.
 export function drawPassedTroubles(
   random: () => number,
   span: number,
   only?: readonly PassedTroubleKind[],
+  all: readonly PassedTroubleKind[] = passedTroubleKinds,
 ): PassedTrouble[] {
-  const some = only ?? passedTroubleKinds;
+  const some = only ?? all;
   const n = only === undefined ? 2 + Math.floor(random() * 7) : 12;
   const out: PassedTrouble[] = [];
   for (let i = 0; i < n; i += 1) {
--- a/packages/simulator/src/pass-through/paths-drawn.ts
+++ b/packages/simulator/src/pass-through/paths-drawn.ts
@@ -2,7 +2,7 @@
  * Documents of a drawn day: each new one moves or splits a path, adds or drops one, or changes a budget. Invalid ones
  * have one of the faults that an operator may make.
  */
-import type { Path, PathTable, Service } from '@tansypost/paths';
+import type { Path, PathTable, Service, Tenant } from '@tansypost/paths';
 import { usualEngine, type EngineShape } from './engine-shape.js';
 import { asideService, mainService, type PassedDeployment } from './passed-deployment.js';
 
@@ -19,7 +19,12 @@
 export const movedKind = 'look-up';
 export const droppedKind = 'booking';
 
-export function drawTable(d: PassedDeployment, revision: number, random: () => number): PathTable {
+export function drawTable(
+  d: PassedDeployment,
+  revision: number,
+  random: () => number,
+  tenants?: readonly Tenant[],
+): PathTable {
   const move = revision === 1 ? 0 : random();
   const dropped = revision > 1 && random() < 0.4;
   const paths = d.kinds
@@ -49,6 +54,7 @@
         resumable: k.resumable,
         sends: k.sends,
         shares,
+        ...(k.public === true ? { public: true } : {}),
       };
     });
   function serviceOf(name: string, engine: EngineShape): Service {
@@ -64,11 +70,18 @@
       serviceOf(asideService, usualEngine(d.kvTokens)),
     ],
     limits: { headBytes: 16_384, bodyBytes: 4_194_304, headTime: 3_000_000, idleTime: 15_000_000 },
+    ...(tenants === undefined ? {} : { tenants }),
   };
 }
 
-export function drawInvalid(d: PassedDeployment, base: number, random: () => number): string {
-  const t = drawTable(d, base + 1, random);
+/** A document with one fault. Where there are tenants, two of them may share a key in it. */
+export function drawInvalid(
+  d: PassedDeployment,
+  base: number,
+  random: () => number,
+  tenants?: readonly Tenant[],
+): string {
+  const t = drawTable(d, base + 1, random, tenants);
   const p = t.paths[0]!;
   const wrong: readonly object[] = [
     { ...t, paths: [{ ...p, shares: [{ service: 'nowhere', weight: 1 }] }, ...t.paths.slice(1)] },
@@ -76,7 +89,12 @@
     { ...t, paths: [{ ...p, shares: [{ service: mainService, weight: 0 }] }, ...t.paths.slice(1)] },
     { ...t, paths: [{ ...p, budget: 0 }, ...t.paths.slice(1)] },
     { ...t, revision: base },
+    ...(tenants === undefined ? [] : [{ ...t, tenants: sharingKey(tenants) }]),
   ];
   const i = Math.floor(random() * (wrong.length + 1));
   return i === wrong.length ? JSON.stringify(t).slice(0, -9) : JSON.stringify(wrong[i]);
 }
+
+function sharingKey([first, ...others]: readonly Tenant[]): readonly Tenant[] {
+  return [first!, ...others.map((other) => ({ ...other, keyDigests: [...other.keyDigests, first!.keyDigests[0]!] }))];
+}
--- a/packages/simulator/src/pass-through/spoil.ts
+++ b/packages/simulator/src/pass-through/spoil.ts
@@ -13,4 +13,10 @@
   | 'two-disks-lost'
   | 'budget-ignored'
   | 'core-stays-dead'
-  | 'leaves-at-once';
+  | 'leaves-at-once'
+  | 'credentials-passed-on'
+  | 'tenants-mixed'
+  | 'keys-unchecked'
+  | 'dropped-keys-kept'
+  | 'new-keys-ignored'
+  | 'tenant-left-out';
--- a/packages/simulator/src/pass-through/virtual-operator.ts
+++ b/packages/simulator/src/pass-through/virtual-operator.ts
@@ -113,7 +113,10 @@
   }
   function draw(b: number): { text: string; revision: number } {
     const revision = b + 1 + Math.floor(random() * 4);
-    return { text: JSON.stringify(drawTable(g.d, b === 0 ? 1 : revision, random)), revision: b === 0 ? 1 : revision };
+    return {
+      text: JSON.stringify(drawTable(g.d, b === 0 ? 1 : revision, random, g.tenants.wanted())),
+      revision: b === 0 ? 1 : revision,
+    };
   }
   async function change(): Promise<void> {
     const b = await base();
@@ -159,7 +162,7 @@
     },
     invalid: async () => {
       const b = await base();
-      const text = drawInvalid(g.d, b, random);
+      const text = drawInvalid(g.d, b, random, g.tenants.wanted());
       await send(text, b + 1, b, false);
     },
   };
--- a/packages/simulator/src/pass-through/virtual-port.ts
+++ b/packages/simulator/src/pass-through/virtual-port.ts
@@ -165,6 +165,8 @@
           worker: life.o.id,
           service: life.o.service,
           router: me,
+          tenant: q.tenant,
+          credentials: q.credentials !== undefined,
           misdirected: false,
           taken: false,
         };
--- a/packages/simulator/src/pass-through/virtual-requesters.ts
+++ b/packages/simulator/src/pass-through/virtual-requesters.ts
@@ -4,6 +4,7 @@
  */
 import { seeded } from '@tansypost/inner-protocol';
 import type { Incoming } from '@tansypost/pass-through';
+import { digestOfKey } from '@tansypost/paths';
 import type { Ground } from './ground.js';
 import { hostOf, targetOf } from './paths-drawn.js';
 import { drawLogNormal, usualEngine } from './engine-shape.js';
@@ -34,6 +35,11 @@
 const usualClients = 12;
 const clientSeed = 9001;
 
+/** Ends after which no requester tries again. */
+function isFinal(how: TrySeen['ended']): boolean {
+  return how === 'whole' || how === 'unknown_path' || how === 'unknown_key' || how === 'left';
+}
+
 /** `keepsConnection` is how often, from 0 to 1, a client asks on the connection that it has. */
 export function createVirtualRequesters(
   g: Ground,
@@ -116,6 +122,8 @@
     const client = `${zone}/${Math.floor(drawClient() * (d.clientsPerZone ?? usualClients))}`;
     const impatient = random() < 0.1;
     const most = impatient ? 4 : 1 + k.furtherTries;
+    const { tenant, key } = g.tenants.bearer(client, k.public === true);
+    const keyDigest = key === undefined ? undefined : digestOfKey(key);
     const prompt = k.draw === undefined ? usualPrompt(k, task) : drawnPrompt(k, k.draw, task);
     let tries = 0;
     let has = 0;
@@ -147,6 +155,8 @@
         firstAt: undefined,
         longestPause: 0,
         size: prompt.promptTokens + answerWeight * prompt.answerTokens,
+        tenant,
+        keyDigest,
         body: [],
       };
       h.tries.push(t);
@@ -156,6 +166,7 @@
         target: t.target,
         host: hostOf(k.name),
         head: [],
+        ...(key === undefined ? {} : { credentials: ['Authorization', `Bearer ${key}`], keyDigest }),
         body: k.bodyBytes === undefined ? Buffer.from(`${task}`) : Buffer.alloc(k.bodyBytes),
         promptTokens: prompt.promptTokens,
         answerTokens: prompt.answerTokens,
@@ -176,7 +187,8 @@
         if (connection.open) kept.set(client, connection);
         const rest = began + k.budget - e.now();
         const may = k.repeatable || k.resumable || how === 'refused' || how === 'unread';
-        if (how === 'whole' || how === 'unknown_path' || how === 'left' || !may || tries >= most) return;
+        if (how === 'unknown_key' && key !== undefined) g.tenants.refused(client, key);
+        if (isFinal(how) || !may || tries >= most) return;
         if (k.resumable) {
           const ids = [
             ...Buffer.concat(t.body)
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -16,16 +16,18 @@
   createGracefulShutdown,
   type Course,
   type FleetWorker,
+  type GiveUp,
   type GracefulShutdown,
   type Incoming,
   type WorkerPort,
 } from '@tansypost/pass-through';
 import { placementDefaults } from '@tansypost/placement';
-import { faultsOf } from '@tansypost/paths';
+import { faultsOf, type PathTable } from '@tansypost/paths';
 import { createProc, die, into, procWorld, wake, type Proc } from '../process.js';
 import type { Ground } from './ground.js';
 import type { TrySeen } from './passed-history.js';
 import { createPipe } from './pipe.js';
+import { isLeftOut, spoiledTable, spoiledTellings } from './spoiled-tenants.js';
 import { tableOf } from './submit.js';
 import type { VirtualCore } from './virtual-core.js';
 import { createVirtualPort } from './virtual-port.js';
@@ -69,6 +71,11 @@
   readonly bytes: (b: Buffer) => void;
   readonly ended: (how: TrySeen['ended'], why: string, retryAfter?: number) => void;
 }
+function endOf({ kind, ran }: GiveUp): TrySeen['ended'] {
+  if (kind === 'unknown_path' || kind === 'unknown_key') return kind;
+  return ran === 'no' ? 'refused' : 'gave_up';
+}
+
 const gracePeriod = 8_000_000;
 const startAgainAfter = 400_000;
 
@@ -188,7 +195,12 @@
                 routers: () => Math.max(4, feed.routers()),
               },
       },
-      { workers: spoiled(g, port), reading: (id, us) => feed.reading(id, us), sample: l.sample, lot: l.lot },
+      {
+        workers: spoiledTellings(g.spoil, spoiled(g, port)),
+        reading: (id, us) => feed.reading(id, us),
+        sample: l.sample,
+        lot: l.lot,
+      },
     );
     course = c;
     shutdown = createGracefulShutdown(w, {
@@ -199,6 +211,7 @@
       end: left,
     });
     const known = new Map<string, FleetWorker>();
+    const taken: PathTable[] = [];
     const seeds = core.seeds(machine);
     const feed = createControlFeed(w, {
       self,
@@ -216,7 +229,8 @@
             return void h.unforeseen.push('a document that cannot govern');
           if (g.spoil === 'news-withheld' && name === 'r1' && t.revision > 1) return;
           h.applied.push({ at: e.now(), router: name, life: mine, revision: t.revision, text });
-          c.paths(t);
+          c.paths(spoiledTable(g.spoil, t, taken));
+          taken.push(t);
           if (g.spoil === 'document-set-back' && t.revision > 1)
             w.after(micros(1_000_000), () => {
               const was = h.applied.find((a) => a.router === name && a.revision < t.revision);
@@ -332,6 +346,7 @@
         t.readAt = e.now();
         const refusal = shutdown?.arrived(connection.used);
         if (refusal !== undefined) return finish('refused', refusal.kind, refusal.retryAfter);
+        if (isLeftOut(g.spoil, t.tenant)) return finish('refused', 'overloaded');
         void course!.serve(
           q,
           {
@@ -348,12 +363,7 @@
             end: () => finish('whole', ''),
             cut: () => finish('cut', 'cut by the router'),
             whole: (a) => finish([408, 421, 429, 503].includes(a.status) ? 'refused' : 'failed', `${a.status}`),
-            giveUp: (x) =>
-              finish(
-                x.kind === 'unknown_path' ? 'unknown_path' : x.ran === 'no' ? 'refused' : 'gave_up',
-                x.kind,
-                x.retryAfter,
-              ),
+            giveUp: (x) => finish(endOf(x), x.kind, x.retryAfter),
           },
           gone.signal,
         );
