A sender is admitted anew for each attempt, and after a read

What callers could see: a request whose key was taken away while its prompt was read still ran; after a key had passed to another tenant the next worker was told the former one; where tenants came into force between two attempts the next worker got the key itself. Change: the request as it came is kept, and is admitted by the newest tenants before each attempt and after each read; what a read left behind is freed where it may not run any more.

--- a/packages/pass-through/src/admission.test.ts
+++ b/packages/pass-through/src/admission.test.ts
@@ -34,13 +34,12 @@
 it('admits nobody without a key that a tenant holds now, but for public routes', () => {
   const admission = createAdmission();
   admission.replace([tenant('a', ['k1'])]);
-  expect(admission.admits(request('k1'), path)).toBe(true);
+  expect(admission.admit(request('k1'), path)?.request.tenant).toBe('a');
   admission.replace([tenant('a', [])]);
   for (const each of [request('k1'), request('other'), request()]) {
-    expect(admission.admits(each, path)).toBe(false);
     expect(admission.admit(each, path)).toBeUndefined();
     expect(admission.admit(each, publicPath)?.request.credentials).toBeUndefined();
   }
   admission.replace([]);
-  expect(admission.admits(request('k1'), path)).toBe(false);
+  expect(admission.admit(request('k1'), path)).toBeUndefined();
 });
--- a/packages/pass-through/src/admission.ts
+++ b/packages/pass-through/src/admission.ts
@@ -16,8 +16,6 @@
 export interface Admission {
   /** Takes the tenants of a new route table; undefined where it asks for no keys. */
   readonly replace: (tenants: readonly Tenant[] | undefined) => void;
-  /** Whether the request may be run now. */
-  readonly admits: (request: Incoming, path: Path) => boolean;
   /** The request as workers get it; undefined where it may not be run. */
   readonly admit: (request: Incoming, path: Path) => Admitted | undefined;
 }
@@ -34,19 +32,15 @@
     return request.keyDigest === undefined ? undefined : directory?.find(request.keyDigest);
   }
 
-  function admits(request: Incoming, path: Path): boolean {
-    return directory === undefined || path.public === true || tenantOf(request) !== undefined;
-  }
-
   function admit(request: Incoming, path: Path): Admitted | undefined {
     if (directory === undefined) return { request, path };
-    if (!admits(request, path)) return undefined;
     const tenant = tenantOf(request);
+    if (tenant === undefined && path.public !== true) return undefined;
     const withheld = { ...request, credentials: undefined, tenant: tenant?.name };
     return { request: withheld, path: withRank(path, tenant?.rank) };
   }
 
-  return { replace, admits, admit };
+  return { replace, admit };
 }
 
 function withRank(path: Path, rank: number | undefined): Path {
--- a/packages/pass-through/src/attempt-loop.ts
+++ b/packages/pass-through/src/attempt-loop.ts
@@ -28,7 +28,7 @@
     { sends, ran, begun, lastRefused },
     {
       gone: inFlight.gone.aborted,
-      admitted: context.admission.admits(inFlight.request, path),
+      admitted: admitAgain(context, inFlight),
       left: inFlight.limit - context.world.now(),
       repeatable: path.repeatable,
       resumable: path.resumable,
@@ -39,6 +39,13 @@
   );
 }
 
+/** Whether it may go to one more worker; what that is told of its sender is what holds now. */
+function admitAgain(context: CourseContext, inFlight: InFlightRequest): boolean {
+  const admitted = context.admission.admit(inFlight.received, inFlight.path);
+  if (admitted !== undefined) inFlight.request = admitted.request;
+  return admitted !== undefined;
+}
+
 function giveUpOn(context: CourseContext, inFlight: InFlightRequest, answer: GiveUp): void {
   inFlight.refusal = answer;
   giveUp(context, inFlight.reply, answer);
@@ -99,8 +106,9 @@
 
 function afterRead(context: CourseContext, inFlight: InFlightRequest, reader: FleetWorker, got: ReadResult): AfterRead {
   const over = inFlight.gone.aborted || inFlight.limit <= context.world.now();
+  const admitted = admitAgain(context, inFlight);
   if (got.tag === 'read') {
-    const pair = over ? undefined : chooseRunnerAfterRead(context, inFlight, reader);
+    const pair = over || !admitted ? undefined : chooseRunnerAfterRead(context, inFlight, reader);
     if (pair !== undefined) return { next: 'run', pair, memory: { worker: reader, handle: got.handle } };
     context.ports.workers.free(reader, got.handle);
   } else {
@@ -108,6 +116,7 @@
     context.count(`read ${got.tag}`);
   }
   if (over) return endInRead(context, inFlight);
+  if (!admitted) return refuse(context, inFlight, keyTakenAway);
   return got.tag === 'read' ? refuse(context, inFlight, noWorkerLeft) : anotherPair(context, inFlight, got);
 }
 
@@ -120,6 +129,7 @@
   return refuse(context, inFlight, { kind: 'budget_spent', ran: 'no', why, retryAfter: retryAfter.failed });
 }
 
+const keyTakenAway: GiveUp = { kind: 'unknown_key', ran: 'no', why: 'No tenant has this key any more.' };
 const noWorkerLeft: GiveUp = {
   kind: 'no_workers',
   ran: 'no',
--- a/packages/pass-through/src/course.ts
+++ b/packages/pass-through/src/course.ts
@@ -100,7 +100,7 @@
   inFlights: Set<InFlightRequest>,
   routes: Routes,
   { request, path }: Admitted,
-  facts: Pick<InFlightRequest, 'reply' | 'gone' | 'arrived'>,
+  facts: Pick<InFlightRequest, 'received' | 'reply' | 'gone' | 'arrived'>,
 ): Promise<void> {
   const service = pickService(path, routes.services, context.world.random);
   if (service === undefined) return giveUp(context, facts.reply, noService);
@@ -165,7 +165,7 @@
     const admitted = context.admission.admit(request, path);
     if (admitted === undefined) return giveUp(context, reply, unknownKey);
     if (listed === undefined) return giveUp(context, reply, workersUnknown);
-    await serveRouted(context, inFlights, routes, admitted, { reply, gone, arrived });
+    await serveRouted(context, inFlights, routes, admitted, { received: request, reply, gone, arrived });
   }
 
   async function serve(request: Incoming, reply: Reply, gone: AbortSignal): Promise<void> {
--- a/packages/pass-through/src/in-flight-request.ts
+++ b/packages/pass-through/src/in-flight-request.ts
@@ -11,7 +11,8 @@
 
 /** The facts of a request that do not change. */
 export interface RequestFacts {
-  readonly request: Incoming;
+  /** As it came. */
+  readonly received: Incoming;
   readonly path: Path;
   readonly service: Service;
   readonly reply: Reply;
@@ -23,6 +24,8 @@
 
 /** A request with the state of its attempts; times are microseconds. */
 export interface InFlightRequest extends RequestFacts {
+  /** As workers get it: admitted by the tenants known when its last attempt began. */
+  request: Incoming;
   /** The moment at which it is given up on. */
   limit: number;
   /** Ends the attempt under way, if there is one. */
@@ -59,7 +62,7 @@
 }
 
 /** A request for which nothing has been tried yet. */
-export function createInFlightRequest(facts: RequestFacts): InFlightRequest {
+export function createInFlightRequest(facts: RequestFacts & Pick<InFlightRequest, 'request'>): InFlightRequest {
   return {
     ...facts,
     limit: facts.arrived + Math.min(facts.request.patience, facts.path.budget),
