Duties: clear answers that come late count, and a step that fails is tried again

What callers would see: while the platform answers each call after 2.7 s, the first window was repeated for ever and no later one reported; a plan that throws ended the process.

--- a/packages/duty-log/src/call-outcome.ts
+++ b/packages/duty-log/src/call-outcome.ts
@@ -5,22 +5,26 @@
 /** How calls are made. */
 export interface CallOptions {
   readonly port: DutyPort;
-  /** How long an answer is waited for, in microseconds. */
+  /** After so long without an answer the call counts as unclear and may be repeated, in microseconds. */
   readonly callPatience: number;
 }
 
-/** The outcome of a call, `unknown` where none comes in time. That a higher fence was seen is told also when it is late. */
+/** The outcome of a call, `unknown` where none comes in time; a clear one that comes later is told to `late`. */
 export function outcomeOf(
   world: Pick<World, 'after'>,
   { port, callPatience }: CallOptions,
   call: DutyCall,
-  fenced: () => void,
+  late: (outcome: CallOutcome) => void,
 ): Promise<CallOutcome> {
   return new Promise((done) => {
-    const cancel = world.after(micros(callPatience), () => done('unknown'));
+    let inTime = true;
+    const cancel = world.after(micros(callPatience), () => {
+      inTime = false;
+      done('unknown');
+    });
     function end(outcome: CallOutcome): void {
       cancel();
-      if (outcome === 'fenced') fenced();
+      if (!inTime) late(outcome);
       done(outcome);
     }
     port.call(call).then(end, () => end('unknown'));
--- a/packages/duty-log/src/duty-runner.ts
+++ b/packages/duty-log/src/duty-runner.ts
@@ -8,7 +8,8 @@
 import { every, micros, type Address, type DutyMark, type MessageOf, type World } from '@tansypost/inner-protocol';
 import { createCallPacer, type CallPacer } from './call-pacer.js';
 import { dutyRecordKey } from './duty-record.js';
-import { createDutyTask, type DutyStatus, type DutyTask } from './duty-task.js';
+import type { DutyStatus } from './duty-status.js';
+import { createDutyTask, type DutyTask } from './duty-task.js';
 import type { Duty, DutyPort } from './ports.js';
 
 /** What the runner is told when it is made. Times are microseconds. */
--- a/packages/duty-log/src/duty-task.ts
+++ b/packages/duty-log/src/duty-task.ts
@@ -19,7 +19,8 @@
 } from './duty-record.js';
 import { createOpenSince, type OpenSince } from './open-since.js';
 import { outcomeOf } from './call-outcome.js';
-import type { Duty, DutyPort } from './ports.js';
+import { dutyStatus, type DutyStatus } from './duty-status.js';
+import type { CallOutcome, Duty, DutyPort } from './ports.js';
 import { createOwnTerm, newTermId, type OwnTerm } from './own-term.js';
 import { createRetryPauses, type RetryPauses } from './retry-pauses.js';
 
@@ -44,25 +45,6 @@
   readonly progressed: () => void;
 }
 
-/** An open call as operators see it. */
-export interface OpenCall extends Intent {
-  /** How long this node has known of it, in microseconds. */
-  readonly age: number;
-  /** Calls without a clear answer. */
-  readonly failures: number;
-}
-
-/** Where a duty stands, as far as this node knows. */
-export interface DutyStatus {
-  readonly duty: string;
-  /** Of this node's term, while it has it. */
-  readonly fence: number | undefined;
-  /** The oldest first; empty where this node has no term. */
-  readonly open: readonly OpenCall[];
-  /** Calls owed that had no place in the record. */
-  readonly waiting: number;
-}
-
 /** One duty at this node. */
 export interface DutyTask {
   /** Does the next step, unless one is under way. */
@@ -110,7 +92,7 @@
   return {
     look: () => look(state),
     endTerm: () => endTerm(state),
-    status: () => statusOf(state),
+    status: () => dutyStatus(options.duty.name, state),
     lastCallAt: () => state.lastCallAt,
   };
 }
@@ -119,10 +101,16 @@
   if (state.busy || !state.options.holds()) return;
   reportLate(state);
   state.busy = true;
-  void advance(state).then((changed) => {
-    state.busy = false;
-    if (changed) state.options.progressed();
-  });
+  void advance(state).then(
+    (changed) => {
+      state.busy = false;
+      if (changed) state.options.progressed();
+    },
+    (error: unknown) => {
+      state.busy = false;
+      state.world.log(3110, { duty: state.options.duty.name, why: String(error) });
+    },
+  );
 }
 
 /** One step; whether it changed anything. */
@@ -246,13 +234,22 @@
   const duty = options.duty.name;
   state.lastCallAt = world.now();
   const call = { duty, subject, content, holder: options.member, fence: term.fence };
-  const outcome = await outcomeOf(world, options, call, () => endFenced(state, term, subject));
-  if (state.term !== term || outcome === 'fenced') return;
+  const outcome = await outcomeOf(world, options, call, (late) =>
+    noteClear(state, term, { id, subject, content }, late),
+  );
+  if (state.term !== term) return;
   if (outcome === 'unknown') term.unclear.add(subject);
   if (outcome === 'busy' || outcome === 'unknown') return pauses.grow(subject);
-  pauses.end(subject);
+  noteClear(state, term, { id, subject, content }, outcome);
+}
+
+/** Takes in an answer that says what became of the call, also one that comes after the call was taken for unclear. */
+function noteClear(state: TaskState, term: OwnTerm, { id, subject, content }: Intent, outcome: CallOutcome): void {
+  if (state.term !== term || outcome === 'busy' || outcome === 'unknown') return;
+  if (outcome === 'fenced') return endFenced(state, term, subject);
+  state.pauses.end(subject);
   term.answers.set(id, outcome);
-  if (outcome === 'refused') world.log(3106, { duty, subject, content });
+  if (outcome === 'refused') state.world.log(3106, { duty: state.options.duty.name, subject, content });
 }
 
 /** A holder with a higher fence has acted. */
@@ -280,17 +277,3 @@
     world.log(3104, { duty: options.duty.name, subject, ageMs: Math.round(openSince.age(id) / 1000) });
   }
 }
-
-function statusOf({ options, openSince, pauses, term }: TaskState): DutyStatus {
-  const open = term?.record.open ?? [];
-  return {
-    duty: options.duty.name,
-    fence: term?.fence,
-    open: open.map((intent) => ({
-      ...intent,
-      age: openSince.age(intent.id),
-      failures: pauses.failures(intent.subject),
-    })),
-    waiting: term?.waiting ?? 0,
-  };
-}
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -136,6 +136,11 @@
   },
   3108: { level: 'info', means: 'open call of a duty overtaken by a newer one for its subject', remedy: 'None.' },
   3109: { level: 'info', means: 'another node has taken the term of a duty; this one stands back', remedy: 'None.' },
+  3110: {
+    level: 'error',
+    means: 'a step of a duty failed unexpectedly; it is tried again',
+    remedy: 'Report it with the reason given; the duty goes on as soon as a step succeeds.',
+  },
   3201: {
     level: 'warn',
     means: 'event sink refused a batch three times; it is lost',
--- a/packages/model-checker/src/duties/duty-mutations.ts
+++ b/packages/model-checker/src/duties/duty-mutations.ts
@@ -66,9 +66,10 @@
     name: 'a higher fence seen ends the term',
     file: task,
     edits: [
-      { from: '() => endFenced(state, term, subject)', to: '() => undefined' },
-      { from: "if (state.term !== term || outcome === 'fenced') return;", to: 'if (state.term !== term) return;' },
-      { from: "if (outcome === 'busy' ||", to: "if (outcome === 'fenced' || outcome === 'busy' ||" },
+      {
+        from: "if (outcome === 'fenced') return endFenced(state, term, subject);",
+        to: "if (outcome === 'fenced') return state.pauses.grow(subject);",
+      },
     ],
   },
   removed(
@@ -111,7 +112,11 @@
     name: 'a call without an answer is repeated',
     file: task,
     edits: [
-      { from: "if (outcome === 'busy' || outcome === 'unknown')", to: "if (outcome === 'busy')" },
+      {
+        from: "if (outcome === 'busy' || outcome === 'unknown') return pauses",
+        to: "if (outcome === 'busy') return pauses",
+      },
+      { from: "outcome === 'busy' || outcome === 'unknown') return;", to: "outcome === 'busy') return;" },
       { from: 'term.answers.set(id, outcome);', to: "term.answers.set(id, 'accepted');" },
     ],
   },
--- a/packages/model-checker/src/duties/duty-walk.test.ts
+++ b/packages/model-checker/src/duties/duty-walk.test.ts
@@ -34,7 +34,7 @@
 });
 
 describe('finds that a guard is missing', () => {
-  const seeds = 120;
+  const seeds = 480;
   const threads = 3;
   const limitMs = 60_000;
   const hunts = new Map<string, DutyHunt | { readonly error: string }>();
