Usage: a holder that hears no router closes nothing before the longest wait

No router known counted as all routers heard, so a holder that had just begun, or was cut off from the routers alone, would have reported empty windows.

--- /dev/null
+++ b/packages/usage/src/silent-routers.test.ts
@@ -0,0 +1,46 @@
+/** What a holder that hears no router closes: nothing, for as long as the fault may be on its own side. */
+import { expect, it } from 'vitest';
+import { createVirtualClock, type Address, type Message } from '@tansypost/inner-protocol';
+import { createUsageCollector } from './usage-collector.js';
+
+const second = 1_000_000;
+const windowLength = 5000;
+const start = 1_790_000_000_000;
+const firstWindow = start / windowLength;
+
+function createScene() {
+  const clock = createVirtualClock({ send: (_to: Address, _message: Message) => undefined });
+  const state = { closed: firstWindow - 1, routers: [] as string[] };
+  const collector = createUsageCollector(clock.world, {
+    self: 'c0:1' as Address,
+    windowLength,
+    reportDelay: 10_000,
+    reserve: 4000,
+    routers: () => state.routers as Address[],
+    wallClock: () => start + clock.world.now() / 1000,
+    isHolder: () => true,
+    closedThrough: () => state.closed,
+  });
+  return { clock, state, collector };
+}
+
+it('closes no window as empty before the longest wait where it has not heard a router yet', async () => {
+  const { clock, collector } = createScene();
+  await clock.runTo(5.5 * second);
+  expect(collector.due()).toEqual([]);
+});
+
+it('goes on to hold windows back where all routers fell silent, when they have been forgotten', async () => {
+  const { clock, state, collector } = createScene();
+  state.routers = ['r0:1', 'r1:1'];
+  await clock.runTo(4 * second);
+  for (const router of state.routers) {
+    const now = start + clock.world.now() / 1000;
+    const tables = [{ window: firstWindow, counts: [{ tenant: 'a', count: 3 }] }];
+    collector.receive({ kind: 'UsageTold', router, process: 'p', now, after: 0, sequence: 3, tables });
+  }
+  await clock.runTo(7 * second);
+  state.routers = [];
+  await clock.runTo(20 * second);
+  expect(collector.due()).toEqual([]);
+});
--- a/packages/usage/src/usage-collector.ts
+++ b/packages/usage/src/usage-collector.ts
@@ -63,7 +63,7 @@
 const gatherFor = 2_000_000;
 /** A window is closed so long after its end at the earliest, in milliseconds. */
 const settleFor = 300;
-/** Where most routers are silent, the fault may be on this side: a window then waits so many times the report's delay. */
+/** Where most routers are silent, or none is known, the fault may be on this side: a window then waits so many times the report's delay. */
 const longestWait = 3;
 const mostDueAtOnce = 16;
 /** Closed windows that are kept for a while, to tell how much comes late. */
@@ -253,7 +253,6 @@
   if (now < end + settleFor) return false;
   const awaited = new Set<string>([...options.routers(), ...routers.keys()]);
   const beyond = [...awaited].filter((router) => (routers.get(router)?.told ?? -Infinity) >= end);
-  if (beyond.length === awaited.size) return true;
-  if (beyond.length >= awaited.size / 2) return now >= end + options.reportDelay - options.reserve;
-  return now >= end + longestWait * options.reportDelay;
+  if (beyond.length === 0 || beyond.length < awaited.size / 2) return now >= end + longestWait * options.reportDelay;
+  return beyond.length === awaited.size || now >= end + options.reportDelay - options.reserve;
 }
