Silent decode workers: a question that fails counts as no answer, and only a control node asks

Found by the review: an error of one question ended the process (decode-silence.test.ts, red before), and a machine without a control node took itself for the first.

--- a/packages/worker-stages/src/decode-recovery.ts
+++ b/packages/worker-stages/src/decode-recovery.ts
@@ -79,7 +79,7 @@
   const silence = createDecodeSilence(world, {
     workers: options.workers,
     served,
-    isAsker: () => rank() === 0,
+    isAsker: () => options.controlNode()?.rank() === 0,
     report: options.workerOrders.report,
   });
   const needs = createRecoveryNeeds(world, { workers: silence.answeringWorkers, served, rank, ordered });
--- a/packages/worker-stages/src/decode-silence.ts
+++ b/packages/worker-stages/src/decode-silence.ts
@@ -122,7 +122,7 @@
 ): Promise<void> {
   watch.isAsking = true;
   const asked = nextInTurn(watch, decode);
-  const reports = await Promise.all(asked.map(report));
+  const reports = await Promise.all(asked.map((worker) => report(worker).catch(() => undefined)));
   const answered = asked.find((_worker, index) => reports[index] !== undefined);
   watch.inDoubt = answered === undefined;
   if (answered !== undefined) Object.assign(watch, { heardAt: world.now(), favourite: answered.id });
