--- a/packages/pass-through/src/send-budget.test.ts
+++ b/packages/pass-through/src/send-budget.test.ts
@@ -51,3 +51,26 @@
   spendAll(startAll());
   expect(extras).toBeLessThanOrEqual(terms.always);
 });
+
+it('BUDGET: stays within the budget though all routers begin anew twice within a window', () => {
+  const terms = { share: 0.2, always: 54, window: 10_000_000, routers: () => 7 };
+  let [now, extras] = [0, 0];
+  function startAll(): SendBudget[] {
+    return Array.from({ length: terms.routers() }, () => createSendBudget(() => now, terms));
+  }
+  function spendAll(budgets: readonly SendBudget[]): void {
+    for (const budget of budgets)
+      while (budget.room('s')) {
+        budget.extra('s');
+        extras += 1;
+      }
+  }
+  const firstLife = startAll();
+  now += 3 * terms.window;
+  spendAll(firstLife);
+  for (const _life of [1, 2]) {
+    now += 3_000_000;
+    spendAll(startAll());
+  }
+  expect(extras).toBeLessThanOrEqual(terms.always);
+});
--- a/packages/pass-through/src/send-budget.ts
+++ b/packages/pass-through/src/send-budget.ts
@@ -18,6 +18,8 @@
   readonly always: number;
   readonly window: number;
   readonly routers: () => number;
+  /** The whole system has just begun, so no former life of this router has spent anything. */
+  readonly isFirstLife?: boolean;
 }
 
 /** Sends in one slot of the window. */
@@ -30,8 +32,10 @@
 const slotsOfWindow = 20;
 /** The part of the allowance that is spent. */
 const caution = 0.7;
-/** The part that is spent in the first window: a former life of this router may have spent the rest in the same window. */
-const cautionAtFirst = 1 - caution;
+/** Lives of this router that may begin within one window, beside the one before them. */
+const livesInWindow = 2;
+/** The part that is spent in the first window: former lives of this router may have spent the rest in the same window. */
+const cautionAtFirst = (1 - caution) / livesInWindow;
 
 /** A budget of which nothing has been spent. */
 export function createSendBudget(now: () => number, terms: SendBudgetTerms): SendBudget {
@@ -59,7 +63,8 @@
     const first = slots.reduce((sum, slot) => sum + slot.first, 0);
     const extra = slots.reduce((sum, slot) => sum + slot.extra, 0);
     const always = Math.max(1, Math.floor(terms.always / Math.max(1, terms.routers())));
-    const part = now() - startedAt < terms.window ? cautionAtFirst : caution;
+    const mayFollowOther = terms.isFirstLife !== true && now() - startedAt < terms.window;
+    const part = mayFollowOther ? cautionAtFirst : caution;
     return extra + 1 <= part * (terms.share * first + always);
   }
 
--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -193,6 +193,7 @@
                 always: g.d.sendSlack,
                 window: 10_000_000,
                 routers: () => Math.max(4, feed.routers()),
+                isFirstLife: proc.incarnation === 0,
               },
       },
       {
