--- a/packages/simulator/src/network.ts
+++ b/packages/simulator/src/network.ts
@@ -20,7 +20,8 @@
   readonly cut: (name: string, f: (from: string, to: string) => boolean) => void;
   readonly heal: (name: string) => void;
   readonly slow: (machine: string, us: number) => void;
-  readonly latency: (from: string, to: string) => number;
+  /** How long something takes; `draw` gives random numbers of the caller's own. */
+  readonly latency: (from: string, to: string, draw?: () => number) => number;
   readonly onHeal: (f: () => void) => void;
   readonly tamper: (f: ((m: Message, from: string, to: string) => Tampered[] | undefined) | undefined) => void;
 }
@@ -39,9 +40,9 @@
     for (const f of cuts.values()) if (from !== to && f(from, to)) return true;
     return false;
   }
-  function latency(from: string, to: string): number {
-    if (from === to) return 30 + random() * 50;
-    return 200 + random() * 1200 + (slowed.get(from) ?? 0) + (slowed.get(to) ?? 0);
+  function latency(from: string, to: string, draw = random): number {
+    if (from === to) return 30 + draw() * 50;
+    return 200 + draw() * 1200 + (slowed.get(from) ?? 0) + (slowed.get(to) ?? 0);
   }
 
   function send(from: Proc, fromAddress: string, to: Address, m: Message): void {
--- a/packages/simulator/src/pass-through/pipe.ts
+++ b/packages/simulator/src/pass-through/pipe.ts
@@ -5,7 +5,13 @@
 import type { Engine } from '../engine.js';
 import type { Network } from '../network.js';
 
-export function createPipe(e: Engine, net: Network, from: string, to: string): (f: () => void) => void {
+export function createPipe(
+  e: Engine,
+  net: Network,
+  from: string,
+  to: string,
+  draw?: () => number,
+): (f: () => void) => void {
   const q: { t: number; f: () => void }[] = [];
   let busy = false;
   function next(): void {
@@ -20,7 +26,7 @@
     });
   }
   return function push(f) {
-    q.push({ t: e.now() + net.latency(from, to), f });
+    q.push({ t: e.now() + net.latency(from, to, draw), f });
     if (!busy) next();
   };
 }
--- a/packages/simulator/src/pass-through/virtual-orders.ts
+++ b/packages/simulator/src/pass-through/virtual-orders.ts
@@ -1,5 +1,6 @@
 /** The way from one life of a control node to the virtual workers: reports, and orders to change their stage. */
 import type { ListedWorker } from '@tansypost/control-feed';
+import { hash32, seeded } from '@tansypost/inner-protocol';
 import type { OrderOutcome, StageOrder, WorkerOrders } from '@tansypost/worker-stages';
 import { into, type Proc } from '../process.js';
 import type { Ground } from './ground.js';
@@ -21,13 +22,15 @@
 export function createVirtualOrders(ground: Ground, workers: VirtualWorkers, proc: Proc): WorkerOrders {
   const { e: engine, net, h: history } = ground;
   const { machine, incarnation } = proc;
+  // How often workers are asked for reports shifts no other draw of the day.
+  const drawReport = seeded(hash32(machine) + incarnation);
 
   /** Calls the worker that has the address; undefined where no answer comes in time. */
-  function call<T>(worker: ListedWorker, ask: (life: WorkerLife) => T): Promise<T | undefined> {
+  function call<T>(worker: ListedWorker, ask: (life: WorkerLife) => T, draw?: () => number): Promise<T | undefined> {
     return new Promise((done) => {
       const away = workers.machineAt(worker.address);
-      const there = createPipe(engine, net, machine, away);
-      const back = createPipe(engine, net, away, machine);
+      const there = createPipe(engine, net, machine, away, draw);
+      const back = createPipe(engine, net, away, machine, draw);
       let over = false;
       function end(answer: T | undefined): void {
         if (!over) into(proc, incarnation, () => done(answer));
@@ -52,11 +55,15 @@
 
   return {
     report: (worker) =>
-      call(worker, (life) => {
-        const { queued, active } = life.load();
-        const load = queued + active;
-        return { stage: life.part(), changing: life.changing(), ordersTaken: life.ordersTaken(), load };
-      }),
+      call(
+        worker,
+        (life) => {
+          const { queued, active } = life.load();
+          const load = queued + active;
+          return { stage: life.part(), changing: life.changing(), ordersTaken: life.ordersTaken(), load };
+        },
+        drawReport,
+      ),
     order: async (order) => {
       const status = await call(order.worker, (life) => take(order, life));
       return status === undefined ? 'unknown' : (outcomes[status] ?? 'refused');
