--- /dev/null
+++ b/packages/pass-through/src/admission-attempts.test.ts
@@ -0,0 +1,119 @@
+/** A request between two of its attempts when the route table begins to ask for keys, or when its key is taken away. */
+import { expect, it } from 'vitest';
+import { createVirtualClock, type Micros } from '@tansypost/inner-protocol';
+import { digestOfKey, type PathTable, type Tenant } from '@tansypost/paths';
+import { createCourse } from './course.js';
+import type { Incoming } from './incoming.js';
+import type { Reply, RunResult, RunSink } from './ports.js';
+
+const second = 1_000_000;
+
+function tableOf(revision: number, tenants: readonly Tenant[] | undefined): PathTable {
+  const path = {
+    name: 'p',
+    host: 'h',
+    prefix: '/',
+    budget: 8 * second,
+    aim: 0.8 * second,
+    pause: 300_000,
+    rank: 0,
+    streaming: true,
+    repeatable: false,
+    resumable: true,
+    sends: 3,
+    shares: [{ service: 's', weight: 1 }],
+  };
+  const service = { name: 's', vitalsPath: '/', connections: 10, slots: 8, tokenBytes: 1000, linkMbps: 10_000 };
+  const limits = { headBytes: 1, bodyBytes: 1, headTime: 1, idleTime: 1 };
+  return { revision, paths: [path], services: [service], limits, tenants } as unknown as PathTable;
+}
+const holder: Tenant = { name: 'acme', keyDigests: [digestOfKey('k')], rank: undefined };
+const request: Incoming = {
+  id: 'q',
+  method: 'POST',
+  target: '/x',
+  host: 'h',
+  head: [],
+  credentials: ['Authorization', 'Bearer k'],
+  keyDigest: digestOfKey('k'),
+  body: Buffer.from('x'),
+  promptTokens: 400,
+  answerTokens: 10,
+  parts: [],
+  patience: 8 * second,
+  lastEvent: undefined,
+};
+
+/** What workers are given when the table changes during the first run. */
+async function sent(
+  before: readonly Tenant[] | undefined,
+  after: readonly Tenant[] | undefined,
+  first: (sink: RunSink) => RunResult,
+): Promise<Incoming[]> {
+  const { world, runUntil } = createVirtualClock();
+  const seen: Incoming[] = [];
+  const course = createCourse(
+    world,
+    { zone: 'z', regionOf: () => 'r', budget: { share: 0.2, always: 50, window: 10 * second, routers: () => 1 } },
+    {
+      workers: {
+        read: async () => ({ tag: 'unsent', why: '' }),
+        run: async (_worker, given, _terms, sink) => {
+          seen.push(given);
+          if (seen.length > 1) return { tag: 'whole' };
+          course.paths(tableOf(2, after));
+          return first(sink);
+        },
+        free: () => undefined,
+      },
+    },
+  );
+  course.paths(tableOf(1, before));
+  course.workers(
+    [0, 1, 2].map((n) => ({
+      id: `w${n}`,
+      service: 's',
+      address: `10.0.0.${n}:1`,
+      zone: 'z',
+      slots: 8,
+      part: 'decode' as const,
+      leaving: false,
+    })),
+  );
+  for (const n of [0, 1, 2])
+    course.told(`w${n}`, { queued: 0, active: 1, kvUsed: 0.1, silent: false, at: world.now() as Micros });
+  let over = false;
+  const reply: Reply = {
+    head: () => undefined,
+    chunk: () => undefined,
+    end: () => void (over = true),
+    cut: () => void (over = true),
+    whole: () => void (over = true),
+    giveUp: () => void (over = true),
+  };
+  const served = course.serve(request, reply, new AbortController().signal);
+  await runUntil(() => over);
+  await served;
+  return seen;
+}
+
+it('withholds the key and names the tenant in an attempt after tenants were added', async () => {
+  const given = await sent(undefined, [holder], () => ({
+    tag: 'refused',
+    why: '503',
+    other: false,
+    answer: { status: 503, head: [], body: Buffer.alloc(0) },
+  }));
+  expect(given.slice(1).map(({ credentials, tenant }) => ({ credentials, tenant }))).toEqual([
+    { credentials: undefined, tenant: 'acme' },
+  ]);
+});
+
+it('resumes no stream at another worker for a key that was taken away', async () => {
+  const given = await sent([holder], [], (sink) => {
+    sink.head({ status: 200, head: ['X-Server-Seal', 's', 'Content-Type', 'text/event-stream'] });
+    void sink.chunk(Buffer.from('id: 1\ndata: a\n\n'));
+    return { tag: 'unknown', why: 'broken' };
+  });
+  expect(given.length).toBe(1);
+});
--- a/packages/pass-through/src/decision.test.ts
+++ b/packages/pass-through/src/decision.test.ts
@@ -30,7 +30,7 @@
       if (s.step === 'resume') expect(f.resumable && l.begun).toBe(true);
       if (runs && (l.sends > 0 || l.ran === 'maybe')) expect(f.extraRoom && f.sendsAllowed > l.sends).toBe(true);
       if (runs) expect(f.workers && f.left > 0 && !f.gone).toBe(true);
-      if (s.step === 'run') expect(f.admitted).toBe(true);
+      if (runs) expect(f.admitted).toBe(true);
       if (s.step === 'giveUp' && s.kind === 'unknown_key') expect(!f.admitted && l.ran === 'no').toBe(true);
     }),
     { seed: 12 },
--- a/packages/pass-through/src/decision.ts
+++ b/packages/pass-through/src/decision.ts
@@ -63,7 +63,8 @@
 export function decide(ledger: Ledger, facts: Facts): Step {
   if (facts.gone) return { step: 'stop' };
   const again = facts.sendsAllowed > ledger.sends && facts.extraRoom && facts.workers;
-  if (ledger.begun) return facts.left > 0 && facts.resumable && again ? { step: 'resume' } : { step: 'cut' };
+  const mayResume = facts.left > 0 && facts.resumable && facts.admitted && again;
+  if (ledger.begun) return { step: mayResume ? 'resume' : 'cut' };
   if (facts.left <= 0) return { step: 'giveUp', kind: 'budget_spent', ran: ledger.ran };
   if (!facts.admitted) return withoutKey(ledger);
   return ledger.ran === 'maybe' ? afterPossibleRun(again, facts) : whileNothingRan(again, ledger, facts);
