Scaling: zones of few workers order no more by chance

Cause: a zone of 7 workers has 3 readers, and the median of their reports goes above 0.95 by chance (model: 8.7 workers on a calm wave). Change: a zone's load is taken together with that of all zones, which counts as that of 24 workers; the most loaded second stays the zone's own. Tests: a few crowded workers beside calm zones, the most loaded second of one zone; without the change, or with the smoothed second, one of them fails.

--- a/packages/scaling/src/load-history.ts
+++ b/packages/scaling/src/load-history.ts
@@ -7,14 +7,17 @@
 export interface DemandPeak {
   /** The highest level. */
   readonly level: number;
-  /** The mean of the most loaded moment, which lasted for about a second. */
+  /** The mean of the most loaded moment as reported, which lasted for about a second. */
   readonly moment: number;
 }
 
 /** A history of demand. */
 export interface LoadHistory {
-  /** Takes a figure; one that comes too soon after the last is left out, and after a gap the history begins anew. */
-  readonly add: (now: number, demand: number) => void;
+  /**
+   * Takes a figure, smoothed and as it was reported; one that comes too soon after the last is left out, and after a gap
+   * the history begins anew.
+   */
+  readonly add: (now: number, demand: number, reported: number) => void;
   /** The median of the last `sustain`; undefined where they are not known. */
   readonly level: (now: number) => number | undefined;
   /** The highest of the last `window`; undefined where not all of it is known. */
@@ -29,9 +32,10 @@
 interface Sample {
   readonly at: number;
   readonly demand: number;
+  readonly reported: number;
   /** The median up to it; undefined where that is not known. */
   readonly level: number | undefined;
-  /** The mean of the moment up to it. */
+  /** The mean of what was reported in the moment up to it. */
   readonly moment: number;
 }
 
@@ -55,15 +59,17 @@
     return first !== undefined && first.at <= from && now - last!.at <= longestGap;
   }
 
-  function add(now: number, demand: number): void {
+  function add(now: number, demand: number, reported: number): void {
     const last = samples.at(-1);
     if (last !== undefined && now - last.at < sampleEvery) return;
     if (last !== undefined && now - last.at > longestGap) samples = [];
     samples = since(now - keptFor - longestGap);
     const recent = [...since(now - sustain).map((sample) => sample.demand), demand];
-    const moment = [...samples.filter(({ at }) => at > now - momentLength).map((sample) => sample.demand), demand];
+    const lately = samples.filter(({ at }) => at > now - momentLength).map((sample) => sample.reported);
+    const moment = mean([...lately, reported]);
     const isCovered = isKnownSince(now - sustain, now);
-    samples.push({ at: now, demand, level: isCovered ? median(recent) : undefined, moment: mean(moment) });
+    const newLevel = isCovered ? median(recent) : undefined;
+    samples.push({ at: now, demand, reported, level: newLevel, moment });
   }
 
   function level(now: number): number | undefined {
--- a/packages/scaling/src/scale-planner.test.ts
+++ b/packages/scaling/src/scale-planner.test.ts
@@ -266,6 +266,22 @@
   expect(h.go(60, (t) => ({ west: { workers: 20, load: t % 5 < 1 ? 1 : 0.3 } }))).toEqual([]);
 });
 
+it('gives nothing up that the most loaded second of one zone needed', () => {
+  const h = holder();
+  h.go(10, everywhere(20, 0.75));
+  h.go(60, (t) => ({ ...everywhere(20, 0.3), west: { workers: 20, load: t % 5 < 1 ? 1 : 0.3 } }));
+  expect([h.ordered('west'), h.ordered('east')! < 20]).toEqual([20, true]);
+});
+
+it('takes the crowding of a few workers for chance while the other zones are not crowded', () => {
+  const few: SeenZone = { workers: 4, load: 1 };
+  const h = holder();
+  h.go(30, { west: few, east: { workers: 20, load: 0.75 } });
+  expect(h.ordered('west')).toBe(4);
+  h.go(5, { west: few, east: { workers: 20, load: 1 } });
+  expect(h.ordered('west')).toBeGreaterThan(4);
+});
+
 it('draws no conclusion from the reports of a few', () => {
   for (const load of [0.05, 2]) {
     const { planner, record } = holder();
--- a/packages/scaling/src/scale-planner.ts
+++ b/packages/scaling/src/scale-planner.ts
@@ -88,6 +88,8 @@
 const settleTime = 3_000_000;
 const longestSettle = 10_000_000;
 const leastShareOfZone = 0.5;
+/** The load of all zones counts in each as that of so many workers. */
+const sharedWeight = 24;
 
 /** A planner that has seen nothing yet. */
 export function createScalePlanner(options: ScalePlannerOptions): ScalePlanner {
@@ -138,13 +140,21 @@
   for (const zone of present.keys()) {
     if (!service.zones.has(zone)) service.zones.set(zone, newZone(zone, service.windows, now));
   }
+  const shared = sharedLoad([...present.values()]);
   for (const zone of service.zones.values()) {
-    observeZone(zone, present.get(zone.zone) ?? { listed: 0, reported: 0, load: undefined }, now);
+    observeZone(zone, present.get(zone.zone) ?? { listed: 0, reported: 0, load: undefined }, shared, now);
     noteOrdered(state, service, zone, now);
   }
   observeTotal(service, now);
 }
 
+/** The mean load of the zones, by their workers; routers send requests on to other zones where their own is crowded. */
+function sharedLoad(zones: readonly ZoneLoad[]): number {
+  const known = zones.filter(({ load }) => load !== undefined);
+  const workers = known.reduce((sum, { reported }) => sum + reported, 0);
+  return workers === 0 ? 0 : known.reduce((sum, { load, reported }) => sum + load! * reported, 0) / workers;
+}
+
 function newZone(zone: string, windows: ScalingWindows, now: number): ZoneState {
   const none: ZoneLoad = { listed: 0, reported: 0, load: undefined };
   return {
@@ -159,12 +169,16 @@
   };
 }
 
-function observeZone(zone: ZoneState, present: ZoneLoad, now: number): void {
+function observeZone(zone: ZoneState, present: ZoneLoad, shared: number, now: number): void {
   if (present.listed !== zone.present.listed) zone.unchangedSince = now;
   zone.present = present;
   zone.mostListed = Math.max(zone.mostListed, present.listed);
+  const { load, reported } = present;
+  if (load === undefined) return;
+  // Reports of few workers swing, so a zone counts for as much as it has.
+  const smoothed = (load * reported + shared * sharedWeight) / (reported + sharedWeight);
   // Workers that are listed and do not report may be booting: they add no demand that would call for more of them.
-  if (present.load !== undefined) zone.history.add(now, present.load * present.reported);
+  zone.history.add(now, smoothed * reported, load * reported);
 }
 
 function noteOrdered(state: PlannerState, service: ServiceState, zone: ZoneState, now: number): void {
@@ -177,10 +191,8 @@
 function observeTotal(service: ServiceState, now: number): void {
   const zones = [...service.zones.values()].filter(({ present }) => present.listed > 0);
   if (zones.length === 0 || zones.some(({ present }) => present.load === undefined)) return;
-  service.total.add(
-    now,
-    zones.reduce((sum, { present }) => sum + present.load! * present.listed, 0),
-  );
+  const demand = zones.reduce((sum, { present }) => sum + present.load! * present.listed, 0);
+  service.total.add(now, demand, demand);
 }
 
 function plan(state: PlannerState, now: number): readonly PlannedOrder[] {
