A test of the duties with the real programs: each request reported once, also after the reporter was killed

Two processes, a worker and the platform's calls played by the test: six requests of a tenant, the control node killed, four more; one content a window, two fences that rise, one order of workers.

--- a/tests/platform-processes.test.ts
+++ b/tests/platform-processes.test.ts
@@ -52,8 +52,22 @@
         : { control_plane: `${ip}:${ports.control}` },
     limits: { cpu_fraction: 1, cpu_cores: 2, memory_mb: 400, max_fds: 4096, link_mbps: 1000, disk_mb: 128 },
     fault_budget: { machine_losses: 0, zones: 0, region_losses: 0 },
-    bounds: { grace_s: 6, drain_ms: 3000, retry_ratio: 0.2, retry_slack: 50, retry_window_s: 10 },
-    platform_api: { address: `${hosts.platform}:${ports.list}`, rate_per_s: 47, duties: [], max_lag_ms: 800 },
+    bounds: {
+      grace_s: 6,
+      drain_ms: 3000,
+      retry_ratio: 0.2,
+      retry_slack: 50,
+      retry_window_s: 10,
+      usage_window_s: 1,
+      usage_delay_s: 4,
+    },
+    platform_api: {
+      address: `${hosts.platform}:${ports.list}`,
+      rate_per_s: 47,
+      duties: ['usage_report', 'autoscale'],
+      max_lag_ms: 800,
+      duty_per_s: 20,
+    },
     ...over,
   });
 }
@@ -70,8 +84,29 @@
   return new Promise((done) => children.get(role)!.once('exit', (code, signal) => done([code, signal])));
 }
 
+/** A call of a duty, as the platform took it. */
+interface DutyCall {
+  readonly path: string;
+  readonly holder: unknown;
+  readonly fence: number;
+  readonly body: string;
+}
+const dutyCalls: DutyCall[] = [];
+
+/** The platform's API: the list of workers, and the calls of duties, which it takes. */
+function playPlatform(request: http.IncomingMessage, answer: http.ServerResponse): void {
+  if (request.method === 'GET') return playList(`${hosts.platform}:${ports.worker}`, answer);
+  const parts: Buffer[] = [];
+  request.on('data', (part: Buffer) => parts.push(part));
+  request.on('end', () => {
+    const { 'x-duty-holder': holder, 'x-fence': fence } = request.headers;
+    dutyCalls.push({ path: request.url!, holder, fence: Number(fence), body: Buffer.concat(parts).toString() });
+    answer.end();
+  });
+}
+
 let requests = 0;
-function ask(path: string, hold = false): Asked {
+function ask(path: string, hold = false, more: Record<string, string> = {}): Asked {
   requests += 1;
   const headers = {
     host: 'h.example',
@@ -79,6 +114,7 @@
     'x-deadline-ms': '60000',
     'x-token-counts': '10,2',
     ...(hold ? { 'x-hold': 'yes' } : {}),
+    ...more,
   };
   return call({ host: hosts.edge, port: ports.front, path, method: 'POST' }, headers, 'body');
 }
@@ -92,10 +128,7 @@
 function readBack(): Promise<Answer> {
   return call({ host: hosts.control, port: ports.control, path: '/config' }).answer;
 }
-const servers = [
-  http.createServer((q, a) => playWorker(heldAnswers, q, a)),
-  http.createServer((_q, a) => playList(`${hosts.platform}:${ports.worker}`, a)),
-];
+const servers = [http.createServer((q, a) => playWorker(heldAnswers, q, a)), http.createServer(playPlatform)];
 beforeAll(async () => {
   for (const [n, port] of [ports.worker, ports.list].entries())
     await new Promise<void>((up) => servers[n]!.listen(port, hosts.platform, up));
@@ -161,6 +194,57 @@
   expect(answer.body).toBe(configuration(7, ['later']));
 });
 
+interface UsageReport {
+  readonly window_id: number;
+  readonly counts: Readonly<Record<string, number>>;
+}
+function usageReports(): UsageReport[] {
+  const bodies = dutyCalls.filter(({ path }) => path === '/usage').map(({ body }) => body);
+  return [...new Set(bodies)].map((body) => JSON.parse(body) as UsageReport);
+}
+/** Asks so often with the tenant's key, and waits until so many in all have been reported. */
+async function askAndAwaitReports(times: number, reported: number): Promise<void> {
+  const authorization = 'Bearer key-of-a-tenant';
+  for (let n = 0; n < times; n += 1)
+    expect(await ask('/later/a', false, { authorization }).answer).toMatchObject(whole);
+  function total(): number {
+    return usageReports().reduce((sum, { counts }) => sum + (counts['a-tenant'] ?? 0), 0);
+  }
+  await until(readBack, () => total() >= reported);
+  expect(total()).toBe(reported);
+}
+
+it('reports each request of a tenant once, in one content a window and under rising fences, also after a kill', async () => {
+  const document = JSON.parse(configuration(11, ['later'])) as { backends: object[] };
+  const scaling = { min_count: 1, max_count: 3, boot_time_s: 2 };
+  const tenants = [{ name: 'a-tenant', api_keys: ['key-of-a-tenant'] }];
+  const backends = [{ ...document.backends[0]!, scaling }];
+  expect((await put(JSON.stringify({ ...document, backends, tenants }), '7')).status).toBe(200);
+  await until(
+    () => ask('/later/a').answer,
+    (a) => a.status === 401,
+  );
+  await askAndAwaitReports(6, 6);
+  const gone = ended('keeper');
+  children.get('keeper')!.kill('SIGKILL');
+  await gone;
+  start('keeper');
+  await askAndAwaitReports(4, 10);
+  const windows = usageReports().map((report) => report.window_id);
+  expect(new Set(windows).size).toBe(windows.length);
+  const fences = dutyCalls.filter(({ path }) => path === '/usage').map(({ fence }) => fence);
+  expect(fences).toEqual([...fences].sort((a, b) => a - b));
+  expect(new Set(fences).size).toBe(2);
+  const orders = dutyCalls.filter(({ path }) => path === '/scale').map(({ body }) => body);
+  expect(new Set(orders)).toEqual(new Set(['{"backend":"s","zone":"a","desired":1}']));
+  const first = configuration(13, ['later']);
+  expect((await put(first, '11')).status).toBe(200);
+  await until(
+    () => ask('/later/a').answer,
+    (a) => a.status === 200,
+  );
+});
+
 it('lets what is under way end whole after SIGTERM, shows that it is not ready, and ends with 0', async () => {
   await until(ready, (a) => a.status === 200);
   const held = ask('/later/a', true);
