--- a/packages/pass-through/src/admission-attempts.test.ts
+++ b/packages/pass-through/src/admission-attempts.test.ts
@@ -111,7 +111,7 @@
 
 it('resumes no stream at another worker for a key that was taken away', async () => {
   const given = await sent([holder], [], (sink) => {
-    sink.head({ status: 200, head: ['X-Server-Seal', 's', 'Content-Type', 'text/event-stream'] });
+    sink.head({ status: 200, head: ['Seal', 's', 'Content-Type', 'text/event-stream'] });
     void sink.chunk(Buffer.from('id: 1\ndata: a\n\n'));
     return { tag: 'unknown', why: 'broken' };
   });
