--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -15,6 +15,7 @@
 const turns = Number(process.env.TURNS ?? 6500);
 const tokensPerPart = 10;
 const concurrency = 8;
+const maxSessionMs = 95_000;
 const bystanders = 16;
 /** How long a worker works on a bystander's request before its first bytes. */
 const bystanderFirstMs = 1200;
@@ -122,11 +123,12 @@
   return prefix.join(',');
 }
 
-/** The session: `concurrency` requests are under way at a time. */
+/** The session: `concurrency` requests are under way at a time. Returns whether it came to its end in time. */
 async function playSession() {
+  const until = Date.now() + maxSessionMs;
   let next = 1;
   async function lane() {
-    while (next <= turns) {
+    while (next <= turns && Date.now() < until) {
       const parts = next;
       next += 1;
       await ask({ agent: sessionAgent, path: '/ask/session', prefix: prefixOf(parts), tokens: parts * tokensPerPart });
@@ -134,6 +136,7 @@
     }
   }
   await Promise.all(Array.from({ length: concurrency }, lane));
+  return next > turns;
 }
 
 /** One bystander: asks again and again over its kept connection. */
@@ -168,8 +171,7 @@
   await addWorker(4, 'prefill');
   const configuration = configurationOf(1, { maxHeaderBytes: 65_536 });
   const acknowledged = await putConfiguration(deployment.controls, configuration, 0, record);
-  if (acknowledged && (await deployment.waitUntilReady(10_000))) {
-    await playSession();
+  if (acknowledged && (await deployment.waitUntilReady(10_000)) && (await playSession())) {
     const until = Date.now() + 12_000;
     const others = Array.from({ length: bystanders }, (_, number) => playBystander(number, until));
     await sleep(3000);
@@ -182,7 +184,7 @@
       `${broken ? 'BROKEN' : 'held'}: ${unanswered.length} requests from kept connections were passed on to a sound worker and ended without an answer (more than three break LOST)`,
     );
     exitCode = broken ? 1 : 0;
-  } else record('the deployment did not become ready');
+  } else record('the deployment did not become ready, or the session did not end in time');
 } catch (error) {
   record(`could not run: ${error.stack}`);
 } finally {
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -86,6 +86,20 @@
   await Promise.all(pending);
 }
 
+const reads = { calm: {}, episodes: {} };
+let inEpisode = false;
+/** Reads the configuration as an operator does, at one control node after the other. */
+async function readUntil(until) {
+  for (let turn = 0; Date.now() < until; turn += 1) {
+    const phase = inEpisode ? reads.episodes : reads.calm;
+    const control = deployment.controls[turn % deployment.controls.length];
+    const answer = await call({ ...control, path: '/config', timeoutMs: 1000 });
+    const end = answer.end === 'whole' ? `${answer.status}` : answer.end;
+    phase[end] = (phase[end] ?? 0) + 1;
+    await sleep(200);
+  }
+}
+
 /** One episode of trouble at the first workers of the list. */
 async function playEpisode(number) {
   const sick = workers.slice(0, Math.floor(dose.share * workers.length));
@@ -97,7 +111,9 @@
       spoilt: 0,
       body: (sound) => JSON.stringify(sound).replace(/"queued":\d+/, '"queued":18446744073709551615'),
     };
+  inEpisode = true;
   await sleep(dose.forMs);
+  inEpisode = false;
   for (const worker of sick) {
     const { answers, spoilt } = worker.state.trouble;
     record(`episode ${number}: ${worker.id} spoilt ${spoilt} of ${answers} answers`);
@@ -115,7 +131,7 @@
   const acknowledged = await putConfiguration(deployment.controls, configurationOf(1), 0, record);
   if (acknowledged && (await deployment.waitUntilReady(10_000))) {
     const startedAt = Date.now();
-    const traffic = sendUntil(startedAt + endMs);
+    const traffic = Promise.all([sendUntil(startedAt + endMs), readUntil(startedAt + endMs)]);
     for (const [index, at] of episodesAtMs.entries()) {
       await sleep(startedAt + at - Date.now());
       if (trouble) await playEpisode(index + 1);
@@ -126,6 +142,9 @@
     const broken = ending.length >= core.length / 2;
     record(`ends by themselves: ${deployment.machines.map(({ name, ownEnds }) => `${name} ${ownEnds}`).join(', ')}`);
     record(`answers to ${sent} requests: ${JSON.stringify(tally)}`);
+    record(
+      `reads of the configuration in calm: ${JSON.stringify(reads.calm)}, in episodes: ${JSON.stringify(reads.episodes)}`,
+    );
     record(
       broken
         ? `BROKEN: processes ended by themselves three times on ${ending.length} of ${core.length} core machines`
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -142,6 +142,12 @@
   }
   for (const machine of machines) start(machine);
 
+  // No process is left behind, also when this one is stopped early.
+  process.on('exit', () => {
+    for (const { child } of machines) child?.kill('SIGKILL');
+  });
+  for (const signal of ['SIGINT', 'SIGTERM']) process.on(signal, () => process.exit(2));
+
   async function waitUntilReady(limitMs) {
     const until = Date.now() + limitMs;
     while (Date.now() < until) {
@@ -164,7 +170,7 @@
     await Promise.all(ended);
     for (const { name } of machines) {
       const lines = readFileSync(join(folder, name, 'log'), 'utf8')
-        .replaceAll(root, './')
+        .replaceAll(root, '.')
         .split('\n');
       const errors = lines.filter((line) => /^(\w*Error|    at |node:internal\/process)/.test(line));
       if (errors.length > 0) record(`log of ${name}, errors: ${errors.slice(0, 6).join(' | ')}`);
