--- a/packages/pass-through/src/request-handler.ts
+++ b/packages/pass-through/src/request-handler.ts
@@ -133,7 +133,7 @@
   ports: RequestHandlerPorts,
 ): RequestHandler {
   const context = createHandlerContext(world, options, ports);
-  const { fleet, prefixTree: tree } = context;
+  const { fleet } = context;
   let routes: RoutingState | undefined;
   const decodeAvailability = createDecodeAvailability(world);
   let workers: readonly FleetWorker[] | undefined;
@@ -154,7 +154,7 @@
 
   function updateWorkers(workerList: readonly FleetWorker[]): void {
     workers = workerList;
-    for (const id of fleet.updateWorkers(workerList)) tree.removeWorker(id);
+    context.prefixTree.removeWorkers(fleet.updateWorkers(workerList));
     onStateChanged();
   }
 
--- a/programs/request-router/src/router-core.ts
+++ b/programs/request-router/src/router-core.ts
@@ -809,7 +809,7 @@
     if (message.kind === 'ClaimAnswer') return idempotencyClaims.receiveAnswer(message);
     if (message.kind !== 'Feed') return;
     for (const worker of workerTable.mergeStates(message.workers)) {
-      prefixTree.removeWorker(worker);
+      prefixTree.removeWorkers([worker]);
       paces.removeWorker(worker);
     }
     workerTable.mergeReports(message.reports);
