Decode recovery: a failed request for a report neither ends the control node nor holds up the other workers

Cause: the step waits for several reports together and nothing handled its rejection, which ends the process; one failed request also kept the others from being used. Change: a request that fails counts as unanswered; runInBackground logs the rejection of a promise that nobody waits for (event 1005).

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -28,6 +28,11 @@
     meaning: 'program ended by an error',
     remedy: 'Read the message: it names the field or file.',
   },
+  1005: {
+    level: 'error',
+    meaning: 'unexpected error in a timer, message or background task; the program continues without its result',
+    remedy: 'Report it with the stack.',
+  },
   1101: {
     level: 'warn',
     meaning: 'internal connection closed after an invalid frame',
--- a/packages/inner-protocol/src/index.ts
+++ b/packages/inner-protocol/src/index.ts
@@ -1,5 +1,6 @@
 export * from './brands.js';
 export * from './codec.js';
+export * from './containment.js';
 export * from './errors.js';
 export * from './frame.js';
 export * from './hash.js';
--- a/packages/worker-stages/src/decode-liveness.ts
+++ b/packages/worker-stages/src/decode-liveness.ts
@@ -5,7 +5,7 @@
  * services with prefill workers are probed, as the others could not be recovered.
  */
 import type { ListedWorker } from '@tansypost/control-feed';
-import type { World } from '@tansypost/inner-protocol';
+import { runInBackground, type World } from '@tansypost/inner-protocol';
 import type { WorkerStageClient } from './ports.js';
 import { workersOf } from './recovery-plan.js';
 
@@ -44,7 +44,7 @@
   readonly knownWorkers: Set<string>;
 }
 
-type Clock = Pick<World, 'now'>;
+type Clock = Pick<World, 'now' | 'log'>;
 
 /** Time without any answer after which the decode workers of a service count as unresponsive. */
 const unresponsiveTimeoutUs = 3_000_000;
@@ -72,7 +72,8 @@
     probes.set(service, state);
     admitNewWorkers(world, state, decode);
     if (state.isProbing || world.now() < state.nextProbeAt) return;
-    if (options.served().includes(service)) void probe(world, options.report, state, decode);
+    if (options.served().includes(service))
+      runInBackground(world.log, 'probe of decode workers', probe(world, options.report, state, decode));
     else probes.set(service, createServiceProbe(world));
   }
 
--- a/packages/worker-stages/src/decode-recovery.test.ts
+++ b/packages/worker-stages/src/decode-recovery.test.ts
@@ -67,6 +67,8 @@
     partitionedNode: -1,
     /** Workers that are listed but answer no node. */
     unresponsive: new Set<string>(),
+    /** Workers at which a request for a report fails with an error. */
+    failing: new Set<string>(),
   };
   setList(list);
 
@@ -160,6 +162,7 @@
       workerClient: {
         report: async ({ id }) => {
           const entry = workers.get(id);
+          if (scenario.failing.has(id)) throw new Error('report failed');
           if (entry === undefined || !scenario.reachable() || scenario.unresponsive.has(id)) return undefined;
           return { stage: entry.listed.part, ...entry };
         },
@@ -212,6 +215,24 @@
   expect(clock.logged.filter((entry) => entry.event === 4103)).toHaveLength(1);
 });
 
+// Guards against control nodes that ended at a report that was null, again after each start, while a service was down.
+it('orders another worker if the request for a report of one fails with an error', async () => {
+  const { clock, scenario, orders, setList } = createScenario([...prefill, decodeWorker]);
+  scenario.failing.add('r0').add('r1');
+  await clock.runTo(10 * second);
+  setList([...prefill, { ...decodeWorker, leaving: true }]);
+  const rejections: unknown[] = [];
+  function recordRejection(reason: unknown): void {
+    rejections.push(reason);
+  }
+  process.on('unhandledRejection', recordRejection);
+  await clock.runTo(30 * second);
+  await new Promise((done) => setImmediate(done));
+  process.off('unhandledRejection', recordRejection);
+  expect(rejections).toEqual([]);
+  expect(orders.map((order) => order.worker)).toEqual(['r2']);
+});
+
 it('waits for decode workers that vanished, and orders no worker if one comes back', async () => {
   const { clock, orders, setList } = createScenario([...prefill, decodeWorker]);
   await clock.runTo(10 * second);
--- a/packages/worker-stages/src/decode-recovery.ts
+++ b/packages/worker-stages/src/decode-recovery.ts
@@ -7,7 +7,15 @@
 import type { ControlNode } from '@tansypost/control-state';
 import type { ListedWorker, StoredValue } from '@tansypost/control-feed';
 import { createCandidate } from '@tansypost/duty';
-import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  runInBackground,
+  type Address,
+  type Cancel,
+  type MessageOf,
+  type World,
+} from '@tansypost/inner-protocol';
 import * as E from 'fp-ts/lib/Either.js';
 import { createDecodeLiveness, type DecodeLiveness } from './decode-liveness.js';
 import { createOrderedWorkers, type OrderedWorkers } from './ordered-workers.js';
@@ -133,10 +141,11 @@
     const service = needs.dueService();
     if (service === undefined || isStepping || world.now() < nextStepAt || !context.canOrder()) return;
     isStepping = true;
-    void orderNextWorker(context, service).finally(() => {
+    const step = orderNextWorker(context, service).finally(() => {
       isStepping = false;
       nextStepAt = world.now() + stepDelayUs;
     });
+    runInBackground(world.log, 'decode recovery', step);
   }
 
   return every(world, () => pollInterval, poll);
@@ -164,10 +173,18 @@
   if (chosen !== undefined) await recordAndSendOrder(context, record.right, stored.version, chosen);
 }
 
+/** The report of each worker; a request that fails counts as unanswered, so that it does not hold up the others. */
+function fetchReports(
+  workerClient: WorkerStageClient,
+  workers: readonly ListedWorker[],
+): Promise<(WorkerReport | undefined)[]> {
+  return Promise.all(workers.map((worker) => workerClient.report(worker).catch(() => undefined)));
+}
+
 /** Whether more workers may follow. Existing decode workers were ordered before, and one of them must run requests first. */
 async function isDecodeProven({ workerClient }: DecodeRecoveryOptions, { decode }: ServiceWorkers): Promise<boolean> {
   if (decode.length === 0) return true;
-  const reports = await Promise.all(decode.slice(0, maxReportsPerStep).map(workerClient.report));
+  const reports = await fetchReports(workerClient, decode.slice(0, maxReportsPerStep));
   return reports.some((report) => report !== undefined && report.stage === 'decode' && report.load > 0);
 }
 
@@ -178,7 +195,7 @@
 ): Promise<ChosenWorker | undefined> {
   const eligible = prefill.filter((worker) => !ordered.isPending(worker.id) && !ordered.isExcluded(worker.id));
   const asked = eligible.slice(0, maxReportsPerStep);
-  const reports = await Promise.all(asked.map(options.workerClient.report));
+  const reports = await fetchReports(options.workerClient, asked);
   const answered: ChosenWorker[] = [];
   let isChanging = false;
   for (const [index, worker] of asked.entries()) {
