--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -241,6 +241,12 @@
     meaning: 'request did not end in time: how it ended, where its time was spent, and which workers it used',
     remedy: 'None for a single request; `tansypost decisions` summarizes the causes.',
   },
+  5110: {
+    level: 'warn',
+    meaning: 'entries of the worker list were left out because they are invalid',
+    remedy:
+      'Correct them at the platform: each needs an id, a service and an address; its numbers must not be negative.',
+  },
   6001: { level: 'info', meaning: 'test worker changed its stage', remedy: 'None.' },
   6002: {
     level: 'warn',
