--- a/packages/pass-through/src/sse-framer.ts
+++ b/packages/pass-through/src/sse-framer.ts
@@ -32,7 +32,7 @@
 }
 
 function idOf(event: Buffer): number | undefined {
-  const line = /(?:^|\n)id: ?(\d+)\r?\n/.exec(event.toString('latin1'));
+  const line = /(?:^|\n)id: ?(\d{1,15})\r?\n/.exec(event.toString('latin1'));
   return line === null ? undefined : Number(line[1]);
 }
 
