Confine unexpected errors to the timer, message, request or task in which they occur

Cause: an exception in a timer, in the handler of a message or in a promise that nobody waits for ends the process. A periodic task that threw was not scheduled again; a message that cannot be encoded, or whose receiver is no address, threw in the middle of a loop over receivers. Change, at the edges of a real process: createRealWorld contains timers and messages, send drops and logs what cannot be sent (1102), every() goes on, timers are cut to what Node.js accepts (a delay beyond 2^31 ms ran at once). A control node restarts from its disk after an unexpected error, as its state in memory may be inconsistent; its pending writes end first, so what it has promised is read back. Promises without a caller that waits go through runInBackground. Announcements are collected without spreading a list of any length over the stack. The simulators still throw, so that they find such errors.

--- a/packages/control-feed/src/feed-server.ts
+++ b/packages/control-feed/src/feed-server.ts
@@ -112,7 +112,7 @@
   /** Collects prefill announcements of routers that are too many to send to each other directly. */
   function relayPrefills(message: MessageOf<'Reading'>): void {
     const isFirst = pendingPrefills.length === 0;
-    pendingPrefills.push(...message.reads);
+    for (const prefill of message.reads) pendingPrefills.push(prefill);
     if (isFirst) world.after(relayDelay, flushPrefills);
   }
 
--- a/packages/control-feed/src/worker-list-follower.ts
+++ b/packages/control-feed/src/worker-list-follower.ts
@@ -2,7 +2,7 @@
  * A router's list of workers. Control nodes send it, complete or as changes; if none has sent or confirmed it for a
  * while, the router fetches the list from the platform itself.
  */
-import type { Address, MessageOf, World } from '@tansypost/inner-protocol';
+import { runInBackground, type Address, type MessageOf, type World } from '@tansypost/inner-protocol';
 import type { ControlNodeTable } from './control-node-table.js';
 import { decodeListedWorker, workerListDigest, type ListedWorker } from './listed-worker.js';
 import { createWorkerListView } from './worker-list-view.js';
@@ -63,7 +63,11 @@
     if (fetching || now < nextFetchAt || now - view.newestSnapshotAt() < options.maxListAge) return;
     fetching = true;
     nextFetchAt = now + fetchDelayUs + world.random() * fetchDelayUs;
-    options.fetchWorkerList().then(onFetched, () => onFetched(undefined));
+    const fetched = options
+      .fetchWorkerList()
+      .catch(() => undefined)
+      .then(onFetched);
+    runInBackground(world.log, 'fetch of the worker list', fetched);
     function onFetched(workers: readonly ListedWorker[] | undefined): void {
       fetching = false;
       if (workers !== undefined && view.addSnapshot('', { at: now, workers })) options.onChange();
--- a/packages/control-feed/src/worker-list-poller.ts
+++ b/packages/control-feed/src/worker-list-poller.ts
@@ -3,7 +3,15 @@
  * seldom; when the first node fails, the node that takes over its rank polls often. Changes are sent to followers at
  * once.
  */
-import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  runInBackground,
+  type Address,
+  type Cancel,
+  type MessageOf,
+  type World,
+} from '@tansypost/inner-protocol';
 import { workerListDigest, isSameListing, type ListedWorker } from './listed-worker.js';
 
 type WorkerList = MessageOf<'WorkerList'>;
@@ -57,7 +65,11 @@
     if (polling || now < lastPollAt + pollInterval() - pollToleranceUs) return;
     polling = true;
     lastPollAt = now;
-    options.fetchWorkerList().then(onFetched, () => onFetched(undefined));
+    const fetched = options
+      .fetchWorkerList()
+      .catch(() => undefined)
+      .then(onFetched);
+    runInBackground(world.log, 'fetch of the worker list', fetched);
     function onFetched(workers: readonly ListedWorker[] | undefined): void {
       polling = false;
       if (workers !== undefined) update(workers, now);
--- a/packages/control-feed/src/worker-load-poller.ts
+++ b/packages/control-feed/src/worker-load-poller.ts
@@ -1,5 +1,13 @@
 /** Polls the loads of workers on a control node; the workers are divided among the live control nodes. */
-import { every, micros, type Address, type Cancel, type MessageOf, type World } from '@tansypost/inner-protocol';
+import {
+  every,
+  micros,
+  runInBackground,
+  type Address,
+  type Cancel,
+  type MessageOf,
+  type World,
+} from '@tansypost/inner-protocol';
 import type { ListedWorker } from './listed-worker.js';
 import type { WorkerLoad } from './worker-loads.js';
 
@@ -43,10 +51,11 @@
 
   function pollWorker(worker: ListedWorker): void {
     const at = world.now();
-    options.fetchWorkerLoad(worker).then(
-      (load) => addResult(load === undefined ? silentLoad(worker.id, at) : { ...load, silent: false, at }),
-      () => addResult(silentLoad(worker.id, at)),
-    );
+    const polled = options
+      .fetchWorkerLoad(worker)
+      .catch(() => undefined)
+      .then((load) => addResult(load === undefined ? silentLoad(worker.id, at) : { ...load, silent: false, at }));
+    runInBackground(world.log, 'poll of a load', polled);
   }
 
   function addResult(load: PollResult): void {
--- a/packages/duty-log/src/timed-call.ts
+++ b/packages/duty-log/src/timed-call.ts
@@ -1,5 +1,5 @@
 /** Makes a call to the platform with a timeout. */
-import { micros, type World } from '@tansypost/inner-protocol';
+import { micros, runInBackground, type World } from '@tansypost/inner-protocol';
 import type { CallOutcome, DutyCall, DutyPort } from './ports.js';
 
 /** How calls are made. */
@@ -11,7 +11,7 @@
 
 /** The outcome of a call, or `unknown` after the timeout. An outcome that arrives later is passed to `onLateOutcome`. */
 export function callWithTimeout(
-  world: Pick<World, 'after'>,
+  world: Pick<World, 'after' | 'log'>,
   { port, callTimeout }: TimedCallOptions,
   call: DutyCall,
   onLateOutcome: (outcome: CallOutcome) => void,
@@ -27,6 +27,10 @@
       if (!inTime) onLateOutcome(outcome);
       resolve(outcome);
     }
-    port.call(call).then(end, () => end('unknown'));
+    const ended = port
+      .call(call)
+      .catch(() => 'unknown' as const)
+      .then(end);
+    runInBackground(world.log, 'call to the platform', ended);
   });
 }
--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -38,6 +38,11 @@
     meaning: 'internal connection closed after an invalid frame',
     remedy: 'Check that only tansypost processes whose releases share a protocol version connect there.',
   },
+  1102: {
+    level: 'error',
+    meaning: 'message dropped because it cannot be encoded or its receiver is no valid address',
+    remedy: 'Report it with the message; another attempt follows where the message matters.',
+  },
   2001: {
     level: 'info',
     meaning: 'replica state changed',
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -80,7 +80,7 @@
     server.listen(splitAddress(options.listen), resolve);
   });
   return {
-    send: (to, message) => send(state, to, message),
+    send: (to, message) => sendOrDrop(state, to, message),
     close: () => close(state, server),
     droppedCount: () => state.droppedCount,
   };
@@ -96,8 +96,16 @@
   return link;
 }
 
-function send(state: TransportState, to: Address, message: Message): void {
+function sendOrDrop(state: TransportState, to: Address, message: Message): void {
   if (state.closed) return;
+  try {
+    send(state, to, message);
+  } catch (error) {
+    state.options.log(1102, { to, kind: message.kind, why: error instanceof Error ? error.message : String(error) });
+  }
+}
+
+function send(state: TransportState, to: Address, message: Message): void {
   const existing = state.links.get(to);
   const link = existing === undefined || existing.socket.destroyed ? open(state, to) : existing;
   if (link.socket.writableLength > (state.options.maxBufferedBytes ?? defaults.maxBufferedBytes)) {
--- a/packages/inner-protocol/src/real-world.ts
+++ b/packages/inner-protocol/src/real-world.ts
@@ -4,6 +4,7 @@
  */
 import { randomInt } from 'node:crypto';
 import { micros, type Address, type Micros } from './brands.js';
+import { runContained } from './containment.js';
 import { createTransport, type Transport } from './link.js';
 import { createSeededRandom } from './hash.js';
 import type { Message } from './messages.js';
@@ -12,15 +13,17 @@
 const nanosPerMicro = 1000n;
 const microsPerMillisecond = 1000;
 const seedRange = 2 ** 32;
+/** Node.js runs a timer with a longer delay at once. */
+const maxTimerDelayMs = 2 ** 31 - 1;
 
 /** Time of the machine's monotonic clock; its origin is before the start of any process. */
 export function monotonicNow(): Micros {
   return micros(Number(process.hrtime.bigint() / nanosPerMicro));
 }
 
-/** Starts a timer that doesn't keep the process alive. */
+/** Starts a timer that doesn't keep the process alive. A delay of more than 24 days is cut to that. */
 export function startTimer(delay: Micros, run: () => void): Cancel {
-  const timer = setTimeout(run, Math.max(0, delay / microsPerMillisecond));
+  const timer = setTimeout(run, Math.min(maxTimerDelayMs, Math.max(0, delay / microsPerMillisecond)));
   timer.unref();
   return () => clearTimeout(timer);
 }
@@ -40,7 +43,8 @@
 }
 
 /**
- * Listens for links and creates the world of this process. Rejects if it can't listen on the address.
+ * Listens for links and creates the world of this process. Errors in its timers and in the handler of messages are logged.
+ * Rejects if it can't listen on the address.
  * @param listen address of the listening socket
  * @param log writes events
  * @param advertise address at which other processes reach this one, if it differs
@@ -51,16 +55,19 @@
   advertise: Address = listen,
 ): Promise<RealWorld> {
   let handler: MessageHandler | undefined;
-  const carrier = await createTransport({
+  const transport = await createTransport({
     listen,
     advertise,
     log,
-    receive: (message, from) => handler?.(message, from),
+    receive: (message, from) => runContained(log, `message ${message.kind}`, () => handler?.(message, from)),
   });
-  const world: World = { now: monotonicNow, random: systemRandom, after: startTimer, send: carrier.send, log };
+  function after(delay: Micros, run: () => void): Cancel {
+    return startTimer(delay, () => runContained(log, 'timer', run));
+  }
+  const world: World = { now: monotonicNow, random: systemRandom, after, send: transport.send, log };
   return {
     world,
-    transport: carrier,
+    transport,
     onMessage: (newHandler) => {
       handler = newHandler;
     },
--- a/packages/inner-protocol/src/world.ts
+++ b/packages/inner-protocol/src/world.ts
@@ -16,20 +16,26 @@
   readonly random: () => number;
   /** Runs the callback once after the delay. */
   readonly after: (delay: Micros, run: () => void) => Cancel;
-  /** Best effort: messages may be lost, delayed and reordered without notice. */
+  /**
+   * Best effort: messages may be lost, delayed and reordered without notice. In a real process a message that can't be
+   * encoded, or whose receiver is no valid address, is logged and dropped.
+   */
   readonly send: (to: Address, message: Message) => void;
   /** Logs an event; its number is listed in the catalogue of the event-log package. */
   readonly log: (event: number, fields: Record<string, unknown>) => void;
 }
 
-/** Runs `task` repeatedly; `nextDelay` gives the delay before each run. */
+/** Runs `task` repeatedly, also after a run that throws; `nextDelay` gives the delay before each run. */
 export function every(world: Pick<World, 'after'>, nextDelay: () => Micros, task: () => void): Cancel {
   let stopped = false;
   let cancel: Cancel = world.after(nextDelay(), tick);
   function tick(): void {
     if (stopped) return;
-    task();
-    if (!stopped) cancel = world.after(nextDelay(), tick);
+    try {
+      task();
+    } finally {
+      if (!stopped) cancel = world.after(nextDelay(), tick);
+    }
   }
   return function stop() {
     stopped = true;
--- a/packages/learning/src/rehearsal-controller.ts
+++ b/packages/learning/src/rehearsal-controller.ts
@@ -4,7 +4,7 @@
  * one conditional write, which also counts the analysis. As the totals are kept by the routers, a new leader has
  * them within one reporting interval. A router's two cohorts are reported and lost together, so missing reports favour neither.
  */
-import { micros, type CohortStatistics, type MessageOf, type World } from '@tansypost/inner-protocol';
+import { micros, runInBackground, type CohortStatistics, type MessageOf, type World } from '@tansypost/inner-protocol';
 import {
   cohortNameOf,
   endRehearsal,
@@ -57,7 +57,7 @@
   function apply(judged: Rehearsal, change: (record: RehearsalRecord) => RehearsalRecord): void {
     const { id } = judged;
     busy = true;
-    void options.writer
+    const applied = options.writer
       .update(
         (record) =>
           record.running?.id === id && record.running.stage === judged.stage && record.running.looks === judged.looks
@@ -74,6 +74,7 @@
           busy = false;
         });
       });
+    runInBackground(world.log, 'change of a rehearsal', applied);
   }
 
   function tick(): void {
--- a/packages/learning/src/router-learning.ts
+++ b/packages/learning/src/router-learning.ts
@@ -5,7 +5,14 @@
  * assigns no cohort; without a control node in contact, samples are dropped and statistics are not sent.
  */
 import * as E from 'fp-ts/lib/Either.js';
-import { micros, type Address, type CohortStatistics, type KeyUpdate, type World } from '@tansypost/inner-protocol';
+import {
+  micros,
+  runInBackground,
+  type Address,
+  type CohortStatistics,
+  type KeyUpdate,
+  type World,
+} from '@tansypost/inner-protocol';
 import type { CompletedRequest, CohortAssignment } from '@tansypost/pass-through';
 import { sampleBatchSize, decodeModel, predictTtft, featureCount, type Model, type Sample } from '@tansypost/placement';
 import {
@@ -124,11 +131,14 @@
     // A model that has just been written is being sent to all routers; the delay gives that update time to arrive.
     world.after(micros(fetchRetryDelayUs * (0.25 + 0.5 * world.random())), () => {
       if (models.has(model.hash) || !referencedModels().some((other) => other.hash === model.hash)) return finish();
-      void options.controlClient.request({ op: 'read', key: model.blob, timeoutUs: 4_000_000 }).then((response) => {
-        if (response.status === 'value' && referencedModels().some((other) => other.hash === model.hash))
-          decode(model, response.value);
-        world.after(micros(fetchRetryDelayUs), finish);
-      });
+      const fetched = options.controlClient
+        .request({ op: 'read', key: model.blob, timeoutUs: 4_000_000 })
+        .then((response) => {
+          if (response.status === 'value' && referencedModels().some((other) => other.hash === model.hash))
+            decode(model, response.value);
+        })
+        .finally(() => world.after(micros(fetchRetryDelayUs), finish));
+      runInBackground(world.log, 'fetch of a model', fetched);
     });
     function finish(): void {
       isFetching = false;
--- a/packages/learning/src/training-controller.ts
+++ b/packages/learning/src/training-controller.ts
@@ -3,7 +3,7 @@
  * starts its rehearsal. The model's bytes go into one of four slots that neither the live model, the previous one nor a
  * running rehearsal uses. A model goes live only through a rehearsal.
  */
-import { micros, type MessageOf, type World } from '@tansypost/inner-protocol';
+import { micros, runInBackground, type MessageOf, type World } from '@tansypost/inner-protocol';
 import { decodeSamples, modelHash, featureCount, type ModelVersion, type Sample } from '@tansypost/placement';
 import { beginRehearsal, decodeRehearsalRecord, type ModelRef, type RehearsalRecord } from '@tansypost/rehearsal';
 import type { ControlStateClient } from './control-state-client.js';
@@ -87,11 +87,12 @@
         });
     } else if (waiting !== undefined && !isRehearsing) {
       busy = true;
-      void startRehearsal(waiting).finally(() => {
+      const begun = startRehearsal(waiting).finally(() => {
         world.after(micros(500_000), () => {
           busy = false;
         });
       });
+      runInBackground(world.log, 'start of a rehearsal', begun);
     }
   }
 
--- a/programs/control-node/src/control-node-host.test.ts
+++ b/programs/control-node/src/control-node-host.test.ts
@@ -2,9 +2,54 @@
 import { expect, it } from 'vitest';
 import * as E from 'fp-ts/lib/Either.js';
 import type { Disk, JournalRecord } from '@tansypost/control-state';
-import { micros, type Address, type World } from '@tansypost/inner-protocol';
+import { createVirtualClock, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import { createControlNodeHost } from './control-node-host.js';
 
+it('restarts the control node from its disk after an unexpected error in its code', async () => {
+  const clock = createVirtualClock();
+  let stored: JournalRecord[] = [];
+  let closings = 0;
+  const disk: Disk = {
+    append: (record, done) => {
+      stored.push(record);
+      done();
+    },
+    rewrite: (records, done) => {
+      stored = [...records];
+      done();
+    },
+    size: () => stored.length,
+  };
+  const host = createControlNodeHost(clock.world, {
+    slot: 0,
+    self: 'k0:1' as Address,
+    bootstrapMembers: ['k0:1', 'k1:1', 'k2:1'] as Address[],
+    seeds: [],
+    routerLeaseUs: 10_000_000,
+    roleLeaseUs: 3_000_000,
+    restartsOnError: true,
+    newDiskId: () => 'd1',
+    open: async () =>
+      E.right({
+        disk,
+        storedRecords: [...stored],
+        truncatedBytes: 0,
+        close: async () => void (closings += 1),
+      }),
+  });
+  await host.start();
+  const first = host.controlNode()!;
+  first.replica.putRow('k', { promised: 8, epoch: 8, version: 1, value: Buffer.from('v') }, [], () => undefined);
+  // Stands for any fault in the handling of a message.
+  host.receive(undefined as unknown as Message, 'k1:1' as Address);
+  expect(host.controlNode()).toBeUndefined();
+  await clock.runTo(5_000_000);
+  expect(host.controlNode()).not.toBe(first);
+  expect(host.controlNode()!.replica.row('k').version).toBe(1);
+  expect(closings).toBe(1);
+  expect(clock.logged.map(({ event }) => event)).toEqual(expect.arrayContaining([1005, 2010]));
+});
+
 it('stops the control node when its disk fails, retries until the disk works, and restores what was stored', async () => {
   let now = 0;
   let timers: { at: number; task: () => void }[] = [];
--- a/programs/control-node/src/main.ts
+++ b/programs/control-node/src/main.ts
@@ -23,6 +23,7 @@
     const host = createControlNodeHost(real.world, {
       slot: settings.slot,
       self,
+      restartsOnError: true,
       bootstrapMembers: settings.core as Address[],
       seeds: settings.seeds as Address[],
       open: (rewrite, discard) => openFileDisk(settings.data, rewrite, discard),
