Soak: workers, the worker list, clients and an operator send invalid input now and then

Change: 0.15 of the reports, 0.25 of the lists and 0.03 of the responses are faulty, one client a router sends extreme headers, and an operator submits configurations that must be refused. A response that its worker spoilt does not count as lost; its request must not be refused.

--- a/programs/fleet-runner/src/soak/soak-adapter.ts
+++ b/programs/fleet-runner/src/soak/soak-adapter.ts
@@ -31,6 +31,23 @@
   readonly body: string;
 }
 
+/**
+ * Input that is invalid or extreme, as faulty workers, platforms, clients and operators may send it now and then. It may
+ * fail, but no process may end because of it.
+ */
+export interface SoakFaultyInput {
+  /** Bodies of load reports. */
+  readonly reports: readonly string[];
+  /** Bodies of worker lists; those that are valid JSON contain the given workers too. */
+  readonly workerLists: (ips: readonly string[]) => readonly string[];
+  /** The bytes of a worker's responses to a request. */
+  readonly responses: (id: string) => readonly string[];
+  /** Requests of clients with extreme headers; they are complete and may be served. */
+  readonly requests: (id: string) => readonly SoakCall[];
+  /** Configurations of this revision that must not be accepted. */
+  readonly changes: (revision: number, base: number) => readonly SoakCall[];
+}
+
 export interface SoakAdapter {
   /** The configured time from SIGTERM until the process ends its open requests by force, in milliseconds. */
   readonly graceMs: number;
@@ -52,4 +69,5 @@
   readonly workerHeaders: (id: string) => OutgoingHttpHeaders;
   /** The chunks of a worker's response. */
   readonly chunks: readonly string[];
+  readonly faultyInput: SoakFaultyInput;
 }
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -5,6 +5,8 @@
 import { mkdirSync } from 'node:fs';
 import { createSeededRandom } from '@tansypost/inner-protocol';
 import { exchange, runSoakClient, type SoakOutcome } from './soak-client.js';
+import { submitFaultyChanges } from './faulty-operator.js';
+import { pick } from './pick.js';
 import type { SoakAdapter, SoakMachine } from './soak-adapter.js';
 import { createSoakMachines, type SoakMachines } from './soak-machines.js';
 import { createSoakOperator, type SoakOperator } from './soak-operator.js';
@@ -64,10 +66,6 @@
   return [...controls, ...routers];
 }
 
-function pick<T>(candidates: readonly T[], position: number): T {
-  return candidates[Math.min(candidates.length - 1, Math.floor(position * candidates.length))]!;
-}
-
 /** Half of the draws choose only machines that store no control state. */
 function drawSeeds(position: number, all: readonly SoakMachine[]): SoakMachine[] {
   const candidates = position < 0.5 ? all.filter((machine) => machine.role === 'router') : all;
@@ -139,6 +137,11 @@
     const id = `soak-${options.seed}-${requests}`;
     return { id, call: adapter.request(id, revision) };
   }
+  function faultyRequest(): { id: string; call: ReturnType<SoakAdapter['request']> } {
+    requests += 1;
+    const id = `soak-${options.seed}-${requests}`;
+    return { id, call: pick(adapter.faultyInput.requests(id), random()) };
+  }
   async function isReady(machine: SoakMachine): Promise<boolean> {
     return (await exchange(machine.ip, adapter.readiness)).answer?.status === 200;
   }
@@ -149,14 +152,15 @@
     const { answer } = await exchange(machine.ip, requestOn(operator.acknowledged()).call);
     return answer?.status === 200 && answer.complete;
   }
+  /** The last client of each router sends faulty requests. */
   function startClients(): Promise<void>[] {
     return routers.flatMap((machine) =>
-      Array.from({ length: clientsPerRouter }, () =>
+      Array.from({ length: clientsPerRouter + 1 }, (_, index) =>
         runSoakClient({
           machine: machine.name,
           ip: machine.ip,
           expectedBody: adapter.chunks.join(''),
-          nextRequest: () => requestOn(1),
+          nextRequest: () => (index < clientsPerRouter ? requestOn(1) : faultyRequest()),
           isFinished: () => isFinished,
           random,
           onOutcome: (outcome) => outcomes.push(outcome),
@@ -206,11 +210,19 @@
     if (!(await becomesTrueWithin(recoveryTimeoutMs, allReady)))
       violations.push({ rule: 'not back', detail: 'not ready after the first start' });
     const clients = startClients();
+    const faultyChanges = submitFaultyChanges({
+      adapter,
+      machines: controlNodes,
+      acknowledged: operator.acknowledged,
+      isFinished: () => isFinished,
+      random,
+    });
     await runSchedule();
     await operator.whenSettled();
     await checkRecovery();
     isFinished = true;
     await Promise.all(clients);
+    violations.push(...(await faultyChanges));
   } finally {
     isFinished = true;
     await machines.stopAll(maxStopMs);
--- a/programs/fleet-runner/src/soak/soak-verdict.ts
+++ b/programs/fleet-runner/src/soak/soak-verdict.ts
@@ -36,12 +36,13 @@
 /**
  * A request that reached a worker must get a complete response or an error, unless its router was killed meanwhile. A
  * request that crosses the close of its connection has not reached a worker. A router that has to exit may cut off a
- * worker that is still busy near the end of the grace period, if the request was sent soon after SIGTERM.
+ * worker that is still busy near the end of the grace period, if the request was sent soon after SIGTERM. A response that
+ * its worker spoilt cannot be passed on whole.
  */
 function lostRequests({ outcomes, executions, lifetimes, graceMs }: SoakHistory): SoakViolation[] {
   const cutOutcomes = outcomes.filter((outcome) => outcome.ended === 'cut' && executions.has(outcome.id));
   return cutOutcomes
-    .filter((outcome) => !wasKilled(outcome, lifetimes))
+    .filter((outcome) => !wasKilled(outcome, lifetimes) && !executions.get(outcome.id)!.spoilt)
     .filter(
       (outcome) => !outlastedGrace(outcome, executions.get(outcome.id)!, findLifetime(outcome, lifetimes), graceMs),
     )
--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -1,12 +1,15 @@
 /** Simulated workers and the worker list of the platform, served on loopback by the soak test's own process. */
 import http from 'node:http';
 import type { SoakAdapter } from './soak-adapter.js';
+import { pick } from './pick.js';
 
 /** The executions of one request on the workers. */
 export interface SoakExecution {
   count: number;
   /** When a worker had written its complete response, by `performance.now()`. */
   finishedAt: number;
+  /** Whether a worker sent a faulty response, which a router cannot pass on whole. */
+  spoilt: boolean;
 }
 
 export interface SoakWorkers {
@@ -21,6 +24,10 @@
   readonly random: () => number;
 }
 
+/** Shares of the reports, lists and responses that are faulty. */
+const faultyReportShare = 0.15;
+const faultyListShare = 0.25;
+const faultyResponseShare = 0.03;
 /** Most responses are short; some last longer than a router that got SIGTERM keeps running without accepting requests. */
 const shortChunkGapMs = 60;
 const longChunkGapMs = 900;
@@ -34,17 +41,32 @@
   function handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
     const id = adapter.requestIdOf(request.headers);
     request.resume();
-    if (id === undefined) return void response.end(adapter.workerLoadBody);
+    if (id === undefined) return void response.end(reportBody());
     request.on('end', () => {
-      const execution = executions.get(id) ?? { count: 0, finishedAt: Infinity };
+      const execution = executions.get(id) ?? { count: 0, finishedAt: Infinity, spoilt: false };
       execution.count += 1;
       executions.set(id, execution);
+      if (random() < faultyResponseShare) {
+        execution.spoilt = true;
+        return void request.socket.end(pick(adapter.faultyInput.responses(id), random()), 'latin1');
+      }
       response.writeHead(200, adapter.workerHeaders(id));
       response.on('finish', () => (execution.finishedAt = performance.now()));
       writeChunks(response, random() < longAnswerShare ? longChunkGapMs : shortChunkGapMs);
     });
   }
 
+  function reportBody(): string {
+    return random() < faultyReportShare ? pick(adapter.faultyInput.reports, random()) : adapter.workerLoadBody;
+  }
+
+  function listBody(): string {
+    const { ips } = options;
+    return random() < faultyListShare
+      ? pick(adapter.faultyInput.workerLists(ips), random())
+      : adapter.workerListBody(ips);
+  }
+
   function writeChunks(response: http.ServerResponse, maxChunkGapMs: number): void {
     const [first, ...remaining] = adapter.chunks;
     response.write(first);
@@ -60,7 +82,7 @@
   const servers = [
     ...options.ips.map((ip) => listen(http.createServer(handleRequest), adapter.ports.worker, ip)),
     listen(
-      http.createServer((_request, response) => void response.end(adapter.workerListBody(options.ips))),
+      http.createServer((_request, response) => void response.end(listBody())),
       adapter.ports.list,
       options.platformIp,
     ),
--- a/programs/fleet-runner/src/soak/soak.test.ts
+++ b/programs/fleet-runner/src/soak/soak.test.ts
@@ -41,7 +41,7 @@
   exitOverrides: Partial<SoakExit> = {},
   lifetimes: readonly SoakLifetime[] = [lifetime],
 ): string[] {
-  const execution = { count: 1, finishedAt: 11_500, ...executionOverrides };
+  const execution = { count: 1, finishedAt: 11_500, spoilt: false, ...executionOverrides };
   const executions = new Map(executionOverrides === neverExecuted ? [] : [['request', execution]]);
   const history = {
     outcomes: [{ ...outcome, ...outcomeOverrides }],
@@ -79,6 +79,11 @@
   expect(judge({ ended: 'cut' }, undefined, {}, [{ ...lifetime, killSignalAt: 13_000 }])).toEqual(['lost']);
 });
 
+it('does not count a response as lost that its worker spoilt, but must not refuse its request either', () => {
+  expect(judge({ ended: 'cut' }, { spoilt: true })).toEqual([]);
+  expect(judge({ ended: 'refused', status: 503 }, { spoilt: true })).toEqual(['refused though run']);
+});
+
 it('allows cutting off a worker that outlasts the grace period, but not one that had finished or a request sent late', () => {
   const late = { sentAt: 10_500, endedAt: 15_800, ended: 'cut' } as const;
   expect(judge(late, { finishedAt: Infinity })).toEqual([]);
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -1,6 +1,7 @@
 /**
  * A short soak test: real processes on loopback under overlapping series of signals, restarts and changes, with clients
- * that keep using their open connections. `npm run soak` runs more seeds, longer runs, and more processes.
+ * that keep using their open connections; workers, the worker list, clients and an operator send invalid input now and
+ * then. `npm run soak` runs more seeds, longer runs, and more processes.
  */
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
