Router agent: decode a worker's report by a schema, and handle the tasks that nobody waits for

Seen by callers: nothing yet; found on the related paths, in the product's own form. A report with a count beyond 2^53, or with a part, fence or incarnation of another type, ends the agent that shares it. Cause: three fields of a report were looked at, the others taken as they are; Number.isInteger accepts counts that no long carries; the fetch is a promise that nobody waits for. Change: fetched-report.ts decodes a report by a schema, a plausible count is a safe integer, and the agent's tasks go through runInBackground. Result: router-agent's tests pass.

--- a/packages/schema/src/schema.ts
+++ b/packages/schema/src/schema.ts
@@ -35,6 +35,18 @@
   accepts: (value): value is string => typeof value === 'string' && value !== '',
 };
 
+/** A string, which may be empty. */
+export const textOrEmpty: Schema<string> = {
+  expected: 'a string',
+  accepts: (value): value is string => typeof value === 'string',
+};
+
+/** A finite number. */
+export const finite: Schema<number> = {
+  expected: 'a number',
+  accepts: (value): value is number => Number.isFinite(value),
+};
+
 /** True or false. */
 export const flag: Schema<boolean> = {
   expected: 'true or false',
--- a/programs/router-agent/src/agent-core.ts
+++ b/programs/router-agent/src/agent-core.ts
@@ -40,7 +40,8 @@
 import { createAgentControlClient } from './control-client.js';
 import { createKeyUpdateRelay, type KeyUpdateRelay } from './key-update-relay.js';
 import { createStageAssignment } from './stage-assignment.js';
-import { createLoadReports, type FetchedReport } from './load-reports.js';
+import type { FetchedReport } from './fetched-report.js';
+import { createLoadReports } from './load-reports.js';
 
 /** Settings of one agent; `persisted` is what it stored before a restart. */
 export interface AgentOptions {
--- a/programs/router-agent/src/load-reports.ts
+++ b/programs/router-agent/src/load-reports.ts
@@ -7,22 +7,15 @@
   every,
   micros,
   rendezvous,
+  runInBackground,
   type Address,
   type WorkerStateEntry,
   type MessageOf,
   type WorkerReport,
   type World,
 } from '@tansypost/inner-protocol';
+import type { FetchedReport } from './fetched-report.js';
 
-/** A report as the worker's HTTP endpoint gives it. */
-export interface FetchedReport {
-  readonly queued: number;
-  readonly active: number;
-  readonly kv_used: number;
-  readonly part: string;
-  readonly incarnation: number;
-  readonly fence: number;
-}
 /** Settings of the load reports. */
 export interface LoadReportsOptions {
   readonly self: Address;
@@ -50,6 +43,11 @@
  */
 export const invalidLoad = { queued: -1, active: -1, kvUsed: 0 };
 
+function isPlausibleLoad({ queued, active, kvUsed }: Pick<WorkerReport, 'queued' | 'active' | 'kvUsed'>): boolean {
+  const areCounts = [queued, active].every((count) => Number.isSafeInteger(count) && count >= 0);
+  return areCounts && kvUsed >= 0 && kvUsed <= 1;
+}
+
 /** Starts the reports; a zone leader probes each of its workers at most every 100 ms. */
 export function createLoadReports(world: World, options: LoadReportsOptions): LoadReports {
   const reports = new Map<string, { report: WorkerReport; at: number }>();
@@ -110,7 +108,7 @@
       probeCredits -= 1;
       probes += 1;
       lastProbedAt.set(worker.worker, world.now());
-      void fetchOne(worker);
+      runInBackground(world.log, 'fetch of a report', fetchOne(worker));
     }
   }
 
@@ -127,29 +125,18 @@
         fence: 0,
       });
     if (fetched.incarnation !== worker.incarnation) return;
-    const report: WorkerReport = {
+    const load = { queued: fetched.queued, active: fetched.active, kvUsed: fetched.kv_used };
+    const plausible = isPlausibleLoad(load);
+    if (!plausible)
+      world.log(5103, { worker: worker.worker, why: 'load report has impossible values', report: fetched });
+    share({
       worker: worker.worker,
       incarnation: worker.incarnation,
-      queued: fetched.queued,
-      active: fetched.active,
-      kvUsed: fetched.kv_used,
+      ...(plausible ? load : invalidLoad),
       part: fetched.part,
       age: world.now() - sentAt,
-      fence: fetched.fence,
-    };
-    const isPlausible =
-      Number.isInteger(report.queued) &&
-      Number.isInteger(report.active) &&
-      Number.isFinite(report.kvUsed) &&
-      report.queued >= 0 &&
-      report.active >= 0 &&
-      report.kvUsed >= 0 &&
-      report.kvUsed <= 1;
-    if (!isPlausible) {
-      world.log(5103, { worker: worker.worker, why: 'load report has impossible values', report: fetched });
-      Object.assign(report, invalidLoad);
-    }
-    share(report);
+      fence: Math.round(fetched.fence),
+    });
   }
 
   function share(report: WorkerReport): void {
--- a/programs/router-agent/src/main.ts
+++ b/programs/router-agent/src/main.ts
@@ -5,7 +5,7 @@
 import { createRealWorld, splitAddress, type Address, type WorkerStateEntry } from '@tansypost/inner-protocol';
 import { agentDefaults, createAgentCore } from './agent-core.js';
 import { createAgentApp } from './app.js';
-import type { FetchedReport } from './load-reports.js';
+import { decodeFetchedReport, type FetchedReport } from './fetched-report.js';
 import { createEventSink } from './event-sink.js';
 import { createThreadTrainer } from './trainer-port.js';
 import { createAgentStateFile } from './agent-state-file.js';
@@ -24,13 +24,8 @@
     async function fetchReport(worker: WorkerStateEntry): Promise<FetchedReport | undefined> {
       try {
         const response = await request(`http://${worker.address}/report`, { dispatcher: connections });
-        const report = (await response.body.json()) as FetchedReport;
-        return response.statusCode === 200 &&
-          typeof report.queued === 'number' &&
-          typeof report.active === 'number' &&
-          typeof report.kv_used === 'number'
-          ? report
-          : undefined;
+        const body = Buffer.from(await response.body.arrayBuffer());
+        return response.statusCode === 200 ? decodeFetchedReport(body) : undefined;
       } catch {
         return undefined;
       }
--- a/programs/router-agent/src/stage-assignment.ts
+++ b/programs/router-agent/src/stage-assignment.ts
@@ -4,7 +4,13 @@
  * treatment cohort uses the new one, and the worker moves to it if the measurement shows no harm. Every order carries the
  * epoch of the role. A new leader first fences every worker, so that orders of earlier leaders still in flight are refused.
  */
-import { micros, type WorkerStateEntry, type WorkerReport, type World } from '@tansypost/inner-protocol';
+import {
+  micros,
+  runInBackground,
+  type WorkerStateEntry,
+  type WorkerReport,
+  type World,
+} from '@tansypost/inner-protocol';
 import {
   beginRehearsal,
   endRehearsal,
@@ -162,9 +168,10 @@
     const epoch = options.heldEpoch();
     if (epoch === undefined) return;
     fencingEpoch = epoch;
-    void Promise.all(options.workers().map((worker) => sendOrder(worker, epoch, ''))).finally(() => {
+    const sent = Promise.all(options.workers().map((worker) => sendOrder(worker, epoch, ''))).finally(() => {
       if (fencingEpoch === epoch) fencingEpoch = undefined;
     });
+    runInBackground(world.log, 'orders of a new leader', sent);
   }
 
   function tick(): void {
@@ -174,11 +181,12 @@
     const record = decodeRehearsalRecord(value);
     const workers = options.workers();
     working = true;
-    void applyAssignments(record, workers, epoch).finally(() => {
+    const applied = applyAssignments(record, workers, epoch).finally(() => {
       world.after(micros(200_000), () => {
         working = false;
       });
     });
+    runInBackground(world.log, 'assignment of stages', applied);
   }
 
   async function applyAssignments(record: RehearsalRecord, workers: WorkerStateEntry[], epoch: number): Promise<void> {
