Control node's host: one disk in memory for both of its tests

Cause: the new test repeated the disk of the older one. Change: createMemoryDisk. The expectations of both tests are as before.

--- a/programs/control-node/src/control-node-host.test.ts
+++ b/programs/control-node/src/control-node-host.test.ts
@@ -5,12 +5,17 @@
 import { createVirtualClock, micros, type Address, type Message, type World } from '@tansypost/inner-protocol';
 import { createControlNodeHost } from './control-node-host.js';
 
-it('restarts the control node from its disk after an unexpected error in its code', async () => {
-  const clock = createVirtualClock();
+interface MemoryDisk {
+  readonly disk: Disk;
+  readonly stored: () => JournalRecord[];
+}
+
+/** A disk in memory; while `isBroken` it fails every append. */
+function createMemoryDisk(isBroken: () => boolean = () => false): MemoryDisk {
   let stored: JournalRecord[] = [];
-  let closings = 0;
   const disk: Disk = {
     append: (record, done) => {
+      if (isBroken()) return done(new Error('no space left'));
       stored.push(record);
       done();
     },
@@ -20,6 +25,13 @@
     },
     size: () => stored.length,
   };
+  return { disk, stored: () => [...stored] };
+}
+
+it('restarts the control node from its disk after an unexpected error in its code', async () => {
+  const clock = createVirtualClock();
+  const { disk, stored } = createMemoryDisk();
+  let closings = 0;
   const host = createControlNodeHost(clock.world, {
     slot: 0,
     self: 'k0:1' as Address,
@@ -32,7 +44,7 @@
     open: async () =>
       E.right({
         disk,
-        storedRecords: [...stored],
+        storedRecords: stored(),
         truncatedBytes: 0,
         close: async () => void (closings += 1),
       }),
@@ -53,8 +65,8 @@
 it('stops the control node when its disk fails, retries until the disk works, and restores what was stored', async () => {
   let now = 0;
   let timers: { at: number; task: () => void }[] = [];
-  let stored: JournalRecord[] = [];
   let isBroken = false;
+  const { disk, stored } = createMemoryDisk(() => isBroken);
   const rewrites: boolean[] = [];
   const logged: number[] = [];
   const world: World = {
@@ -84,18 +96,6 @@
   function next(end: number): { at: number; task: () => void } | undefined {
     return timers.filter((timer) => timer.at <= end).sort((left, right) => left.at - right.at)[0];
   }
-  const disk: Disk = {
-    append: (record, done) => {
-      if (isBroken) return done(new Error('no space left'));
-      stored.push(record);
-      done();
-    },
-    rewrite: (records, done) => {
-      stored = [...records];
-      done();
-    },
-    size: () => stored.length,
-  };
   let ids = 0;
   const host = createControlNodeHost(world, {
     slot: 0,
@@ -107,9 +107,7 @@
     newDiskId: () => `d${(ids += 1)}`,
     open: async (rewrite) => {
       rewrites.push(rewrite);
-      return isBroken
-        ? E.left(new Error('still full'))
-        : E.right({ disk, storedRecords: [...stored], truncatedBytes: 0 });
+      return isBroken ? E.left(new Error('still full')) : E.right({ disk, storedRecords: stored(), truncatedBytes: 0 });
     },
   });
   await host.start();
