--- a/packages/inner-protocol/src/hash.ts
+++ b/packages/inner-protocol/src/hash.ts
@@ -4,15 +4,28 @@
  */
 import { createHash } from 'node:crypto';
 
+const fnvOffsetBasis = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** FNV-1a; the hash of a text continues from that of its beginning. */
+function fnv1a(text: string, begun: number = fnvOffsetBasis): number {
+  let hash = begun;
+  for (let i = 0; i < text.length; i += 1) hash = Math.imul(hash ^ text.charCodeAt(i), fnvPrime);
+  return hash;
+}
+
+/** The finalizer of MurmurHash3. */
+function finalize(hash: number): number {
+  let mixed = hash ^ (hash >>> 16);
+  mixed = Math.imul(mixed, 0x85ebca6b);
+  mixed ^= mixed >>> 13;
+  mixed = Math.imul(mixed, 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
+
 /** 32-bit hash of a string: FNV-1a, then the finalizer of MurmurHash3. */
 export function hash32(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let i = 0; i < text.length; i += 1) hash = Math.imul(hash ^ text.charCodeAt(i), 0x01000193);
-  hash ^= hash >>> 16;
-  hash = Math.imul(hash, 0x85ebca6b);
-  hash ^= hash >>> 13;
-  hash = Math.imul(hash, 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+  return finalize(fnv1a(text));
 }
 
 /** SHA-256 in hexadecimal. */
@@ -22,11 +35,14 @@
 
 /**
  * Rendezvous hashing: orders the items for a key by descending weight. Each key has its own order, and adding or
- * removing an item doesn't change the order of the others.
+ * removing an item doesn't change the order of the others. The weight of an item is the hash of key and name; the key,
+ * which may be as long as the headers of a request, is hashed once for all items.
  */
 export function rendezvous<T>(key: string, items: readonly T[], nameOf: (item: T) => string): T[] {
+  const keyHash = fnv1a(`${key}\u0000`);
   return items
-    .map((item) => ({ item, name: nameOf(item), weight: hash32(`${key}\u0000${nameOf(item)}`) }))
+    .map((item) => ({ item, name: nameOf(item) }))
+    .map(({ item, name }) => ({ item, name, weight: finalize(fnv1a(name, keyHash)) }))
     .sort((a, b) => b.weight - a.weight || (a.name < b.name ? -1 : 1))
     .map((weighted) => weighted.item);
 }
