Peer limits: one budget for what the peers at a port make a process hold

Nothing bounded what peers may make a process hold: connections, unfinished heads, bodies and frames, requests in progress, answers that nobody reads. The new package holds a budget for each port, derived from the memory and the descriptors that the machine allows: a pure core (port-budget) that names the connections which give way, least progress first, and those that stay too long in a phase; a guard that closes their sockets and logs event 1201; an HTTP server built on it; and an accumulator that copies pieces, since a piece of one byte keeps its whole read buffer in use. packages/guarded-app is the same for fastify, apart, so that a router does not load fastify.

Property tests: limits hold under any order of events, the counts are exact, a connection that progresses is never closed while a stalled one stays, pieces of any size come back as they were.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -43,6 +43,13 @@
     meaning: 'message dropped because it cannot be encoded or its receiver is no valid address',
     remedy: 'Report it with the message; another attempt follows where the message matters.',
   },
+  1201: {
+    level: 'warn',
+    meaning:
+      'connections closed because peers of this port held too much (gaveWay) or stayed too long in a phase (overdue), or requests refused for lack of memory (refused), within the last second',
+    remedy:
+      'Find out who calls: ordinary clients within the limits of the pages do not cause it. If they do, give the machine more memory or descriptors, or set other limits in peer_limits.',
+  },
   2001: {
     level: 'info',
     meaning: 'replica state changed',
--- /dev/null
+++ b/packages/guarded-app/src/index.ts
@@ -0,0 +1,1 @@
+export * from './guarded-app.js';
--- /dev/null
+++ b/packages/peer-limits/src/index.ts
@@ -0,0 +1,7 @@
+export * from './byte-accumulator.js';
+export * from './connection-guard.js';
+export * from './guarded-server.js';
+export * from './peer-guards.js';
+export * from './port-budget.js';
+export * from './port-limits.js';
+export * from './request-body.js';
