Inner links and the product's programs: bound unfinished frames, frames without schemas, and callers

Cause: a frame was bounded at 48 MB, but not their sum; the frames before schemas and the hello not at all; each chunk of an unfinished frame copied all before it. Now links report what waits to the guard of the port, a hello has at most 256 KB, frames that wait for schemas 4 MB, and the decoder copies each byte once. The programs' HTTP applications run on guarded servers.

--- a/packages/boot/src/program.ts
+++ b/packages/boot/src/program.ts
@@ -6,6 +6,7 @@
 import type { Static, TSchema } from '@sinclair/typebox';
 import * as E from 'fp-ts/lib/Either.js';
 import { createLog, type Log } from '@tansypost/event-log';
+import { createPeerGuards, createPeerLimits, type MachineAllowance, type PeerGuards } from '@tansypost/peer-limits';
 import { onStopSignal } from '@tansypost/inner-protocol';
 import { readSettings } from './settings.js';
 
@@ -24,7 +25,8 @@
   readonly schema: S;
   /** Names of the fields that `--set` accepts. */
   readonly flags: readonly string[];
-  readonly start: (settings: Static<S>, log: Log) => Promise<RunningProgram>;
+  /** Starts the program; the guards bound what peers make it hold. */
+  readonly start: (settings: Static<S>, log: Log, guards: PeerGuards) => Promise<RunningProgram>;
 }
 
 /** Exit codes of all programs. */
@@ -32,6 +34,8 @@
 
 /** The longest timer delay that Node.js accepts, in milliseconds, rounded down to a power of two. */
 const maxTimerDelayMs = 1 << 30;
+/** What a program may use where its settings do not say it. */
+const defaultAllowance = { memoryMb: 350, maxDescriptors: 4096 } as const;
 
 /** Runs the program with the arguments of this process, and ends the process with the program's exit code. */
 export async function runProgram<S extends TSchema>(options: ProgramOptions<S>): Promise<void> {
@@ -80,11 +84,12 @@
 }
 
 async function runUntilStopped<S extends TSchema>(options: ProgramOptions<S>, settings: Static<S>): Promise<number> {
-  const common = settings as { member: string; logLevel?: number };
+  const common = settings as { member: string; logLevel?: number } & Partial<MachineAllowance>;
   const log = createLog(options.name, common.member, common.logLevel);
   const stopSignal = waitForStopSignal();
   try {
-    const running = await options.start(settings, log);
+    const guards = createPeerGuards(createPeerLimits({ ...defaultAllowance, ...allowanceOf(common) }), log);
+    const running = await options.start(settings, log, guards);
     log(1001, { pid: process.pid });
     await stopSignal;
     log(1002, {});
@@ -97,6 +102,13 @@
   }
 }
 
+function allowanceOf({ memoryMb, maxDescriptors }: Partial<MachineAllowance>): Partial<MachineAllowance> {
+  return {
+    ...(memoryMb === undefined ? {} : { memoryMb }),
+    ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
+  };
+}
+
 /** Resolves at the first SIGTERM or SIGINT, and keeps the process alive until then. A second SIGINT ends it at once. */
 function waitForStopSignal(): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/boot/src/settings.ts
+++ b/packages/boot/src/settings.ts
@@ -19,6 +19,8 @@
   seeds: Type.Array(SocketAddress, { minItems: 3, maxItems: 3 }),
   data: Type.Optional(Type.String()),
   logLevel: Type.Optional(Type.Integer({ minimum: 0, maximum: 5 })),
+  memoryMb: Type.Optional(Type.Integer({ minimum: 64 })),
+  maxDescriptors: Type.Optional(Type.Integer({ minimum: 256 })),
 };
 
 /** Schema of the settings of a control node. */
@@ -64,6 +66,8 @@
     zone: common.zone,
     listen: common.listen,
     logLevel: common.logLevel,
+    memoryMb: common.memoryMb,
+    maxDescriptors: common.maxDescriptors,
     agent: SocketAddress,
     http: SocketAddress,
     service: Type.Optional(Type.String({ minLength: 1 })),
--- a/packages/inner-protocol/src/frame.ts
+++ b/packages/inner-protocol/src/frame.ts
@@ -3,6 +3,7 @@
  * read, before any of the body is buffered.
  */
 import * as E from 'fp-ts/lib/Either.js';
+import { createByteAccumulator } from '@tansypost/peer-limits';
 import { BadFrameError } from './errors.js';
 
 /** Maximum length of a body. */
@@ -21,30 +22,63 @@
 export interface FrameDecoder {
   /** Returns the bodies that the chunk completes, or a `BadFrameError`. */
   readonly push: (chunk: Buffer) => E.Either<Error, Buffer[]>;
+  /** Bytes of memory that are held for a frame that is not complete. */
+  readonly heldBytes: () => number;
+  /** Drops what is held; no chunk may follow. */
+  readonly discard: () => void;
 }
 
-/** Creates the decoder of one stream. */
-export function createFrameDecoder(maxBytes = maxFrameBytes): FrameDecoder {
-  let buffered: Buffer[] = [];
-  let size = 0;
+/** Creates the decoder of one stream; the first frame may have a limit of its own. */
+export function createFrameDecoder(maxBytes = maxFrameBytes, maxFirstBytes = maxBytes): FrameDecoder {
+  const incomplete = createByteAccumulator();
+  let isFirst = true;
+  /** Length of the incomplete frame with its header; undefined while the header is not complete. */
+  let frameBytes: number | undefined;
+
+  /** Adds bytes from the chunk's `start` until `target` bytes are collected; returns where it stopped. */
+  function collect(chunk: Buffer, start: number, target: number): number {
+    const end = Math.min(chunk.length, start + target - incomplete.length());
+    incomplete.push(chunk.subarray(start, end));
+    return end;
+  }
+
   function push(chunk: Buffer): E.Either<Error, Buffer[]> {
-    buffered.push(chunk);
-    size += chunk.length;
     const bodies: Buffer[] = [];
-    while (size >= headerBytes) {
-      const bytes = buffered.length === 1 ? buffered[0]! : Buffer.concat(buffered);
-      buffered = [bytes];
-      const length = bytes.readUInt32BE(0);
-      if (length > maxBytes) return E.left(tooLongError(length, maxBytes));
-      const end = headerBytes + length;
-      if (size < end) break;
-      bodies.push(bytes.subarray(headerBytes, end));
-      buffered = bytes.length > end ? [bytes.subarray(end)] : [];
-      size -= end;
+    let start = 0;
+    while (start < chunk.length) {
+      const limit = isFirst ? maxFirstBytes : maxBytes;
+      const bytes = incomplete.length() === 0 ? wholeFrame(chunk, start) : undefined;
+      if (bytes !== undefined && bytes <= headerBytes + limit) {
+        bodies.push(chunk.subarray(start + headerBytes, start + bytes));
+        start += bytes;
+        isFirst = false;
+        continue;
+      }
+      start = collect(chunk, start, frameBytes ?? headerBytes);
+      if (incomplete.length() < (frameBytes ?? headerBytes)) break;
+      if (frameBytes === undefined) {
+        const header = incomplete.take();
+        const length = header.readUInt32BE(0);
+        if (length > limit) return E.left(tooLongError(length, limit));
+        incomplete.push(header);
+        frameBytes = headerBytes + length;
+        if (length > 0) continue;
+      }
+      bodies.push(incomplete.take().subarray(headerBytes));
+      frameBytes = undefined;
+      isFirst = false;
     }
     return E.right(bodies);
   }
-  return { push };
+
+  return { push, heldBytes: incomplete.heldBytes, discard: incomplete.discard };
+}
+
+/** Length of the frame that begins at `start`, with its header, if the chunk contains it to its end. */
+function wholeFrame(chunk: Buffer, start: number): number | undefined {
+  if (chunk.length - start < headerBytes) return undefined;
+  const bytes = headerBytes + chunk.readUInt32BE(start);
+  return chunk.length - start >= bytes ? bytes : undefined;
 }
 
 function tooLongError(length: number, maxBytes: number): Error {
@@ -52,24 +86,3 @@
     `Frame of ${length} bytes exceeds the limit of ${maxBytes}; closing the link. Check that the peer is a tansypost process.`,
   );
 }
-
-if (import.meta.vitest) {
-  const { it, expect } = import.meta.vitest;
-  it('reassembles frames from chunks of any size, and rejects an oversized frame by its length alone', () => {
-    const stream = Buffer.concat([
-      encodeFrame(Buffer.from('one')),
-      encodeFrame(Buffer.alloc(0)),
-      encodeFrame(Buffer.from('three')),
-    ]);
-    for (let size = 1; size <= stream.length; size += 1) {
-      const decoder = createFrameDecoder();
-      const decoded: string[] = [];
-      for (let i = 0; i < stream.length; i += size) {
-        const bodies = decoder.push(stream.subarray(i, i + size));
-        if (E.isRight(bodies)) decoded.push(...bodies.right.map(String));
-      }
-      expect(decoded).toEqual(['one', '', 'three']);
-    }
-    expect(E.isLeft(createFrameDecoder(10).push(Buffer.from([0, 0, 0, 11])))).toBe(true);
-  });
-}
--- a/packages/inner-protocol/src/incoming-link.ts
+++ b/packages/inner-protocol/src/incoming-link.ts
@@ -3,10 +3,12 @@
  * decodes messages. A frame that can't be decoded closes the link.
  */
 import type net from 'node:net';
+import type { GuardedSocket } from '@tansypost/peer-limits';
 import * as E from 'fp-ts/lib/Either.js';
 import type { Address } from './brands.js';
 import { decodeHello, type MessageDecoder } from './codec.js';
-import { createFrameDecoder } from './frame.js';
+import { BadFrameError } from './errors.js';
+import { createFrameDecoder, maxFrameBytes } from './frame.js';
 import { encodeReply, replyKind } from './link-reply.js';
 import type { Message } from './messages.js';
 
@@ -21,6 +23,12 @@
 
 /** Interval of acknowledgements; well below the time after which a sender closes a link without progress. */
 const acknowledgeIntervalMs = 1000;
+/** The longest hello; one with all schemas takes some 20 KB. */
+const maxHelloBytes = 256 * 1024;
+/** Frames that wait for the sender's schemas, in bytes; a sender that goes on without sending them is closed. */
+const maxUndecodedBytes = 4 * 1024 * 1024;
+/** A frame that waits takes about this much beside its bytes. */
+const bytesPerWaitingFrame = 200;
 /** `{`, the first byte of a hello, which is JSON. No message starts with it while there are fewer than 0x7b00 kinds. */
 const helloFirstByte = 0x7b;
 
@@ -31,23 +39,34 @@
   decode: MessageDecoder | undefined;
   /** Frames that arrived before the requested schemas. */
   undecoded: Buffer[];
+  undecodedBytes: number;
   received: number;
   acknowledgeTimer: NodeJS.Timeout | undefined;
 }
 
-/** Reads a socket until it is closed. */
-export function readIncoming(socket: net.Socket, handlers: IncomingHandlers): void {
+/** Reads a socket until it is closed; what waits on it is reported to its guard. */
+export function readIncoming(
+  socket: net.Socket,
+  handlers: IncomingHandlers,
+  guarded: GuardedSocket | undefined = undefined,
+): void {
   const link: IncomingLink = {
     socket,
     handlers,
     from: undefined,
     decode: undefined,
     undecoded: [],
+    undecodedBytes: 0,
     received: 0,
     acknowledgeTimer: undefined,
   };
-  const frameDecoder = createFrameDecoder();
-  socket.on('close', () => clearTimeout(link.acknowledgeTimer));
+  const frameDecoder = createFrameDecoder(maxFrameBytes, maxHelloBytes);
+  guarded?.enter('head');
+  socket.on('close', () => {
+    clearTimeout(link.acknowledgeTimer);
+    frameDecoder.discard();
+    link.undecoded = [];
+  });
   socket.on('data', (chunk: Buffer) => {
     link.received += chunk.length;
     link.acknowledgeTimer ??= setTimeout(() => {
@@ -56,7 +75,13 @@
     }, acknowledgeIntervalMs);
     const frames = frameDecoder.push(chunk);
     if (E.isLeft(frames)) return void fail(link, frames.left);
-    frames.right.every((body) => handleFrame(link, body));
+    const isSound = frames.right.every((body) => handleFrame(link, body));
+    if (!isSound || guarded === undefined) return;
+    const waiting = frameDecoder.heldBytes() + link.undecodedBytes;
+    if (frames.right.length > 0) guarded.enter('idle');
+    if (link.decode !== undefined) guarded.markServed();
+    if (waiting > 0 && guarded.phase() === 'idle') guarded.enter('body');
+    guarded.report(waiting, chunk.length);
   });
 }
 
@@ -64,17 +89,34 @@
 function handleFrame(link: IncomingLink, body: Buffer): boolean {
   if (link.from === undefined) return handleHello(link, body);
   if (link.decode !== undefined) return handleMessage(link, link.from, link.decode, body);
-  if (body[0] !== helloFirstByte) {
-    link.undecoded.push(body);
-    return true;
-  }
+  if (body[0] !== helloFirstByte) return keepUndecoded(link, body);
   if (!handleHello(link, body)) return false;
   const undecoded = link.undecoded;
   link.undecoded = [];
+  link.undecodedBytes = 0;
   return undecoded.every((waiting) => handleFrame(link, waiting));
 }
 
+/** Copied, as the frame is part of a read buffer that may be much larger. */
+function keepUndecoded(link: IncomingLink, body: Buffer): boolean {
+  link.undecodedBytes += body.length + bytesPerWaitingFrame;
+  if (link.undecodedBytes > maxUndecodedBytes) return fail(link, schemasMissingError());
+  link.undecoded.push(Buffer.from(body));
+  return true;
+}
+
+function schemasMissingError(): Error {
+  return new BadFrameError(
+    `More than ${maxUndecodedBytes} bytes of messages came before the schemas that were requested; closing the link. Check that the peer is a tansypost process.`,
+  );
+}
+
+function longHelloError(): Error {
+  return new BadFrameError(`A hello has more than ${maxHelloBytes} bytes; check that the peer is a tansypost process.`);
+}
+
 function handleHello(link: IncomingLink, body: Buffer): boolean {
+  if (body.length > maxHelloBytes) return fail(link, longHelloError());
   const hello = decodeHello(body);
   if (E.isLeft(hello)) return fail(link, hello.left);
   link.from = hello.right.from as Address;
--- a/packages/inner-protocol/src/link.ts
+++ b/packages/inner-protocol/src/link.ts
@@ -6,10 +6,11 @@
  * connection.
  */
 import net from 'node:net';
+import { listenBacklog, type ConnectionGuard } from '@tansypost/peer-limits';
 import type { Address } from './brands.js';
 import { encodeMessage } from './codec.js';
 import { encodeFrame } from './frame.js';
-import { readIncoming } from './incoming-link.js';
+import { readIncoming, type IncomingHandlers } from './incoming-link.js';
 import type { Message } from './messages.js';
 import { openLink, writeAndRetain, type OutgoingLink, type OutgoingOptions } from './outgoing-link.js';
 import { splitAddress } from './socket-address.js';
@@ -37,6 +38,8 @@
   readonly stuckTimeoutMs?: number;
   /** Idle timeout of incoming links, in milliseconds. */
   readonly idleTimeoutMs?: number;
+  /** Bounds what incoming links make this process hold; without one they are not bounded. */
+  readonly guard?: ConnectionGuard | undefined;
   /** Opens a connection; `net.connect` by default. */
   readonly connect?: (options: net.TcpNetConnectOpts) => net.Socket;
 }
@@ -77,7 +80,8 @@
   const server = net.createServer((socket) => accept(state, socket));
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
-    server.listen(splitAddress(options.listen), resolve);
+    const backlog = options.guard === undefined ? undefined : listenBacklog(options.guard);
+    server.listen({ ...splitAddress(options.listen), backlog }, resolve);
   });
   return {
     send: (to, message) => sendOrDrop(state, to, message),
@@ -142,13 +146,14 @@
   socket.setTimeout(options.idleTimeoutMs ?? defaults.idleTimeoutMs, () => socket.destroy());
   socket.on('error', () => undefined);
   socket.on('close', () => incoming.delete(socket));
-  readIncoming(socket, {
+  const handlers: IncomingHandlers = {
     onHello: (from) => {
       if (!state.closed) reconnectIfConnecting(state, from);
     },
     onMessage: options.receive,
     onError: (from, error) => options.log(1101, { from, why: error.message }),
-  });
+  };
+  readIncoming(socket, handlers, options.guard?.accept(socket));
 }
 
 async function close(state: TransportState, server: net.Server): Promise<void> {
--- a/packages/inner-protocol/src/real-world.ts
+++ b/packages/inner-protocol/src/real-world.ts
@@ -3,6 +3,7 @@
  * time passes while the machine is suspended depends on its monotonic clock.
  */
 import { randomInt } from 'node:crypto';
+import type { ConnectionGuard } from '@tansypost/peer-limits';
 import { micros, type Address, type Micros } from './brands.js';
 import { runContained } from './containment.js';
 import { createTransport, type Transport } from './link.js';
@@ -31,6 +32,14 @@
 /** Random numbers from 0 (inclusive) to 1 (exclusive), seeded by the system's generator. Not fit for secrets. */
 export const systemRandom = createSeededRandom(randomInt(0, seedRange));
 
+/** Options of a real world. */
+export interface RealWorldOptions {
+  /** Address at which other processes reach this one, if it differs from the one it listens on. */
+  readonly advertise?: Address;
+  /** Bounds what incoming links make this process hold; without one they are not bounded. */
+  readonly guard?: ConnectionGuard;
+}
+
 /** Handles a message from the given sender. */
 export type MessageHandler = (message: Message, from: Address) => void;
 
@@ -47,17 +56,18 @@
  * Rejects if it can't listen on the address.
  * @param listen address of the listening socket
  * @param log writes events
- * @param advertise address at which other processes reach this one, if it differs
+ * @param options the address that others use, and the guard of incoming links
  */
 export async function createRealWorld(
   listen: Address,
   log: World['log'],
-  advertise: Address = listen,
+  options: RealWorldOptions = {},
 ): Promise<RealWorld> {
   let handler: MessageHandler | undefined;
   const transport = await createTransport({
     listen,
-    advertise,
+    advertise: options.advertise ?? listen,
+    guard: options.guard,
     log,
     receive: (message, from) => runContained(log, `message ${message.kind}`, () => handler?.(message, from)),
   });
--- a/programs/control-node/src/main.ts
+++ b/programs/control-node/src/main.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 /** Runs a control node as a process: one replica of the control state on its own disk. */
 import { randomBytes } from 'node:crypto';
-import fastify from 'fastify';
+import { createGuardedApp } from '@tansypost/guarded-app';
+import { listenBacklog } from '@tansypost/peer-limits';
 import * as E from 'fp-ts/lib/Either.js';
 import { ControlNodeSettings, runProgram } from '@tansypost/boot';
 import { createRealWorld, splitAddress, type Address } from '@tansypost/inner-protocol';
@@ -16,9 +17,9 @@
   description: 'Runs one of the three replicas of the control state.',
   schema: ControlNodeSettings,
   flags: Object.keys(ControlNodeSettings.properties),
-  start: async (settings, log) => {
+  start: async (settings, log, guards) => {
     const self = (settings.advertise ?? settings.listen) as Address;
-    const real = await createRealWorld(settings.listen as Address, log, self);
+    const real = await createRealWorld(settings.listen as Address, log, { advertise: self, guard: guards.inner });
     const traces: { at: number; what: string; key: string; version: number }[] = [];
     const host = createControlNodeHost(real.world, {
       slot: settings.slot,
@@ -39,7 +40,7 @@
     const opened = await host.start();
     if (E.isLeft(opened)) throw opened.left;
     real.onMessage(host.receive);
-    const app = fastify();
+    const app = createGuardedApp({ guard: guards.control, maxBodyBytes: guards.controlBodyBytes, bodies: 'json' });
     app.get('/vitals', async (_request, reply) => {
       const node = host.controlNode();
       const ok = node?.replica.state() === 'voting';
@@ -62,7 +63,7 @@
           `tansypost_place_voting ${host.controlNode()?.replica.state() === 'voting' ? 1 : 0}\ntansypost_core_generation ${host.controlNode()?.replica.membership().membershipEpoch ?? 0}\ntansypost_keys_owned ${host.controlNode()?.ledKeys().length ?? 0}\ntansypost_file_bytes ${host.diskBytes()}\n`,
         ),
     );
-    await app.listen(splitAddress(settings.http));
+    await app.listen({ ...splitAddress(settings.http), backlog: listenBacklog(guards.control) });
     async function stop(): Promise<void> {
       await new Promise((done) => host.leave(leaveTimeoutUs, done));
       await Promise.all([app.close(), real.transport.close()]);
--- a/programs/request-router/src/app.ts
+++ b/programs/request-router/src/app.ts
@@ -6,7 +6,9 @@
 import { randomUUID } from 'node:crypto';
 import { Type, type Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
-import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
+import { createGuardedApp } from '@tansypost/guarded-app';
+import type { ConnectionGuard } from '@tansypost/peer-limits';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import { Agent, request } from 'undici';
 import { failure, failureBody, parseFailure, failureKinds, type Failure } from './failure.js';
 import type { IncomingRequest, ResponseWriter, RouterCore } from './router-core.js';
@@ -29,6 +31,8 @@
 /** What the API serves. */
 export interface AppOptions {
   readonly core: RouterCore;
+  /** Bounds what clients make this process hold. */
+  readonly guard: ConnectionGuard;
   readonly bodyLimit: number;
   readonly metricsText: () => string;
 }
@@ -49,7 +53,12 @@
 
 /** Creates the API; it does not listen yet. */
 export function createApp(options: AppOptions): FastifyInstance {
-  const app = fastify({ bodyLimit: options.bodyLimit, forceCloseConnections: 'idle', return503OnClosing: false });
+  const app = createGuardedApp({
+    guard: options.guard,
+    maxBodyBytes: options.bodyLimit,
+    bodies: 'json',
+    fastify: { forceCloseConnections: 'idle', return503OnClosing: false },
+  });
   const requestIdPattern = /^[A-Za-z0-9._:-]{1,128}$/;
 
   function sendFailure(reply: FastifyReply, failureToSend: Failure, id: string): FastifyReply {
--- a/programs/request-router/src/main.ts
+++ b/programs/request-router/src/main.ts
@@ -3,6 +3,7 @@
 import { randomBytes } from 'node:crypto';
 import { Agent } from 'undici';
 import { RouterSettings, runProgram } from '@tansypost/boot';
+import { listenBacklog } from '@tansypost/peer-limits';
 import { createRealWorld, digest, splitAddress, type Address } from '@tansypost/inner-protocol';
 import { createApp, forwardOverHttp } from './app.js';
 import { createHttpWorkerClient } from './http-worker-client.js';
@@ -14,8 +15,8 @@
   description: 'Accepts completion requests and streams the responses from a prefill and a decode worker.',
   schema: RouterSettings,
   flags: Object.keys(RouterSettings.properties),
-  start: async (settings, log) => {
-    const real = await createRealWorld(settings.listen as Address, log);
+  start: async (settings, log, guards) => {
+    const real = await createRealWorld(settings.listen as Address, log, { guard: guards.inner });
     const workerClient = createHttpWorkerClient();
     const peerConnections = new Agent({
       connect: { timeout: 500 },
@@ -48,10 +49,11 @@
     real.onMessage((message) => core.receive(message));
     const app = createApp({
       core,
+      guard: guards.clients,
       bodyLimit: settings.bodyLimit ?? 1024 * 1024,
       metricsText: () => formatMetrics(core.metrics()),
     });
-    await app.listen(splitAddress(settings.http));
+    await app.listen({ ...splitAddress(settings.http), backlog: listenBacklog(guards.clients) });
     async function stop(): Promise<void> {
       core.stopAccepting();
       while (core.activeRequests() > 0) await new Promise((resolve) => setTimeout(resolve, 50));
--- a/programs/router-agent/src/app.ts
+++ b/programs/router-agent/src/app.ts
@@ -5,7 +5,9 @@
 import { randomUUID } from 'node:crypto';
 import { Type, type Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
-import fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
+import { createGuardedApp } from '@tansypost/guarded-app';
+import type { ConnectionGuard } from '@tansypost/peer-limits';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import { workerStates } from '@tansypost/membership';
 import type { AgentCore } from './agent-core.js';
 import { cloudEvent, type EventSink } from './event-sink.js';
@@ -28,8 +30,12 @@
   { additionalProperties: false },
 );
 
+const maxBodyBytes = 4 * 1024 * 1024;
+
 /** What the API serves. */
 export interface AgentAppOptions {
+  /** Bounds what callers make this process hold. */
+  readonly guard: ConnectionGuard;
   readonly core: AgentCore;
   readonly service: string;
   readonly sinkStatistics?: EventSink['statistics'];
@@ -37,7 +43,12 @@
 
 /** Creates the API; it does not listen yet. */
 export function createAgentApp(options: AgentAppOptions): FastifyInstance {
-  const app = fastify({ bodyLimit: 4 * 1024 * 1024, forceCloseConnections: true });
+  const app = createGuardedApp({
+    guard: options.guard,
+    maxBodyBytes,
+    bodies: 'json',
+    fastify: { forceCloseConnections: true },
+  });
   const { core } = options;
   const desiredKey = `desired/${options.service}`;
 
--- a/programs/router-agent/src/main.ts
+++ b/programs/router-agent/src/main.ts
@@ -2,6 +2,7 @@
 /** Runs the router agent as a process. */
 import { Agent, request } from 'undici';
 import { AgentSettings, runProgram } from '@tansypost/boot';
+import { listenBacklog } from '@tansypost/peer-limits';
 import { createRealWorld, splitAddress, type Address, type WorkerStateEntry } from '@tansypost/inner-protocol';
 import { agentDefaults, createAgentCore } from './agent-core.js';
 import { createAgentApp } from './app.js';
@@ -15,9 +16,9 @@
   description: 'Connects the request router on its machine to the control cluster.',
   schema: AgentSettings,
   flags: Object.keys(AgentSettings.properties),
-  start: async (settings, log) => {
+  start: async (settings, log, guards) => {
     const self = (settings.advertise ?? settings.listen) as Address;
-    const real = await createRealWorld(settings.listen as Address, log, self);
+    const real = await createRealWorld(settings.listen as Address, log, { advertise: self, guard: guards.inner });
     const connections = new Agent({ connect: { timeout: 800 }, headersTimeout: 1500, bodyTimeout: 1500 });
     const trainer = createThreadTrainer();
     const stateFile = createAgentStateFile(settings.data);
@@ -90,8 +91,13 @@
       },
     );
     real.onMessage(core.receive);
-    const app = createAgentApp({ core, service, ...(sink === undefined ? {} : { sinkStatistics: sink.statistics }) });
-    await app.listen(splitAddress(settings.http));
+    const app = createAgentApp({
+      core,
+      guard: guards.control,
+      service,
+      ...(sink === undefined ? {} : { sinkStatistics: sink.statistics }),
+    });
+    await app.listen({ ...splitAddress(settings.http), backlog: listenBacklog(guards.control) });
     async function stop(): Promise<void> {
       core.stop();
       sink?.stop();
--- a/tests/requests.test.ts
+++ b/tests/requests.test.ts
@@ -16,6 +16,7 @@
   type WorkerStateEntry,
   type World,
 } from '../packages/inner-protocol/src/index.js';
+import { createPeerGuards, createPeerLimits, type ConnectionGuard } from '../packages/peer-limits/src/index.js';
 import {
   createApp,
   createHttpWorkerClient,
@@ -26,6 +27,11 @@
   type RouterCore,
 } from '../programs/request-router/src/index.js';
 
+function guard(): ConnectionGuard {
+  const limits = createPeerLimits({ memoryMb: 350, maxDescriptors: 4096 });
+  return createPeerGuards(limits, () => undefined).clients;
+}
+
 const closing: (() => Promise<unknown>)[] = [];
 afterEach(async () => {
   for (const close of closing.splice(0).reverse()) await close();
@@ -150,7 +156,7 @@
   }
   feed();
   const beat = setInterval(feed, 200);
-  const http = await listen(createApp({ core, bodyLimit: 1_000_000, metricsText: () => '' }));
+  const http = await listen(createApp({ core, guard: guard(), bodyLimit: 1_000_000, metricsText: () => '' }));
   closing.push(async () => {
     clearInterval(beat);
     core.stop();
@@ -233,6 +239,7 @@
     throw new Error('secret at line 12');
   }) as never;
   const app = createApp({
+    guard: guard(),
     core: {
       ...router.core,
       handleRequest: () => {
