--- a/tests/platform-world.ts
+++ b/tests/platform-world.ts
@@ -23,7 +23,7 @@
 export function call(
   target: { host: string; port: number; path: string; method?: string },
   headers: Record<string, string> = {},
-  body = '',
+  body: string | Buffer = '',
 ): PendingCall {
   const resolver: { markBegun?: () => void } = {};
   const begun = new Promise<void>((markBegun) => {
@@ -55,12 +55,17 @@
   return { begun, answer };
 }
 
-/** Repeats a call until its answer is the expected one; otherwise the test's own timeout ends it. */
+/**
+ * Repeats a call until its answer is the expected one; otherwise the test's own timeout ends it, or `check`, which is
+ * called before each attempt and may throw.
+ */
 export async function callUntil(
   attempt: () => Promise<Answer>,
   isExpected: (answer: Answer) => boolean,
+  check: () => void = () => undefined,
 ): Promise<Answer> {
   for (;;) {
+    check();
     const answer = await attempt().catch(() => undefined);
     if (answer !== undefined && isExpected(answer)) return answer;
     await new Promise((retry) => setTimeout(retry, 50));
