--- a/packages/peer-limits/src/connection-guard.ts
+++ b/packages/peer-limits/src/connection-guard.ts
@@ -42,12 +42,15 @@
    */
   readonly accept: (socket: Socket, inspect?: (guarded: GuardedSocket) => void) => GuardedSocket;
   readonly limits: PortLimits;
+  /** How long a body may take, in milliseconds. */
+  readonly bodyTimeoutMs: number;
   /** Sets how long the head of a request may take, in milliseconds. */
   readonly setHeadTimeout: (timeoutMs: number) => void;
   readonly usage: () => PortUsage;
 }
 
 const sweepIntervalMs = 1000;
+const defaultBodyTimeoutMs = 60_000;
 
 interface Registered {
   readonly socket: Socket;
@@ -152,6 +155,7 @@
   return {
     accept: (socket, inspect) => accept(state, socket, inspect),
     limits: options.limits,
+    bodyTimeoutMs: options.timeouts.body ?? defaultBodyTimeoutMs,
     setHeadTimeout: (timeoutMs) => {
       state.timeouts = { ...state.timeouts, head: timeoutMs };
     },
--- a/packages/peer-limits/src/guarded-server.ts
+++ b/packages/peer-limits/src/guarded-server.ts
@@ -34,8 +34,8 @@
   readonly handle: GuardedHandler;
 }
 
-/** The time for a whole request, and for its head, where the caller sets none; in milliseconds. */
-const defaultTimeouts = { requestMs: 60_000, headMs: 10_000 } as const;
+/** The time for the head of a request, where the caller sets none. */
+const defaultHeadTimeoutMs = 10_000;
 const defaultMaxHeadBytes = 16 * 1024;
 /** Requests whose answers have not been read, on one connection. */
 const maxOpenRequests = 8;
@@ -147,8 +147,8 @@
   const states = new WeakMap<Socket, ConnectionState>();
   const server = http.createServer({
     maxHeaderSize: defaultMaxHeadBytes,
-    requestTimeout: defaultTimeouts.requestMs,
-    headersTimeout: defaultTimeouts.headMs,
+    requestTimeout: guard.bodyTimeoutMs,
+    headersTimeout: Math.min(guard.bodyTimeoutMs, defaultHeadTimeoutMs),
     connectionsCheckingInterval: 1000,
     ...options.http,
   }) as http.Server & { maxHeaderSize: number };
--- a/programs/fleet-runner/src/soak/soak-adapter.ts
+++ b/programs/fleet-runner/src/soak/soak-adapter.ts
@@ -31,6 +31,14 @@
   readonly body: string;
 }
 
+/** Input that is never finished: a beginning, and then a text that is repeated. Its bytes are Latin-1 characters. */
+export interface SoakUnfinishedInput {
+  readonly port: number;
+  readonly beginning: string;
+  readonly filler: string;
+  readonly fillerBytes: number;
+}
+
 /**
  * Input that is invalid or extreme, as faulty workers, platforms, clients and operators may send it now and then. It may
  * fail, but no process may end because of it.
@@ -46,6 +54,8 @@
   readonly requests: (id: string) => readonly SoakCall[];
   /** Configurations of this revision that must not be accepted. */
   readonly changes: (revision: number, base: number) => readonly SoakCall[];
+  /** Requests, calls and links that are begun at the ports of the machine and never finished. */
+  readonly unfinished: (machine: SoakMachine) => readonly SoakUnfinishedInput[];
 }
 
 export interface SoakAdapter {
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -6,6 +6,7 @@
 import { createSeededRandom } from '@tansypost/inner-protocol';
 import { exchange, runSoakClient, type SoakOutcome } from './soak-client.js';
 import { submitFaultyChanges } from './faulty-operator.js';
+import { runMisbehavingClients } from './misbehaving-clients.js';
 import { pick } from './pick.js';
 import type { SoakAdapter, SoakMachine } from './soak-adapter.js';
 import { createSoakMachines, type SoakMachines } from './soak-machines.js';
@@ -210,6 +211,9 @@
     if (!(await becomesTrueWithin(recoveryTimeoutMs, allReady)))
       violations.push({ rule: 'not back', detail: 'not ready after the first start' });
     const clients = startClients();
+    const misbehavingClients = allMachines.map((machine) =>
+      runMisbehavingClients({ adapter, machine, isFinished: () => isFinished, random }),
+    );
     const faultyChanges = submitFaultyChanges({
       adapter,
       machines: controlNodes,
@@ -221,7 +225,7 @@
     await operator.whenSettled();
     await checkRecovery();
     isFinished = true;
-    await Promise.all(clients);
+    await Promise.all([...clients, ...misbehavingClients]);
     violations.push(...(await faultyChanges));
   } finally {
     isFinished = true;
--- a/tests/peer-process.ts
+++ b/tests/peer-process.ts
@@ -25,7 +25,7 @@
   /** Undefined as long as the process lives. */
   readonly exit: () => string | undefined;
   readonly peak: () => PeakUsage;
-  readonly signal: (name: NodeJS.Signals) => void;
+  readonly exited: Promise<void>;
   readonly kill: () => Promise<void>;
 }
 
@@ -118,7 +118,7 @@
       sample();
       return { megabytes: peakBytes / bytesPerMb, descriptors: peakDescriptors };
     },
-    signal: (name) => void child.kill(name),
+    exited,
     kill: () => {
       child.kill('SIGKILL');
       return exited;
