Guarded server: end requests that wait behind another one, and close a connection whose request found no room

Found by the crowd that sends requests without waiting for answers: 90 requests stayed in progress for good, since Node.js emits no close for a response that waits behind another one when the connection goes. Their share of the budget was lost (the frontend's own count of open requests before, too, which a stop waits for). Once the socket is closed, they are closed as well; guarded-server.test.ts waits for ever without it.

--- a/packages/guarded-app/src/guarded-app.ts
+++ b/packages/guarded-app/src/guarded-app.ts
@@ -65,6 +65,7 @@
     if (body.tag === 'whole') {
       if (response === undefined || connection.beginRequest(response, body.bytes.length)) return body.bytes;
       response.setHeader('Retry-After', retryAfterSeconds);
+      response.setHeader('Connection', 'close');
       throw new BodyError(503, 'TANSYPOST_NO_ROOM', 'The calls in progress take all the memory for calls; retry.');
     }
     if (body.tag === 'cut') throw new BodyError(400, 'FST_ERR_CTP_INVALID_CONTENT_LENGTH', 'The body is incomplete.');
--- a/packages/peer-limits/src/guarded-server.ts
+++ b/packages/peer-limits/src/guarded-server.ts
@@ -134,6 +134,14 @@
   return true;
 }
 
+/**
+ * Node.js emits no `close` for a response that waited behind another one when its connection was closed; without it the
+ * request would count as in progress for ever.
+ */
+function closeQueued({ responses }: ConnectionState): void {
+  for (const response of [...responses]) response.emit('close');
+}
+
 /** Answers a head that is too long; closes the connection after any other error. */
 function closeAfterError(error: NodeJS.ErrnoException, socket: Socket, state: ConnectionState | undefined): void {
   const isLongHead = error.code === 'HPE_HEADER_OVERFLOW' && state?.responses.size === 0;
@@ -160,7 +168,9 @@
     options.handle(request, response, state);
   }
   server.on('connection', (socket: Socket) => {
-    states.set(socket, createState(socket, guard, server.maxHeaderSize));
+    const state = createState(socket, guard, server.maxHeaderSize);
+    states.set(socket, state);
+    socket.once('close', () => setImmediate(closeQueued, state));
   });
   server.on('request', onRequest);
   server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
