--- a/programs/fleet-runner/src/soak/misbehaving-clients.ts
+++ b/programs/fleet-runner/src/soak/misbehaving-clients.ts
@@ -14,7 +14,7 @@
   readonly random: () => number;
 }
 
-const connectionsPerCrowd = 12;
+const connectionsPerCrowd = 5;
 const maxStayMs = 4000;
 const maxPauseMs = 1000;
 const pieceBytes = 16 * 1024;
