Guarded servers: see unread answers of calls without a body, and keep what fastify set for its own servers

A handler that reads no body never sees its end, so the phase of such a call stayed 'body': answers to GET that nobody read were neither counted nor timed out as such, but closed after 60 s only. With a server of its own fastify sets a keep-alive timeout of 72 s, with one that is passed in it does not: calls kept their connections for 5 s only. JSON applications again answer 415 to other types, and a body that finds no room is an 'overloaded' with 503 in the programs, not a 500.

--- a/packages/guarded-app/src/guarded-app.ts
+++ b/packages/guarded-app/src/guarded-app.ts
@@ -17,6 +17,9 @@
   readonly bodies: 'bytes' | 'json';
 }
 
+/** The code of the error with status 503 for a body that does not fit beside the calls in progress. */
+export const noRoomCode = 'TANSYPOST_NO_ROOM';
+
 /** An error with the status that fastify answers it with. */
 class BodyError extends Error {
   constructor(
@@ -35,6 +38,8 @@
 /** A request that was injected into the application has no connection. */
 const injected = { response: undefined, connection: undefined } as const;
 const retryAfterSeconds = '1';
+/** As fastify sets it for a server of its own; callers keep their connections. */
+const keepAliveTimeoutMs = 72_000;
 
 function parseJson(text: string): unknown {
   try {
@@ -52,6 +57,7 @@
     serverFactory: (handler) =>
       createGuardedServer({
         guard,
+        http: { keepAliveTimeout: keepAliveTimeoutMs },
         handle: (request, response, connection) => {
           exchanges.set(request, { response, connection });
           handler(request, response);
@@ -66,7 +72,7 @@
       if (response === undefined || connection.beginRequest(response, body.bytes.length)) return body.bytes;
       response.setHeader('Retry-After', retryAfterSeconds);
       response.setHeader('Connection', 'close');
-      throw new BodyError(503, 'TANSYPOST_NO_ROOM', 'The calls in progress take all the memory for calls; retry.');
+      throw new BodyError(503, noRoomCode, 'The calls in progress take all the memory for calls; retry.');
     }
     if (body.tag === 'cut') throw new BodyError(400, 'FST_ERR_CTP_INVALID_CONTENT_LENGTH', 'The body is incomplete.');
     response?.setHeader('Connection', 'close');
@@ -78,9 +84,12 @@
   }
 
   app.removeAllContentTypeParsers();
-  app.addContentTypeParser('*', async (_request: unknown, payload: http.IncomingMessage) => {
-    const bytes = await readBody(payload);
-    return bodies === 'bytes' ? bytes : parseJson(bytes.toString('utf8'));
-  });
+  app.addContentTypeParser(
+    bodies === 'bytes' ? '*' : 'application/json',
+    async (_request: unknown, payload: http.IncomingMessage) => {
+      const bytes = await readBody(payload);
+      return bodies === 'bytes' ? bytes : parseJson(bytes.toString('utf8'));
+    },
+  );
   return app;
 }
--- a/packages/peer-limits/src/guarded-server.ts
+++ b/packages/peer-limits/src/guarded-server.ts
@@ -49,6 +49,8 @@
 interface ConnectionState extends HttpConnection {
   readonly socket: Socket;
   readonly responses: Set<http.ServerResponse>;
+  /** The request that arrived last. */
+  newest: http.IncomingMessage | undefined;
   served: boolean;
   /** Of the socket's bytes read, those that belong to requests that are over. */
   readBefore: number;
@@ -80,7 +82,8 @@
 
 function inspectOutput(state: ConnectionState): void {
   const { socket, guarded } = state;
-  if (guarded.phase() === 'body') return;
+  // A handler that does not read a body never sees its end.
+  if (guarded.phase() === 'body' && state.newest?.complete !== true) return;
   const unread = unreadBytes(state);
   const sent = socket.bytesWritten - socket.writableLength;
   guarded.enter(unread > 0 ? 'answer' : 'request');
@@ -95,6 +98,7 @@
     responses,
     guarded: guard.accept(socket, () => inspect(state)),
     maxHeadBytes,
+    newest: undefined,
     served: false,
     readBefore: 0,
     readAtInspection: 0,
@@ -117,6 +121,7 @@
     return false;
   }
   responses.add(response);
+  state.newest = request;
   guarded.enter('body');
   request.once('end', () => {
     if (guarded.phase() === 'body') guarded.enter('request');
--- a/programs/request-router/src/app.ts
+++ b/programs/request-router/src/app.ts
@@ -6,7 +6,7 @@
 import { randomUUID } from 'node:crypto';
 import { Type, type Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
-import { createGuardedApp } from '@tansypost/guarded-app';
+import { createGuardedApp, noRoomCode } from '@tansypost/guarded-app';
 import type { ConnectionGuard } from '@tansypost/peer-limits';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { Agent, request } from 'undici';
@@ -69,6 +69,7 @@
   app.setErrorHandler((error: { code?: string; message: string; statusCode?: number }, _request, reply) => {
     if (error.code === 'FST_ERR_CTP_BODY_TOO_LARGE')
       return sendFailure(reply, failure('body_too_large', error.message), '');
+    if (error.code === noRoomCode) return sendFailure(reply, failure('overloaded', error.message), '');
     if (error.statusCode !== undefined && error.statusCode < 500)
       return sendFailure(reply, failure('bad_request', error.message), '');
     return sendFailure(reply, failure('internal_error', 'An unexpected error occurred in this router.'), '');
--- a/programs/router-agent/src/app.ts
+++ b/programs/router-agent/src/app.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import { Type, type Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
-import { createGuardedApp } from '@tansypost/guarded-app';
+import { createGuardedApp, noRoomCode } from '@tansypost/guarded-app';
 import type { ConnectionGuard } from '@tansypost/peer-limits';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { workerStates } from '@tansypost/membership';
@@ -57,7 +57,11 @@
       error: { kind: 'bad_request', message, remedy },
     });
   }
-  app.setErrorHandler((error: { message: string; statusCode?: number }, _request, reply) => {
+  app.setErrorHandler((error: { code?: string; message: string; statusCode?: number }, _request, reply) => {
+    if (error.code === noRoomCode)
+      return reply
+        .code(503)
+        .send({ error: { kind: 'overloaded', message: error.message, remedy: 'Come back after the time given.' } });
     if (error.statusCode !== undefined && error.statusCode < 500)
       return sendBadRequest(reply.code(error.statusCode), error.message, 'Correct the request.');
     return reply.code(500).send({
