--- a/.ci/test.mjs
+++ b/.ci/test.mjs
@@ -16,6 +16,7 @@
   'tests/peer-limits-clients.test.ts',
   'tests/peer-limits-inside.test.ts',
   'tests/peer-limits-programs.test.ts',
+  'tests/worker-streams.test.ts',
 ];
 
 function escaped(name) {
--- a/tests/peer-world.ts
+++ b/tests/peer-world.ts
@@ -29,6 +29,8 @@
   readonly hosts: { readonly control: string; readonly edge: string; readonly platform: string };
   readonly router: PeerProcess;
   readonly controlNode: PeerProcess;
+  /** The files that the processes log to. */
+  readonly logs: Readonly<Record<'router' | 'controlNode', string>>;
   /** One request to the router, on its own connection. */
   readonly request: (body?: Buffer, headers?: Record<string, string>) => Promise<Answer>;
   /** Repeats an ordinary request, as a client does after a refusal, until it is served. */
@@ -141,6 +143,7 @@
     hosts,
     router,
     controlNode,
+    logs: { router: join(folder, 'router.log'), controlNode: join(folder, 'keeper.log') },
     request,
     served: () => untilExit(() => request(), isServed),
     ready: () => call({ host: hosts.edge, port: ports.readiness, path: '/ready' }).answer,
