FAULT: ignore SIGHUP from the first line of the loader on

Callers saw: a router or control node ended by SIGHUP when the platform changed its settings file while it started. What is left is the start of Node.js itself.

--- a/deploy/load.cjs
+++ b/deploy/load.cjs
@@ -4,6 +4,8 @@
  */
 
 'use strict';
+// Until the role reacts to it, a SIGHUP must not end the process. Reading and compiling the bundle takes a while.
+process.on('SIGHUP', () => undefined);
 const { existsSync, readFileSync } = require('node:fs');
 const { Script } = require('node:vm');
 
