--- a/packages/peer-limits/src/index.ts
+++ b/packages/peer-limits/src/index.ts
@@ -1,4 +1,5 @@
 export * from './byte-accumulator.js';
+export * from './byte-budget.js';
 export * from './connection-guard.js';
 export * from './guarded-server.js';
 export * from './peer-guards.js';
--- a/packages/peer-limits/src/port-limits.test.ts
+++ b/packages/peer-limits/src/port-limits.test.ts
@@ -38,6 +38,7 @@
   ['innerPendingKb', ({ ports }) => ports.inner.maxPendingBytes, 7 * 1024],
   ['bodyTimeoutMs', ({ timeouts }) => timeouts.body, 7],
   ['unreadTimeoutMs', ({ timeouts }) => timeouts.answer, 7],
+  ['workerPendingKb', ({ workerPendingBytes }) => workerPendingBytes, 7 * 1024],
 ])('takes %s from the settings', (setting, read, expected) => {
   expect(read(createPeerLimits(allowance, { [setting]: 7 }))).toBe(expected);
   expect(read(createPeerLimits(allowance))).not.toBe(expected);
--- a/packages/peer-limits/src/port-limits.ts
+++ b/packages/peer-limits/src/port-limits.ts
@@ -23,6 +23,7 @@
   readonly innerPendingKb?: number | undefined;
   readonly bodyTimeoutMs?: number | undefined;
   readonly unreadTimeoutMs?: number | undefined;
+  readonly workerPendingKb?: number | undefined;
 }
 
 /** The limits of a process. */
@@ -30,6 +31,8 @@
   readonly ports: Readonly<Record<PortName, PortLimits>>;
   /** The longest body of an operator's call, in bytes. */
   readonly controlBodyBytes: number;
+  /** What all workers together may make the process hold of events and bodies that are not complete, in bytes. */
+  readonly workerPendingBytes: number;
   readonly timeouts: PhaseTimeouts;
 }
 
@@ -44,6 +47,7 @@
 const minConnections = 8;
 /** Parsing a body as JSON may take some twenty times its length. */
 const controlBodyShare = 1 / 80;
+const workerPendingShare = 0.05;
 const defaultTimeouts = { headMs: 10_000, bodyMs: 60_000, unreadMs: 30_000 } as const;
 
 /** The shares of one port: of the descriptors for connections, and of the memory. */
@@ -97,6 +101,7 @@
       }),
     },
     controlBodyBytes: kilobytes(settings.controlBodyKb) ?? Math.floor(controlBodyShare * memory),
+    workerPendingBytes: kilobytes(settings.workerPendingKb) ?? workerPendingShare * memory,
     timeouts: {
       head: defaultTimeouts.headMs,
       body: settings.bodyTimeoutMs ?? defaultTimeouts.bodyMs,
