ORDER: forward only events that the run of the request made, and end the attempt at the first byte that it did not

Cause: the framer forwarded whatever an empty line closed, looked at ids only after a resume, forwarded what was left at a normal end, and kept up to 4 MiB of each stream that had no event boundary: a router believed what a stream said of itself. The first fault ends the attempt at once: resumed after the last sound event where the route allows it, else cut, never complete. The worker's record and event 5111 say why; counts are 'malformed run' and 'malformed read'. What is held of events and bodies counts in one budget.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -259,6 +259,12 @@
     remedy:
       'Correct them at the platform: each needs an id, a service and an address; its numbers must not be negative.',
   },
+  5111: {
+    level: 'warn',
+    meaning:
+      'response of a worker not trusted any further: its bytes cannot be the work of the request, or hold too much memory; nothing of it was forwarded from there on, and the attempt ended. Omitted: of this worker since its last line',
+    remedy: 'Look into the worker and what lies between; one that keeps doing this should be replaced.',
+  },
   6001: { level: 'info', meaning: 'test worker changed its stage', remedy: 'None.' },
   6002: {
     level: 'warn',
--- /dev/null
+++ b/packages/event-stream/src/index.ts
@@ -0,0 +1,3 @@
+export * from './numbered-stream.js';
+export * from './parser.js';
+export * from './stream-fault.js';
--- a/packages/pass-through/src/handler-context.ts
+++ b/packages/pass-through/src/handler-context.ts
@@ -1,5 +1,6 @@
 /** State shared by the attempts of all requests: worker table, prefix tree, retry budget, estimates and counters. */
 import type { World } from '@tansypost/inner-protocol';
+import { createByteBudget, type ByteBudget } from '@tansypost/peer-limits';
 import {
   createThroughputTracker,
   createRadixTree,
@@ -8,11 +9,14 @@
 } from '@tansypost/placement';
 import { createAdmission, type Admission } from './admission.js';
 import { createResponseTimeouts, type ResponseTimeouts } from './response-timeouts.js';
+import { createMalformedResponseLog, type MalformedResponseLog } from './malformed-responses.js';
 import { defaultPairCosts } from './assign-worker-pair.js';
 import type { Rejection, CohortAssignment, ResponseWriter, WorkerPort } from './ports.js';
 import { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retry-budget.js';
 import { createWorkerFleet, type WorkerFleet } from './worker-fleet.js';
 
+const defaultHeldBytes = 16 * 1024 * 1024;
+
 /** Settings of a router's request handler. */
 export interface RequestHandlerOptions {
   readonly zone: string;
@@ -22,6 +26,8 @@
   readonly logRequests?: boolean;
   readonly placement?: PlacementOptions;
   readonly pairCosts?: Partial<typeof defaultPairCosts>;
+  /** The bound for what workers make the process hold; one for this handler alone by default. */
+  readonly heldBytes?: ByteBudget;
 }
 
 /** Interfaces to workers, other routers and learning. */
@@ -50,6 +56,8 @@
   readonly retryBudget: RetryBudget;
   readonly admission: Admission;
   readonly responseTimeouts: ResponseTimeouts;
+  readonly malformedResponses: MalformedResponseLog;
+  readonly heldBytes: ByteBudget;
   /** Counts an event by its name and returns its count. */
   readonly count: (event: string) => number;
   readonly counts: () => Record<string, number>;
@@ -82,6 +90,8 @@
     retryBudget: createRetryBudget(world.now, options.retryBudget),
     admission: createAdmission(),
     responseTimeouts: createResponseTimeouts(),
+    malformedResponses: createMalformedResponseLog(world),
+    heldBytes: options.heldBytes ?? createByteBudget(defaultHeldBytes),
     count,
     counts: () => Object.fromEntries([...counts].sort()),
   };
--- a/packages/pass-through/src/in-flight-request.ts
+++ b/packages/pass-through/src/in-flight-request.ts
@@ -1,6 +1,6 @@
 /** State of one request in flight: what it asks for and which attempts were made. */
+import type { NumberedStream } from '@tansypost/event-stream';
 import type { Route, Service } from '@tansypost/paths';
-import type { SseFramer } from './sse-framer.js';
 import type { IncomingRequest } from './incoming-request.js';
 import type { Rejection, CohortAssignment, ResponseWriter, RunResult } from './ports.js';
 import { createRequestTimeline, type RequestTimeline } from './request-timeline.js';
@@ -36,7 +36,8 @@
   ran: 'no' | 'maybe';
   /** Whether a response to the client has started. */
   responseStarted: boolean;
-  framer: SseFramer | undefined;
+  /** The events of all runs; undefined before the response has started, and where the route does not stream. */
+  eventStream: NumberedStream | undefined;
   lastRefused: boolean;
   readonly triedWorkers: Set<string>;
   /** The workers of its prefills and runs, in order. */
@@ -70,7 +71,7 @@
     attempts: 0,
     ran: 'no',
     responseStarted: false,
-    framer: undefined,
+    eventStream: undefined,
     lastRefused: false,
     triedWorkers: new Set(),
     workerIds: [],
--- a/packages/pass-through/src/index.ts
+++ b/packages/pass-through/src/index.ts
@@ -1,7 +1,6 @@
 export * from './request-handler.js';
 export type { RequestHandlerOptions, RequestHandlerPorts } from './handler-context.js';
 export * from './decision.js';
-export * from './sse-framer.js';
 export * from './graceful-shutdown.js';
 export * from './incoming-request.js';
 export type { RequestLogFields } from './request-log.js';
--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -15,17 +15,19 @@
 
 /**
  * Result of a prefill. `read`: the prompt is prefilled; `unknown`: the worker may have accepted it. `misdirected` says
- * that another worker has the address (status 421).
+ * that another worker has the address (status 421). `malformed` says that the bytes of the response cannot be the work of
+ * this request, as `reason` tells.
  */
 export type PrefillResult =
   | { readonly tag: 'read'; readonly kvHandle: string; readonly tokens: number }
   | { readonly tag: 'unsent'; readonly reason: string }
   | { readonly tag: 'refused'; readonly reason: string; readonly misdirected: boolean }
-  | { readonly tag: 'unknown'; readonly reason: string };
+  | { readonly tag: 'unknown'; readonly reason: string; readonly malformed?: boolean };
 
 /**
  * Result of a run. `whole`: the response is complete; `failed`: the worker responded with an error; `unknown`: the
  * worker may have run the request in part. `misdirected` says that another worker has the address (status 421).
+ * `malformed` says that the bytes of the response cannot be the work of this request, as `reason` tells.
  */
 export type RunResult =
   | { readonly tag: 'whole' }
@@ -37,7 +39,7 @@
       readonly response: ResponseHead & { readonly body: Buffer };
     }
   | { readonly tag: 'failed'; readonly response: ResponseHead & { readonly body: Buffer } }
-  | { readonly tag: 'unknown'; readonly reason: string };
+  | { readonly tag: 'unknown'; readonly reason: string; readonly malformed?: boolean };
 
 /** The KV cache of a prompt at the worker that prefilled it. */
 export interface KvSource {
--- a/packages/pass-through/src/prefill-attempt.ts
+++ b/packages/pass-through/src/prefill-attempt.ts
@@ -107,9 +107,19 @@
     attempt.tracker.finish('overdue');
   } else if (attempt.inFlight.clientGone.aborted) attempt.tracker.finish('left');
   else if (misdirected) attempt.tracker.finish('gone');
+  else if (result.tag === 'unknown' && result.malformed === true) recordMalformed(context, attempt, result.reason);
   else attempt.tracker.finish(refused ? 'refused' : 'failed');
 }
 
+function recordMalformed(context: HandlerContext, attempt: PrefillAttempt, why: string): void {
+  const { inFlight, prefillWorker, tracker } = attempt;
+  tracker.finish('malformed');
+  context.count('malformed read');
+  const { request, service } = inFlight;
+  const response = { worker: prefillWorker.id, service: service.name, request: request.id, why, lastEventId: 0 };
+  context.malformedResponses.record({ ...response, kind: 'read' });
+}
+
 /** Sends the request to `prefillWorker`; resolves when that answers or is abandoned, or when the request ends. */
 export async function attemptPrefill(
   context: HandlerContext,
--- a/packages/pass-through/src/request-handler.ts
+++ b/packages/pass-through/src/request-handler.ts
@@ -214,6 +214,7 @@
     const budget = context.retryBudget.totals();
     return {
       active,
+      heldBytes: context.heldBytes.total(),
       counts: context.counts(),
       budget,
       listed: workers?.length ?? 0,
--- a/packages/pass-through/src/run-attempt-state.ts
+++ b/packages/pass-through/src/run-attempt-state.ts
@@ -1,4 +1,6 @@
 /** State of one run attempt, shared by the modules that carry the attempt out. Times are microseconds. */
+import type { StreamFault } from '@tansypost/event-stream';
+import type { HeldBytes } from '@tansypost/peer-limits';
 import type { AttemptAbort } from './attempt-abort.js';
 import type { AttemptTiming } from './attempt-timing.js';
 import type { InFlightRequest } from './in-flight-request.js';
@@ -17,6 +19,10 @@
   readonly startedAt: number;
   readonly abort: AttemptAbort;
   readonly tracker: AttemptTracker;
+  /** The part of an event that is held until the event is complete. */
+  readonly held: HeldBytes;
+  /** Why the stream of this attempt is not trusted any further. */
+  streamFault: StreamFault | undefined;
   /** Whether this attempt has received a chunk of the response. */
   chunkReceived: boolean;
   /** When the worker last sent a part of the response; `startedAt` before the first one. */
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -1,10 +1,10 @@
 /** One attempt to run a request at a decode worker, whose stream is forwarded as it comes. */
+import { createNumberedStream, type StreamFault } from '@tansypost/event-stream';
 import { micros } from '@tansypost/inner-protocol';
 import type { WorkerPair } from './assign-worker-pair.js';
 import { createAttemptAbort } from './attempt-abort.js';
 import { firstRunCheckIn, maxStreamSilence, nextCheckIn, runTiming } from './attempt-timing.js';
 import type { HandlerContext } from './handler-context.js';
-import { createSseFramer } from './sse-framer.js';
 import { hasAttemptLeft, mayReassign, type InFlightRequest } from './in-flight-request.js';
 import { alternativeTo, isWorthAbandoning } from './pair-selection.js';
 import type { ResponseHead, KvSource, RunResult, ResponseSink, RunParameters } from './ports.js';
@@ -56,7 +56,13 @@
   const tracker = fleet.startAttempt(worker.id, 'run', pair.decodeWorkerTokens, timing.expected);
   const abort = createAttemptAbort(world, inFlight);
   const startedAt = world.now();
-  const initialState = { chunkReceived: false, lastHeardAt: startedAt, ended: false, overdue: false };
+  const initialState = {
+    streamFault: undefined,
+    chunkReceived: false,
+    lastHeardAt: startedAt,
+    ended: false,
+    overdue: false,
+  };
   const { serviceTime: prefillServiceTime } = pair;
   const attempt: RunAttempt = {
     inFlight,
@@ -67,6 +73,7 @@
     startedAt,
     abort,
     tracker,
+    held: context.heldBytes.open(() => distrust(attempt, 'out of memory for streams')),
     ...initialState,
   };
   if (mayReassign(inFlight)) world.after(micros(firstRunCheckIn(timing)), () => checkRun(context, attempt));
@@ -77,11 +84,15 @@
   return attempt;
 }
 
+/** The last event that the client has from this response; undefined before its first one. */
+function knownEventId({ eventStream }: InFlightRequest): number | undefined {
+  const lastEventId = eventStream?.lastEventId() ?? 0;
+  return lastEventId > 0 ? lastEventId : undefined;
+}
+
 function runParameters({ inFlight, kvSource, timing, startedAt }: RunAttempt): RunParameters {
   const requestedEventId = inFlight.request.lastEventId;
-  const lastEventId = inFlight.responseStarted
-    ? (inFlight.framer?.lastEventId() ?? requestedEventId)
-    : requestedEventId;
+  const lastEventId = inFlight.responseStarted ? (knownEventId(inFlight) ?? requestedEventId) : requestedEventId;
   return {
     remainingTime: inFlight.deadline - startedAt,
     urgency: timing.urgency,
@@ -96,7 +107,7 @@
   attempt.lastHeardAt = context.world.now();
   if (inFlight.responseStarted) return;
   inFlight.responseStarted = true;
-  inFlight.framer = inFlight.route.streaming ? createSseFramer(inFlight.request.lastEventId) : undefined;
+  if (inFlight.route.streaming) inFlight.eventStream = createNumberedStream(inFlight.request.lastEventId);
   inFlight.response.head(head);
 }
 
@@ -142,13 +153,26 @@
   attempt.tracker.progress();
 }
 
-/** Forwards the complete events; a stream that skips an event is aborted. */
+/** Ends an attempt whose stream cannot be the work of one run. */
+function distrust(attempt: RunAttempt, fault: StreamFault): void {
+  attempt.streamFault ??= fault;
+  attempt.abort.abort();
+}
+
+/** Forwards the complete events up to the first fault of the stream, which ends the attempt. */
 function forwardChunk(context: HandlerContext, attempt: RunAttempt, chunk: Buffer): void | Promise<void> {
-  const { framer, response } = attempt.inFlight;
-  recordChunk(context, attempt);
-  const events = framer === undefined ? chunk : framer.push(chunk);
-  if (framer?.hasGap() === true) attempt.abort.abort();
-  return events.length > 0 ? response.chunk(events) : undefined;
+  const { eventStream, response } = attempt.inFlight;
+  if (attempt.streamFault !== undefined) return undefined;
+  if (eventStream === undefined) {
+    recordChunk(context, attempt);
+    return response.chunk(chunk);
+  }
+  const { events, fault } = eventStream.push(chunk);
+  if (fault === undefined || events.length > 0) recordChunk(context, attempt);
+  const written = events.length > 0 ? response.chunk(events) : undefined;
+  if (fault !== undefined) distrust(attempt, fault);
+  attempt.held.report(eventStream.heldBytes());
+  return written;
 }
 
 /** Runs the request at the decode worker of `pair`. Returns true when the request has been answered. */
@@ -160,7 +184,7 @@
 ): Promise<boolean> {
   const attempt = startRun(context, inFlight, pair, kvSource);
   const parameters = runParameters(attempt);
-  if (inFlight.responseStarted) inFlight.framer?.resume();
+  if (inFlight.responseStarted) inFlight.eventStream?.resume();
   const sink: ResponseSink = {
     head: (head) => forwardHead(context, attempt, head),
     chunk: (chunk) => forwardChunk(context, attempt, chunk),
@@ -168,6 +192,7 @@
   const { worker, abort } = attempt;
   const result: RunResult = await context.ports.workers.run(worker, inFlight.request, parameters, sink, abort.signal);
   attempt.ended = true;
+  attempt.held.close();
   abort.dispose();
   if (inFlight.chunkCount === 0 && result.tag !== 'whole')
     inFlight.timeline.parts.lostRun += context.world.now() - attempt.startedAt;
--- a/packages/pass-through/src/run-outcome.ts
+++ b/packages/pass-through/src/run-outcome.ts
@@ -18,16 +18,31 @@
     context.prefixTree.insert(promptBlocks(inFlight.request), worker.id, now);
 }
 
-/** Returns true when the response was forwarded completely; false where a stream skipped an event. */
-async function finishCompleted(context: HandlerContext, { inFlight, tracker }: RunAttempt): Promise<boolean> {
+function finishCompleted(context: HandlerContext, { inFlight, tracker }: RunAttempt): void {
   tracker.finish('done');
-  if (inFlight.framer?.hasGap() === true) return false;
-  const remainder = inFlight.framer?.remainder();
-  if (remainder !== undefined && remainder.length > 0) await inFlight.response.chunk(remainder);
   context.count('whole');
   inFlight.completed = true;
   inFlight.response.end();
-  return true;
+}
+
+/** Why the response cannot be the work of one run; undefined if it can. */
+function faultOf({ inFlight, streamFault }: RunAttempt, result: RunResult): string | undefined {
+  if (streamFault !== undefined) return streamFault;
+  if (result.tag === 'whole') return inFlight.eventStream?.end();
+  return result.tag === 'unknown' && result.malformed === true ? result.reason : undefined;
+}
+
+/** The worker is not asked again for this request; nothing shows what it has run. */
+function afterMalformed(context: HandlerContext, attempt: RunAttempt, why: string): void {
+  const { inFlight, worker, tracker } = attempt;
+  tracker.finish('malformed');
+  context.count('malformed run');
+  const lastEventId = inFlight.eventStream?.lastEventId() ?? 0;
+  const { request, service } = inFlight;
+  const response = { worker: worker.id, service: service.name, request: request.id, why, lastEventId };
+  context.malformedResponses.record({ ...response, kind: 'run' });
+  inFlight.ran = 'maybe';
+  inFlight.triedWorkers.add(worker.id);
 }
 
 function releaseKv(context: HandlerContext, { kvSource }: RunAttempt): void {
@@ -81,11 +96,17 @@
 }
 
 /** Handles the result of a run. Returns true when the request has been answered. */
-export async function finishRun(context: HandlerContext, attempt: RunAttempt, result: RunResult): Promise<boolean> {
+export function finishRun(context: HandlerContext, attempt: RunAttempt, result: RunResult): boolean {
   recordWorkerOutcome(context, attempt, result);
+  const fault = faultOf(attempt, result);
+  if (fault !== undefined) {
+    afterMalformed(context, attempt, fault);
+    return false;
+  }
   switch (result.tag) {
     case 'whole':
-      return finishCompleted(context, attempt);
+      finishCompleted(context, attempt);
+      return true;
     case 'unsent':
       afterUnsent(context, attempt);
       return false;
--- a/packages/pass-through/src/worker-fleet.ts
+++ b/packages/pass-through/src/worker-fleet.ts
@@ -41,9 +41,10 @@
   readonly progress: () => void;
   /**
    * Ends the attempt. `ill`: the worker ran it and reported a failure; `gone`: another worker has the address now;
-   * `overdue`: the worker did not answer this attempt in time, but may answer others.
+   * `overdue`: the worker did not answer this attempt in time, but may answer others; `malformed`: the bytes that it sent
+   * cannot be a response to this attempt.
    */
-  readonly finish: (outcome: 'done' | 'refused' | 'ill' | 'failed' | 'left' | 'gone' | 'overdue') => void;
+  readonly finish: (outcome: 'done' | 'refused' | 'ill' | 'failed' | 'left' | 'gone' | 'overdue' | 'malformed') => void;
 }
 
 /** What placement needs to know about one worker; times are microseconds. */
@@ -114,6 +115,8 @@
   /** Consecutive failures. */
   failures: number;
   backoffUntil: number;
+  /** Responses whose bytes could not be trusted, since the worker was listed. */
+  malformedResponses: number;
 }
 
 /**
@@ -171,6 +174,7 @@
           failureRateAt: -Infinity,
           failures: 0,
           backoffUntil: 0,
+          malformedResponses: 0,
         });
       else {
         if (row.worker.part !== worker.part) {
@@ -377,7 +381,8 @@
           row.lastHeardAt = now();
           row.backoffUntil = Math.max(row.backoffUntil, now() + 150_000);
         } else if (outcome === 'gone') row.backoffUntil = Infinity;
-        else if (outcome === 'failed') {
+        else if (outcome === 'failed' || outcome === 'malformed') {
+          if (outcome === 'malformed') row.malformedResponses += 1;
           row.failures += 1;
           row.backoffUntil = now() + Math.min(4_000_000, 400_000 * 2 ** Math.min(4, row.failures - 1));
         }
@@ -425,6 +430,7 @@
           told:
             row.load === undefined ? '' : `${row.load.queued}+${row.load.active} ${Math.round(row.load.kvUsed * 100)}`,
           failures: row.failures,
+          ...(row.malformedResponses > 0 ? { malformed: row.malformedResponses } : {}),
         })),
   };
 }
