--- a/packages/event-stream/src/parser.ts
+++ b/packages/event-stream/src/parser.ts
@@ -123,8 +123,37 @@
   return Buffer.concat([open.partialLine.take(), ending]);
 }
 
+/** The events to be forwarded: parts of `bytes`, which are not copied as long as they follow each other. */
+interface ForwardedPieces {
+  /** Adds an event: its lines of earlier pushes, and its part of `bytes`. */
+  readonly add: (lines: ByteAccumulator, from: number, to: number) => void;
+  readonly joined: () => Buffer;
+}
+
+function collectPieces(bytes: Buffer): ForwardedPieces {
+  const pieces: Buffer[] = [];
+  let [start, end] = [0, 0];
+  function flush(): void {
+    if (end > start) pieces.push(bytes.subarray(start, end));
+  }
+  return {
+    add: (lines, from, to) => {
+      if (lines.length() > 0) pieces.push(lines.take());
+      if (from !== end) {
+        flush();
+        start = from;
+      }
+      end = to;
+    },
+    joined: () => {
+      flush();
+      return pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces);
+    },
+  };
+}
+
 function push(open: OpenEvent, bytes: Buffer): ParsedBytes {
-  const events: Buffer[] = [];
+  const events = collectPieces(bytes);
   /** The first byte of the open event, and that of its next line, as far as they are in `bytes`. */
   let [eventStart, lineStart] = [0, 0];
   for (let at = bytes.indexOf(lineFeed); at >= 0; at = bytes.indexOf(lineFeed, lineStart)) {
@@ -138,18 +167,13 @@
     const content = withoutLineEnd(line);
     const outcome = content.length > 0 ? parseField(open, content) : endEvent(open);
     if (outcome === undefined && open.lines.length() + lineStart - eventStart <= open.maxEventBytes) continue;
-    if (outcome === 'forward') events.push(open.lines.take(), bytes.subarray(eventStart, lineStart));
+    if (outcome === 'forward') events.add(open.lines, eventStart, lineStart);
     else if (outcome === 'drop') open.lines.discard();
-    else return { events: joined(events), fault: outcome ?? 'event too long' };
+    else return { events: events.joined(), fault: outcome ?? 'event too long' };
     eventStart = lineStart;
   }
   open.lines.push(bytes.subarray(eventStart, lineStart));
-  return { events: joined(events), fault: holdPartialLine(open, bytes.subarray(lineStart)) };
-}
-
-function joined(pieces: readonly Buffer[]): Buffer {
-  const present = pieces.filter((piece) => piece.length > 0);
-  return present.length === 1 ? present[0]! : Buffer.concat(present);
+  return { events: events.joined(), fault: holdPartialLine(open, bytes.subarray(lineStart)) };
 }
 
 /** Creates a parser at the beginning of a stream. */
