Peer limits: refuse a body in too many small chunks, and close its connection

The crowd that reads no answers gets rising event ids, as its worker's stream would end at its second event otherwise; its bytes and bounds are the same.

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -46,7 +46,7 @@
   1201: {
     level: 'warn',
     meaning:
-      'connections closed because peers of this port held too much (gaveWay) or stayed too long in a phase (overdue), or requests refused for lack of memory (refused), within the last second',
+      'connections closed because peers of this port held too much (gaveWay) or stayed too long in a phase (overdue), or requests refused for lack of memory or because of bodies in too many small chunks (refused), within the last second',
     remedy:
       'Find out who calls: ordinary clients within the limits of the pages do not cause it. If they do, give the machine more memory or descriptors, or set other limits in peer_limits.',
   },
--- a/packages/peer-limits/src/connection-guard.ts
+++ b/packages/peer-limits/src/connection-guard.ts
@@ -31,6 +31,8 @@
   /** False where the request does not fit; it is over when `endRequest` is called with the same bytes. */
   readonly beginRequest: (bytes: number) => boolean;
   readonly endRequest: (bytes: number) => void;
+  /** Counts a request as refused in event 1201. */
+  readonly countRefused: () => void;
   readonly phase: () => ConnectionPhase;
 }
 
@@ -124,6 +126,9 @@
     markServed: () => budget.markServed(connection),
     beginRequest: (bytes) => beginRequest(state, connection, bytes),
     endRequest: (bytes) => budget.endRequest(connection, bytes),
+    countRefused: () => {
+      state.counts.refused += 1;
+    },
     phase: () => connection.phase,
   };
 }
--- a/tests/peer-limits-clients.test.ts
+++ b/tests/peer-limits-clients.test.ts
@@ -116,6 +116,17 @@
   expectWithinLimits(world.router);
 });
 
+it('answers an ordinary request at the first try beside 80 bodies in chunks of one byte', async () => {
+  world = await startPeerWorld();
+  const { hosts, router, request } = world;
+  const crowd = startCrowd({ host: hosts.edge, port: ports.front, members: 80, script: tinyChunks, returns: 0 });
+  await crowd.settled;
+  expect(await request()).toMatchObject(completeAnswer);
+  await crowd.allClosed();
+  expect(await request()).toMatchObject(completeAnswer);
+  expectWithinLimits(router);
+});
+
 it('stays within its limits beside clients that read no answers', async () => {
   const answerBytes = 4 * clientLimits.maxBodyBytes;
   function respond(request: http.IncomingMessage, response: http.ServerResponse): void {
@@ -123,7 +134,12 @@
     if (typeof id !== 'string' || !id.startsWith('crowd')) return serveWorkerRequest([], request, response);
     request.resume();
     response.writeHead(200, { 'Content-Type': 'text/event-stream', 'X-Attempt-Id': id, 'X-Server-Seal': 'seal' });
-    for (const piece of repeated('id: 1\ndata: x\n\n', answerBytes, largePiece)) response.write(piece);
+    for (let event = 1, sent = 0; sent < answerBytes;) {
+      let piece = '';
+      for (; piece.length < largePiece; event += 1) piece += `id: ${event}\ndata: x\n\n`;
+      response.write(piece);
+      sent += piece.length;
+    }
     response.end();
   }
   world = await startPeerWorld(respond);
