Soak: workers that send streams which no run made; judge each piece that a client receives, and SIGHUP at a start

Rules 'order' (bytes that no run made, or an end as complete without all events) and 'held' (a distrusted stream kept open for 20 s). Workers honour Last-Event-Id. A process that a SIGHUP ends is excused only if it had used no more processor time than Node.js itself needs to reach the first line; before, any process that had not served was.

--- a/programs/fleet-runner/src/soak/soak-adapter.ts
+++ b/programs/fleet-runner/src/soak/soak-adapter.ts
@@ -39,6 +39,14 @@
   readonly fillerBytes: number;
 }
 
+/** A stream of a worker that cannot be the work of one run: sound events, what follows them, and how it ends. */
+export interface SoakFaultyStream {
+  readonly soundEvents: number;
+  /** Latin-1 characters. */
+  readonly foreign: string;
+  readonly ending: 'end' | 'reset' | 'silence';
+}
+
 /**
  * Input that is invalid or extreme, as faulty workers, platforms, clients and operators may send it now and then. It may
  * fail, but no process may end because of it.
@@ -50,6 +58,8 @@
   readonly workerLists: (ips: readonly string[]) => readonly string[];
   /** The bytes of a worker's responses to a request. */
   readonly responses: (id: string) => readonly string[];
+  /** Streams whose head is sound. */
+  readonly streams: readonly SoakFaultyStream[];
   /** Requests of clients with extreme headers; they are complete and may be served. */
   readonly requests: (id: string) => readonly SoakCall[];
   /** Configurations of this revision that must not be accepted. */
@@ -77,7 +87,7 @@
   /** The id of a request as a worker receives it; undefined if the call is not a client's request. */
   readonly requestIdOf: (headers: IncomingHttpHeaders) => string | undefined;
   readonly workerHeaders: (id: string) => OutgoingHttpHeaders;
-  /** The chunks of a worker's response. */
-  readonly chunks: readonly string[];
+  /** The events of a worker's response to a request with these headers; those that the client has are left out. */
+  readonly events: (headers: Readonly<Record<string, string | string[] | undefined>>) => readonly string[];
   readonly faultyInput: SoakFaultyInput;
 }
--- a/programs/fleet-runner/src/soak/soak-client.ts
+++ b/programs/fleet-runner/src/soak/soak-client.ts
@@ -12,6 +12,8 @@
   readonly ended: 'whole' | 'failed' | 'refused' | 'cut' | 'unsent';
   readonly status: number;
   readonly reusedConnection: boolean;
+  /** Whether a success brought bytes that are no event of the worker's run, or ended as complete without all of its events. */
+  readonly malformed: boolean;
 }
 
 /** The response to one call; `complete` is false if the connection ended in the middle of it. */
@@ -58,6 +60,12 @@
 /** Statuses that guarantee that the request was not executed and will not be. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Whether the body consists of the first events, and of all of them if it is complete. */
+function isSound({ body, complete }: SoakAnswer, events: readonly string[]): boolean {
+  if (complete) return body === events.join('');
+  return ['', ...events].some((_, count) => body === events.slice(0, count).join(''));
+}
+
 function classifyResult({ answer, connected }: ExchangeResult, expectedBody: string): SoakOutcome['ended'] {
   if (answer === undefined) return connected ? 'cut' : 'unsent';
   if (!answer.complete) return 'cut';
@@ -68,7 +76,8 @@
 export interface SoakClientOptions {
   readonly machine: string;
   readonly ip: string;
-  readonly expectedBody: string;
+  /** The events of a whole response to the call. */
+  readonly eventsOf: (call: SoakCall) => readonly string[];
   readonly nextRequest: () => { readonly id: string; readonly call: SoakCall };
   readonly isFinished: () => boolean;
   readonly random: () => number;
@@ -85,14 +94,16 @@
     const { id, call } = options.nextRequest();
     const sentAt = performance.now();
     const result = await exchange(options.ip, call, agent);
+    const events = options.eventsOf(call);
     options.onOutcome({
       id,
       machine: options.machine,
       sentAt,
       endedAt: performance.now(),
-      ended: classifyResult(result, options.expectedBody),
+      ended: classifyResult(result, events.join('')),
       status: result.answer?.status ?? 0,
       reusedConnection: result.reused,
+      malformed: result.answer?.status === 200 && !isSound(result.answer, events),
     });
     const idleMs = options.random() < idleShare ? maxIdleMs * options.random() : 20;
     await new Promise((resolve) => setTimeout(resolve, idleMs));
--- a/programs/fleet-runner/src/soak/soak-machines.ts
+++ b/programs/fleet-runner/src/soak/soak-machines.ts
@@ -1,6 +1,6 @@
 /** The processes of a soak test: started and signalled by process id, with files for their settings, logs and data. */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { closeSync, openSync, renameSync, writeFileSync } from 'node:fs';
+import { closeSync, openSync, readFileSync, renameSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import type { SoakAdapter, SoakMachine } from './soak-adapter.js';
 
@@ -23,6 +23,8 @@
   endedAt: number;
   stopSignalAt: number;
   killSignalAt: number;
+  /** Processor time that it had used when it got its last SIGHUP, in milliseconds. */
+  processorMsAtReload: number;
 }
 
 export interface SoakMachines {
@@ -58,6 +60,23 @@
   readonly random: () => number;
 }
 
+/** The duration of a clock tick of /proc/PID/stat on Linux. */
+const msPerTick = 10;
+/** Positions of the user and system time after the name of the program, which is in parentheses. */
+const userTimeField = 11;
+const systemTimeField = 12;
+
+/** Processor time that the process has used so far; 0 if it has ended. */
+function processorMs(pid: number | undefined): number {
+  try {
+    const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+    const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+    return (Number(fields[userTimeField]) + Number(fields[systemTimeField])) * msPerTick;
+  } catch {
+    return 0;
+  }
+}
+
 /** Minimum delay before a process that has exited is restarted. */
 const minRestartDelayMs = 100;
 const restartJitterMs = 500;
@@ -100,6 +119,7 @@
       endedAt: Infinity,
       stopSignalAt: Infinity,
       killSignalAt: Infinity,
+      processorMsAtReload: 0,
     };
     lifetimes.push(lifetime);
     const exited = new Promise<void>((resolve) => {
@@ -131,6 +151,16 @@
     present.child.kill('SIGTERM');
   }
 
+  function reload(machine: SoakMachine): void {
+    const present = running.get(machine.name);
+    if (present === undefined) return;
+    present.lifetime.processorMsAtReload = Math.max(
+      present.lifetime.processorMsAtReload,
+      processorMs(present.child.pid),
+    );
+    present.child.kill('SIGHUP');
+  }
+
   function kill(machine: SoakMachine): void {
     const present = running.get(machine.name);
     if (present === undefined) return;
@@ -159,7 +189,7 @@
     isUp: (machine) => running.has(machine.name),
     start,
     stop,
-    reload: (machine) => void running.get(machine.name)?.child.kill('SIGHUP'),
+    reload,
     kill,
     ended: (machine) => running.get(machine.name)?.exited ?? Promise.resolve(),
     setSeeds,
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -160,7 +160,7 @@
         runSoakClient({
           machine: machine.name,
           ip: machine.ip,
-          expectedBody: adapter.chunks.join(''),
+          eventsOf: (call) => adapter.events(call.headers),
           nextRequest: () => (index < clientsPerRouter ? requestOn(1) : faultyRequest()),
           isFinished: () => isFinished,
           random,
--- a/programs/fleet-runner/src/soak/soak-verdict.ts
+++ b/programs/fleet-runner/src/soak/soak-verdict.ts
@@ -4,7 +4,15 @@
 import type { SoakExecution } from './soak-workers.js';
 
 export type SoakRule =
-  'lost' | 'twice' | 'refused though run' | 'ended by itself' | 'ended late' | 'not back' | 'changes';
+  | 'lost'
+  | 'twice'
+  | 'refused though run'
+  | 'ended by itself'
+  | 'ended late'
+  | 'not back'
+  | 'changes'
+  | 'order'
+  | 'held';
 
 /** A violated rule, with details. */
 export interface SoakViolation {
@@ -25,7 +33,7 @@
 
 /** Checks requests and process exits. */
 export function judgeSoak(history: SoakHistory): SoakViolation[] {
-  return [...lostRequests(history), ...wrongExecutions(history), ...wrongExits(history)];
+  return [...lostRequests(history), ...wrongExecutions(history), ...wrongStreams(history), ...wrongExits(history)];
 }
 
 /** The share of the grace period after which a worker that is still busy may be cut off. */
@@ -104,8 +112,29 @@
   ];
 }
 
-/** A process cannot handle signals before its handlers are installed; one that has served nothing yet may exit by the signal. */
+/** A stream that is not trusted any further ends at once; this leaves room for pauses of the worker and a busy machine. */
+const maxDistrustedMs = 20_000;
+
+function wrongStreams({ outcomes, executions }: SoakHistory): SoakViolation[] {
+  const malformed = outcomes.filter((outcome) => outcome.malformed);
+  const held = outcomes.filter(
+    ({ id, sentAt, endedAt }) => executions.get(id)?.spoilt === true && endedAt - sentAt > maxDistrustedMs,
+  );
+  return [
+    ...malformed.map((outcome): SoakViolation => ({ rule: 'order', detail: describe(outcome) })),
+    ...held.map((outcome): SoakViolation => ({ rule: 'held', detail: describe(outcome) })),
+  ];
+}
+
+/** What Node.js needs, with a margin, until it runs the first line of a program. */
+const maxNodeStartMs = 100;
+
+/**
+ * A process that has served nothing yet may exit by SIGTERM, as its handler is installed only once there is something to
+ * stop. SIGHUP asks for no exit, so only Node.js itself may be unprepared for it.
+ */
 function endedWhileStarting({ signal, lifetime }: SoakExit, outcomes: readonly SoakOutcome[]): boolean {
+  if (signal === 'SIGHUP') return lifetime.processorMsAtReload <= maxNodeStartMs;
   const served = outcomes.some(
     (outcome) =>
       outcome.machine === lifetime.machine &&
@@ -113,7 +142,7 @@
       outcome.sentAt >= lifetime.startedAt &&
       outcome.sentAt <= lifetime.endedAt,
   );
-  return (signal === 'SIGTERM' || signal === 'SIGHUP') && !served;
+  return signal === 'SIGTERM' && !served;
 }
 
 function wrongExits({ exits, outcomes, maxStopMs }: SoakHistory): SoakViolation[] {
--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -1,6 +1,6 @@
 /** Simulated workers and the worker list of the platform, served on loopback by the soak test's own process. */
 import http from 'node:http';
-import type { SoakAdapter } from './soak-adapter.js';
+import type { SoakAdapter, SoakFaultyStream } from './soak-adapter.js';
 import { pick } from './pick.js';
 
 /** The executions of one request on the workers. */
@@ -28,6 +28,7 @@
 const faultyReportShare = 0.15;
 const faultyListShare = 0.25;
 const faultyResponseShare = 0.03;
+const faultyStreamShare = 0.06;
 /** Most responses are short; some last longer than a router that got SIGTERM keeps running without accepting requests. */
 const shortChunkGapMs = 60;
 const longChunkGapMs = 900;
@@ -50,9 +51,17 @@
         execution.spoilt = true;
         return void request.socket.end(pick(adapter.faultyInput.responses(id), random()), 'latin1');
       }
+      const events = adapter.events(request.headers);
+      const maxGapMs = random() < longAnswerShare ? longChunkGapMs : shortChunkGapMs;
       response.writeHead(200, adapter.workerHeaders(id));
+      if (random() < faultyStreamShare) {
+        execution.spoilt = true;
+        const { soundEvents, foreign, ending } = pick(adapter.faultyInput.streams, random());
+        const pieces = [...events.slice(0, soundEvents), foreign];
+        return writePieces(response, pieces, maxGapMs, () => endFaultyStream(response, ending));
+      }
       response.on('finish', () => (execution.finishedAt = performance.now()));
-      writeChunks(response, random() < longAnswerShare ? longChunkGapMs : shortChunkGapMs);
+      writePieces(response, events, maxGapMs, () => response.end());
     });
   }
 
@@ -67,16 +76,22 @@
       : adapter.workerListBody(ips);
   }
 
-  function writeChunks(response: http.ServerResponse, maxChunkGapMs: number): void {
-    const [first, ...remaining] = adapter.chunks;
-    response.write(first);
-    function writeNext(): void {
-      const chunk = remaining.shift();
-      if (chunk === undefined) return void response.end();
-      response.write(chunk);
-      setTimeout(writeNext, maxChunkGapMs * random());
-    }
-    setTimeout(writeNext, maxChunkGapMs * random());
+  /** Writes the first piece at once and each other one after a pause, and then calls `done`. */
+  function writePieces(
+    response: http.ServerResponse,
+    pieces: readonly string[],
+    maxGapMs: number,
+    done: () => void,
+  ): void {
+    const [piece, ...remaining] = pieces;
+    if (piece === undefined) return done();
+    response.write(piece, 'latin1');
+    setTimeout(writePieces, maxGapMs * random(), response, remaining, maxGapMs, done);
+  }
+
+  function endFaultyStream(response: http.ServerResponse, ending: SoakFaultyStream['ending']): void {
+    if (ending === 'end') response.end();
+    else if (ending === 'reset') response.socket?.resetAndDestroy();
   }
 
   const servers = [
--- a/programs/fleet-runner/src/soak/soak.test.ts
+++ b/programs/fleet-runner/src/soak/soak.test.ts
@@ -14,6 +14,7 @@
   endedAt: 20_000,
   stopSignalAt: 10_000,
   killSignalAt: Infinity,
+  processorMsAtReload: 0,
 };
 const outcome: SoakOutcome = {
   id: 'request',
@@ -23,6 +24,7 @@
   ended: 'whole',
   status: 200,
   reusedConnection: true,
+  malformed: false,
 };
 const exit: SoakExit = {
   machine: 'router-0',
@@ -97,6 +99,22 @@
   expect(judge({ ended: 'refused', status: 503 })).toEqual(['refused though run']);
 });
 
+it('reports a client that received bytes that no run made, and a distrusted stream that was held open', () => {
+  expect(judge({ malformed: true })).toEqual(['order']);
+  expect(judge({ ended: 'cut', malformed: true }, { spoilt: true })).toEqual(['order']);
+  expect(judge({ ended: 'cut', endedAt: 41_000 }, { spoilt: true })).toEqual(['held']);
+  expect(judge({ ended: 'cut', endedAt: 13_000 }, { spoilt: true })).toEqual([]);
+});
+
+it('allows an exit by SIGHUP only before Node.js can have run any line of the program', () => {
+  const hangUp = { requested: 'nothing', code: null, signal: 'SIGHUP' } as const;
+  const starting = { ...lifetime, startedAt: 25_000 };
+  expect(judge({}, undefined, { ...hangUp, lifetime: { ...starting, processorMsAtReload: 40 } })).toEqual([]);
+  expect(judge({}, undefined, { ...hangUp, lifetime: { ...starting, processorMsAtReload: 150 } })).toEqual([
+    'ended by itself',
+  ]);
+});
+
 it('reports processes that exit unrequested, by an unhandled signal, or late', () => {
   expect(judge({}, undefined, { requested: 'nothing', code: 1 })).toEqual(['ended by itself']);
   expect(judge({}, undefined, { code: null, signal: 'SIGTERM' })).toEqual(['ended by itself']);
