--- a/packages/simulator/src/pass-through/passed-checks.ts
+++ b/packages/simulator/src/pass-through/passed-checks.ts
@@ -311,7 +311,7 @@
     run = m[3]!;
   }
   const period = text.slice(at);
-  if (t.ended === 'whole' && period !== '') return 'incomplete event at the end of a complete response';
+  if (period !== '') return `bytes that are not an event after event ${last}`;
   if (t.ended === 'whole' && last !== t.pieces) return `ended as complete with ${last} of ${t.pieces} events`;
   return undefined;
 }
--- a/packages/simulator/src/pass-through/passed-day.ts
+++ b/packages/simulator/src/pass-through/passed-day.ts
@@ -253,7 +253,7 @@
       case 'answers-lost':
         return injectWorkerFault('lost', 0.3, s);
       case 'answers-garbled':
-        return injectWorkerFault(oneOf(['cut', 'foreign', 'surplus'] as const, t.who)!, 0.4, s);
+        return injectWorkerFault(oneOf(['cut', 'foreign', 'surplus', 'garbled'] as const, t.who)!, 0.4, s);
       case 'workers-fail':
         return injectWorkerFault('fail', 0.3, s);
       case 'connections-reset':
--- a/packages/simulator/src/pass-through/virtual-worker.ts
+++ b/packages/simulator/src/pass-through/virtual-worker.ts
@@ -63,7 +63,8 @@
   readonly onPrefill?: (call: WorkerCall, cachedTokens: number) => void;
   readonly onKvMoved?: (tokens: number) => void;
 }
-export type WorkerFault = 'none' | 'cut' | 'foreign' | 'surplus' | 'lost' | 'fail';
+/** `garbled`: bytes that no run made come after some of the events. */
+export type WorkerFault = 'none' | 'cut' | 'foreign' | 'surplus' | 'lost' | 'fail' | 'garbled';
 export interface WorkerLife {
   readonly o: LifeOptions;
   readonly part: () => VirtualStage;
@@ -118,6 +119,22 @@
   return `id: ${n}\ndata: ${request} ${run} ${n}/${of}\n\n`;
 }
 
+/** Bytes that are no event of the run which has sent `sentEvents` events. */
+function garbledBytes(request: string, sentEvents: number, draw: number): string {
+  const kinds = [
+    '%%%%\n\n',
+    '\u0000\u00ff',
+    '\n',
+    `data: ${request} x 1/1\n\n`,
+    formatEvent(request, 'x', sentEvents + 2, 9),
+    formatEvent(request, 'x', sentEvents, 9),
+    'HTTP/1.1 200 OK\r\n\r\n',
+    `id: ${sentEvents + 1}\ndata: ${'x'.repeat(maxGarbledBytes)}`,
+  ];
+  return kinds[Math.min(kinds.length - 1, Math.floor(draw * kinds.length))]!;
+}
+const maxGarbledBytes = 1_000_000;
+
 export function createWorkerLife(simulation: Engine, random: () => number, o: LifeOptions): WorkerLife {
   const handles = new Map<string, KvHandle>();
   const cachedSegments = new Map<string, number>();
@@ -313,6 +330,7 @@
         return job.call.reset();
       }
       head(job);
+      if (job.fault === 'garbled' && job.call.streaming && i === job.cutAfter + 1 && garble(job)) return;
       const at = Math.floor(random() * s.length);
       if (at % 5 === 0 && at > 0) {
         job.call.data(Buffer.from(s.slice(0, at)));
@@ -326,6 +344,18 @@
     job.call.end(job.fault === 'surplus');
   }
 
+  /** Afterwards the worker goes on, breaks off, ends as if complete, or falls silent. */
+  function garble(job: Job): boolean {
+    const bytes = Buffer.from(garbledBytes(job.call.request, job.sentEvents, random()), 'latin1');
+    const ending = Math.floor(4 * random());
+    job.call.data(bytes);
+    if (ending === 0) return false;
+    finish(job);
+    if (ending === 1) job.call.reset();
+    else if (ending === 2) job.call.end(false);
+    return true;
+  }
+
   function scheduleSteps(): void {
     if (!alive || isUnresponsive) return;
     if (currentSteps === undefined) startNextSteps();
--- a/tests/incidents.test.ts
+++ b/tests/incidents.test.ts
@@ -47,3 +47,15 @@
     expect([seed, day.breaches]).toEqual([seed, []]);
   }
 });
+
+it('ORDER: no client receives a piece that no run made while workers garble their streams', async () => {
+  function garbled(at: number): PassedTrouble {
+    return { at, do: 'answers-garbled', for: 5, who: 0.9 };
+  }
+  for (const seed of [51, 52, 53]) {
+    const day = await play(seed, [garbled(2), garbled(9), garbled(16)], { span: 24 });
+    expect([seed, day.breaches]).toEqual([seed, []]);
+    const malformed = day.figures.map(({ counts }) => (counts as Record<string, number>)['malformed run'] ?? 0);
+    expect(malformed.reduce((sum, count) => sum + count, 0)).toBeGreaterThan(20);
+  }
+});
