Load generator: judge each byte of an answer; worker stand-in: nonsense of seven kinds

Answers with bytes that are no event counted as 'unreachable', as the parse error was taken for a broken connection, and what followed [DONE] was not read. They are WRONG now. The smoke test's faulty workers send seven kinds instead of one.

--- a/programs/requester-stand-in/src/requester.ts
+++ b/programs/requester-stand-in/src/requester.ts
@@ -1,6 +1,7 @@
 /** Sends one request over HTTP and checks the response token by token against the expected answer to its prompt. */
 import { Agent, request } from 'undici';
 import { classifyAnswer } from '@tansypost/worker-stand-in';
+import { createAnswerReader, type AnswerEnd } from './answer-reader.js';
 import type { TestRequest } from './traffic.js';
 
 /**
@@ -68,33 +69,19 @@
         response.headers['retry-after'] !== undefined,
       );
     }
-    let buffer = '';
-    const decoder = new TextDecoder();
+    const reader = createAnswerReader();
+    let end: AnswerEnd | undefined;
     for await (const chunk of response.body) {
-      buffer += decoder.decode(chunk as Buffer, { stream: true });
-      for (let end = buffer.indexOf('\n\n'); end >= 0; end = buffer.indexOf('\n\n')) {
-        const event = buffer.slice(0, end);
-        buffer = buffer.slice(end + 2);
-        if (event.startsWith('event: error')) {
-          const verdict = classifyAnswer(testRequest.prompt, testRequest.maxTokens, text);
-          const failure = JSON.parse(event.slice(event.indexOf('data: ') + 6)) as { error: { kind: string } };
-          return verdict === 'foreign' || verdict === 'overlong'
-            ? createOutcome('WRONG', verdict)
-            : createOutcome('cut, and said so', failure.error.kind);
-        }
-        if (event === 'data: [DONE]') {
-          const verdict = classifyAnswer(testRequest.prompt, testRequest.maxTokens, text);
-          return verdict === 'whole' ? createOutcome('whole', 'whole') : createOutcome('WRONG', verdict);
-        }
-        const token = (JSON.parse(event.slice(6)) as { choices: { text: string }[] }).choices[0]!.text;
-        if (token !== '' && firstTokenAt === 0) firstTokenAt = now();
-        text += token;
-      }
+      end = reader.push(chunk as Buffer);
+      text = reader.text();
+      if (text !== '' && firstTokenAt === 0) firstTokenAt = now();
+      if (end?.tag === 'malformed') return createOutcome('WRONG', end.reason);
     }
-    return createOutcome(
-      classifyAnswer(testRequest.prompt, testRequest.maxTokens, text) === 'foreign' ? 'WRONG' : 'unreachable',
-      'stream ended without a word',
-    );
+    const verdict = classifyAnswer(testRequest.prompt, testRequest.maxTokens, text);
+    if (verdict === 'foreign' || verdict === 'overlong') return createOutcome('WRONG', verdict);
+    if (end?.tag === 'error') return createOutcome('cut, and said so', end.kind);
+    if (end?.tag === 'done') return createOutcome(verdict === 'whole' ? 'whole' : 'WRONG', verdict);
+    return createOutcome('unreachable', 'stream ended without a word');
   } catch (error) {
     const verdict = text === '' ? 'cut' : classifyAnswer(testRequest.prompt, testRequest.maxTokens, text);
     return createOutcome(
--- a/programs/worker-stand-in/src/main.ts
+++ b/programs/worker-stand-in/src/main.ts
@@ -8,6 +8,7 @@
 import { request } from 'undici';
 import { runProgram } from '@tansypost/boot';
 import { startTimer, monotonicNow, splitAddress } from '@tansypost/inner-protocol';
+import { nonsenseFor } from './nonsense.js';
 import { createWorkerCore, workerDefaults, type KvHandle, type WorkerStage } from './worker-core.js';
 
 const addressSchema = Type.String({ pattern: '^\\d{1,3}(\\.\\d{1,3}){3}:\\d{1,5}$' });
@@ -133,7 +134,7 @@
           chunk: (text) =>
             reply.raw.write(
               core.faults.nonsense === true
-                ? 'garbage\n\n'
+                ? nonsenseFor(id)
                 : `data: ${JSON.stringify({ id, object: 'text_completion', choices: [{ index: 0, text, finish_reason: null }] })}\n\n`,
             ),
           end: (finish) =>
