--- a/packages/guarded-app/src/guarded-app.ts
+++ b/packages/guarded-app/src/guarded-app.ts
@@ -20,9 +20,6 @@
 /** The code of the error with status 503 for a body that does not fit beside the calls in progress. */
 export const noRoomCode = 'TANSYPOST_NO_ROOM';
 
-/** The code of the error for a body in too many small chunks. */
-export const smallChunksCode = 'TANSYPOST_SMALL_CHUNKS';
-
 /** An error with the status that fastify answers it with. */
 class BodyError extends Error {
   constructor(
@@ -79,8 +76,6 @@
     }
     if (body.tag === 'cut') throw new BodyError(400, 'FST_ERR_CTP_INVALID_CONTENT_LENGTH', 'The body is incomplete.');
     response?.setHeader('Connection', 'close');
-    if (body.tag === 'pieces')
-      throw new BodyError(400, smallChunksCode, 'The body comes in too many small chunks; send larger ones.');
     throw new BodyError(
       413,
       'FST_ERR_CTP_BODY_TOO_LARGE',
--- a/packages/peer-limits/src/request-body.ts
+++ b/packages/peer-limits/src/request-body.ts
@@ -3,25 +3,25 @@
 import { createByteAccumulator } from './byte-accumulator.js';
 import type { GuardedSocket } from './connection-guard.js';
 
-/** The body, or why there is none: longer than the limit, in too many pieces, or cut off by the client. */
+/** The body, or why there is none: longer than the limit, or cut off by the client or for its many small pieces. */
 export type RequestBody =
-  | { readonly tag: 'whole'; readonly bytes: Buffer }
-  | { readonly tag: 'long' }
-  | { readonly tag: 'pieces' }
-  | { readonly tag: 'cut' };
+  { readonly tag: 'whole'; readonly bytes: Buffer } | { readonly tag: 'long' } | { readonly tag: 'cut' };
 
 /** A body may come in this many pieces, and in more of them where they are of this size on average. */
-const freePieces = 4096;
+const freePieces = 1024;
 const minMeanPieceBytes = 16;
 
+/** What is held is reported whenever it changes, and progress after this many bytes. */
+const reportedBytes = 4096;
+
 /** Whether parsing the pieces costs much more time than their bytes are worth. */
 function hasTooManyPieces(count: number, bytes: number): boolean {
   return count > freePieces + bytes / minMeanPieceBytes;
 }
 
 /**
- * Reads a body of at most `limit` bytes. What follows a longer one is dropped as it arrives; the connection of one in too
- * many pieces must be closed.
+ * Reads a body of at most `limit` bytes. What follows a longer one is dropped as it arrives. The connection of one in too
+ * many pieces is closed at once: while an answer is on its way, parsing what has arrived would hold up all other callers.
  * @param guarded the connection, which is told how much is held
  */
 export function readRequestBody(
@@ -31,19 +31,27 @@
 ): Promise<RequestBody> {
   return new Promise((resolve) => {
     const pieces = createByteAccumulator();
-    let count = 0;
+    let [count, held, moved] = [0, 0, 0];
+    function report(bytes: number): void {
+      moved += bytes;
+      if (pieces.heldBytes() === held && moved < reportedBytes) return;
+      held = pieces.heldBytes();
+      guarded?.report(held, moved);
+      moved = 0;
+    }
     function onData(piece: Buffer): void {
       pieces.push(piece);
       count += 1;
-      if (pieces.length() > limit) return skip('long');
+      if (pieces.length() > limit) return skip();
       if (hasTooManyPieces(count, pieces.length())) {
         guarded?.countRefused();
-        return skip('pieces');
+        request.off('data', onData);
+        return void request.destroy();
       }
-      guarded?.report(pieces.heldBytes(), piece.length);
+      report(piece.length);
     }
-    function skip(tag: 'long' | 'pieces'): void {
-      resolve({ tag });
+    function skip(): void {
+      resolve({ tag: 'long' });
       pieces.discard();
       request.off('data', onData);
       request.resume();
