--- a/packages/pass-through/src/malformed-streams.test.ts
+++ b/packages/pass-through/src/malformed-streams.test.ts
@@ -71,6 +71,7 @@
 
 interface ServeOptions {
   readonly resumable: boolean;
+  readonly workers?: readonly FleetWorker[];
   readonly prefill?: PrefillResult;
   readonly heldBytes?: number;
 }
@@ -112,7 +113,8 @@
     { workers: port },
   );
   handler.updateRoutes(routeTable(options.resumable));
-  handler.updateWorkers(options.prefill === undefined ? decodeWorkers : [workerOf(2, 'prefill'), ...decodeWorkers]);
+  const workers = options.workers ?? decodeWorkers;
+  handler.updateWorkers(options.prefill === undefined ? workers : [workerOf(2, 'prefill'), ...workers]);
   const request = options.prefill === undefined ? incoming : { ...incoming, promptTokens: 9000 };
   const segments = [{ id: 'a', tokens: request.promptTokens }];
   void handler.serve({ ...request, promptSegments: segments }, writer, new AbortController().signal);
@@ -159,6 +161,12 @@
   expect(resumed.endedAt).toBeLessThan(second);
 });
 
+it('resumes at the same worker where no other one is left', async () => {
+  const garbled = streamOf([events[0]!, '%%\n\n'], 'silence');
+  const served = await serve(garbled, { resumable: true, workers: [decodeWorkers[0]!] });
+  expect(served).toMatchObject({ body: events.join(''), end: 'whole', lastEventIds: [1] });
+});
+
 it('records a prefill whose response is not the one asked for, and runs the request without it', async () => {
   const prefill: PrefillResult = { tag: 'unknown', reason: 'prefill response without a valid handle', malformed: true };
   const served = await serve(streamOf(events, whole), { resumable: true, prefill });
--- a/packages/pass-through/src/run-outcome.ts
+++ b/packages/pass-through/src/run-outcome.ts
@@ -32,7 +32,10 @@
   return result.tag === 'unknown' && result.malformed === true ? result.reason : undefined;
 }
 
-/** The worker is not asked again for this request; nothing shows what it has run. */
+/**
+ * Nothing shows what the worker has run. A head of another response says more about the connection than about the worker,
+ * so that the worker is retried once; after a malformed stream it is asked again only where no other one is left.
+ */
 function afterMalformed(context: HandlerContext, attempt: RunAttempt, why: string): void {
   const { inFlight, worker, tracker } = attempt;
   tracker.finish('malformed');
@@ -42,7 +45,13 @@
   const response = { worker: worker.id, service: service.name, request: request.id, why, lastEventId };
   context.malformedResponses.record({ ...response, kind: 'run' });
   inFlight.ran = 'maybe';
-  inFlight.triedWorkers.add(worker.id);
+  if (inFlight.eventStream === undefined && !attempt.abort.signal.aborted) retrySameWorkerOnce(attempt);
+}
+
+function retrySameWorkerOnce({ inFlight, worker }: RunAttempt): void {
+  if (inFlight.sameWorkerRetried) return void inFlight.triedWorkers.add(worker.id);
+  inFlight.sameWorkerRetry = worker;
+  inFlight.sameWorkerRetried = true;
 }
 
 function releaseKv(context: HandlerContext, { kvSource }: RunAttempt): void {
@@ -88,11 +97,8 @@
   attempt.tracker.finish(clientLeft ? 'left' : attempt.overdue ? 'overdue' : 'failed');
   if (!clientLeft) context.count(attempt.chunkReceived ? 'stream broke' : 'run unknown');
   inFlight.ran = 'maybe';
-  if (attempt.abort.signal.aborted || inFlight.sameWorkerRetried) inFlight.triedWorkers.add(attempt.worker.id);
-  else {
-    inFlight.sameWorkerRetry = attempt.worker;
-    inFlight.sameWorkerRetried = true;
-  }
+  if (attempt.abort.signal.aborted) inFlight.triedWorkers.add(attempt.worker.id);
+  else retrySameWorkerOnce(attempt);
 }
 
 /** Handles the result of a run. Returns true when the request has been answered. */
