--- a/deploy/load.test.ts
+++ b/deploy/load.test.ts
@@ -1,21 +1,11 @@
 /** The loader of the deployed bundle, while it still waits for the bundle's file. */
 import { spawn, spawnSync } from 'node:child_process';
-import { closeSync, constants, copyFileSync, mkdtempSync, openSync, rmSync, writeSync } from 'node:fs';
+import { closeSync, copyFileSync, mkdtempSync, rmSync, writeSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { expect, it } from 'vitest';
-
-/** Opens a pipe for writing as soon as it has a reader. */
-async function openWhenRead(pipe: string): Promise<number> {
-  for (;;) {
-    try {
-      return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
-    } catch {
-      await new Promise((again) => setImmediate(again));
-    }
-  }
-}
+import { openWhenRead } from '../tests/platform-world.js';
 
 it('FAULT: a SIGHUP that arrives before the bundle is loaded does not end the process', async () => {
   const folder = mkdtempSync(join(tmpdir(), 'load-'));
--- a/tests/platform-world.ts
+++ b/tests/platform-world.ts
@@ -2,6 +2,7 @@
  * Shared by the tests that run the platform's programs as real processes: HTTP calls, a configuration, and a worker and a
  * worker list on loopback.
  */
+import { constants, openSync } from 'node:fs';
 import http from 'node:http';
 
 /** The response to a call; `complete` is false if it was cut off. */
@@ -128,3 +129,14 @@
   const commonFields = { slots: 32, state: 'ready', cold_left_ms: 0, stage: 'decode', models: [] };
   response.end(JSON.stringify({ instances: [{ ...worker, ...commonFields }], next_token: null }));
 }
+
+/** Opens a pipe for writing as soon as it has a reader. */
+export async function openWhenRead(pipe: string): Promise<number> {
+  for (;;) {
+    try {
+      return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
+    } catch {
+      await new Promise((again) => setImmediate(again));
+    }
+  }
+}
--- a/tests/shared-processes.test.ts
+++ b/tests/shared-processes.test.ts
@@ -5,17 +5,7 @@
  * durations.
  */
 import { spawn, spawnSync, type ChildProcess } from 'node:child_process';
-import {
-  closeSync,
-  constants,
-  mkdtempSync,
-  openSync,
-  readFileSync,
-  renameSync,
-  rmSync,
-  writeFileSync,
-  writeSync,
-} from 'node:fs';
+import { closeSync, mkdtempSync, openSync, readFileSync, renameSync, rmSync, writeFileSync, writeSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -29,6 +19,7 @@
   serveWorkerRequest,
   completeHeldAnswers,
   callUntil,
+  openWhenRead,
   completeAnswer,
   type Answer,
   type PendingCall,
@@ -109,17 +100,6 @@
 /** The result of a call without a response; also the frame in which `callUntil` gets the text of a log. */
 const noAnswer: Answer = { status: 0, body: '', complete: false, seal: undefined, location: undefined };
 
-/** Opens a pipe for writing as soon as it has a reader. */
-async function openWhenRead(pipe: string): Promise<number> {
-  for (;;) {
-    try {
-      return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
-    } catch {
-      await new Promise((again) => setImmediate(again));
-    }
-  }
-}
-
 let requests = 0;
 function send(machine: Machine, isHeld = false): PendingCall {
   requests += 1;
