Simulator: drop and double pieces between router and client, where only the judge can see it

tests/pass-through.test.ts breaks mechanisms to show that each check can fail. The check and the violation asked for are the same; the spoilt place is the one that the check is there for.

--- a/packages/simulator/src/pass-through/virtual-router.ts
+++ b/packages/simulator/src/pass-through/virtual-router.ts
@@ -39,6 +39,7 @@
 import type { Ground } from './ground.js';
 import type { AttemptRecord } from './passed-history.js';
 import { createPipe } from './pipe.js';
+import type { Spoil } from './spoil.js';
 import { isLeftOut, sabotageRouteTable, sabotageTenantHeaders } from './spoiled-tenants.js';
 import { parseRouteTable } from './submit.js';
 import type { VirtualControlCluster } from './virtual-core.js';
@@ -96,6 +97,14 @@
 const gracePeriodUs = 8_000_000;
 const restartDelayUs = 400_000;
 
+/** What a router passes on of a piece that drops or doubles pieces; before it, the router itself would detect that. */
+function spoilPiece(spoil: Spoil | undefined, piece: Buffer, position: number): Buffer {
+  const isEvent = piece.toString().startsWith('id:');
+  if (spoil === 'piece-dropped' && position % 5 === 2 && isEvent) return Buffer.alloc(0);
+  if (spoil === 'piece-doubled' && position === 2 && isEvent) return Buffer.concat([piece, piece]);
+  return Buffer.from(piece);
+}
+
 function sabotageWorkerClient(ground: Ground, p: WorkerPort): WorkerPort {
   const s = ground.spoil;
   if (s === undefined) return p;
@@ -119,9 +128,6 @@
           head: sink.head,
           chunk: (b) => {
             n += 1;
-            if (s === 'piece-dropped' && n % 5 === 2 && b.toString().startsWith('id:')) return undefined;
-            if (s === 'piece-doubled' && n === 2 && b.toString().endsWith('\n\n'))
-              return sink.chunk(Buffer.concat([b, b]));
             return sink.chunk(b);
           },
         },
@@ -383,6 +389,7 @@
         const refusal = shutdown?.checkArrival(connection.used);
         if (refusal !== undefined) return finish('refused', refusal.kind, refusal.retryAfterSeconds);
         if (isLeftOut(ground.spoil, attempt.tenant)) return finish('refused', 'overloaded');
+        let pieces = 0;
         void requestHandler!.serve(
           request,
           {
@@ -391,8 +398,8 @@
               toClient(clientHandler.onHead);
             },
             chunk: (b) => {
-              const copy = Buffer.from(b);
-              toClient(() => clientHandler.onBytes(copy));
+              const copy = spoilPiece(ground.spoil, b, (pieces += 1));
+              if (copy.length > 0) toClient(() => clientHandler.onBytes(copy));
               if (random() > 0.05) return undefined;
               return new Promise((ok) =>
                 engine.at(engine.now() + random() * 20_000, () => deliver(proc, incarnation, () => ok())),
