--- a/packages/event-stream/src/numbered-stream.test.ts
+++ b/packages/event-stream/src/numbered-stream.test.ts
@@ -142,6 +142,9 @@
   const short = createNumberedStream(4);
   expect(pushAll(short, texts.slice(0, 2).join(''))).toEqual(['', undefined]);
   expect(short.end()).toBe('end before an event');
+  const repeating = createNumberedStream(4);
+  expect(pushAll(repeating, texts[3]!)).toEqual(['', undefined]);
+  expect(repeating.end()).toBe('end before an event');
   expect(createNumberedStream(4).end()).toBeUndefined();
   expect(createNumberedStream().end()).toBe('end before an event');
 });
--- a/packages/event-stream/src/numbered-stream.ts
+++ b/packages/event-stream/src/numbered-stream.ts
@@ -36,6 +36,8 @@
   lastId: number;
   /** The last event of the current run, which may be one that the client has; undefined before its first one. */
   lastIdOfRun: number | undefined;
+  /** Whether the current run has sent an event that the client did not have. */
+  hasNewEvent: boolean;
   id: number | undefined;
   hasData: boolean;
 }
@@ -69,18 +71,30 @@
   numbering.lastIdOfRun = id;
   if (id <= numbering.lastId) return 'drop';
   numbering.lastId = id;
+  numbering.hasNewEvent = true;
   return 'forward';
 }
 
-/** A run that has sent no event is complete only where the client had some already, and may have had all of them. */
-function faultAtEnd({ lastId, lastIdOfRun }: Numbering): StreamFault | undefined {
-  const isBeforeNextEvent = lastIdOfRun === undefined ? lastId === 0 : lastIdOfRun < lastId;
-  return isBeforeNextEvent ? 'end before an event' : undefined;
+/**
+ * A run that has sent no event is complete only where the client had some already, and may have had all of them. One that
+ * has only repeated events may have ended anywhere.
+ */
+function faultAtEnd({ lastId, lastIdOfRun, hasNewEvent }: Numbering): StreamFault | undefined {
+  const isComplete = lastIdOfRun === undefined ? lastId > 0 : hasNewEvent;
+  return isComplete ? undefined : 'end before an event';
 }
 
+/** The state of a run that has sent nothing. */
+const beforeFirstEvent: Omit<Numbering, 'lastId'> = {
+  lastIdOfRun: undefined,
+  hasNewEvent: false,
+  id: undefined,
+  hasData: false,
+};
+
 /** Creates the stream for a client that has the events up to `lastReceivedId`. */
 export function createNumberedStream(lastReceivedId = 0, maxEventBytes?: number): NumberedStream {
-  const numbering: Numbering = { lastId: lastReceivedId, lastIdOfRun: undefined, id: undefined, hasData: false };
+  const numbering: Numbering = { lastId: lastReceivedId, ...beforeFirstEvent };
   const visitor: EventVisitor = {
     fieldNames,
     field: (name, value, index) => readField(numbering, name, value, index),
@@ -93,7 +107,7 @@
     lastEventId: () => numbering.lastId,
     resume: () => {
       parser.discard();
-      Object.assign(numbering, { lastIdOfRun: undefined, id: undefined, hasData: false });
+      Object.assign(numbering, beforeFirstEvent);
     },
     heldBytes: parser.heldBytes,
   };
