--- a/packages/pass-through/src/request-handler.test.ts
+++ b/packages/pass-through/src/request-handler.test.ts
@@ -646,6 +646,7 @@
     void sink!.chunk(Buffer.from('id: 1\ndata: a\n\n'));
     return new Promise((done) => {
       finish = () => {
+        finish = undefined;
         void sink!.chunk(Buffer.from('id: 2\ndata: b\n\n'));
         done({ tag: 'whole' });
       };
