MIXED: no server writes more or fewer bytes than its head states

Callers saw: a response whose body was longer than its Content-Length, with the rest of it where the next response was due on the connection; after a shorter one a client waited for bytes that never came. Cause: Node.js does not compare what is written with the head unless asked to.

--- a/packages/peer-limits/src/guarded-server.test.ts
+++ b/packages/peer-limits/src/guarded-server.test.ts
@@ -72,3 +72,28 @@
   socket.write(`GET / HTTP/1.1\r\nX-Long: ${'a'.repeat(17_000)}\r\n\r\n`);
   expect(await answer).toMatch(/^HTTP\/1\.1 431 .*Connection: close/s);
 });
+
+it.each([
+  ['more', ['head', ' and more']],
+  ['fewer', ['he']],
+])(
+  'throws where a handler writes %s bytes than the head states, and sends none of the surplus',
+  async (_name, parts) => {
+    const codes: unknown[] = [];
+    const { connect } = await startServer((_request, response) => {
+      response.writeHead(200, ['Content-Length', '4']);
+      try {
+        for (const part of parts) response.write(part);
+        response.end();
+      } catch (error) {
+        codes.push((error as NodeJS.ErrnoException).code);
+        response.destroy();
+      }
+    });
+    const socket = connect();
+    const answer = received(socket);
+    socket.write(request);
+    expect((await answer).split('\r\n\r\n')[1] ?? '').not.toContain('more');
+    expect(codes).toEqual(['ERR_HTTP_CONTENT_LENGTH_MISMATCH']);
+  },
+);
--- a/packages/peer-limits/src/guarded-server.ts
+++ b/packages/peer-limits/src/guarded-server.ts
@@ -170,6 +170,8 @@
   function onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
     const state = states.get(request.socket);
     if (state === undefined || !followRequest(state, request, response)) return;
+    // Writing more or fewer bytes than a head states throws, so that no byte is taken for a part of the next response.
+    response.strictContentLength = true;
     options.handle(request, response, state);
   }
   server.on('connection', (socket: Socket) => {
