ORDER: a stream that ends whole without an event, or has no body, is no answer

Callers saw: a 200 without an event, or a stream that ended as complete after the events of a broken first run because the second run had sent nothing; a 204, 205 or 206 of a worker passed on as the start of a stream, and then the events of a second run behind it; and a HEAD request whose whole response was followed by another run. Cause: a run that had sent nothing counted as complete where the client had events already, and the status of a head was not looked at before the head was forwarded. A route that streams expected events also after HEAD. Evidence: of the tests added or changed, these fail before: resumed run that sent nothing (ended as whole), 204, 205 and 206 (cut after their head had gone out), HEAD (run again). Change: a run is complete only with an event that the client did not have; on a streaming route a head with 204, 205 or 206 ends the attempt (5111) before anything is forwarded; a HEAD request has no stream. The expectation for a resumed run without bytes changes from complete to 'end before an event', which is stricter: nothing states how many events there are, so such an end may come before the last one. Where the client had all events, it now gets a cut answer instead of a complete one.

--- a/packages/event-stream/src/numbered-stream.test.ts
+++ b/packages/event-stream/src/numbered-stream.test.ts
@@ -145,6 +145,6 @@
   const repeating = createNumberedStream(4);
   expect(pushAll(repeating, texts[3]!)).toEqual(['', undefined]);
   expect(repeating.end()).toBe('end before an event');
-  expect(createNumberedStream(4).end()).toBeUndefined();
+  expect(createNumberedStream(4).end()).toBe('end before an event');
   expect(createNumberedStream().end()).toBe('end before an event');
 });
--- a/packages/event-stream/src/numbered-stream.ts
+++ b/packages/event-stream/src/numbered-stream.ts
@@ -76,12 +76,11 @@
 }
 
 /**
- * A run that has sent no event is complete only where the client had some already, and may have had all of them. One that
- * has only repeated events may have ended anywhere.
+ * A run that has sent nothing new may have ended anywhere, also one that takes up a stream: nothing states how many events
+ * there are.
  */
-function faultAtEnd({ lastId, lastIdOfRun, hasNewEvent }: Numbering): StreamFault | undefined {
-  const isComplete = lastIdOfRun === undefined ? lastId > 0 : hasNewEvent;
-  return isComplete ? undefined : 'end before an event';
+function faultAtEnd({ hasNewEvent }: Numbering): StreamFault | undefined {
+  return hasNewEvent ? undefined : 'end before an event';
 }
 
 /** The state of a run that has sent nothing. */
--- a/packages/event-stream/src/stream-fault.ts
+++ b/packages/event-stream/src/stream-fault.ts
@@ -16,5 +16,9 @@
   | 'id out of order'
   | 'end inside an event'
   | 'end before an event'
+  /** A status whose response has no body. */
+  | 'response without a body'
+  /** A status whose response is a part of a body. */
+  | 'partial response'
   /** The process holds too much for all streams, and this one holds the most. */
   | 'out of memory for streams';
--- a/packages/pass-through/src/malformed-streams.test.ts
+++ b/packages/pass-through/src/malformed-streams.test.ts
@@ -40,8 +40,8 @@
 
 type RunScript = (sink: ResponseSink, signal: AbortSignal) => Promise<RunResult>;
 
-function head(sink: ResponseSink): void {
-  sink.head({ status: 200, headers: [] });
+function head(sink: ResponseSink, status = 200): void {
+  sink.head({ status, headers: [] });
 }
 /** Ends only when the attempt is aborted, as the transport's result says then. */
 function silence(signal: AbortSignal): Promise<RunResult> {
@@ -71,6 +71,9 @@
 
 interface ServeOptions {
   readonly resumable: boolean;
+  readonly method?: string;
+  /** The second run, where it is not sound. */
+  readonly secondRun?: RunScript;
   readonly workers?: readonly FleetWorker[];
   readonly prefill?: PrefillResult;
   readonly heldBytes?: number;
@@ -85,6 +88,7 @@
     run: (_worker, _request, asked, sink, signal) => {
       parameters.push(asked);
       if (parameters.length === 1) return script(sink, signal);
+      if (parameters.length === 2 && options.secondRun !== undefined) return options.secondRun(sink, signal);
       return streamOf(events.slice(asked.lastEventId ?? 0), { tag: 'whole' })(sink, signal);
     },
     freeKv: () => undefined,
@@ -117,7 +121,8 @@
   handler.updateWorkers(options.prefill === undefined ? workers : [workerOf(2, 'prefill'), ...workers]);
   const request = options.prefill === undefined ? incoming : { ...incoming, promptTokens: 9000 };
   const segments = [{ id: 'a', tokens: request.promptTokens }];
-  void handler.serve({ ...request, promptSegments: segments }, writer, new AbortController().signal);
+  const sent = { ...request, method: options.method ?? request.method, promptSegments: segments };
+  void handler.serve(sent, writer, new AbortController().signal);
   await runUntil(() => ended !== undefined);
   const lastEventIds = parameters.slice(1).map(({ lastEventId }) => lastEventId);
   const malformed = logged.filter(({ event }) => event === 5111).map(({ fields }) => fields);
@@ -161,6 +166,33 @@
   expect(resumed.endedAt).toBeLessThan(second);
 });
 
+it.each([
+  [204, 'response without a body'],
+  [205, 'response without a body'],
+  [206, 'partial response'],
+])('MIXED: takes no response with status %d for a stream, and starts none with it', async (status, why) => {
+  async function script(sink: ResponseSink, signal: AbortSignal): Promise<RunResult> {
+    head(sink, status);
+    return signal.aborted ? { tag: 'unknown', reason: 'left' } : whole;
+  }
+  const rejected = await serve(script, { resumable: false });
+  expect(rejected).toMatchObject({ body: '', end: 'rejected', lastEventIds: [], logged: [{ why }] });
+  const resumed = await serve(script, { resumable: true });
+  expect(resumed).toMatchObject({ body: events.join(''), end: 'whole', lastEventIds: [undefined] });
+});
+
+it('ORDER: never takes a resumed stream for complete at the end of a run that sent nothing', async () => {
+  const broken = streamOf([events[0]!], { tag: 'unknown', reason: 'reset' });
+  const served = await serve(broken, { resumable: true, secondRun: streamOf([], whole) });
+  expect(served).toMatchObject({ body: events[0], end: 'cut', lastEventIds: [1] });
+  expect(served.logged).toMatchObject([{ why: 'end before an event', lastEventId: 1 }]);
+});
+
+it('expects no events in the response to a HEAD request', async () => {
+  const served = await serve(streamOf([], whole), { resumable: true, method: 'HEAD' });
+  expect(served).toMatchObject({ body: '', end: 'whole', lastEventIds: [], logged: [] });
+});
+
 it('resumes at the same worker where no other one is left', async () => {
   const garbled = streamOf([events[0]!, '%%\n\n'], 'silence');
   const served = await serve(garbled, { resumable: true, workers: [decodeWorkers[0]!] });
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -12,6 +12,11 @@
 import { finishRun } from './run-outcome.js';
 import type { RunAttempt } from './run-attempt-state.js';
 
+/** Statuses of RFC 9110 whose responses are no stream. */
+const noContentStatus = 204;
+const resetContentStatus = 205;
+const partialContentStatus = 206;
+
 /** Abandons a worker that has been silent for too long where another available worker may run or resume the request. */
 function checkRun(context: HandlerContext, attempt: RunAttempt): void {
   const { inFlight, worker, timing, chunkReceived } = attempt;
@@ -101,13 +106,27 @@
   };
 }
 
+/** Whether the response consists of events, which the router forwards one by one. */
+function expectsEvents({ route, request }: InFlightRequest): boolean {
+  return route.streaming && request.method !== 'HEAD';
+}
+
+/** Why a response with this head cannot be a stream of events. */
+function faultOfStreamHead({ status }: ResponseHead): StreamFault | undefined {
+  if (status === noContentStatus || status === resetContentStatus) return 'response without a body';
+  return status === partialContentStatus ? 'partial response' : undefined;
+}
+
 function forwardHead(context: HandlerContext, attempt: RunAttempt, head: ResponseHead): void {
   const { inFlight } = attempt;
+  const isStream = expectsEvents(inFlight);
+  const fault = isStream ? faultOfStreamHead(head) : undefined;
+  if (fault !== undefined) return distrust(attempt, fault);
   attempt.tracker.progress();
   attempt.lastHeardAt = context.world.now();
   if (inFlight.responseStarted) return;
   inFlight.responseStarted = true;
-  if (inFlight.route.streaming) inFlight.eventStream = createNumberedStream(inFlight.request.lastEventId);
+  if (isStream) inFlight.eventStream = createNumberedStream(inFlight.request.lastEventId);
   inFlight.response.head(head);
 }
 
