MIXED: a stream that the router composes is framed by the router

With a longer second run a cut answer appeared complete and its rest lay where the next answer was due; with a shorter one the client waited past its deadline; after a stated 0 all events lay where the next answer was due; the same where the first run fell silent or sent faulty events, and where the client had some of the events already, since the router drops those. Digests, validators and ranges of the first run's body stood before the bytes of others as well. Cause: the writer of a reply was not told whether it relays one body or composes one from events, so it returned every field of the first head.

--- a/packages/pass-through/src/ports.ts
+++ b/packages/pass-through/src/ports.ts
@@ -123,9 +123,15 @@
   readonly timePerChunk: number | undefined;
 }
 
+/**
+ * Where the body of a success comes from. `relayed`: the bytes of one run, unchanged. `composed`: the events of one or more
+ * runs, so that nothing that a worker states about its whole body (length, digest, range) holds for it.
+ */
+export type BodySource = 'relayed' | 'composed';
+
 /** Writes the response to the client. */
 export interface ResponseWriter {
-  readonly head: (head: ResponseHead) => void;
+  readonly head: (head: ResponseHead, body: BodySource) => void;
   readonly chunk: (bytes: Buffer) => void | Promise<void>;
   readonly end: () => void;
   /** Aborts a response that has started, so that the client cannot take it for complete. */
--- a/packages/pass-through/src/run-attempt.ts
+++ b/packages/pass-through/src/run-attempt.ts
@@ -127,7 +127,7 @@
   if (inFlight.responseStarted) return;
   inFlight.responseStarted = true;
   if (isStream) inFlight.eventStream = createNumberedStream(inFlight.request.lastEventId);
-  inFlight.response.head(head);
+  inFlight.response.head(head, isStream ? 'composed' : 'relayed');
 }
 
 function recordTimeToFirstChunk({ inFlight, kvSource, prefillServiceTime }: RunAttempt, took: number): void {
