Soak: workers state lengths, and clients read framing

Change: half of the streams state their length, 40 % of the ordinary requests may be resumed, each run makes other words, 30 % of their first runs are faulty or break off; rule 'framing' (bytes that are no HTTP response, or none that is due). Rule 'twice' counts up to the route's tries.

--- a/programs/fleet-runner/src/soak/soak-adapter.ts
+++ b/programs/fleet-runner/src/soak/soak-adapter.ts
@@ -39,10 +39,10 @@
   readonly fillerBytes: number;
 }
 
-/** A stream of a worker that cannot be the work of one run: sound events, what follows them, and how it ends. */
+/** A stream of a worker that cannot be the work of one run, or is no whole one: sound events, what follows, and its end. */
 export interface SoakFaultyStream {
   readonly soundEvents: number;
-  /** Latin-1 characters. */
+  /** Latin-1 characters; none where the stream only breaks off. */
   readonly foreign: string;
   readonly ending: 'end' | 'reset' | 'silence';
 }
@@ -76,8 +76,12 @@
   readonly environment: (settingsFile: string) => Readonly<Record<string, string>>;
   readonly settings: (machine: SoakMachine, context: SoakSettingsContext) => string;
   readonly readiness: SoakCall;
-  /** A client's request; `revision` is that of the configuration whose route it uses. */
+  /** A client's request that may run once; `revision` is that of the configuration whose route it uses. */
   readonly request: (id: string, revision: number) => SoakCall;
+  /** A client's request whose stream another run may take up. */
+  readonly resumableRequest: (id: string) => SoakCall;
+  /** How many times workers may run a request with this path. */
+  readonly maxRuns: (path: string) => number;
   /** The call that submits the configuration of this revision, based on revision `base` (0 for the first). */
   readonly change: (revision: number, base: number) => SoakCall;
   readonly read: SoakCall;
@@ -87,7 +91,10 @@
   /** The id of a request as a worker receives it; undefined if the call is not a client's request. */
   readonly requestIdOf: (headers: IncomingHttpHeaders) => string | undefined;
   readonly workerHeaders: (id: string) => OutgoingHttpHeaders;
-  /** The events of a worker's response to a request with these headers; those that the client has are left out. */
-  readonly events: (headers: Readonly<Record<string, string | string[] | undefined>>) => readonly string[];
+  /**
+   * The events of a worker's response to a request with these headers, in its run of this number, from 0; each run makes other
+   * words. Events that the client has are left out.
+   */
+  readonly events: (headers: Readonly<Record<string, string | string[] | undefined>>, run: number) => readonly string[];
   readonly faultyInput: SoakFaultyInput;
 }
--- a/programs/fleet-runner/src/soak/soak-client.ts
+++ b/programs/fleet-runner/src/soak/soak-client.ts
@@ -14,6 +14,8 @@
   readonly reusedConnection: boolean;
   /** Whether a success brought bytes that are no event of the worker's run, or ended as complete without all of its events. */
   readonly malformed: boolean;
+  /** Whether bytes came that are no HTTP response, or none that was due. */
+  readonly misframed: boolean;
 }
 
 /** The response to one call; `complete` is false if the connection ended in the middle of it. */
@@ -27,6 +29,12 @@
   readonly answer: SoakAnswer | undefined;
   readonly connected: boolean;
   readonly reused: boolean;
+  readonly misframed: boolean;
+}
+
+/** Whether the parser of Node.js did not understand the bytes; its errors bear the codes of llhttp. */
+function isParserError({ code }: NodeJS.ErrnoException): boolean {
+  return code?.startsWith('HPE_') === true;
 }
 
 const callTimeoutMs = 60_000;
@@ -42,7 +50,9 @@
       if (socket.connecting) socket.once('connect', () => (connected = true));
     });
     request.on('timeout', () => request.destroy());
-    request.on('error', () => resolve({ answer: undefined, connected, reused: request.reusedSocket }));
+    request.on('error', (error) => {
+      resolve({ answer: undefined, connected, reused: request.reusedSocket, misframed: isParserError(error) });
+    });
     request.on('response', (response) => {
       let text = '';
       response.setEncoding('utf8');
@@ -50,7 +60,7 @@
       response.on('error', () => undefined);
       response.on('close', () => {
         const answer = { status: response.statusCode ?? 0, body: text, complete: response.complete };
-        resolve({ answer, connected, reused: request.reusedSocket });
+        resolve({ answer, connected, reused: request.reusedSocket, misframed: false });
       });
     });
     request.end(body);
@@ -60,24 +70,41 @@
 /** Statuses that guarantee that the request was not executed and will not be. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
-/** Whether the body consists of the first events, and of all of them if it is complete. */
-function isSound({ body, complete }: SoakAnswer, events: readonly string[]): boolean {
-  if (complete) return body === events.join('');
-  return ['', ...events].some((_, count) => body === events.slice(0, count).join(''));
+/**
+ * Whether the body consists of the first events, and of all of them if it is complete. Each event is of the run of the one
+ * before it or of a later run.
+ */
+function isSound({ body, complete }: SoakAnswer, runs: readonly (readonly string[])[]): boolean {
+  let rest = body;
+  let [firstRun, eventCount] = [0, 0];
+  while (rest !== '') {
+    const candidates = runs.map((events) => events[eventCount]);
+    const run = candidates.findIndex(
+      (event, index) => index >= firstRun && event !== undefined && rest.startsWith(event),
+    );
+    if (run < 0) return false;
+    rest = rest.slice(candidates[run]!.length);
+    firstRun = run;
+    eventCount += 1;
+  }
+  return !complete || eventCount === runs[0]!.length;
 }
 
-function classifyResult({ answer, connected }: ExchangeResult, expectedBody: string): SoakOutcome['ended'] {
+function classifyResult(
+  { answer, connected }: ExchangeResult,
+  runs: readonly (readonly string[])[],
+): SoakOutcome['ended'] {
   if (answer === undefined) return connected ? 'cut' : 'unsent';
   if (!answer.complete) return 'cut';
-  if (answer.status === 200) return answer.body === expectedBody ? 'whole' : 'cut';
+  if (answer.status === 200) return isSound(answer, runs) ? 'whole' : 'cut';
   return notExecutedStatuses.has(answer.status) ? 'refused' : 'failed';
 }
 
 export interface SoakClientOptions {
   readonly machine: string;
   readonly ip: string;
-  /** The events of a whole response to the call. */
-  readonly eventsOf: (call: SoakCall) => readonly string[];
+  /** The events of a whole response to the call, for each run that workers may make of it. */
+  readonly runsOf: (call: SoakCall) => readonly (readonly string[])[];
   readonly nextRequest: () => { readonly id: string; readonly call: SoakCall };
   readonly isFinished: () => boolean;
   readonly random: () => number;
@@ -94,16 +121,17 @@
     const { id, call } = options.nextRequest();
     const sentAt = performance.now();
     const result = await exchange(options.ip, call, agent);
-    const events = options.eventsOf(call);
+    const runs = options.runsOf(call);
     options.onOutcome({
       id,
       machine: options.machine,
       sentAt,
       endedAt: performance.now(),
-      ended: classifyResult(result, events.join('')),
+      ended: classifyResult(result, runs),
       status: result.answer?.status ?? 0,
       reusedConnection: result.reused,
-      malformed: result.answer?.status === 200 && !isSound(result.answer, events),
+      malformed: result.answer?.status === 200 && !isSound(result.answer, runs),
+      misframed: result.misframed,
     });
     const idleMs = options.random() < idleShare ? maxIdleMs * options.random() : 20;
     await new Promise((resolve) => setTimeout(resolve, idleMs));
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -43,6 +43,8 @@
 }
 
 const clientsPerRouter = 3;
+/** Share of the requests whose streams may be resumed. */
+const resumableShare = 0.4;
 const seedsPerMachine = 3;
 /** Last octets of the addresses of the platform and the workers, which the soak test simulates. */
 const platformHostNumber = 250;
@@ -138,6 +140,12 @@
     const id = `soak-${options.seed}-${requests}`;
     return { id, call: adapter.request(id, revision) };
   }
+  function ordinaryRequest(): { id: string; call: ReturnType<SoakAdapter['request']> } {
+    if (random() >= resumableShare) return requestOn(1);
+    requests += 1;
+    const id = `soak-${options.seed}-${requests}`;
+    return { id, call: adapter.resumableRequest(id) };
+  }
   function faultyRequest(): { id: string; call: ReturnType<SoakAdapter['request']> } {
     requests += 1;
     const id = `soak-${options.seed}-${requests}`;
@@ -160,8 +168,9 @@
         runSoakClient({
           machine: machine.name,
           ip: machine.ip,
-          eventsOf: (call) => adapter.events(call.headers),
-          nextRequest: () => (index < clientsPerRouter ? requestOn(1) : faultyRequest()),
+          runsOf: (call) =>
+            Array.from({ length: adapter.maxRuns(call.path) }, (_, run) => adapter.events(call.headers, run)),
+          nextRequest: () => (index < clientsPerRouter ? ordinaryRequest() : faultyRequest()),
           isFinished: () => isFinished,
           random,
           onOutcome: (outcome) => outcomes.push(outcome),
--- a/programs/fleet-runner/src/soak/soak-verdict.ts
+++ b/programs/fleet-runner/src/soak/soak-verdict.ts
@@ -12,6 +12,7 @@
   | 'not back'
   | 'changes'
   | 'order'
+  | 'framing'
   | 'held';
 
 /** A violated rule, with details. */
@@ -101,7 +102,7 @@
 }
 
 function wrongExecutions({ outcomes, executions }: SoakHistory): SoakViolation[] {
-  const executedTwice = [...executions].filter(([, { count }]) => count > 1);
+  const executedTwice = [...executions].filter(([, { count, maxRuns }]) => count > maxRuns);
   const executedThoughRefused = outcomes.filter((outcome) => outcome.ended === 'refused' && executions.has(outcome.id));
   return [
     ...executedTwice.map(([id, { count }]): SoakViolation => ({ rule: 'twice', detail: `${id} ran ${count} times` })),
@@ -117,11 +118,13 @@
 
 function wrongStreams({ outcomes, executions }: SoakHistory): SoakViolation[] {
   const malformed = outcomes.filter((outcome) => outcome.malformed);
+  const misframed = outcomes.filter((outcome) => outcome.misframed);
   const held = outcomes.filter(
     ({ id, sentAt, endedAt }) => executions.get(id)?.spoilt === true && endedAt - sentAt > maxDistrustedMs,
   );
   return [
     ...malformed.map((outcome): SoakViolation => ({ rule: 'order', detail: describe(outcome) })),
+    ...misframed.map((outcome): SoakViolation => ({ rule: 'framing', detail: describe(outcome) })),
     ...held.map((outcome): SoakViolation => ({ rule: 'held', detail: describe(outcome) })),
   ];
 }
--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -8,7 +8,9 @@
   count: number;
   /** When a worker had written its complete response, by `performance.now()`. */
   finishedAt: number;
-  /** Whether a worker sent a faulty response, which a router cannot pass on whole. */
+  /** How many times workers may run it. */
+  readonly maxRuns: number;
+  /** Whether a worker sent a faulty response, or a stream without events, which a router cannot pass on whole. */
   spoilt: boolean;
 }
 
@@ -29,6 +31,10 @@
 const faultyListShare = 0.25;
 const faultyResponseShare = 0.03;
 const faultyStreamShare = 0.06;
+/** The same for the first run of a request whose stream another run may take up. */
+const faultyResumableShare = 0.3;
+/** Share of the streams that state their length; the others come in chunks. */
+const statedLengthShare = 0.5;
 /** Most responses are short; some last longer than a router that got SIGTERM keeps running without accepting requests. */
 const shortChunkGapMs = 60;
 const longChunkGapMs = 900;
@@ -44,27 +50,47 @@
     request.resume();
     if (id === undefined) return void response.end(reportBody());
     request.on('end', () => {
-      const execution = executions.get(id) ?? { count: 0, finishedAt: Infinity, spoilt: false };
-      execution.count += 1;
-      executions.set(id, execution);
+      const execution = startExecution(id, request.url ?? '');
       if (random() < faultyResponseShare) {
         execution.spoilt = true;
         return void request.socket.end(pick(adapter.faultyInput.responses(id), random()), 'latin1');
       }
-      const events = adapter.events(request.headers);
+      const events = adapter.events(request.headers, execution.count - 1);
       const maxGapMs = random() < longAnswerShare ? longChunkGapMs : shortChunkGapMs;
-      response.writeHead(200, adapter.workerHeaders(id));
-      if (random() < faultyStreamShare) {
+      const statesLength = random() < statedLengthShare;
+      if (random() < faultyShareOf(execution)) {
         execution.spoilt = true;
         const { soundEvents, foreign, ending } = pick(adapter.faultyInput.streams, random());
         const pieces = [...events.slice(0, soundEvents), foreign];
+        // A stream that breaks off states the length that it does not reach.
+        startStream(response, id, statesLength ? (ending === 'end' ? pieces : events) : undefined);
         return writePieces(response, pieces, maxGapMs, () => endFaultyStream(response, ending));
       }
+      if (events.length === 0) execution.spoilt = true;
+      startStream(response, id, statesLength ? events : undefined);
       response.on('finish', () => (execution.finishedAt = performance.now()));
       writePieces(response, events, maxGapMs, () => response.end());
     });
   }
 
+  function startExecution(id: string, path: string): SoakExecution {
+    const newExecution = { count: 0, finishedAt: Infinity, spoilt: false, maxRuns: adapter.maxRuns(path) };
+    const execution = executions.get(id) ?? newExecution;
+    execution.count += 1;
+    executions.set(id, execution);
+    return execution;
+  }
+
+  function faultyShareOf({ count, maxRuns }: SoakExecution): number {
+    return count < maxRuns ? faultyResumableShare : faultyStreamShare;
+  }
+
+  /** Sends the head of a stream, with the length of these pieces where they are given. */
+  function startStream(response: http.ServerResponse, id: string, stated: readonly string[] | undefined): void {
+    const length = stated === undefined ? {} : { 'Content-Length': Buffer.byteLength(stated.join(''), 'latin1') };
+    response.writeHead(200, { ...adapter.workerHeaders(id), ...length });
+  }
+
   function reportBody(): string {
     return random() < faultyReportShare ? pick(adapter.faultyInput.reports, random()) : adapter.workerLoadBody;
   }
