Soak: a worker's stream that falls silent never reaches its stated length

Cause: the length of the sound events was stated for streams that break off, which foreign bytes can reach. Change: such a stream states one byte more than all that it may write.

--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -35,6 +35,7 @@
 const faultyResumableShare = 0.3;
 /** Share of the streams that state their length; the others come in chunks. */
 const statedLengthShare = 0.5;
+const unreachedByte = 'x';
 /** Most responses are short; some last longer than a router that got SIGTERM keeps running without accepting requests. */
 const shortChunkGapMs = 60;
 const longChunkGapMs = 900;
@@ -62,8 +63,9 @@
         execution.spoilt = true;
         const { soundEvents, foreign, ending } = pick(adapter.faultyInput.streams, random());
         const pieces = [...events.slice(0, soundEvents), foreign];
-        // A stream that breaks off states the length that it does not reach.
-        startStream(response, id, statesLength ? (ending === 'end' ? pieces : events) : undefined);
+        // A stream that breaks off states a length that it does not reach; else its connection would take another request.
+        const stated = ending === 'end' ? pieces : [...pieces, ...events, unreachedByte];
+        startStream(response, id, statesLength ? stated : undefined);
         return writePieces(response, pieces, maxGapMs, () => endFaultyStream(response, ending));
       }
       if (events.length === 0) execution.spoilt = true;
