LOST: a process exits once each of its tasks has ended, not after as many reports

Cause: a control node reports its end after its time bound and again when its last call ends; the router's process counted reports. Change: createProcessEnd owns the end of a process: a task ends once, however often it reports, and the process exits when each has ended, or 0.3 s before the grace period is over (event 1006).

--- a/packages/event-log/src/catalogue.ts
+++ b/packages/event-log/src/catalogue.ts
@@ -33,6 +33,11 @@
     meaning: 'unexpected error in a timer, message or background task; the program continues without its result',
     remedy: 'Report it with the stack.',
   },
+  1006: {
+    level: 'warn',
+    meaning: 'program exits at the end of its grace period, although the named tasks have not ended',
+    remedy: 'Look for what kept them: an operator that does not finish a call, or a disk that does not answer.',
+  },
   1101: {
     level: 'warn',
     meaning: 'internal connection closed after an invalid frame',
--- a/packages/inner-protocol/src/index.ts
+++ b/packages/inner-protocol/src/index.ts
@@ -6,6 +6,7 @@
 export * from './hash.js';
 export * from './link.js';
 export * from './messages.js';
+export * from './process-end.js';
 export * from './queue.js';
 export * from './real-world.js';
 export * from './shape.js';
--- a/programs/fleet-runner/src/soak/soak-adapter.ts
+++ b/programs/fleet-runner/src/soak/soak-adapter.ts
@@ -84,6 +84,8 @@
   readonly maxRuns: (path: string) => number;
   /** The call that submits the configuration of this revision, based on revision `base` (0 for the first). */
   readonly change: (revision: number, base: number) => SoakCall;
+  /** A large configuration that builds on one that does not exist, so that it is refused. */
+  readonly largeChange: () => SoakCall;
   readonly read: SoakCall;
   readonly revisionOf: (configuration: string) => number;
   readonly workerListBody: (ips: readonly string[]) => string;
--- a/programs/fleet-runner/src/soak/soak-run.ts
+++ b/programs/fleet-runner/src/soak/soak-run.ts
@@ -7,6 +7,7 @@
 import { exchange, runSoakClient, type SoakOutcome } from './soak-client.js';
 import { submitFaultyChanges } from './faulty-operator.js';
 import { runMisbehavingClients } from './misbehaving-clients.js';
+import { runSlowOperator } from './slow-operators.js';
 import { pick } from './pick.js';
 import type { SoakAdapter, SoakMachine } from './soak-adapter.js';
 import { createSoakMachines, type SoakMachines } from './soak-machines.js';
@@ -223,6 +224,9 @@
     const misbehavingClients = allMachines.map((machine) =>
       runMisbehavingClients({ adapter, machine, isFinished: () => isFinished, random }),
     );
+    const slowOperators = controlNodes.map((machine) =>
+      runSlowOperator({ adapter, machine, isFinished: () => isFinished, random }),
+    );
     const faultyChanges = submitFaultyChanges({
       adapter,
       machines: controlNodes,
@@ -234,7 +238,7 @@
     await operator.whenSettled();
     await checkRecovery();
     isFinished = true;
-    await Promise.all([...clients, ...misbehavingClients]);
+    await Promise.all([...clients, ...misbehavingClients, ...slowOperators]);
     violations.push(...(await faultyChanges));
   } finally {
     isFinished = true;
