FAULT: aborted requests leave no unbounded number of connection attempts to workers

Callers saw: a crowd that sends requests without waiting for answers, and comes again, took a router beyond its descriptors on x86-64 (512 to 566 of 500 in the crowd's test on an idle machine). Cause: undici goes on establishing a connection after its request was aborted, for up to 0.3 s where a worker does not accept. Each request of a crowd that left added one: 414 to 522 of the router's sockets were in SYN_SENT towards the one worker, 1 to 15 belonged to clients.

--- a/packages/peer-limits/src/port-limits.ts
+++ b/packages/peer-limits/src/port-limits.ts
@@ -33,6 +33,8 @@
   readonly controlBodyBytes: number;
   /** What all workers together may make the process hold of events and bodies that are not complete, in bytes. */
   readonly workerPendingBytes: number;
+  /** How many connections to workers may be in the course of being established. */
+  readonly workerConnecting: number;
   readonly timeouts: PhaseTimeouts;
 }
 
@@ -48,6 +50,8 @@
 /** Parsing a body as JSON may take some twenty times its length. */
 const controlBodyShare = 1 / 80;
 const workerPendingShare = 0.05;
+/** The share of the descriptors for connections. */
+const workerConnectingShare = 0.2;
 const defaultTimeouts = { headMs: 10_000, bodyMs: 60_000, unreadMs: 30_000 } as const;
 
 /** The shares of one port: of the descriptors for connections, and of the memory. */
@@ -102,6 +106,7 @@
     },
     controlBodyBytes: kilobytes(settings.controlBodyKb) ?? Math.floor(controlBodyShare * memory),
     workerPendingBytes: kilobytes(settings.workerPendingKb) ?? workerPendingShare * memory,
+    workerConnecting: Math.max(minConnections, Math.floor(workerConnectingShare * sockets)),
     timeouts: {
       head: defaultTimeouts.headMs,
       body: settings.bodyTimeoutMs ?? defaultTimeouts.bodyMs,
