FAULT: the body of a request without room is dropped where it lies

Callers saw: a crowd that sends whole bodies took a router beyond its memory on x86-64 (234 to 287 MB of 220 in the crowd's test on a nearly idle machine). Cause: whether a body fits beside the requests in progress was asked after its pieces had been joined. The buffer of each refused body, 4 MB in the test, then stayed with the process until a garbage collection. Change: room is asked for before the pieces are joined; a body without room is discarded, and its blocks are used again.

--- a/packages/guarded-app/src/guarded-app.ts
+++ b/packages/guarded-app/src/guarded-app.ts
@@ -67,11 +67,16 @@
 
   async function readBody(request: http.IncomingMessage): Promise<Buffer> {
     const { connection, response } = exchanges.get(request) ?? injected;
-    const body = await readRequestBody(request, maxBodyBytes, connection?.guarded);
-    if (body.tag === 'whole') {
-      if (response === undefined || connection.beginRequest(response, body.bytes.length)) return body.bytes;
-      response.setHeader('Retry-After', retryAfterSeconds);
-      response.setHeader('Connection', 'close');
+    const body = await readRequestBody(
+      request,
+      maxBodyBytes,
+      connection?.guarded,
+      (bytes) => response === undefined || connection.beginRequest(response, bytes),
+    );
+    if (body.tag === 'whole') return body.bytes;
+    if (body.tag === 'refused') {
+      response?.setHeader('Retry-After', retryAfterSeconds);
+      response?.setHeader('Connection', 'close');
       throw new BodyError(503, noRoomCode, 'The calls in progress take all the memory for calls; retry.');
     }
     if (body.tag === 'cut') throw new BodyError(400, 'FST_ERR_CTP_INVALID_CONTENT_LENGTH', 'The body is incomplete.');
