Soak: a worker's reset reaches its connection also while its response waits there

Callers saw nothing. Cause: a stream that states its length is complete for the router with its last byte, and the worker of the soak ends its response after a further pause. The next request on the connection is answered behind it; its response has no socket until then, so `response.socket?.resetAndDestroy()` did nothing, and the stream stayed open. The cause follows from the code; the response without a socket was not observed itself. Change: the socket of the request is reset.

--- a/programs/fleet-runner/src/soak/soak-workers.ts
+++ b/programs/fleet-runner/src/soak/soak-workers.ts
@@ -66,7 +66,7 @@
         // A stream that breaks off states a length that it does not reach; else its connection would take another request.
         const stated = ending === 'end' ? pieces : [...pieces, ...events, unreachedByte];
         startStream(response, id, statesLength ? stated : undefined);
-        return writePieces(response, pieces, maxGapMs, () => endFaultyStream(response, ending));
+        return writePieces(response, pieces, maxGapMs, () => endFaultyStream(request, response, ending));
       }
       if (events.length === 0) execution.spoilt = true;
       startStream(response, id, statesLength ? events : undefined);
@@ -117,9 +117,14 @@
     setTimeout(writePieces, maxGapMs * random(), response, remaining, maxGapMs, done);
   }
 
-  function endFaultyStream(response: http.ServerResponse, ending: SoakFaultyStream['ending']): void {
+  /** A response that waits behind another one on its connection has no socket yet, so that of the request is reset. */
+  function endFaultyStream(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    ending: SoakFaultyStream['ending'],
+  ): void {
     if (ending === 'end') response.end();
-    else if (ending === 'reset') response.socket?.resetAndDestroy();
+    else if (ending === 'reset') request.socket.resetAndDestroy();
   }
 
   const servers = [
