FAULT: a length stated as text is no wrong length on Node.js before 20.20

What callers saw: on Node.js 20.19.0 every answer of the control port, and every other answer whose length stands as text in its head, was cut off before its first byte ("socket hang up").

Cause: with strictContentLength, Node.js 20.19 compares the bytes written with the stated value itself (51 with '51'); fastify and the relayed heads state it as text.

Evidence: a plain http.Server with strictContentLength on 20.19.0 refuses each form that states text and takes each that states a number. The new test on the old code: 'text in a record' timed out, with ERR_HTTP_CONTENT_LENGTH_MISMATCH beside it (4 of 4 bytes).

Change: guarded servers make their responses as StrictResponse, which turns a decimal text into its number in setHeader and writeHead and is strict itself.

Result: the 11 tests of guarded-server.test.ts and the crowd of whole bodies pass on 20.19.0, arm64.

--- a/packages/peer-limits/src/guarded-server.test.ts
+++ b/packages/peer-limits/src/guarded-server.test.ts
@@ -97,3 +97,23 @@
     expect(codes).toEqual(['ERR_HTTP_CONTENT_LENGTH_MISMATCH']);
   },
 );
+
+// Guards against answers cut off on Node.js before 20.20, which takes a length stated as text for a wrong one.
+it.each<[string, (response: http.ServerResponse) => void]>([
+  ['text set before', (response) => response.setHeader('Content-Length', '4')],
+  ['a number set before', (response) => response.setHeader('Content-Length', 4)],
+  ['text in a record', (response) => response.writeHead(200, { 'content-length': '4' })],
+  ['text in a record behind a reason', (response) => response.writeHead(200, 'Fine', { 'Content-Length': '4' })],
+  ['text in a list', (response) => response.writeHead(200, ['Content-Type', 'text/plain', 'Content-Length', '4'])],
+  ['text in a list behind a reason', (response) => response.writeHead(200, 'Fine', ['Content-Length', '4'])],
+])('sends a body whose length is stated as %s', async (_form, stateLength) => {
+  const { connect } = await startServer((_request, response) => {
+    stateLength(response);
+    response.write('bo');
+    response.end('dy');
+  });
+  const socket = connect();
+  const answer = received(socket);
+  socket.write('GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n');
+  expect(await answer).toMatch(/^HTTP\/1\.1 200 .*Content-Length: 4\r\n.*\r\n\r\nbody$/is);
+});
--- a/packages/peer-limits/src/guarded-server.ts
+++ b/packages/peer-limits/src/guarded-server.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import type { ConnectionGuard, GuardedSocket } from './connection-guard.js';
+import { StrictResponse } from './strict-response.js';
 
 /** One connection of a guarded server. */
 export interface HttpConnection {
@@ -163,6 +164,7 @@
     requestTimeout: guard.bodyTimeoutMs,
     headersTimeout: Math.min(guard.bodyTimeoutMs, defaultHeadTimeoutMs),
     connectionsCheckingInterval: 1000,
+    ServerResponse: StrictResponse,
     ...options.http,
   }) as http.Server & { maxHeaderSize: number };
   server.maxConnections = guard.limits.maxConnections + listenBacklog(guard);
@@ -170,8 +172,6 @@
   function onRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
     const state = states.get(request.socket);
     if (state === undefined || !followRequest(state, request, response)) return;
-    // Writing more or fewer bytes than a head states throws, so that no byte is taken for a part of the next response.
-    response.strictContentLength = true;
     options.handle(request, response, state);
   }
   server.on('connection', (socket: Socket) => {
