--- a/packages/inner-protocol/src/queue.ts
+++ b/packages/inner-protocol/src/queue.ts
@@ -24,16 +24,3 @@
   }
   return { post };
 }
-
-if (import.meta.vitest) {
-  const { it, expect } = import.meta.vitest;
-  it('handles a command posted by a handler after the command that posted it', () => {
-    const handled: string[] = [];
-    const queue = createQueue<string>((command) => {
-      if (command === 'a') queue.post('b');
-      handled.push(command);
-    });
-    queue.post('a');
-    expect(handled).toEqual(['a', 'b']);
-  });
-}
--- a/packages/rehearsal/src/cohort.ts
+++ b/packages/rehearsal/src/cohort.ts
@@ -23,13 +23,3 @@
   if (position < treatmentShare) return 'slice';
   return position >= 1 - Math.min(1 - treatmentShare, maxControlRatio * treatmentShare) ? 'control' : 'none';
 }
-
-if (import.meta.vitest) {
-  const { it, expect } = import.meta.vitest;
-  it('draws two separate cohorts, the control three times as large as the treatment', () => {
-    const counts = { slice: 0, control: 0, none: 0 };
-    for (let i = 0; i < 20000; i += 1) counts[cohortOf('r', `q${i}`, 0.1)] += 1;
-    expect(Math.abs(counts.slice - 2000)).toBeLessThan(200);
-    expect(Math.abs(counts.control - 6000)).toBeLessThan(300);
-  });
-}
--- a/packages/simulator/src/faults.ts
+++ b/packages/simulator/src/faults.ts
@@ -151,12 +151,3 @@
   }
   return now;
 }
-
-if (import.meta.vitest) {
-  const { it, expect } = import.meta.vitest;
-  it('shrinks to just the faults that are needed', async () => {
-    const fs = Array.from({ length: 9 }, (_, i): SimFault => ({ at: i, do: 'kill', who: `router${i}`, for: 1 }));
-    const s = await shrink(fs, async (x) => x.some((f) => f.who === 'router3') && x.some((f) => f.who === 'router7'));
-    expect(s.map((f) => f.who)).toEqual(['router3', 'router7']);
-  });
-}
