--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,7 +1,7 @@
 /**
- * Builds the deployed program directly from the TypeScript sources: one bundle without in-source tests, and a code cache
- * for each role, which the loader starts from. Output goes to target/, or to the directory given as first argument; the
- * second argument is the deploy file.
+ * Builds the deployed program directly from the TypeScript sources: one bundle, and a code cache for each role, which the
+ * loader starts from. Output goes to target/, or to the directory given as first argument; the second argument is the
+ * deploy file.
  */
 import { build } from 'esbuild';
 import { execFileSync } from 'node:child_process';
@@ -33,7 +33,6 @@
   footer: { js: '})' },
   metafile: true,
   alias: sources,
-  define: { 'import.meta.vitest': 'undefined' },
   // These libraries are imported in places only for types; none of them needs to run for its side effects.
   plugins: [{ name: 'unused', setup: markSideEffectFree }],
   logLevel: 'warning',
--- a/packages/model-checker/src/mutants.ts
+++ b/packages/model-checker/src/mutants.ts
@@ -9,9 +9,6 @@
 import type { CheckResult, CheckOptions } from './check-model.js';
 import type { Mutation } from './mutations.js';
 
-/** Assembled from parts, as the test runner treats a file that contains this expression as one with in-source tests. */
-const inSourceTests = ['import', 'meta', 'vitest'].join('.');
-
 /** A check that failed to run or did not finish in time. */
 export interface CheckError {
   readonly error: string;
@@ -78,7 +75,6 @@
     platform: 'node',
     format: 'esm',
     logLevel: 'silent',
-    define: { [inSourceTests]: 'undefined' },
     plugins: [sourcePlugin(root, mutation)],
   });
   return outfile;
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -12,7 +12,6 @@
 export default defineConfig({
   resolve: { alias },
   test: {
-    includeSource: ['packages/*/src/**/*.ts', 'programs/*/src/**/*.ts'],
     include: ['tests/**/*.test.ts', '{packages/*,programs/*,platform}/src/**/*.test.ts', 'deploy/*.test.ts'],
     testTimeout: 120_000,
     hookTimeout: 120_000,
