--- a/packages/model-checker/src/apply-move.ts
+++ b/packages/model-checker/src/apply-move.ts
@@ -39,6 +39,8 @@
       return freeze(cluster, cluster.machine(fault.machine), fault.forUs);
     case 'leave':
       return leave(cluster, cluster.machine(fault.machine), cluster.machine(fault.spare));
+    case 'replace':
+      return replace(cluster, cluster.machine(fault.machine), cluster.machine(fault.spare));
     case 'join':
       return join(cluster.machine(fault.spare));
     case 'restart-follower':
@@ -62,16 +64,20 @@
 }
 
 function wipe(cluster: Cluster, machine: ControlMachine, forUs: number): boolean {
-  if (!mayLoseEmptyDisk(cluster) && !cluster.invariants.toleratesLossOf(machine)) return false;
+  if (!mayLoseDisk(cluster, machine)) return false;
   if (machine.process.alive) machine.crash(0);
   machine.eraseDisk();
   scheduleFaultEnd(cluster, `loss of ${machine.name}`, forUs, () => restart(machine));
   return true;
 }
 
+function mayLoseDisk(cluster: Cluster, machine: ControlMachine): boolean {
+  return mayLoseEmptyDisk(cluster) || cluster.invariants.toleratesLossOf(machine);
+}
+
 /** Before a cluster is bootstrapped, one disk loss is allowed: as many as a bootstrapped cluster tolerates. */
 function mayLoseEmptyDisk(cluster: Cluster): boolean {
-  if (!cluster.scope.statelessSeeds || cluster.isBootstrapped()) return false;
+  if (cluster.isBootstrapped()) return false;
   cluster.preBootstrapDiskLosses += 1;
   return cluster.preBootstrapDiskLosses === 1;
 }
@@ -112,6 +118,13 @@
   else machine.eraseDisk();
 }
 
+function replace(cluster: Cluster, machine: ControlMachine, spare: ControlMachine): boolean {
+  if (spare.wasStarted() || !mayLoseDisk(cluster, machine)) return false;
+  if (machine.process.alive) machine.crash(0);
+  machine.eraseDisk();
+  return join(spare);
+}
+
 function join(machine: ControlMachine): boolean {
   if (machine.wasStarted()) return false;
   machine.start(false);
--- a/packages/model-checker/src/cluster.ts
+++ b/packages/model-checker/src/cluster.ts
@@ -54,7 +54,7 @@
   readonly history: Operation[] = [];
   readonly invariants: Invariants;
   private readonly random: () => number;
-  /** How many disk losses the fault schedule asked for before a cluster was bootstrapped, counted with `statelessSeeds`. */
+  /** How many disk losses the fault schedule asked for before a cluster was bootstrapped. */
   preBootstrapDiskLosses = 0;
   private position = 0;
 
--- a/packages/model-checker/src/draws.ts
+++ b/packages/model-checker/src/draws.ts
@@ -82,7 +82,10 @@
   return follower === undefined ? undefined : { kind: 'restart-follower', follower: follower.process.name };
 }
 
-const draws: { readonly [K in MoveKind]: Draw } = {
+/** The kinds of moves that are drawn; a test places the others. */
+export type DrawnMoveKind = Exclude<MoveKind, 'replace'>;
+
+const draws: { readonly [K in DrawnMoveKind]: Draw } = {
   run: drawRun,
   lose: onMessage((event) => ({ kind: 'lose', event })),
   double: onMessage((event) => ({ kind: 'double', event })),
@@ -101,10 +104,10 @@
 };
 
 /** All kinds of moves, in the order in which weights are drawn. */
-export const moveKinds = Object.keys(draws) as MoveKind[];
+export const moveKinds = Object.keys(draws) as DrawnMoveKind[];
 
 /** The relative weights of the kinds of moves where none was used yet in the situation. */
-export const defaultWeights: { readonly [K in MoveKind]: number } = {
+export const defaultWeights: { readonly [K in DrawnMoveKind]: number } = {
   run: 4,
   lose: 6,
   double: 4,
@@ -120,6 +123,6 @@
 };
 
 /** Draws a move of a kind; undefined if the state allows none. */
-export function drawMove(kind: MoveKind, cluster: Cluster, random: Random): Move | undefined {
+export function drawMove(kind: DrawnMoveKind, cluster: Cluster, random: Random): Move | undefined {
   return draws[kind](cluster, random);
 }
--- a/packages/model-checker/src/moves.ts
+++ b/packages/model-checker/src/moves.ts
@@ -25,6 +25,8 @@
   | { readonly kind: 'freeze'; readonly machine: string; readonly forUs: number }
   /** A machine leaves gracefully, for good unless its disk is still needed; a spare asks to join in its place. */
   | { readonly kind: 'leave'; readonly machine: string; readonly spare: string }
+  /** A machine and its disk are lost for good; a spare with an empty disk starts and asks to join in its place. */
+  | { readonly kind: 'replace'; readonly machine: string; readonly spare: string }
   /** A spare machine starts and asks to join. */
   | { readonly kind: 'join'; readonly spare: string }
   | { readonly kind: 'restart-follower'; readonly follower: string };
@@ -71,6 +73,8 @@
       return `${fault.machine} freezes for ${seconds(fault.forUs)}`;
     case 'leave':
       return `${fault.machine} leaves, ${fault.spare} asks to join`;
+    case 'replace':
+      return `${fault.machine} is lost for good, ${fault.spare} asks to join in its place`;
     case 'join':
       return `${fault.spare} asks to join`;
     case 'restart-follower':
--- a/packages/model-checker/src/walk.ts
+++ b/packages/model-checker/src/walk.ts
@@ -5,8 +5,8 @@
  */
 import { createSeededRandom } from '@tansypost/inner-protocol';
 import type { Cluster, Scope } from './cluster.js';
-import { drawMove, moveKinds, defaultWeights } from './draws.js';
-import type { Move, MoveKind } from './moves.js';
+import { drawMove, moveKinds, defaultWeights, type DrawnMoveKind } from './draws.js';
+import type { Move } from './moves.js';
 import type { RegisterCalls } from './register-calls.js';
 import { playRun, type Outcome } from './schedule.js';
 import { situationOf } from './situation.js';
@@ -49,7 +49,7 @@
     return drawMove(kind, cluster, this.random);
   }
 
-  private drawKind(situation: string): MoveKind {
+  private drawKind(situation: string): DrawnMoveKind {
     const weights = moveKinds.map(
       (kind) => defaultWeights[kind] / (1 + (this.moveCounts.get(`${situation}/${kind}`) ?? 0)),
     );
